--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,3 @@
+"""Benchmarks in the style of asv."""
+
+from __future__ import annotations
--- /dev/null
+++ b/persimmondock/_adapters/__init__.py
@@ -0,0 +1,3 @@
+"""Implementations of the ports on top of libraries."""
+
+from __future__ import annotations
--- /dev/null
+++ b/persimmondock/_adapters/log_client.py
@@ -0,0 +1,78 @@
+"""The log service over HTTP.
+
+``POST /v1/records`` takes a msgpack list of byte strings and answers ``{"offset": n}``.
+``GET /v1/records?from=N&limit=N&wait_ms=N`` answers a msgpack map with ``entries``, ``following``,
+``earliest`` and ``end``; status 410 with ``earliest`` when the records are no longer kept.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import msgpack
+
+from persimmondock._ports.log import (
+    Appended,
+    AppendOutcome,
+    AppendRefused,
+    AppendUnknown,
+    Batch,
+    Entry,
+    Expired,
+    ReadFailed,
+    ReadOutcome,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+REQUEST_TIMEOUT_S = 2.0
+MAX_BATCH_BYTES = 64 * 1024 * 1024
+
+
+class HttpLog:
+    """Client of one log service."""
+
+    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
+        self._url = f"http://{address}/v1/records"
+        self._session = session
+
+    async def append(self, payloads: Sequence[bytes]) -> AppendOutcome:
+        """Append records as one unit, in order."""
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        body = msgpack.packb(list(payloads))
+        try:
+            async with self._session.post(self._url, data=body, timeout=timeout) as response:
+                data = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            return AppendRefused(str(error))
+        except (TimeoutError, aiohttp.ClientError) as error:
+            return AppendUnknown(repr(error))
+        if response.status != 200:
+            return AppendRefused(f"status {response.status}")
+        return Appended(int(msgpack.unpackb(data)["offset"]))
+
+    async def read(self, start: int, limit: int, wait: float) -> ReadOutcome:
+        """Read up to ``limit`` records from ``start``; wait ``wait`` seconds for the first."""
+        query = {"from": str(start), "limit": str(limit), "wait_ms": str(int(wait * 1000))}
+        timeout = aiohttp.ClientTimeout(total=wait + REQUEST_TIMEOUT_S)
+        try:
+            async with self._session.get(self._url, params=query, timeout=timeout) as response:
+                data = await response.read()
+        except (TimeoutError, aiohttp.ClientError) as error:
+            return ReadFailed(repr(error))
+        if response.status == 410:
+            return Expired(int(msgpack.unpackb(data)["earliest"]))
+        if response.status != 200:
+            return ReadFailed(f"status {response.status}")
+        return _build_batch(msgpack.unpackb(data))
+
+
+def _build_batch(data: dict[str, Any]) -> Batch:
+    return Batch(
+        entries=tuple(Entry(int(offset), payload) for offset, payload in data["entries"]),
+        following=int(data["following"]),
+        earliest=int(data["earliest"]),
+        end=int(data["end"]),
+    )
--- /dev/null
+++ b/persimmondock/_domain/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions without input, output or clocks."""
+
+from __future__ import annotations
--- /dev/null
+++ b/persimmondock/_domain/configuration.py
@@ -0,0 +1,168 @@
+"""The configuration that operators publish, as the daemons read it."""
+
+from __future__ import annotations
+
+import enum
+import json
+from typing import Any, TypeVar
+
+import attrs
+import yaml
+from cattrs.errors import BaseValidationError
+from cattrs.v import transform_error
+
+from persimmondock._domain.structuring import make_strict_converter
+
+FLEET_SUBJECT = "fleet"
+SERVICE_PREFIX = "service/"
+MAX_BODY_BYTES = 256 * 1024
+MAX_SLICES = 1 << 20
+
+
+class ConfigurationError(ValueError):
+    """A configuration that cannot be accepted; the message names the value and the place."""
+
+
+class Urgency(enum.StrEnum):
+    """How long a request may wait for a free slot."""
+
+    MUST_ANSWER_FAST = "must_answer_fast"
+    MAY_WAIT = "may_wait"
+
+
+def _check_positive(_: Any, attribute: attrs.Attribute[int], value: int) -> None:
+    if value <= 0:
+        raise ValueError(f"{attribute.name} must be greater than 0, not {value}")
+
+
+def _check_slices(_: Any, attribute: attrs.Attribute[int], value: int) -> None:
+    if not 1 <= value <= MAX_SLICES:
+        raise ValueError(f"{attribute.name} must be from 1 to {MAX_SLICES}, not {value}")
+
+
+def _check_path(_: Any, attribute: attrs.Attribute[str], value: str) -> None:
+    if not value.startswith("/") or value.endswith("/"):
+        raise ValueError(f"{attribute.name} must start with '/' and not end with it, not {value!r}")
+
+
+@attrs.frozen
+class Route:
+    """How requests whose path ends with a given suffix are treated.
+
+    Parameters
+    ----------
+    suffix
+        Last part of the path, such as ``/assign``.
+    urgency
+        Urgency of these requests.
+    idempotent
+        Whether running such a request twice is the same as running it once.
+    """
+
+    suffix: str = attrs.field(validator=_check_path)
+    urgency: Urgency = Urgency.MUST_ANSWER_FAST
+    idempotent: bool = True
+
+
+@attrs.frozen
+class ServiceConfiguration:
+    """One service.
+
+    Parameters
+    ----------
+    name
+        Name of the service.
+    path
+        Prefix of the caller's request paths, such as ``/painel``.
+    keyed
+        Whether backend servers own keys; the key is the first path segment after the prefix.
+    slices
+        Number of slices that the keys, or the request identifiers, hash to.
+    urgency
+        Urgency of requests that no route names.
+    idempotent
+        Idempotence of requests that no route names.
+    timeout_ms
+        Longest time that a request may take, in milliseconds.
+    request_id_ms
+        Time that the answer to a non-idempotent request is kept, in milliseconds.
+    routes
+        Exceptions to ``urgency`` and ``idempotent``.
+    """
+
+    name: str
+    path: str = attrs.field(validator=_check_path)
+    keyed: bool = False
+    slices: int = attrs.field(default=256, validator=_check_slices)
+    urgency: Urgency = Urgency.MUST_ANSWER_FAST
+    idempotent: bool = True
+    timeout_ms: int = attrs.field(default=10_000, validator=_check_positive)
+    request_id_ms: int = attrs.field(default=300_000, validator=_check_positive)
+    routes: tuple[Route, ...] = ()
+
+    def find_route(self, path: str) -> Route:
+        """Return the route of a request path, or the service's defaults."""
+        for route in self.routes:
+            if path.endswith(route.suffix):
+                return route
+        return Route(suffix="/*", urgency=self.urgency, idempotent=self.idempotent)
+
+
+@attrs.frozen
+class FleetConfiguration:
+    """What operators say of the fleet as a whole.
+
+    Parameters
+    ----------
+    failure_domains_out
+        Failure domains that get no new work.
+    draining
+        Names of backend servers that get no new work.
+    """
+
+    failure_domains_out: tuple[str, ...] = ()
+    draining: tuple[str, ...] = ()
+
+
+_converter = make_strict_converter()
+
+_T = TypeVar("_T", ServiceConfiguration, FleetConfiguration)
+
+
+def structure_configuration(data: Any, kind: type[_T]) -> _T:
+    """Build a configuration class from plain data.
+
+    Raises
+    ------
+    ConfigurationError
+        Naming every wrong value and its place.
+    """
+    if not isinstance(data, dict):
+        raise ConfigurationError(f"expected a mapping, not {data!r}")
+    try:
+        return _converter.structure(data, kind)
+    except BaseValidationError as error:
+        raise ConfigurationError("; ".join(transform_error(error))) from error
+
+
+def parse_subject(body: str, kind: type[_T]) -> _T:
+    """Read one subject's YAML body.
+
+    Raises
+    ------
+    ConfigurationError
+        If the body is too large, not YAML, or not a valid configuration.
+    """
+    if len(body) > MAX_BODY_BYTES:
+        raise ConfigurationError(f"body has {len(body)} characters, at most {MAX_BODY_BYTES}")
+    try:
+        data = yaml.safe_load(body)
+    except yaml.YAMLError as error:
+        raise ConfigurationError(f"not YAML: {error}") from error
+    return structure_configuration(data, kind)
+
+
+def render_subject(configuration: ServiceConfiguration | FleetConfiguration) -> str:
+    """Write one subject's YAML body; the same configuration gives the same text."""
+    data = json.loads(json.dumps(_converter.unstructure(configuration)))
+    return yaml.safe_dump(data, sort_keys=True, allow_unicode=True)
--- /dev/null
+++ b/persimmondock/_domain/messages.py
@@ -0,0 +1,219 @@
+"""Messages between daemons, and the frame that carries several of them."""
+
+from __future__ import annotations
+
+from typing import Any, TypeAlias
+
+import attrs
+import msgpack
+from cattrs.preconf.msgpack import make_converter
+from cattrs.strategies import configure_tagged_union
+
+from persimmondock._domain.records import MemberRef
+from persimmondock._domain.verdict import Answered, Header, MayHaveRun, NotRun, Verdict
+
+
+@attrs.frozen
+class Renew:
+    """A holder asks a witness for another term.
+
+    Parameters
+    ----------
+    sequence
+        Number of the request; the holder remembers when it sent it.
+    applied
+        Offset before which the holder has folded all records.
+    """
+
+    holder: MemberRef
+    sequence: int
+    applied: int
+
+
+@attrs.frozen
+class Granted:
+    """A witness promises the holder a term.
+
+    Parameters
+    ----------
+    applied
+        Offset before which the witness has folded all records.
+    """
+
+    witness: MemberRef
+    holder: MemberRef
+    sequence: int
+    applied: int
+
+
+@attrs.frozen
+class Voted:
+    """A witness will never renew a holder's lease again."""
+
+    witness: MemberRef
+    holder: MemberRef
+    version: int
+
+
+@attrs.frozen
+class ReleaseAsked:
+    """The new owner of slices asks an earlier owner to release them."""
+
+    asker: MemberRef
+    service: str
+    slices: tuple[int, ...]
+    lost_at: int
+
+
+@attrs.frozen
+class KeptAnswer:
+    """An entry of a request table, handed over with its slice.
+
+    Parameters
+    ----------
+    expires_at_ms
+        When the entry may be forgotten, in Unix milliseconds.
+    """
+
+    service: str
+    slice: int
+    request_id: str
+    fingerprint: int
+    verdict: Verdict
+    expires_at_ms: int
+
+
+@attrs.frozen
+class Released:
+    """An earlier owner no longer serves slices and has no work of theirs in flight."""
+
+    member: MemberRef
+    service: str
+    slices: tuple[int, ...]
+    lost_at: int
+    kept: tuple[KeptAnswer, ...]
+
+
+@attrs.frozen
+class RecordsAsked:
+    """A daemon asks a peer for records that it lacks."""
+
+    start: int
+
+
+@attrs.frozen
+class RecordsGiven:
+    """Consecutive encoded records from an offset."""
+
+    start: int
+    payloads: tuple[bytes, ...]
+
+
+@attrs.frozen
+class Call:
+    """A caller's request on its way to a gate.
+
+    Parameters
+    ----------
+    number
+        Correlates the reply.
+    backend
+        Name of the backend server that the front chose, or of the slice's owner.
+    slice
+        Slice of the key or of the request identifier; -1 when any backend server may run it.
+    request_id
+        Caller's identifier of a non-idempotent request, or empty.
+    issued_at
+        View offset known when the identifier was issued, or -1 when that is not known.
+    deadline_ms
+        Unix milliseconds after which nobody waits for the answer.
+    """
+
+    number: int
+    service: str
+    backend: str
+    slice: int
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    request_id: str
+    issued_at: int
+    idempotent: bool
+    may_wait: bool
+    deadline_ms: int
+
+
+@attrs.frozen
+class Reply:
+    """The outcome of a call."""
+
+    number: int
+    verdict: Verdict
+
+
+@attrs.frozen
+class Cancel:
+    """The caller of a call has gone."""
+
+    number: int
+
+
+Message: TypeAlias = (
+    Renew
+    | Granted
+    | Voted
+    | ReleaseAsked
+    | Released
+    | RecordsAsked
+    | RecordsGiven
+    | Call
+    | Reply
+    | Cancel
+)
+
+
+@attrs.frozen
+class Frame:
+    """Messages sent together.
+
+    Parameters
+    ----------
+    sender
+        Name of the sending daemon.
+    reply_address
+        Where its answers go.
+    """
+
+    sender: str
+    reply_address: str
+    messages: tuple[Message, ...]
+
+
+class FrameError(ValueError):
+    """Bytes from a peer that are not a frame."""
+
+
+_converter = make_converter()
+configure_tagged_union(Answered | NotRun | MayHaveRun, _converter, tag_name="verdict")
+configure_tagged_union(Message, _converter, tag_name="kind")
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encode a frame."""
+    return msgpack.packb(_converter.unstructure(frame))
+
+
+def decode_frame(data: bytes) -> Frame:
+    """Decode a frame.
+
+    Raises
+    ------
+    FrameError
+        If the bytes are not a frame of known messages.
+    """
+    try:
+        value: Any = msgpack.unpackb(data)
+        return _converter.structure(value, Frame)
+    except Exception as error:
+        raise FrameError(f"cannot decode a frame of {len(data)} bytes: {error}") from error
--- /dev/null
+++ b/persimmondock/_domain/records.py
@@ -0,0 +1,246 @@
+"""Records of the log, and their encoding.
+
+Each record has an identifier chosen by its writer, so that a writer whose append had an unknown
+outcome can find the record by reading, and so that a record appended twice is folded once.
+"""
+
+from __future__ import annotations
+
+import uuid
+from typing import Any, TypeAlias
+
+import attrs
+import msgpack
+from cattrs.preconf.msgpack import make_converter
+from cattrs.strategies import configure_tagged_union
+
+
+@attrs.frozen
+class MemberRef:
+    """One incarnation of one daemon.
+
+    Parameters
+    ----------
+    daemon
+        Name of the daemon, from its settings.
+    incarnation
+        Offset of the record by which this incarnation joined.
+    """
+
+    daemon: str
+    incarnation: int
+
+
+@attrs.frozen
+class Backend:
+    """A backend server as its daemon announces it.
+
+    Parameters
+    ----------
+    name
+        Name of the backend server, unique in the fleet.
+    service
+        Service that it belongs to.
+    address
+        ``host:port`` of its HTTP listener.
+    slots
+        Requests that it runs at the same time.
+    connections
+        Connections that it accepts.
+    checks_tokens
+        Whether it refuses requests that carry an outdated fencing token.
+    """
+
+    name: str
+    service: str
+    address: str
+    slots: int
+    connections: int
+    checks_tokens: bool
+
+
+@attrs.frozen
+class MemberJoined:
+    """A daemon joins; the record's offset becomes its incarnation."""
+
+    record_id: str
+    daemon: str
+    failure_domain: str
+    peer_address: str
+    data_address: str
+    caller_address: str
+    operator_address: str
+    witnesses: tuple[MemberRef, ...]
+    successor: MemberRef | None
+
+
+@attrs.frozen
+class WitnessesChanged:
+    """A member replaces the witnesses of its lease and its successor.
+
+    Only the member itself writes this record.
+
+    Parameters
+    ----------
+    version
+        Offset of the record that named the witnesses being replaced.
+    """
+
+    record_id: str
+    member: MemberRef
+    version: int
+    witnesses: tuple[MemberRef, ...]
+    successor: MemberRef | None
+
+
+@attrs.frozen
+class MemberLeaving:
+    """A member asks for its slices to be moved to others."""
+
+    record_id: str
+    member: MemberRef
+
+
+@attrs.frozen
+class MemberLeft:
+    """A member has ended all its work and is gone."""
+
+    record_id: str
+    member: MemberRef
+
+
+@attrs.frozen
+class MemberLost:
+    """A majority of a member's witnesses will never renew its lease again.
+
+    Parameters
+    ----------
+    version
+        Offset of the record that named the witnesses who voted.
+    voters
+        The witnesses who voted, at least a majority.
+    """
+
+    record_id: str
+    member: MemberRef
+    version: int
+    voters: tuple[MemberRef, ...]
+
+
+@attrs.frozen
+class BackendAnnounced:
+    """A member serves through a backend server from now on."""
+
+    record_id: str
+    member: MemberRef
+    backend: Backend
+
+
+@attrs.frozen
+class BackendWithdrawn:
+    """A member no longer serves through a backend server."""
+
+    record_id: str
+    member: MemberRef
+    backend: str
+
+
+@attrs.frozen
+class SubjectChange:
+    """A change of one subject of the configuration.
+
+    Parameters
+    ----------
+    subject
+        ``service/NAME`` or ``fleet``.
+    base
+        Offset of the version that the change was based on, or -1 when there was none.
+    body
+        The new version as YAML, or None to remove the subject.
+    """
+
+    subject: str
+    base: int
+    body: str | None
+
+
+@attrs.frozen
+class ConfigurationPublished:
+    """An operator's change; accepted as a whole or not at all."""
+
+    record_id: str
+    author: str
+    changes: tuple[SubjectChange, ...]
+
+
+@attrs.frozen
+class HandoversSettled:
+    """Every member has released what it lost before an offset."""
+
+    record_id: str
+    before: int
+
+
+@attrs.frozen
+class SnapshotTaken:
+    """The view after all records before an offset, encoded."""
+
+    record_id: str
+    covers: int
+    digest: str
+    body: bytes
+
+
+@attrs.frozen
+class UnreadableRecord:
+    """A record of a kind that this version does not know; it changes nothing."""
+
+    record_id: str = ""
+
+
+Record: TypeAlias = (
+    MemberJoined
+    | WitnessesChanged
+    | MemberLeaving
+    | MemberLeft
+    | MemberLost
+    | BackendAnnounced
+    | BackendWithdrawn
+    | ConfigurationPublished
+    | HandoversSettled
+    | SnapshotTaken
+    | UnreadableRecord
+)
+
+
+class RecordError(ValueError):
+    """A record of the log that cannot be decoded."""
+
+
+_converter = make_converter()
+configure_tagged_union(Record, _converter, tag_name="kind")
+
+
+def make_record_id() -> str:
+    """Return a new record identifier."""
+    return uuid.uuid4().hex
+
+
+def encode_record(record: Record) -> bytes:
+    """Encode a record for the log."""
+    data: dict[str, Any] = _converter.unstructure(record, unstructure_as=Record)
+    return msgpack.packb(data)
+
+
+def decode_record(data: bytes) -> Record:
+    """Decode a record of the log.
+
+    Raises
+    ------
+    RecordError
+        If the bytes are not a record of a known kind.
+    """
+    try:
+        return _converter.structure(msgpack.unpackb(data), Record)  # type: ignore[arg-type]
+    except Exception as error:
+        raise RecordError(f"cannot decode a record of {len(data)} bytes: {error}") from error
--- /dev/null
+++ b/persimmondock/_domain/verdict.py
@@ -0,0 +1,101 @@
+"""Outcomes of a request.
+
+Every path that ends a request ends it with one of three verdicts. ``NotRun`` is a promise that no
+backend server has started the request or ever will; code that cannot prove this must use
+``MayHaveRun``.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import TypeAlias
+
+import attrs
+
+
+class Reason(enum.StrEnum):
+    """Why a request was refused or given up."""
+
+    NO_SUCH_SERVICE = "no_such_service"
+    NO_OWNER = "no_owner"
+    NOT_OWNER = "not_owner"
+    LEASE_LAPSED = "lease_lapsed"
+    HANDOVER_PENDING = "handover_pending"
+    DEADLINE_PASSED = "deadline_passed"
+    OVERLOADED = "overloaded"
+    DRAINING = "draining"
+    SUSPECTED_POISON = "suspected_poison"
+    BAD_REQUEST = "bad_request"
+    MISSING_REQUEST_ID = "missing_request_id"
+    REQUEST_ID_REUSED = "request_id_reused"
+    SENT_TO_LOST_OWNER = "sent_to_lost_owner"
+    BACKEND_REFUSED = "backend_refused"
+    BACKEND_UNREACHABLE = "backend_unreachable"
+    BACKEND_LOST = "backend_lost"
+    ANSWER_TRUNCATED = "answer_truncated"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    PEER_UNREACHABLE = "peer_unreachable"
+    PEER_SILENT = "peer_silent"
+    RETRY_BUDGET_SPENT = "retry_budget_spent"
+    CANCELLED = "cancelled"
+
+
+@attrs.frozen
+class Header:
+    """One HTTP header field."""
+
+    name: str
+    value: str
+
+
+@attrs.frozen
+class Answer:
+    """A backend server's whole answer."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+
+@attrs.frozen
+class Answered:
+    """The request ran and this is its whole answer."""
+
+    answer: Answer
+
+
+@attrs.frozen
+class NotRun:
+    """The request has not run and will not run.
+
+    Parameters
+    ----------
+    reason
+        Why it was refused.
+    retry_after_ms
+        When the caller may try again, in milliseconds from now; 0 when trying again is useless.
+    """
+
+    reason: Reason
+    retry_after_ms: int = 0
+
+
+@attrs.frozen
+class MayHaveRun:
+    """Whether the request ran is not known."""
+
+    reason: Reason
+
+
+Verdict: TypeAlias = Answered | NotRun | MayHaveRun
+
+
+def name_verdict(verdict: Verdict) -> str:
+    """Return the word for a verdict in headers, logs and metrics."""
+    match verdict:
+        case Answered():
+            return "answered"
+        case NotRun():
+            return "not_run"
+        case MayHaveRun():
+            return "may_have_run"
--- /dev/null
+++ b/persimmondock/_domain/witnesses.py
@@ -0,0 +1,58 @@
+"""Choice of the witnesses of a lease and of a member's successor."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from persimmondock._domain.records import MemberRef
+    from persimmondock._domain.view import Member
+
+WITNESSES = 3
+
+
+def _rank(daemon: str, member: Member) -> int:
+    return xxhash.xxh3_64_intdigest(f"{daemon}|{member.ref.daemon}".encode())
+
+
+def choose_witnesses(
+    daemon: str, failure_domain: str, others: Iterable[Member], count: int = WITNESSES
+) -> tuple[MemberRef, ...]:
+    """Choose witnesses in as many failure domains as possible.
+
+    Each daemon ranks the others in its own pseudo-random order, so that no daemon witnesses for
+    many and neighbours do not share witnesses. Witnesses in other failure domains go first.
+
+    Returns
+    -------
+    tuple of MemberRef
+        An odd number of witnesses, at most ``count``.
+    """
+    ranked = sorted(others, key=lambda member: _rank(daemon, member))
+    by_domain: dict[str, list[Member]] = {}
+    for member in ranked:
+        by_domain.setdefault(member.failure_domain, []).append(member)
+    domains = sorted(by_domain, key=lambda name: (name == failure_domain, name))
+    chosen: list[MemberRef] = []
+    while len(chosen) < count and any(by_domain.values()):
+        for domain in domains:
+            if by_domain[domain] and len(chosen) < count:
+                chosen.append(by_domain[domain].pop(0).ref)
+    if len(chosen) % 2 == 0:
+        chosen = chosen[:-1]
+    return tuple(chosen)
+
+
+def choose_successor(
+    daemon: str, failure_domain: str, others: Iterable[Member]
+) -> MemberRef | None:
+    """Choose the member that takes over when the log cannot record a loss."""
+    ranked = sorted(
+        others,
+        key=lambda member: (member.failure_domain == failure_domain, _rank(daemon, member)),
+    )
+    return ranked[0].ref if ranked else None
--- /dev/null
+++ b/persimmondock/_tasks/control.py
@@ -0,0 +1,155 @@
+"""The control task: owns the daemon's membership and turns events into effects."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from typing import TYPE_CHECKING, TypeAlias
+
+import attrs
+import reactivex
+from loguru import logger
+from reactivex.subject import Subject
+
+from persimmondock._domain.membership import Append, Effect, Send
+from persimmondock._domain.messages import Message, RecordsAsked, RecordsGiven, Released
+from persimmondock._domain.records import Backend
+from persimmondock._ports.log import Entry
+from persimmondock._tasks.log_follower import LogExpired, LogRead, decode_entries
+
+if TYPE_CHECKING:
+    from persimmondock._adapters.peer_link import PeerLink
+    from persimmondock._domain.membership import Membership
+    from persimmondock._tasks.exchange import Exchange
+    from persimmondock._tasks.gate import Gate
+    from persimmondock._tasks.log_follower import LogFollower, LogWriter
+
+TICK_S = 0.1
+BACKEND_SILENCE_S = 1.5
+RECENT_ENTRIES = 5_000
+MAX_GIVEN_ENTRIES = 500
+
+
+@attrs.frozen
+class PeerMessage:
+    """A message from another daemon's control task."""
+
+    message: Message
+    reply_address: str
+
+
+@attrs.frozen
+class Tick:
+    """Time has passed."""
+
+
+@attrs.frozen
+class BackendSeen:
+    """A backend server announced itself to this daemon."""
+
+    backend: Backend
+
+
+@attrs.frozen
+class LeaveAsked:
+    """The daemon shall shut down gracefully."""
+
+
+Event: TypeAlias = LogRead | LogExpired | PeerMessage | Tick | BackendSeen | LeaveAsked
+
+
+class Control:
+    """Owns the membership; takes one event at a time."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        gate: Gate,
+        exchange: Exchange,
+        follower: LogFollower,
+        writer: LogWriter,
+    ) -> None:
+        self.inbox: Subject[Event] = Subject()
+        self._membership = membership
+        self._gate = gate
+        self._exchange = exchange
+        self._writer = writer
+        self._link: PeerLink | None = None
+        self._recent: deque[Entry] = deque(maxlen=RECENT_ENTRIES)
+        self._backends_seen_at: dict[str, float] = {}
+        reactivex.merge(self.inbox, follower.events).subscribe(self._handle)
+
+    def attach(self, link: PeerLink) -> None:
+        """Send messages through a link."""
+        self._link = link
+
+    async def run(self) -> None:
+        """Emit ticks for ever."""
+        while True:
+            self.inbox.on_next(Tick())
+            await asyncio.sleep(TICK_S)
+
+    def _handle(self, event: Event) -> None:
+        now = time.monotonic()
+        match event:
+            case LogRead(entries=entries, caught_up=caught_up):
+                self._membership.note_log_read(now, caught_up)
+                self._perform(self._apply_entries(entries, now))
+            case LogExpired(earliest=earliest):
+                logger.error("event=view_expired earliest={}", earliest)
+            case PeerMessage(message=message, reply_address=address):
+                self._receive(message, address, now)
+            case Tick():
+                self._withdraw_silent_backends(now)
+                self._perform(self._membership.advance(now))
+            case BackendSeen(backend=backend):
+                self._backends_seen_at[backend.name] = now
+                self._gate.open_station(backend)
+                self._perform(self._membership.announce_backend(backend, now))
+            case LeaveAsked():
+                self._perform(self._membership.start_leaving(now))
+
+    def _apply_entries(self, entries: tuple[Entry, ...], now: float) -> list[Effect]:
+        fresh = tuple(e for e in entries if e.offset >= self._membership.view.offset)
+        if not fresh:
+            return []
+        self._recent.extend(fresh)
+        effects = self._membership.apply_records(decode_entries(fresh), now)
+        self._exchange.follow_view(self._membership.view)
+        return effects
+
+    def _receive(self, message: Message, address: str, now: float) -> None:
+        match message:
+            case RecordsAsked(start=start):
+                self._give_records(start, address)
+            case RecordsGiven(start=start, payloads=payloads):
+                entries = tuple(Entry(start + i, data) for i, data in enumerate(payloads))
+                if start <= self._membership.view.offset:
+                    self._perform(self._apply_entries(entries, now))
+            case _:
+                if isinstance(message, Released):
+                    self._gate.table.adopt(message.kept)
+                self._perform(self._membership.receive(message, address, now))
+
+    def _give_records(self, start: int, address: str) -> None:
+        entries = [entry for entry in self._recent if entry.offset >= start][:MAX_GIVEN_ENTRIES]
+        if entries and entries[0].offset == start and self._link is not None:
+            payloads = tuple(entry.payload for entry in entries)
+            self._link.send(address, RecordsGiven(start, payloads))
+
+    def _withdraw_silent_backends(self, now: float) -> None:
+        for name, seen_at in list(self._backends_seen_at.items()):
+            if now - seen_at > BACKEND_SILENCE_S:
+                logger.warning("event=backend_silent backend={}", name)
+                del self._backends_seen_at[name]
+                self._perform(self._membership.withdraw_backend(name, now))
+
+    def _perform(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Send(address=address, message=message):
+                    if self._link is not None:
+                        self._link.send(address, message)
+                case Append(records=records):
+                    self._writer.write(records)
--- /dev/null
+++ b/persimmondock/_tasks/gate.py
@@ -0,0 +1,210 @@
+"""The gate: the only way into the backend servers beside this daemon.
+
+The gate judges each request right before it is sent: the lease must be held, the slice must be
+owned and released by its earlier owners, and a non-idempotent request must not have run before.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import aiohttp
+import attrs
+import xxhash
+from loguru import logger
+
+from persimmondock._adapters.backend_client import SLICE_HEADER, run_request
+from persimmondock._domain.membership import Membership, SliceRef
+from persimmondock._domain.request_table import (
+    Known,
+    RequestKey,
+    RequestTable,
+    RunFirst,
+    WaitForFirst,
+)
+from persimmondock._domain.verdict import Header, MayHaveRun, NotRun, Reason, Verdict
+
+if TYPE_CHECKING:
+    from persimmondock._domain.messages import Call, KeptAnswer
+    from persimmondock._domain.records import Backend
+
+ANY_SLICE = -1
+NOT_OWNER_RETRY_MS = 200
+OVERLOADED_RETRY_MS = 200
+WAIT_FOR_HANDOVER_S = 0.02
+
+
+@attrs.define
+class _Station:
+    """One backend server with its slots and its connections."""
+
+    backend: Backend
+    slots: asyncio.Semaphore
+    session: aiohttp.ClientSession
+
+
+class Gate:
+    """Lets requests into the backend servers beside this daemon."""
+
+    def __init__(self, membership: Membership) -> None:
+        self._membership = membership
+        self._stations: dict[str, _Station] = {}
+        self._in_flight: Counter[SliceRef] = Counter()
+        self._service_in_flight: Counter[str] = Counter()
+        self._first_attempts: dict[RequestKey, asyncio.Future[Verdict]] = {}
+        self.table = RequestTable()
+
+    # Questions of the membership.
+
+    def is_busy(self, ref: SliceRef) -> bool:
+        """Return whether requests of a slice, or of the service when -1, are in flight."""
+        if ref.index == ANY_SLICE:
+            return self._service_in_flight[ref.service] > 0
+        return self._in_flight[ref] > 0
+
+    def collect_kept(self, ref: SliceRef) -> tuple[KeptAnswer, ...]:
+        """Return the kept answers of a slice."""
+        return self.table.collect(ref.service, ref.index)
+
+    # Backend servers.
+
+    def open_station(self, backend: Backend) -> None:
+        """Begin to serve through a backend server."""
+        present = self._stations.get(backend.name)
+        if present is not None and present.backend == backend:
+            return
+        connector = aiohttp.TCPConnector(limit=backend.connections)
+        session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
+        self._stations[backend.name] = _Station(backend, asyncio.Semaphore(backend.slots), session)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for station in self._stations.values():
+            await station.session.close()
+
+    # Requests.
+
+    async def submit(self, call: Call) -> Verdict:
+        """Run a request, or refuse it."""
+        ref = SliceRef(call.service, call.slice)
+        if call.slice != ANY_SLICE:
+            refusal = await self._wait_for_slice(ref, call)
+            if refusal is not None:
+                return refusal
+        if call.idempotent:
+            return await self._run(call, ref)
+        return await self._run_once(call, ref)
+
+    async def _wait_for_slice(self, ref: SliceRef, call: Call) -> NotRun | None:
+        """Wait while earlier owners release the slice; refuse if it belongs to another."""
+        while True:
+            if not self._membership.owns_slice(ref):
+                return NotRun(Reason.NOT_OWNER, NOT_OWNER_RETRY_MS)
+            if not self._membership.unreleased.get(ref):
+                return None
+            if time.time() * 1000 >= call.deadline_ms:
+                return NotRun(Reason.HANDOVER_PENDING, NOT_OWNER_RETRY_MS)
+            await asyncio.sleep(WAIT_FOR_HANDOVER_S)
+
+    async def _run_once(self, call: Call, ref: SliceRef) -> Verdict:
+        """Run a non-idempotent request unless an attempt with its identifier has run."""
+        key = RequestKey(call.service, call.slice, call.request_id)
+        state = self._membership.view.services[call.service]
+        configuration = self._membership.view.configurations[call.service]
+        expires_at_ms = int(time.time() * 1000) + configuration.request_id_ms
+        admission = self.table.admit(
+            key,
+            _compute_fingerprint(call),
+            call.issued_at,
+            int(state.floors[call.slice]),
+            expires_at_ms,
+        )
+        match admission:
+            case Known(verdict=verdict):
+                return verdict
+            case WaitForFirst():
+                return await asyncio.shield(self._first_attempts[key])
+            case RunFirst():
+                task = asyncio.ensure_future(self._run_first(call, ref, key))
+                return await asyncio.shield(task)
+
+    async def _run_first(self, call: Call, ref: SliceRef, key: RequestKey) -> Verdict:
+        """Run the first attempt to its end, whether or not its caller waits."""
+        future: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
+        self._first_attempts[key] = future
+        verdict: Verdict = MayHaveRun(Reason.CANCELLED)
+        try:
+            verdict = await self._run(call, ref)
+        finally:
+            self.table.end(key, verdict)
+            del self._first_attempts[key]
+            future.set_result(verdict)
+        return verdict
+
+    async def _run(self, call: Call, ref: SliceRef) -> Verdict:
+        station = self._stations.get(call.backend)
+        if station is None:
+            return NotRun(Reason.NOT_OWNER, NOT_OWNER_RETRY_MS)
+        return await self._run_in_slot(call, ref, station)
+
+    async def _run_in_slot(self, call: Call, ref: SliceRef, station: _Station) -> Verdict:
+        remaining = call.deadline_ms / 1000 - time.time()
+        try:
+            await asyncio.wait_for(station.slots.acquire(), max(0.0, remaining))
+        except TimeoutError:
+            return NotRun(Reason.OVERLOADED, OVERLOADED_RETRY_MS)
+        try:
+            return await self._dispatch(call, ref, station)
+        finally:
+            station.slots.release()
+
+    async def _dispatch(self, call: Call, ref: SliceRef, station: _Station) -> Verdict:
+        """Check everything a last time and send; nothing is awaited between the two."""
+        now = time.monotonic()
+        remaining = call.deadline_ms / 1000 - time.time()
+        if remaining <= 0:
+            return NotRun(Reason.DEADLINE_PASSED)
+        if not self._membership.holds_lease(now):
+            return NotRun(Reason.LEASE_LAPSED, NOT_OWNER_RETRY_MS)
+        token = -1
+        if ref.index != ANY_SLICE:
+            if not self._membership.serves_slice(ref, now):
+                return NotRun(Reason.NOT_OWNER, NOT_OWNER_RETRY_MS)
+            token = int(self._membership.view.services[ref.service].tokens[ref.index])
+            call = _add_header(call, Header(SLICE_HEADER, str(ref.index)))
+            assert self._membership.lease is not None
+            remaining = min(remaining, self._membership.lease.compute_deadline() - now)
+        deadline_ms = int((time.time() + remaining) * 1000)
+        self._in_flight[ref] += 1
+        self._service_in_flight[ref.service] += 1
+        try:
+            verdict = await run_request(
+                station.session, station.backend.address, call, token, deadline_ms, remaining
+            )
+        finally:
+            self._service_in_flight[ref.service] -= 1
+            self._in_flight[ref] -= 1
+            if not self._in_flight[ref]:
+                del self._in_flight[ref]
+        if isinstance(verdict, MayHaveRun):
+            logger.warning(
+                "event=outcome_unknown service={} backend={} reason={}",
+                call.service,
+                call.backend,
+                verdict.reason,
+            )
+        return verdict
+
+
+def _add_header(call: Call, header: Header) -> Call:
+    return attrs.evolve(call, headers=(*call.headers, header))
+
+
+def _compute_fingerprint(call: Call) -> int:
+    """Return a hash of what makes two requests the same."""
+    digest = xxhash.xxh3_64(f"{call.method} {call.path}".encode())
+    digest.update(call.body)
+    return digest.intdigest() >> 1
--- /dev/null
+++ b/persimmondock/properties/__init__.py
@@ -0,0 +1,3 @@
+"""Hypothesis properties and state machines."""
+
+from __future__ import annotations
--- /dev/null
+++ b/persimmondock/standins/__init__.py
@@ -0,0 +1,3 @@
+"""Small stand-ins for the log service and the backend servers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/persimmondock/standins/backend_server.py
@@ -0,0 +1,288 @@
+"""A stand-in for a backend server.
+
+It announces itself to daemons, runs requests in a limited number of slots, and keeps a journal of
+what it ran. ``POST /control`` takes a JSON object with the fields of ``BackendFaults`` to change.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import time
+import uuid
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import TextIO
+
+ANNOUNCE_EVERY_S = 0.5
+ANNOUNCE_TIMEOUT_S = 0.5
+POISON_HEADER = "Standin-Poison"
+WORK_HEADER = "Standin-Work-Ms"
+TOKEN_HEADER = "Persimmondock-Token"
+SLICE_HEADER = "Persimmondock-Slice"
+DEADLINE_HEADER = "Persimmondock-Deadline"
+NOT_RUN_HEADER = "Persimmondock-Not-Run"
+CRASH_STATUS = 70
+JOURNAL_FIELDS = ("request_id", "path", "token", "slice")
+
+
+@attrs.define
+class BackendFaults:
+    """Faults that are switched on.
+
+    Parameters
+    ----------
+    slowness
+        Factor by which work takes longer.
+    draining
+        Refuse all new work.
+    report_lag_s
+        Age of the load report, in seconds.
+    reported_load
+        Load that is reported whatever the real one; None reports the real one.
+    """
+
+    slowness: float = 1.0
+    draining: bool = False
+    report_lag_s: float = 0.0
+    reported_load: int | None = None
+
+
+@attrs.frozen
+class BackendProfile:
+    """What kind of backend server it is.
+
+    Parameters
+    ----------
+    work_ms
+        Time that a request takes when its header does not say.
+    cold_slots
+        Slots that it bears while cold.
+    cold_runs
+        Completions after which it is warm.
+    journal
+        Path of a file that each start and end of a run is written to, one JSON object a line, so
+        that it outlives the process; empty writes none.
+    """
+
+    name: str
+    service: str
+    address: str
+    daemons: tuple[str, ...]
+    slots: int = 12
+    connections: int = 130
+    checks_tokens: bool = True
+    work_ms: float = 5.0
+    cold_slots: int = 2
+    cold_runs: int = 20
+    journal: str = ""
+
+
+@attrs.define
+class JournalEntry:
+    """One run of one request."""
+
+    request_id: str
+    path: str
+    token: int
+    slice: int
+    started_at: float
+    ended_at: float | None = None
+    completed: bool = False
+
+
+class BackendStandin:
+    """A backend server with fault switches and a journal."""
+
+    def __init__(self, profile: BackendProfile, crash: Callable[[], None] | None = None) -> None:
+        self.profile = profile
+        self.faults = BackendFaults()
+        self.journal: list[JournalEntry] = []
+        self.instance = uuid.uuid4().hex
+        self.in_flight = 0
+        self.overloads_while_cold = 0
+        self._crash = crash or (lambda: os._exit(CRASH_STATUS))
+        self._warm_runs = 0
+        self._tokens: dict[int, int] = {}
+        self._loads: list[tuple[float, int]] = []
+        self._file = _open_journal(profile.journal)
+
+    def build_application(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application()
+        application.router.add_post("/control", self._control)
+        application.router.add_get("/control/journal", self._show_journal)
+        application.router.add_get("/health", self._show_health)
+        application.router.add_get("/load", self._show_load)
+        application.router.add_route("*", "/{path:.*}", self._serve)
+        application.cleanup_ctx.append(self._keep_announcing)
+        return application
+
+    @property
+    def cold(self) -> bool:
+        """Whether it still bears little."""
+        return self._warm_runs < self.profile.cold_runs
+
+    def turn_cold(self) -> None:
+        """Forget what made it warm, without a word to anybody."""
+        self._warm_runs = 0
+
+    async def _keep_announcing(self, _: web.Application) -> Any:
+        task = asyncio.create_task(self._announce())
+        yield
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+    async def _announce(self) -> None:
+        """Announce to the first daemon of the list that answers."""
+        timeout = aiohttp.ClientTimeout(total=ANNOUNCE_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                for daemon in self.profile.daemons:
+                    if await self._announce_to(session, daemon):
+                        break
+                await asyncio.sleep(ANNOUNCE_EVERY_S)
+
+    async def _announce_to(self, session: aiohttp.ClientSession, daemon: str) -> bool:
+        body = {
+            "name": self.profile.name,
+            "service": self.profile.service,
+            "address": self.profile.address,
+            "slots": self.profile.slots,
+            "connections": self.profile.connections,
+            "checks_tokens": self.profile.checks_tokens,
+            "instance": self.instance,
+        }
+        try:
+            async with session.post(f"http://{daemon}/v1/backends", json=body) as response:
+                return response.status == 200
+        except (TimeoutError, aiohttp.ClientError):
+            return False
+
+    async def _serve(self, request: web.Request) -> web.Response:
+        if request.headers.get(POISON_HEADER):
+            self._crash()
+        refusal = self._find_refusal(request)
+        if refusal:
+            return web.Response(status=503, headers={NOT_RUN_HEADER: refusal}, text=refusal)
+        return await self._run(request)
+
+    def _find_refusal(self, request: web.Request) -> str:
+        """Return why the request may not start, or an empty string."""
+        if self.faults.draining:
+            return "draining"
+        if self.in_flight >= self.profile.slots:
+            return "no_slot"
+        deadline = request.headers.get(DEADLINE_HEADER)
+        if deadline and time.time() * 1000 > int(deadline):
+            return "deadline_passed"
+        if self.profile.checks_tokens and not self._accept_token(request):
+            return "outdated_token"
+        return ""
+
+    def _accept_token(self, request: web.Request) -> bool:
+        token = int(request.headers.get(TOKEN_HEADER, "-1"))
+        index = int(request.headers.get(SLICE_HEADER, "-1"))
+        if index < 0:
+            return True
+        newest = self._tokens.get(index, -1)
+        self._tokens[index] = max(newest, token)
+        return token >= newest
+
+    async def _run(self, request: web.Request) -> web.Response:
+        entry = JournalEntry(
+            request_id=request.headers.get("Idempotency-Key", ""),
+            path=request.path_qs,
+            token=int(request.headers.get(TOKEN_HEADER, "-1")),
+            slice=int(request.headers.get(SLICE_HEADER, "-1")),
+            started_at=time.time(),
+        )
+        self.journal.append(entry)
+        number = len(self.journal)
+        self._write_start(number, entry)
+        self.in_flight += 1
+        if self.cold and self.in_flight > self.profile.cold_slots:
+            self.overloads_while_cold += 1
+        try:
+            body = await request.read()
+            await asyncio.sleep(self._compute_work(request))
+            entry.completed = True
+            self._warm_runs += 1
+        finally:
+            entry.ended_at = time.time()
+            self._write_end(number, entry)
+            self.in_flight -= 1
+            self._loads.append((time.time(), self.in_flight))
+            del self._loads[:-1000]
+        return web.json_response(
+            {
+                "backend": self.profile.name,
+                "path": request.path_qs,
+                "request_id": entry.request_id,
+                "run": len(self.journal),
+                "body": body.decode(errors="replace"),
+            }
+        )
+
+    def _write_start(self, number: int, entry: JournalEntry) -> None:
+        fields = attrs.asdict(entry)
+        event = {"event": "start", "run": number, "at": entry.started_at}
+        self._write({**event, **{name: fields[name] for name in JOURNAL_FIELDS}})
+
+    def _write_end(self, number: int, entry: JournalEntry) -> None:
+        event = {"event": "end", "run": number, "at": entry.ended_at}
+        self._write({**event, "completed": entry.completed})
+
+    def _write(self, event: dict[str, Any]) -> None:
+        if self._file is not None:
+            self._file.write(json.dumps(event) + "\n")
+
+    def _compute_work(self, request: web.Request) -> float:
+        """Return the seconds that a request takes; more while cold and overloaded."""
+        work_ms = float(request.headers.get(WORK_HEADER, self.profile.work_ms))
+        overload = self.in_flight / self.profile.cold_slots if self.cold else 1.0
+        return work_ms / 1000 * self.faults.slowness * max(1.0, overload) ** 2
+
+    async def _show_health(self, _: web.Request) -> web.Response:
+        return web.json_response({"instance": self.instance, "draining": self.faults.draining})
+
+    async def _show_load(self, _: web.Request) -> web.Response:
+        return web.json_response({"in_flight": self._find_reported_load()})
+
+    def _find_reported_load(self) -> int:
+        if self.faults.reported_load is not None:
+            return self.faults.reported_load
+        if not self.faults.report_lag_s:
+            return self.in_flight
+        then = time.time() - self.faults.report_lag_s
+        return next((load for at, load in reversed(self._loads) if at <= then), 0)
+
+    async def _control(self, request: web.Request) -> web.Response:
+        changes: dict[str, Any] = await request.json()
+        if changes.pop("turn_cold", False):
+            self.turn_cold()
+        self.faults = attrs.evolve(self.faults, **changes)
+        return web.json_response(attrs.asdict(self.faults))
+
+    async def _show_journal(self, _: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "backend": self.profile.name,
+                "overloads_while_cold": self.overloads_while_cold,
+                "entries": [attrs.asdict(entry) for entry in self.journal],
+            }
+        )
+
+
+def _open_journal(path: str) -> TextIO | None:
+    return Path(path).open("a", buffering=1, encoding="utf-8") if path else None
--- /dev/null
+++ b/persimmondock/standins/fleet.py
@@ -0,0 +1,307 @@
+"""A fleet of daemons and stand-ins as plain processes on loopback addresses.
+
+Each VM has an address of its own, ``127.0.NETWORK.N``, and the daemons' standard ports. Everything
+that is started is ended by its process identifier.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import attrs
+import yaml
+
+from persimmondock.settings import CALLER_PORT, OPERATOR_PORT
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+LOG_PORT = 8000
+BACKEND_PORT = 8200
+START_WITHIN_S = 20.0
+POLL_S = 0.1
+PROGRAM = (sys.executable, "-m", "persimmondock")
+
+
+@attrs.frozen
+class VmPlan:
+    """One VM of the fleet.
+
+    Parameters
+    ----------
+    number
+        Last part of its address.
+    """
+
+    number: int
+    failure_domain: str
+    service: str
+    slots: int = 12
+    connections: int = 130
+    work_ms: float = 5.0
+    checks_tokens: bool = True
+
+
+@attrs.frozen
+class JournalRun:
+    """One run of a request, as a backend server's journal has it."""
+
+    backend: str
+    request_id: str
+    path: str
+    slice: int
+    token: int
+    started_at: float
+    ended_at: float
+    completed: bool
+
+
+class FleetError(RuntimeError):
+    """The fleet did not come up."""
+
+
+class Fleet:
+    """Starts, breaks and ends the processes of a small fleet."""
+
+    def __init__(self, plans: Sequence[VmPlan], network: int = 1, term_s: float = 1.5) -> None:
+        self.plans = {plan.number: plan for plan in plans}
+        self._network = network
+        self._term_s = term_s
+        self._folder = Path(tempfile.mkdtemp(prefix="persimmondock-"))
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._session: aiohttp.ClientSession | None = None
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """The HTTP session for questions to the fleet."""
+        assert self._session is not None
+        return self._session
+
+    @property
+    def log_address(self) -> str:
+        """``host:port`` of the log stand-in."""
+        return f"127.0.{self._network}.250:{LOG_PORT}"
+
+    def find_address(self, number: int) -> str:
+        """Return the address of a VM."""
+        return f"127.0.{self._network}.{number}"
+
+    def find_caller_address(self, number: int) -> str:
+        """Return where callers reach a VM's daemon."""
+        return f"{self.find_address(number)}:{CALLER_PORT}"
+
+    def find_operator_address(self, number: int) -> str:
+        """Return where operators reach a VM's daemon."""
+        return f"{self.find_address(number)}:{OPERATOR_PORT}"
+
+    def find_backend_address(self, number: int) -> str:
+        """Return where a VM's backend server listens."""
+        return f"{self.find_address(number)}:{BACKEND_PORT}"
+
+    # Start and end.
+
+    async def start(self) -> None:
+        """Start the log stand-in and all VMs."""
+        self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=5.0))
+        self._spawn("log", "standin-log", "--address", self.log_address)
+        await self._wait_until_up(f"http://{self.log_address}/control")
+        for number in self.plans:
+            self.start_vm(number)
+
+    def start_vm(self, number: int) -> None:
+        """Start a VM's daemon and its backend server."""
+        self.start_daemon(number)
+        self.start_backend(number)
+
+    def start_daemon(self, number: int) -> None:
+        """Start a VM's daemon."""
+        plan = self.plans[number]
+        settings = {
+            "daemon": f"vm-{number}",
+            "failure_domain": plan.failure_domain,
+            "address": self.find_address(number),
+            "log": self.log_address,
+            "peer_key": "stand-in",
+            "lease_term_s": self._term_s,
+        }
+        path = self._folder / f"vm-{number}.yaml"
+        path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        self._spawn(f"daemon-{number}", "daemon", str(path))
+
+    def start_backend(self, number: int) -> None:
+        """Start a VM's backend server."""
+        plan = self.plans[number]
+        arguments = [
+            *("--name", f"backend-{number}", "--service", plan.service),
+            *("--address", self.find_backend_address(number)),
+            *("--daemon", self.find_operator_address(number)),
+            *("--slots", str(plan.slots), "--connections", str(plan.connections)),
+            *("--work-ms", str(plan.work_ms), "--journal", str(self._find_journal(number))),
+        ]
+        if not plan.checks_tokens:
+            arguments.append("--unchecked")
+        self._spawn(f"backend-{number}", "standin-backend", *arguments)
+
+    async def stop(self) -> None:
+        """End everything that was started, and remove its files."""
+        for process in self._processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes.values():
+            process.wait()
+        if self._session is not None:
+            await self._session.close()
+        for path in self._folder.iterdir():
+            path.unlink()
+        self._folder.rmdir()
+
+    def _spawn(self, name: str, *arguments: str) -> None:
+        output = (self._folder / f"{name}.log").open("ab")
+        with output:
+            self._processes[name] = subprocess.Popen(
+                [*PROGRAM, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def read_output(self, name: str) -> str:
+        """Return what a process printed."""
+        return (self._folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
+
+    # Faults.
+
+    def kill_vm(self, number: int) -> None:
+        """End a VM's daemon and backend server at once."""
+        self.signal_process(f"daemon-{number}", signal.SIGKILL)
+        self.signal_process(f"backend-{number}", signal.SIGKILL)
+
+    def signal_process(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process that this fleet started."""
+        self._processes[name].send_signal(number)
+
+    async def wait_for_exit(self, name: str, timeout_s: float) -> int | None:
+        """Return the exit code of a process, or None if it does not end in time."""
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            code = self._processes[name].poll()
+            if code is not None:
+                return code
+            await asyncio.sleep(POLL_S)
+        return None
+
+    async def set_log_faults(self, **faults: Any) -> None:
+        """Turn switches of the log stand-in."""
+        async with self.session.post(f"http://{self.log_address}/control", json=faults) as answer:
+            answer.raise_for_status()
+
+    async def set_backend_faults(self, number: int, **faults: Any) -> None:
+        """Turn switches of a backend server."""
+        url = f"http://{self.find_backend_address(number)}/control"
+        async with self.session.post(url, json=faults) as answer:
+            answer.raise_for_status()
+
+    # Questions.
+
+    async def dump(self, number: int) -> dict[str, Any]:
+        """Return a daemon's state dump."""
+        url = f"http://{self.find_operator_address(number)}/v1/dump"
+        async with self.session.get(url) as answer:
+            state: dict[str, Any] = await answer.json()
+            return state
+
+    async def wait_until_placed(self, services: Sequence[str], numbers: Sequence[int]) -> None:
+        """Wait until the given daemons see every slice of the services placed and released.
+
+        Raises
+        ------
+        FleetError
+            If that takes too long.
+        """
+        deadline = time.monotonic() + START_WITHIN_S
+        while time.monotonic() < deadline:
+            with contextlib.suppress(aiohttp.ClientError, asyncio.TimeoutError):
+                dumps = [await self.dump(number) for number in numbers]
+                if all(self._is_placed(state, services, numbers) for state in dumps):
+                    return
+            await asyncio.sleep(POLL_S)
+        raise FleetError(f"slices not placed within {START_WITHIN_S} s")
+
+    def _is_placed(
+        self, state: dict[str, Any], services: Sequence[str], numbers: Sequence[int]
+    ) -> bool:
+        """Return whether a daemon's dump shows every backend server with slices and at rest."""
+        if state["unreleased"]:
+            return False
+        for name in services:
+            backends = state["services"].get(name, {"backends": {}})["backends"]
+            wanted = {f"backend-{n}" for n in numbers if self.plans[n].service == name}
+            if set(backends) != wanted or not all(item["slices"] for item in backends.values()):
+                return False
+        return True
+
+    async def _wait_until_up(self, url: str) -> None:
+        deadline = time.monotonic() + START_WITHIN_S
+        while time.monotonic() < deadline:
+            with contextlib.suppress(aiohttp.ClientError, asyncio.TimeoutError):
+                async with self.session.get(url):
+                    return
+            await asyncio.sleep(POLL_S)
+        raise FleetError(f"{url} does not answer within {START_WITHIN_S} s")
+
+    def _find_journal(self, number: int) -> Path:
+        return self._folder / f"backend-{number}.journal"
+
+    def read_journals(self) -> list[JournalRun]:
+        """Return all runs of all backend servers, lost ones included."""
+        runs = []
+        for number in self.plans:
+            path = self._find_journal(number)
+            if path.exists():
+                runs += read_journal(f"backend-{number}", path)
+        return runs
+
+
+def read_journal(backend: str, path: Path) -> list[JournalRun]:
+    """Read a journal file; a run without an end was cut when the backend server was lost."""
+    open_runs: dict[int, dict[str, Any]] = {}
+    runs = []
+    last_at = 0.0
+    for line in path.read_text(encoding="utf-8").splitlines():
+        event = json.loads(line)
+        last_at = event["at"]
+        if event["event"] == "start":
+            open_runs[event["run"]] = event
+        else:
+            started = open_runs.pop(event["run"])
+            runs.append(_build_run(backend, started, event["at"], event["completed"]))
+    runs += [_build_run(backend, started, last_at, False) for started in open_runs.values()]
+    return runs
+
+
+def _build_run(
+    backend: str, started: dict[str, Any], ended_at: float, completed: bool
+) -> JournalRun:
+    return JournalRun(
+        backend=backend,
+        request_id=started["request_id"],
+        path=started["path"],
+        slice=started["slice"],
+        token=started["token"],
+        started_at=started["at"],
+        ended_at=ended_at,
+        completed=completed,
+    )
--- /dev/null
+++ b/persimmondock/standins/server.py
@@ -0,0 +1,26 @@
+"""Runs a stand-in as a process of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+async def serve(build: Callable[[], web.Application], address: str) -> None:
+    """Serve an application on ``host:port`` until a signal asks to stop."""
+    host, _, port = address.rpartition(":")
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopping.set)
+    runner = web.AppRunner(build(), access_log=None, handler_cancellation=True)
+    await runner.setup()
+    await web.TCPSite(runner, host, int(port), shutdown_timeout=0.2).start()
+    await stopping.wait()
+    await runner.cleanup()
--- /dev/null
+++ b/persimmondock/tests/builders.py
@@ -0,0 +1,76 @@
+"""Builders of test data."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from persimmondock._domain.configuration import ServiceConfiguration, render_subject
+from persimmondock._domain.records import (
+    Backend,
+    BackendAnnounced,
+    ConfigurationPublished,
+    MemberJoined,
+    MemberRef,
+    Record,
+    SubjectChange,
+    make_record_id,
+)
+from persimmondock._domain.view import View, fold
+
+DOMAINS = ("recife", "fortaleza", "salvador")
+
+
+def make_joined(number: int, witnesses: tuple[MemberRef, ...] = ()) -> MemberJoined:
+    """Return the record by which daemon ``vm-NUMBER`` joins."""
+    return MemberJoined(
+        record_id=make_record_id(),
+        daemon=f"vm-{number}",
+        failure_domain=DOMAINS[number % len(DOMAINS)],
+        peer_address=f"10.0.0.{number}:8102",
+        data_address=f"10.0.0.{number}:8103",
+        caller_address=f"10.0.0.{number}:8100",
+        operator_address=f"10.0.0.{number}:8101",
+        witnesses=witnesses,
+        successor=None,
+    )
+
+
+def make_backend(number: int, service: str = "painel", slots: int = 6) -> Backend:
+    """Return the backend server beside daemon ``vm-NUMBER``."""
+    return Backend(
+        name=f"backend-{number}",
+        service=service,
+        address=f"10.0.0.{number}:8200",
+        slots=slots,
+        connections=60,
+        checks_tokens=True,
+    )
+
+
+def make_published(name: str = "painel", base: int = -1, **options: Any) -> ConfigurationPublished:
+    """Return the record that publishes one keyed service."""
+    service = ServiceConfiguration(name=name, path=f"/{name}", keyed=True, **options)
+    change = SubjectChange(f"service/{name}", base, render_subject(service))
+    return ConfigurationPublished(make_record_id(), "test", (change,))
+
+
+def fold_all(records: list[Record], view: View | None = None) -> View:
+    """Fold records that follow a view, or the empty one."""
+    view = view or View()
+    for record in records:
+        view = fold(view, view.offset, record)
+    return view
+
+
+def make_view(members: int, slices: int = 64, witnesses: int = 3) -> View:
+    """Return a view of one service with one backend server at each member."""
+    view = fold_all([make_published(slices=slices)])
+    for number in range(members):
+        refs = tuple(member.ref for member in list(view.members.values())[-witnesses:])
+        if len(refs) % 2 == 0:
+            refs = refs[:-1]
+        view = fold_all([make_joined(number, refs)], view)
+        ref = view.members[f"vm-{number}"].ref
+        announced = BackendAnnounced(make_record_id(), ref, make_backend(number))
+        view = fold_all([announced], view)
+    return view
