End long polls before the log counts as silent

Cause: witnesses vote for a loss only if the log answered within 2 s, but a quiet log's long poll answered after 5 s, so the vote waited for the poll. Ruled out: lease term and vote ranks, which add up to 1.5 + 0.2 + 0.1 + 0.3 s.

--- a/persimmondock/_tasks/log_follower.py
+++ b/persimmondock/_tasks/log_follower.py
@@ -32,7 +32,7 @@
     from persimmondock._ports.log import LogService
 
 READ_LIMIT = 500
-READ_WAIT_S = 5.0
+READ_WAIT_S = 1.0
 READ_RETRY_S = 0.25
 APPEND_GAP_S = 0.02
 MAX_QUEUED_APPENDS = 1_000
