--- a/persimmondock/_tasks/operator.py
+++ b/persimmondock/_tasks/operator.py
@@ -68,6 +68,7 @@
         "view_offset": view.offset,
         "members": {name: attrs.asdict(member) for name, member in view.members.items()},
         "fleet": attrs.asdict(view.fleet),
+        "subjects": {name: version.offset for name, version in view.subjects.items()},
         "services": {
             name: {
                 "backends": {
--- /dev/null
+++ b/persimmondock/bench/broken.py
@@ -0,0 +1,58 @@
+"""A daemon with one mechanism broken on purpose, to show that the checks catch it."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING, Any
+
+from persimmondock import cli
+from persimmondock._domain.leases import HeldLease
+from persimmondock._domain.membership import Membership
+from persimmondock._domain.request_table import RequestTable, RunFirst
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+
+def _serve_without_release() -> None:
+    """Serve a slice before its earlier owner has released it."""
+
+    def forget_handovers(self: Membership) -> None:
+        self.unreleased = {}
+
+    Membership._follow_handovers = forget_handovers  # type: ignore[method-assign]
+
+
+def _hold_lease_for_ever() -> None:
+    """Serve after the lease has lapsed."""
+    HeldLease.compute_deadline = lambda self: float("inf")  # type: ignore[method-assign]
+
+
+def _forget_requests() -> None:
+    """Run every attempt of a non-idempotent request."""
+
+    def admit(self: RequestTable, *_: Any, **__: Any) -> RunFirst:
+        return RunFirst()
+
+    def end(self: RequestTable, *_: Any, **__: Any) -> None:
+        return None
+
+    RequestTable.admit = admit  # type: ignore[method-assign,assignment]
+    RequestTable.end = end  # type: ignore[method-assign]
+
+
+BREAKS: Mapping[str, Callable[[], None]] = {
+    "release": _serve_without_release,
+    "lease": _hold_lease_for_ever,
+    "request-table": _forget_requests,
+}
+
+
+def main() -> int:
+    """Break the mechanism that the first argument names, then run the command line."""
+    BREAKS[sys.argv.pop(1)]()
+    return cli.main()
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/persimmondock/bench/callers.py
@@ -0,0 +1,160 @@
+"""Open-loop callers: each request is sent at its intended time, whatever became of the others."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from typing import TYPE_CHECKING
+
+import aiohttp
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from persimmondock.bench.offered import Offer
+
+VERDICT_HEADER = "Persimmondock-Verdict"
+REASON_HEADER = "Persimmondock-Reason"
+RETRY_HEADER = "Persimmondock-Retry-After-Ms"
+FIRST_ATTEMPT_HEADER = "Persimmondock-First-Attempt"
+REQUEST_ID_HEADER = "Idempotency-Key"
+DEFAULT_RETRY_S = 0.3
+PATIENCE_S = 6.0
+MAX_UNKNOWN = 3
+ANSWERED = "answered"
+NOT_RUN = "not_run"
+UNREACHABLE = "unreachable"
+NO_ANSWER = "no_answer"
+
+
+@attrs.define
+class Outcome:
+    """How a request ended for its caller.
+
+    Parameters
+    ----------
+    ended_at_s
+        When the last verdict came, in seconds after the start of the load.
+    wrong
+        Whether an answer belongs to another request or differs from the first answer.
+    surely_not_run
+        Whether every attempt was refused as not run.
+    """
+
+    offer: Offer
+    verdict: str
+    reason: str
+    attempts: int
+    ended_at_s: float
+    body: bytes = b""
+    wrong: bool = False
+    surely_not_run: bool = False
+
+    @property
+    def latency_s(self) -> float:
+        """Time from the intended sending to the last verdict."""
+        return self.ended_at_s - self.offer.at_s
+
+
+@attrs.frozen
+class _Attempt:
+    verdict: str
+    reason: str = ""
+    retry_s: float = DEFAULT_RETRY_S
+    body: bytes = b""
+    wrong: bool = False
+
+
+class Callers:
+    """Sends offered requests.
+
+    Parameters
+    ----------
+    list_fronts
+        Returns the caller addresses that are in use now.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, list_fronts: Callable[[], list[str]]):
+        self._session = session
+        self._list_fronts = list_fronts
+        self._started_at = 0.0
+
+    async def send_all(self, offers: list[Offer]) -> list[Outcome]:
+        """Send every request at its time and return the outcomes."""
+        self._started_at = time.monotonic()
+        tasks = []
+        for offer in offers:
+            delay = self._started_at + offer.at_s - time.monotonic()
+            if delay > 0:
+                await asyncio.sleep(delay)
+            tasks.append(asyncio.create_task(self._send(offer)))
+        return await asyncio.gather(*tasks)
+
+    async def _send(self, offer: Offer) -> Outcome:
+        """Send a request; an impatient caller's second copy must get the same answer."""
+        if not offer.duplicated:
+            return await self._send_until_answered(offer, first=True)
+        outcome, copy = await asyncio.gather(
+            self._send_until_answered(offer, first=False),
+            self._send_until_answered(attrs.evolve(offer, front=offer.front + 1), first=False),
+        )
+        bodies = {item.body for item in (outcome, copy) if item.verdict == ANSWERED}
+        outcome.wrong = outcome.wrong or copy.wrong or len(bodies) > 1
+        outcome.surely_not_run = outcome.surely_not_run and copy.surely_not_run
+        return outcome
+
+    async def _send_until_answered(self, offer: Offer, first: bool) -> Outcome:
+        """Send a request again, as the refusals say, as long as the caller has patience."""
+        attempts = 0
+        unknown = 0
+        while True:
+            attempts += 1
+            attempt = await self._try_once(offer, attempts, first and attempts == 1)
+            now_s = time.monotonic() - self._started_at
+            unknown += attempt.verdict not in (ANSWERED, NOT_RUN, UNREACHABLE)
+            out_of_patience = now_s + attempt.retry_s > offer.at_s + PATIENCE_S
+            if attempt.verdict == ANSWERED or unknown > MAX_UNKNOWN or out_of_patience:
+                return Outcome(
+                    offer=offer,
+                    verdict=attempt.verdict,
+                    reason=attempt.reason,
+                    attempts=attempts,
+                    ended_at_s=now_s,
+                    body=attempt.body,
+                    wrong=attempt.wrong,
+                    surely_not_run=attempt.verdict == NOT_RUN and not unknown,
+                )
+            await asyncio.sleep(attempt.retry_s)
+
+    async def _try_once(self, offer: Offer, attempts: int, first: bool) -> _Attempt:
+        fronts = self._list_fronts()
+        url = f"http://{fronts[(offer.front + attempts) % len(fronts)]}{offer.path}"
+        try:
+            async with self._session.post(url, headers=_build_headers(offer, first)) as response:
+                return await _read_attempt(response, offer)
+        except aiohttp.ClientConnectorError:
+            return _Attempt(UNREACHABLE)
+        except (TimeoutError, aiohttp.ClientError):
+            return _Attempt(NO_ANSWER)
+
+
+def _build_headers(offer: Offer, first: bool) -> dict[str, str]:
+    if not offer.request_id:
+        return {}
+    headers = {REQUEST_ID_HEADER: offer.request_id}
+    if first:
+        headers[FIRST_ATTEMPT_HEADER] = "true"
+    return headers
+
+
+async def _read_attempt(response: aiohttp.ClientResponse, offer: Offer) -> _Attempt:
+    verdict = response.headers.get(VERDICT_HEADER, "none")
+    if verdict != ANSWERED:
+        retry_s = float(response.headers.get(RETRY_HEADER, DEFAULT_RETRY_S * 1000)) / 1000
+        return _Attempt(verdict, response.headers.get(REASON_HEADER, ""), retry_s)
+    body = await response.read()
+    answer = json.loads(body)
+    wrong = (answer["path"], answer["request_id"]) != (offer.path, offer.request_id)
+    return _Attempt(verdict, body=body, wrong=wrong)
--- /dev/null
+++ b/persimmondock/bench/measures.py
@@ -0,0 +1,252 @@
+"""What a run is measured by, and the invariants it is checked against."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING
+
+import attrs
+import numpy as np
+from hdrh.histogram import HdrHistogram
+
+from persimmondock.bench.callers import ANSWERED
+from persimmondock.bench.faults import DomainBack, DomainOut
+from persimmondock.standins.checks import find_overlaps, find_repeated_runs
+
+if TYPE_CHECKING:
+    from persimmondock.bench.callers import Outcome
+    from persimmondock.bench.faults import FaultMark
+    from persimmondock.bench.mixes import Mix
+    from persimmondock.standins.fleet import JournalRun
+
+HIGHEST_LATENCY_US = 60_000_000
+SIGNIFICANT_DIGITS = 3
+LATE_S = 1.0
+DOMAIN_OUT_BOUND_S = 4.0
+SERVED_AGAIN_BOUND_S = 3.0
+MAX_BREACHES_SHOWN = 5
+
+
+@attrs.frozen
+class Latency:
+    """Quantiles of the time to the answer, in milliseconds, from the intended sending."""
+
+    name: str
+    count: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+
+
+@attrs.frozen
+class Breach:
+    """An invariant that did not hold.
+
+    Parameters
+    ----------
+    at_s
+        When, in seconds after the start of the load.
+    subject
+        Key, slice or identifier.
+    """
+
+    invariant: str
+    at_s: float
+    subject: str
+
+
+@attrs.frozen
+class Measures:
+    """The figures of one run."""
+
+    offered: int
+    digest: str
+    verdicts: dict[str, int]
+    reasons: dict[str, int]
+    attempts_over_offered: float
+    latencies: tuple[Latency, ...]
+    unavailable_p50_s: float
+    unavailable_p99_s: float
+    unavailable_max_s: float
+    unavailable_total_s: float
+    imbalance: dict[str, float]
+    slices_moved: int
+    appends: int
+    cold_overloads: int
+    domain_move_answered: float
+    domain_move_p99_ms: float
+    faults: tuple[str, ...]
+    breaches: tuple[Breach, ...]
+
+
+@attrs.frozen
+class RunData:
+    """Everything that a run left behind.
+
+    Parameters
+    ----------
+    started_at
+        Unix seconds of the start of the load.
+    """
+
+    mix: Mix
+    outcomes: list[Outcome]
+    runs: list[JournalRun]
+    marks: list[FaultMark]
+    started_at: float
+    digest: str
+    slices_moved: int
+    appends: int
+    cold_overloads: int
+    config_breaches: list[Breach]
+
+
+def compute_measures(data: RunData) -> Measures:
+    """Compute the figures of one run and check the invariants."""
+    outcomes = data.outcomes
+    gaps = compute_unavailable(outcomes)
+    moved = _select_moves(data)
+    return Measures(
+        offered=len(outcomes),
+        digest=data.digest,
+        verdicts=dict(sorted(Counter(o.verdict for o in outcomes).items())),
+        reasons=dict(sorted(Counter(o.reason for o in outcomes if o.reason).items())),
+        attempts_over_offered=sum(o.attempts for o in outcomes) / max(1, len(outcomes)),
+        latencies=tuple(_measure_latency(service.name, outcomes) for service in data.mix.services),
+        unavailable_p50_s=_find_quantile(gaps, 0.5),
+        unavailable_p99_s=_find_quantile(gaps, 0.99),
+        unavailable_max_s=max(gaps, default=0.0),
+        unavailable_total_s=sum(gaps),
+        imbalance=_measure_imbalance(data),
+        slices_moved=data.slices_moved,
+        appends=data.appends,
+        cold_overloads=data.cold_overloads,
+        domain_move_answered=_measure_answered(moved),
+        domain_move_p99_ms=_measure_latency("", moved).p99_ms,
+        faults=tuple(f"{mark.at_s:.2f} s {mark.fault} {mark.note}".strip() for mark in data.marks),
+        breaches=tuple(find_breaches(data)),
+    )
+
+
+def _measure_latency(name: str, outcomes: list[Outcome]) -> Latency:
+    histogram = HdrHistogram(1, HIGHEST_LATENCY_US, SIGNIFICANT_DIGITS)
+    for outcome in outcomes:
+        if outcome.verdict == ANSWERED and name in ("", outcome.offer.service):
+            histogram.record_value(max(1, round(outcome.latency_s * 1e6)))
+    quantiles = [histogram.get_value_at_percentile(p) / 1000 for p in (50.0, 99.0, 99.9)]
+    return Latency(name, histogram.get_total_count(), *quantiles)
+
+
+def compute_unavailable(outcomes: list[Outcome]) -> list[float]:
+    """Return the spans without service, one for each interruption of a slice, in seconds.
+
+    A span starts when a request is due that is not answered within ``LATE_S``, and ends with the
+    next answer for the same slice; requests without a slice count by service.
+    """
+    groups: dict[tuple[str, int], list[Outcome]] = defaultdict(list)
+    for outcome in outcomes:
+        groups[(outcome.offer.service, outcome.offer.slice)].append(outcome)
+    gaps = []
+    for group in groups.values():
+        group.sort(key=lambda outcome: outcome.offer.at_s)
+        gaps += _find_gaps(group)
+    return gaps
+
+
+def _find_gaps(group: list[Outcome]) -> list[float]:
+    gaps = []
+    began: float | None = None
+    for outcome in group:
+        served = outcome.verdict == ANSWERED
+        if served and outcome.latency_s <= LATE_S:
+            if began is not None:
+                gaps.append(outcome.ended_at_s - began)
+                began = None
+        elif began is None:
+            began = outcome.offer.at_s
+    if began is not None:
+        gaps.append(max(outcome.ended_at_s for outcome in group) - began)
+    return gaps
+
+
+def _find_quantile(values: list[float], q: float) -> float:
+    return float(np.quantile(values, q)) if values else 0.0
+
+
+def _measure_imbalance(data: RunData) -> dict[str, float]:
+    """Return for each service the busiest backend server's runs over the mean."""
+    counts: Counter[str] = Counter(run.backend for run in data.runs)
+    plans = data.mix.build_plans()
+    imbalance = {}
+    for service in data.mix.services:
+        loads = [counts[f"backend-{p.number}"] for p in plans if p.service == service.name]
+        mean = sum(loads) / len(loads)
+        imbalance[service.name] = round(max(loads) / mean, 2) if mean else 0.0
+    return imbalance
+
+
+def _select_moves(data: RunData) -> list[Outcome]:
+    """Return the outcomes due within the bound after a failure domain was taken out or back."""
+    starts = [m.at_s for m in data.marks if isinstance(m.fault, DomainOut | DomainBack)]
+    return [
+        outcome
+        for outcome in data.outcomes
+        if any(start - 0.5 <= outcome.offer.at_s <= start + DOMAIN_OUT_BOUND_S for start in starts)
+    ]
+
+
+def _measure_answered(outcomes: list[Outcome]) -> float:
+    if not outcomes:
+        return 1.0
+    return sum(outcome.verdict == ANSWERED for outcome in outcomes) / len(outcomes)
+
+
+def find_breaches(data: RunData) -> list[Breach]:
+    """Return the invariants that did not hold, with when and for what."""
+    breaches = list(data.config_breaches)
+    plans = data.mix.build_plans()
+    service_of = {f"backend-{plan.number}": plan.service for plan in plans}
+    for overlap in find_overlaps(data.runs, service_of):
+        run = overlap.second
+        at_s = run.started_at - data.started_at
+        subject = f"{service_of[run.backend]} slice {run.slice} {run.path}"
+        breaches.append(Breach("one owner", at_s, subject))
+    repeated = find_repeated_runs(data.runs)
+    for request_id in repeated:
+        runs = [run for run in data.runs if run.request_id == request_id]
+        at_s = max(run.started_at for run in runs) - data.started_at
+        breaches.append(Breach("at most once", at_s, f"{request_id} {runs[0].path}"))
+    ran = {run.request_id for run in data.runs}
+    for outcome in data.outcomes:
+        if outcome.wrong:
+            breaches.append(Breach("own answer", outcome.ended_at_s, outcome.offer.path))
+        if outcome.surely_not_run and outcome.offer.request_id in ran:
+            breaches.append(Breach("true refusal", outcome.ended_at_s, outcome.offer.request_id))
+    breaches += _find_work_in_domains_out(data)
+    return breaches
+
+
+def _find_work_in_domains_out(data: RunData) -> list[Breach]:
+    """Return runs that began in a failure domain later than the bound after it was taken out."""
+    breaches = []
+    domains = {f"backend-{p.number}": p.failure_domain for p in data.mix.build_plans()}
+    for mark in data.marks:
+        if not isinstance(mark.fault, DomainOut):
+            continue
+        index = mark.fault.domain
+        until = min(
+            (
+                other.fault.at_s
+                for other in data.marks
+                if isinstance(other.fault, DomainBack)
+                and other.fault.domain == index
+                and other.fault.at_s > mark.fault.at_s
+            ),
+            default=float("inf"),
+        )
+        for run in data.runs:
+            at_s = run.started_at - data.started_at
+            out = domains[run.backend] == data.mix.failure_domains[index]
+            if out and mark.at_s + DOMAIN_OUT_BOUND_S < at_s < until:
+                breaches.append(Breach("failure domain out", at_s, f"{run.backend} {run.path}"))
+    return breaches
--- /dev/null
+++ b/persimmondock/bench/offered.py
@@ -0,0 +1,100 @@
+"""The offered requests: what is sent when, decided before the run by a seeded generator."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import numpy as np
+import xxhash
+
+from persimmondock._domain.slices import find_slice
+from persimmondock.bench.mixes import PLAIN_SUFFIX, PROTECTED_SUFFIX, SLICES
+
+if TYPE_CHECKING:
+    from persimmondock.bench.mixes import Mix
+
+HOT_STRIDE = 37
+DUPLICATED_SHARE = 0.1
+
+
+@attrs.frozen
+class Offer:
+    """One request.
+
+    Parameters
+    ----------
+    at_s
+        When it is due, in seconds after the start of the load.
+    slice
+        Slice of its key, or -1 for a service without keys.
+    request_id
+        Identifier of a non-idempotent request, or empty.
+    front
+        Index of the VM that it is sent to, among the VMs that are up.
+    duplicated
+        Whether an impatient caller sends it a second time through another VM at once.
+    """
+
+    at_s: float
+    service: str
+    path: str
+    slice: int
+    request_id: str
+    front: int
+    duplicated: bool
+
+
+def offer_requests(mix: Mix, duration_s: float, seed: int) -> list[Offer]:
+    """Return the requests of one run; the same arguments give the same requests."""
+    generator = np.random.default_rng(seed)
+    count = round(mix.rate * duration_s)
+    gaps = generator.exponential(1.0 / mix.rate, count)
+    times = np.cumsum(gaps)
+    shares = np.array([service.share for service in mix.services])
+    services = generator.choice(len(mix.services), size=count, p=shares / shares.sum())
+    keys = _choose_keys(mix, times, generator)
+    protected = generator.random(count)
+    fronts = generator.integers(0, 1 << 30, count)
+    duplicated = generator.random(count) < DUPLICATED_SHARE
+    identifiers = generator.bytes(16 * count).hex()
+    offers = []
+    for index in range(count):
+        service = mix.services[int(services[index])]
+        key = f"key-{keys[index]}"
+        is_protected = protected[index] < service.protected
+        suffix = PROTECTED_SUFFIX if is_protected else PLAIN_SUFFIX
+        offers.append(
+            Offer(
+                at_s=float(times[index]),
+                service=service.name,
+                path=f"/{service.name}/{key}{suffix}",
+                slice=find_slice(key, SLICES) if service.keyed else -1,
+                request_id=identifiers[32 * index : 32 * index + 32] if is_protected else "",
+                front=int(fronts[index]),
+                duplicated=bool(is_protected and duplicated[index]),
+            )
+        )
+    return offers
+
+
+def _choose_keys(
+    mix: Mix, times: np.ndarray[tuple[int], np.dtype[np.float64]], generator: np.random.Generator
+) -> list[int]:
+    """Choose keys; the hot ones are others in each drift interval."""
+    count = len(times)
+    plain = generator.integers(0, mix.keys, count)
+    hot = generator.random(count) < mix.hot_share
+    rank = generator.integers(0, mix.hot_keys, count)
+    interval = (times // mix.drift_s).astype(np.int64)
+    moving = (interval * HOT_STRIDE + rank) % mix.keys
+    chosen: list[int] = np.where(hot, moving, plain).tolist()
+    return chosen
+
+
+def compute_digest(offers: list[Offer]) -> str:
+    """Return a digest by which two runs' offered requests can be compared."""
+    digest = xxhash.xxh3_64()
+    for offer in offers:
+        digest.update(repr(offer).encode())
+    return digest.hexdigest()
--- a/persimmondock/cli.py
+++ b/persimmondock/cli.py
@@ -22,6 +22,7 @@
 from persimmondock._domain.view import Accepted, Rejection
 from persimmondock._tasks.daemon import Daemon
 from persimmondock._tasks.publisher import PublishOutcome, Unchanged, Unresolved, publish
+from persimmondock.bench.command import BenchCommand
 from persimmondock.configuration import ConfigurationError, parse_configuration
 from persimmondock.settings import SettingsError, load_settings
 from persimmondock.standins.backend_server import BackendProfile, BackendStandin
@@ -187,6 +188,7 @@
         DaemonCommand(),
         PublishCommand(),
         DemoCommand(),
+        BenchCommand(),
         LogStandinCommand(),
         BackendStandinCommand(),
     ):
--- a/persimmondock/standins/fleet.py
+++ b/persimmondock/standins/fleet.py
@@ -31,7 +31,6 @@
 BACKEND_PORT = 8200
 START_WITHIN_S = 20.0
 POLL_S = 0.1
-PROGRAM = (sys.executable, "-m", "persimmondock")
 
 
 @attrs.frozen
@@ -72,12 +71,35 @@
 
 
 class Fleet:
-    """Starts, breaks and ends the processes of a small fleet."""
+    """Starts, breaks and ends the processes of a small fleet.
 
-    def __init__(self, plans: Sequence[VmPlan], network: int = 1, term_s: float = 1.5) -> None:
+    Parameters
+    ----------
+    network
+        Third part of all addresses.
+    term_s
+        Length of the leases, in seconds.
+    source
+        Folder whose package the processes run; None for the one that is imported here.
+    broken
+        Mechanism that the processes break on purpose; see `persimmondock.bench.broken`.
+    """
+
+    def __init__(
+        self,
+        plans: Sequence[VmPlan],
+        network: int = 1,
+        term_s: float = 1.5,
+        source: Path | None = None,
+        broken: str = "",
+    ) -> None:
         self.plans = {plan.number: plan for plan in plans}
         self._network = network
         self._term_s = term_s
+        self._source = source
+        self._program = [sys.executable, "-m", "persimmondock"]
+        if broken:
+            self._program = [sys.executable, "-m", "persimmondock.bench.broken", broken]
         self._folder = Path(tempfile.mkdtemp(prefix="persimmondock-"))
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._session: aiohttp.ClientSession | None = None
@@ -171,10 +193,11 @@
         output = (self._folder / f"{name}.log").open("ab")
         with output:
             self._processes[name] = subprocess.Popen(
-                [*PROGRAM, *arguments],
+                [*self._program, *arguments],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
+                cwd=self._source,
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
 
--- /dev/null
+++ b/persimmondock/tests/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the load and measuring tool."""
+
+from __future__ import annotations
