Split the command line into one module for each group

Cause: all commands stood in one file; a number that is no number, an unknown option or a missing address gave a traceback or an exit code of 1, and a daemon whose control task had failed went on without it: the observable disposes of a subscriber that raised, and nothing said so.

Change: a private package of commands over a thin cli module with documented exit codes. Errors are single lines. An unexpected error in a task ends the daemon with one event line and exit code 1, so that its leases lapse and others take over.

--- /dev/null
+++ b/persimmondock/_commands/base.py
@@ -0,0 +1,144 @@
+"""What all commands share: typed options, errors as single lines, and running to an end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, TypeVar
+
+from cleo.commands.command import Command
+from cleo.io.outputs.output import Type
+
+from persimmondock._adapters.logging import configure_logging
+from persimmondock._commands.exit_codes import EXIT_FAILED, EXIT_INPUT, EXIT_UNUSABLE
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+LOG_VARIABLE = "PERSIMMONDOCK_LOG"
+OPERATOR_VARIABLE = "PERSIMMONDOCK_OPERATOR"
+MAX_PORT = 65535
+
+_T = TypeVar("_T")
+
+
+class CommandError(Exception):
+    """A command that cannot go on; each line of the message is one mistake."""
+
+    def __init__(self, message: str, code: int = EXIT_INPUT) -> None:
+        super().__init__(message)
+        self.code = code
+
+
+class BaseCommand(Command):
+    """A command whose errors are single lines and exit codes."""
+
+    def handle(self) -> int:
+        """Run the command and turn its errors into lines on standard error."""
+        configure_logging("ERROR")
+        try:
+            return self.perform()
+        except CommandError as error:
+            self.show_error(str(error))
+            return error.code
+        except KeyboardInterrupt:
+            self.show_error("interrupted")
+            return EXIT_FAILED
+        except OSError as error:
+            self.show_error(describe_os_error(error))
+            return EXIT_UNUSABLE
+
+    def perform(self) -> int:
+        """Do the command's work and return its exit code.
+
+        Raises
+        ------
+        CommandError
+            If the command cannot go on.
+        """
+        raise NotImplementedError
+
+    def show(self, text: str) -> None:
+        """Write lines to standard output as they are."""
+        self.io.write_line(text, type=Type.RAW)
+
+    def show_error(self, text: str) -> None:
+        """Write lines to standard error as they are."""
+        self.io.write_error_line(text, type=Type.RAW)
+
+    def show_json(self, data: Any) -> None:
+        """Write a JSON document to standard output."""
+        self.show(json.dumps(data, indent=2, sort_keys=True))
+
+    def run_async(self, work: Coroutine[Any, Any, _T]) -> _T:
+        """Run a coroutine to its end."""
+        return asyncio.run(work)
+
+    def read_text_option(self, name: str) -> str:
+        """Return an option that must be given."""
+        value = self.option(name)
+        if not value:
+            raise CommandError(f"--{name}: missing")
+        return str(value)
+
+    def read_number(self, name: str, least: float, kind: type[int] | type[float] = int) -> Any:
+        """Return an option as a number of at least ``least``."""
+        text = str(self.option(name))
+        try:
+            value = kind(text)
+        except ValueError:
+            wanted = "a whole number" if kind is int else "a number"
+            raise CommandError(f"--{name}: expected {wanted}, not {text!r}") from None
+        if not least <= value < float("inf"):
+            raise CommandError(f"--{name}: must be at least {least}, not {text}")
+        return value
+
+    def read_address(self, name: str, variable: str = "") -> str:
+        """Return an option as ``host:port``, or the environment variable that stands for it."""
+        value = self.option(name) or os.environ.get(variable, "")
+        if not value:
+            hint = f" or set {variable}" if variable else ""
+            raise CommandError(f"--{name}: missing; give host:port{hint}")
+        return check_address(f"--{name}", str(value))
+
+    def read_file(self, name: str, max_bytes: int) -> str:
+        """Return the text of the file that an argument names; ``-`` is standard input."""
+        path = self.argument(name)
+        try:
+            if path == "-":
+                data = sys.stdin.buffer.read(max_bytes + 1)
+            else:
+                with Path(path).open("rb") as file:
+                    data = file.read(max_bytes + 1)
+            if len(data) > max_bytes:
+                raise CommandError(f"{path}: larger than {max_bytes} bytes")
+            return data.decode("utf-8")
+        except OSError as error:
+            raise CommandError(f"{path}: {error.strerror}") from error
+        except UnicodeDecodeError as error:
+            raise CommandError(f"{path}: not UTF-8 text: {error.reason}") from error
+
+
+def check_address(name: str, text: str) -> str:
+    """Return ``text`` if it is ``host:port``.
+
+    Raises
+    ------
+    CommandError
+        If it is not; the message has the name and the value.
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 1 <= int(port) <= MAX_PORT:
+        raise CommandError(f"{name}: expected host:port, not {text!r}")
+    return text
+
+
+def describe_os_error(error: OSError) -> str:
+    """Return one line for an error of the operating system."""
+    text = error.strerror or str(error)
+    if error.filename and str(error.filename) not in text:
+        text = f"{error.filename}: {text}"
+    return " ".join(text.split())
--- /dev/null
+++ b/persimmondock/_commands/daemon.py
@@ -0,0 +1,40 @@
+"""The command that runs a daemon."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from cleo.helpers import argument
+
+from persimmondock._adapters.logging import configure_logging
+from persimmondock._commands.base import BaseCommand, CommandError
+from persimmondock._commands.exit_codes import EXIT_DONE, EXIT_FAILED
+from persimmondock._tasks.daemon import Daemon, DaemonError
+from persimmondock.settings import SettingsError, load_settings
+
+HELP = """\
+Runs until SIGTERM or SIGINT, then hands its slices over, finishes the requests in flight and ends.
+Every field of the settings file may be overridden by an environment variable, such as
+PERSIMMONDOCK_LOG_LEVEL. One event a line is written to standard error."""
+
+
+class DaemonCommand(BaseCommand):
+    """Runs one daemon."""
+
+    name = "daemon"
+    description = "Run the daemon beside a backend server"
+    help = HELP
+    arguments = [argument("settings", "Path of the settings file")]
+
+    def perform(self) -> int:
+        """Run until a signal asks to stop."""
+        try:
+            settings = load_settings(Path(self.argument("settings")))
+        except SettingsError as error:
+            raise CommandError(str(error)) from error
+        configure_logging(settings.log_level)
+        try:
+            self.run_async(Daemon(settings).run())
+        except DaemonError:
+            return EXIT_FAILED
+        return EXIT_DONE
--- /dev/null
+++ b/persimmondock/_commands/standins.py
@@ -0,0 +1,72 @@
+"""Commands that run stand-ins, and the demo."""
+
+from __future__ import annotations
+
+from cleo.helpers import option
+
+from persimmondock._commands.base import BaseCommand, check_address
+from persimmondock._commands.exit_codes import EXIT_DONE
+from persimmondock.standins.backend_server import BackendProfile, BackendStandin
+from persimmondock.standins.demo import run_demo
+from persimmondock.standins.log_service import LogStandin
+from persimmondock.standins.server import serve
+
+
+class DemoCommand(BaseCommand):
+    """Runs the main job on stand-ins."""
+
+    name = "demo"
+    description = "Run a small fleet on stand-ins, lose a VM, and check the invariants"
+    options = [option("requests", None, "Requests to send", flag=False, default="3000")]
+
+    def perform(self) -> int:
+        """Run and print the table."""
+        return self.run_async(run_demo(self.read_number("requests", 1), self.show))
+
+
+class LogStandinCommand(BaseCommand):
+    """Runs the stand-in of the log service."""
+
+    name = "standin-log"
+    description = "Run a stand-in of the log service"
+    options = [option("address", None, "host:port to listen on", flag=False)]
+
+    def perform(self) -> int:
+        """Run until a signal asks to stop."""
+        address = self.read_address("address")
+        self.run_async(serve(LogStandin().build_application, address))
+        return EXIT_DONE
+
+
+class BackendStandinCommand(BaseCommand):
+    """Runs the stand-in of a backend server."""
+
+    name = "standin-backend"
+    description = "Run a stand-in of a backend server"
+    options = [
+        option("name", None, "Name of the backend server", flag=False),
+        option("service", None, "Service that it belongs to", flag=False),
+        option("address", None, "host:port to listen on", flag=False),
+        option("daemon", None, "Operator address to announce to", flag=False, multiple=True),
+        option("slots", None, "Requests at the same time", flag=False, default="12"),
+        option("connections", None, "Connections it accepts", flag=False, default="130"),
+        option("work-ms", None, "Milliseconds that a request takes", flag=False, default="5"),
+        option("journal", None, "File to write the journal to", flag=False, default=""),
+        option("unchecked", None, "Do not check fencing tokens"),
+    ]
+
+    def perform(self) -> int:
+        """Run until a signal asks to stop."""
+        profile = BackendProfile(
+            name=self.read_text_option("name"),
+            service=self.read_text_option("service"),
+            address=self.read_address("address"),
+            daemons=tuple(check_address("--daemon", item) for item in self.option("daemon")),
+            slots=self.read_number("slots", 1),
+            connections=self.read_number("connections", 1),
+            work_ms=self.read_number("work-ms", 0, float),
+            checks_tokens=not self.option("unchecked"),
+            journal=self.option("journal"),
+        )
+        self.run_async(serve(BackendStandin(profile).build_application, profile.address))
+        return EXIT_DONE
--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -19,6 +19,8 @@
 from persimmondock._tasks.log_follower import LogExpired, LogRead, decode_entries
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from persimmondock._adapters.peer_link import PeerLink
     from persimmondock._domain.membership import Membership
     from persimmondock._tasks.exchange import Exchange
@@ -78,7 +80,8 @@
         self._link: PeerLink | None = None
         self._recent: deque[Entry] = deque(maxlen=RECENT_ENTRIES)
         self._backends_seen_at: dict[str, float] = {}
-        reactivex.merge(self.inbox, follower.events).subscribe(self._handle)
+        self.report_failure: Callable[[Exception], None] = _raise_failure
+        reactivex.merge(self.inbox, follower.events).subscribe(self._take)
 
     def attach(self, link: PeerLink) -> None:
         """Send messages through a link."""
@@ -90,6 +93,13 @@
             self.inbox.on_next(Tick())
             await asyncio.sleep(TICK_S)
 
+    def _take(self, event: Event) -> None:
+        """Handle an event; after an error the state may be wrong, so the daemon must end."""
+        try:
+            self._handle(event)
+        except Exception as error:
+            self.report_failure(error)
+
     def _handle(self, event: Event) -> None:
         now = time.monotonic()
         match event:
@@ -153,3 +163,7 @@
                         self._link.send(address, message)
                 case Append(records=records):
                     self._writer.write(records)
+
+
+def _raise_failure(error: Exception) -> None:
+    raise error
--- a/persimmondock/_tasks/daemon.py
+++ b/persimmondock/_tasks/daemon.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import os
 import signal
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 from aiohttp import web
@@ -28,6 +28,13 @@
     from persimmondock.settings import Settings
 
 STOP_POLL_S = 0.05
+MAX_HEADER_BYTES = 16 * 1024
+KEEPALIVE_S = 75.0
+SHUTDOWN_TIMEOUT_S = 1.0
+
+
+class DaemonError(Exception):
+    """A task of the daemon ended by an error; the event line has been written."""
 
 
 class Daemon:
@@ -36,6 +43,7 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._stopping = asyncio.Event()
+        self._failed = False
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.AppRunner] = []
 
@@ -46,8 +54,11 @@
         ------
         OSError
             If an address cannot be listened on.
+        DaemonError
+            If a task ended by an error.
         """
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(_log_stray_error)
         for number in (signal.SIGINT, signal.SIGTERM):
             loop.add_signal_handler(number, self._stopping.set)
         async with aiohttp.ClientSession() as session:
@@ -56,9 +67,12 @@
                 await self._start()
                 logger.info("event=daemon_started daemon={}", self._settings.daemon)
                 await self._stopping.wait()
-                await self._leave()
+                if not self._failed:
+                    await self._leave()
             finally:
                 await self._close()
+        if self._failed:
+            raise DaemonError(self._settings.daemon)
         logger.info("event=daemon_stopped daemon={}", self._settings.daemon)
 
     def _build(self, session: aiohttp.ClientSession) -> None:
@@ -78,6 +92,7 @@
         self.control = Control(
             self.membership, self.gate, self.exchange, self.follower, self.writer
         )
+        self.control.report_failure = lambda error: self.fail("control", error)
         self.front = Front(self.membership, self.gate, self.exchange)
         self.operator = Operator(self.membership, self.gate, self.control.inbox)
         identity = self.membership.identity
@@ -88,6 +103,21 @@
             settings.daemon, identity.data_address, self.exchange.receive, _log_refused
         )
 
+    def fail(self, task: str, error: BaseException) -> None:
+        """Write the event of an error that no task expects, and stop without a handover.
+
+        A daemon whose state may be wrong must not serve; its leases lapse and others take over.
+        """
+        logger.error(
+            "event=daemon_failed task={} error={!r} at={}", task, error, locate_error(error)
+        )
+        self._failed = True
+        self._stopping.set()
+
+    def _watch(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.fail(task.get_name(), error)
+
     def _receive_control(self, message: Message, address: str) -> None:
         self.control.inbox.on_next(PeerMessage(message, address))
 
@@ -99,14 +129,24 @@
         self.exchange.attach(self.data_link)
         await self._listen(self.front.build_application(), settings.caller_port)
         await self._listen(self.operator.build_application(), settings.operator_port)
-        for work in (self.follower.run(), self.writer.run(), self.control.run()):
-            self._tasks.append(asyncio.create_task(work))
+        for owner in (self.follower, self.writer, self.control):
+            task = asyncio.create_task(owner.run(), name=type(owner).__name__)
+            task.add_done_callback(self._watch)
+            self._tasks.append(task)
 
     async def _listen(self, application: web.Application, port: int) -> None:
-        runner = web.AppRunner(application, access_log=None, handler_cancellation=True)
+        runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE_S,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
         await runner.setup()
         self._runners.append(runner)
-        site = web.TCPSite(runner, self._settings.address, port, shutdown_timeout=1.0)
+        site = web.TCPSite(runner, self._settings.address, port)
         await site.start()
 
     async def _leave(self) -> None:
@@ -123,8 +163,7 @@
             await runner.cleanup()
         for task in self._tasks:
             task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.peer_link.close()
         await self.data_link.close()
         await self.gate.close()
@@ -143,5 +182,25 @@
     )
 
 
+def locate_error(error: BaseException) -> str:
+    """Return ``file:line`` of the innermost frame of an error."""
+    trace = error.__traceback__
+    if trace is None:
+        return "-"
+    while trace.tb_next is not None:
+        trace = trace.tb_next
+    name = os.path.basename(trace.tb_frame.f_code.co_filename)
+    return f"{name}:{trace.tb_lineno}"
+
+
+def _log_stray_error(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Write one line for an error that no task awaits."""
+    error = context.get("exception")
+    where = locate_error(error) if error is not None else "-"
+    logger.error(
+        "event=stray_error message={!r} error={!r} at={}", context.get("message"), error, where
+    )
+
+
 def _log_refused(detail: str) -> None:
     logger.warning("event=frame_refused detail={!r}", detail)
--- a/persimmondock/standins/server.py
+++ b/persimmondock/standins/server.py
@@ -19,8 +19,10 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stopping.set)
-    runner = web.AppRunner(build(), access_log=None, handler_cancellation=True)
+    runner = web.AppRunner(
+        build(), access_log=None, handler_cancellation=True, shutdown_timeout=0.2
+    )
     await runner.setup()
-    await web.TCPSite(runner, host, int(port), shutdown_timeout=0.2).start()
+    await web.TCPSite(runner, host, int(port)).start()
     await stopping.wait()
     await runner.cleanup()
