Name every mistake of a configuration with its line

Cause: a configuration with several mistakes showed the first one only, without its line; nested aliases in a published body reached the fold of every daemon, and a repr of them in the refusal would have filled its memory.

Change: documents are read from the node tree with the line of each value. All mistakes are collected. Tags, anchors, aliases, repeated keys, deep nesting, tabs and oversized text are refused before anything is built, in files, in settings and in the fold of the log. The operators' library gains undrain and set_limits, and refuses mistakes when it is called, with the value and the choices.

--- a/persimmondock/_commands/publishing.py
+++ b/persimmondock/_commands/publishing.py
@@ -38,7 +38,7 @@
         try:
             return parse_configuration(text)
         except ConfigurationError as error:
-            raise CommandError(f"{self.argument('file')}: {error}") from error
+            raise CommandError(error.render_lines(self.argument("file"))) from error
 
     async def _publish(self, log_address: str, configuration: Configuration) -> PublishOutcome:
         async with aiohttp.ClientSession() as session:
--- a/persimmondock/_domain/configuration.py
+++ b/persimmondock/_domain/configuration.py
@@ -4,22 +4,23 @@
 
 import enum
 import json
+import re
 from typing import Any, TypeVar
 
 import attrs
 import yaml
-from cattrs.errors import BaseValidationError
-from cattrs.v import transform_error
 
+from persimmondock._domain.documents import DocumentError, DocumentReader, compose_document
 from persimmondock._domain.structuring import make_strict_converter
 
 FLEET_SUBJECT = "fleet"
 SERVICE_PREFIX = "service/"
 MAX_BODY_BYTES = 256 * 1024
 MAX_SLICES = 1 << 20
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 
 
-class ConfigurationError(ValueError):
+class ConfigurationError(DocumentError):
     """A configuration that cannot be accepted; the message names the value and the place."""
 
 
@@ -40,6 +41,19 @@
         raise ValueError(f"{attribute.name} must be from 1 to {MAX_SLICES}, not {value}")
 
 
+def _check_distinct(_: Any, attribute: attrs.Attribute[Any], value: tuple[str, ...]) -> None:
+    for name in value:
+        if value.count(name) > 1:
+            raise ValueError(f"{attribute.name} has {name!r} twice")
+
+
+def _check_name(_: Any, attribute: attrs.Attribute[str], value: str) -> None:
+    if not NAME.fullmatch(value):
+        raise ValueError(
+            f"{attribute.name} must be 1 to 63 letters, digits, '-', '_' or '.', not {value!r}"
+        )
+
+
 def _check_path(_: Any, attribute: attrs.Attribute[str], value: str) -> None:
     if not value.startswith("/") or value.endswith("/"):
         raise ValueError(f"{attribute.name} must start with '/' and not end with it, not {value!r}")
@@ -90,7 +104,7 @@
         Exceptions to ``urgency`` and ``idempotent``.
     """
 
-    name: str
+    name: str = attrs.field(validator=_check_name)
     path: str = attrs.field(validator=_check_path)
     keyed: bool = False
     slices: int = attrs.field(default=256, validator=_check_slices)
@@ -120,29 +134,57 @@
         Names of backend servers that get no new work.
     """
 
-    failure_domains_out: tuple[str, ...] = ()
-    draining: tuple[str, ...] = ()
+    failure_domains_out: tuple[str, ...] = attrs.field(default=(), validator=_check_distinct)
+    draining: tuple[str, ...] = attrs.field(default=(), validator=_check_distinct)
 
+    def take_out(self, failure_domain: str) -> FleetConfiguration:
+        """Return the configuration with a failure domain out."""
+        return attrs.evolve(
+            self, failure_domains_out=_add(self.failure_domains_out, failure_domain)
+        )
 
-_converter = make_strict_converter()
+    def bring_back(self, failure_domain: str) -> FleetConfiguration:
+        """Return the configuration with a failure domain back.
 
-_T = TypeVar("_T", ServiceConfiguration, FleetConfiguration)
+        Raises
+        ------
+        ConfigurationError
+            If it is not out.
+        """
+        remaining = _remove(self.failure_domains_out, failure_domain, "failure domains out")
+        return attrs.evolve(self, failure_domains_out=remaining)
 
+    def drain(self, backend: str) -> FleetConfiguration:
+        """Return the configuration with a backend server draining."""
+        return attrs.evolve(self, draining=_add(self.draining, backend))
 
-def structure_configuration(data: Any, kind: type[_T]) -> _T:
-    """Build a configuration class from plain data.
+    def undrain(self, backend: str) -> FleetConfiguration:
+        """Return the configuration with a backend server in use.
 
-    Raises
-    ------
-    ConfigurationError
-        Naming every wrong value and its place.
-    """
-    if not isinstance(data, dict):
-        raise ConfigurationError(f"expected a mapping, not {data!r}")
-    try:
-        return _converter.structure(data, kind)
-    except BaseValidationError as error:
-        raise ConfigurationError("; ".join(transform_error(error))) from error
+        Raises
+        ------
+        ConfigurationError
+            If it is not draining.
+        """
+        return attrs.evolve(self, draining=_remove(self.draining, backend, "draining"))
+
+
+def _add(names: tuple[str, ...], name: str) -> tuple[str, ...]:
+    if not name or not isinstance(name, str):
+        raise ConfigurationError(f"expected a name, not {name!r}")
+    return tuple(sorted({*names, name}))
+
+
+def _remove(names: tuple[str, ...], name: str, what: str) -> tuple[str, ...]:
+    if name not in names:
+        choices = ", ".join(names) or "none"
+        raise ConfigurationError(f"{name!r} is not among the {what}: {choices}")
+    return tuple(item for item in names if item != name)
+
+
+_converter = make_strict_converter()
+
+_T = TypeVar("_T", ServiceConfiguration, FleetConfiguration)
 
 
 def parse_subject(body: str, kind: type[_T]) -> _T:
@@ -153,13 +195,14 @@
     ConfigurationError
         If the body is too large, not YAML, or not a valid configuration.
     """
-    if len(body) > MAX_BODY_BYTES:
-        raise ConfigurationError(f"body has {len(body)} characters, at most {MAX_BODY_BYTES}")
+    reader = DocumentReader()
     try:
-        data = yaml.safe_load(body)
-    except yaml.YAMLError as error:
-        raise ConfigurationError(f"not YAML: {error}") from error
-    return structure_configuration(data, kind)
+        parsed = reader.read_class(compose_document(body, MAX_BODY_BYTES), kind)
+        reader.check()
+    except DocumentError as error:
+        raise ConfigurationError(*error.mistakes) from error
+    assert parsed is not None
+    return parsed
 
 
 def render_subject(configuration: ServiceConfiguration | FleetConfiguration) -> str:
--- a/persimmondock/configuration.py
+++ b/persimmondock/configuration.py
@@ -24,13 +24,21 @@
     Route,
     ServiceConfiguration,
     Urgency,
+    parse_subject,
     render_subject,
-    structure_configuration,
+)
+from persimmondock._domain.documents import (
+    DocumentError,
+    DocumentReader,
+    Mistake,
+    compose_document,
 )
 
 if TYPE_CHECKING:
     from typing import TextIO
 
+MAX_DOCUMENT_CHARACTERS = 4 * 1024 * 1024
+
 __all__ = [
     "Configuration",
     "ConfigurationError",
@@ -56,30 +64,62 @@
         ConfigurationError
             If a value is wrong, or the name or the path is taken.
         """
-        if name in self.services:
-            raise ConfigurationError(f"service {name!r} is there already")
-        for other in self.services.values():
-            if other.path == path:
-                raise ConfigurationError(f"path {path!r} belongs to service {other.name!r}")
         plain = _to_plain({"name": name, "path": path, **options})
-        service = structure_configuration(plain, ServiceConfiguration)
-        self.services[name] = service
+        text = yaml.safe_dump(plain, sort_keys=False, allow_unicode=True)
+        try:
+            service = parse_subject(text, ServiceConfiguration)
+        except ConfigurationError as error:
+            unplaced = [attrs.evolve(mistake, line=0) for mistake in error.mistakes]
+            raise ConfigurationError(*unplaced) from None
+        self._add(service, Mistake(0, "", ""))
         return service
 
+    def set_limits(self, service: str, **limits: Any) -> ServiceConfiguration:
+        """Change fields of a service, such as ``timeout_ms``.
+
+        Raises
+        ------
+        ConfigurationError
+            If the service is not there or a value is wrong.
+        """
+        present = self.services.get(service)
+        if present is None:
+            choices = ", ".join(sorted(self.services)) or "none"
+            raise ConfigurationError(f"no service {service!r}; known: {choices}")
+        del self.services[service]
+        try:
+            return self.add_service(**{**attrs.asdict(present, recurse=False), **limits})
+        except ConfigurationError:
+            self.services[service] = present
+            raise
+
     def take_out(self, failure_domain: str) -> None:
         """Give a failure domain no new work."""
-        out = {*self.fleet.failure_domains_out, failure_domain}
-        self.fleet = attrs.evolve(self.fleet, failure_domains_out=tuple(sorted(out)))
+        self.fleet = self.fleet.take_out(failure_domain)
 
     def bring_back(self, failure_domain: str) -> None:
-        """Let a failure domain have work again."""
-        out = set(self.fleet.failure_domains_out) - {failure_domain}
-        self.fleet = attrs.evolve(self.fleet, failure_domains_out=tuple(sorted(out)))
+        """Let a failure domain have work again.
+
+        Raises
+        ------
+        ConfigurationError
+            If it is not out.
+        """
+        self.fleet = self.fleet.bring_back(failure_domain)
 
     def drain(self, backend: str) -> None:
         """Give a backend server no new work."""
-        draining = {*self.fleet.draining, backend}
-        self.fleet = attrs.evolve(self.fleet, draining=tuple(sorted(draining)))
+        self.fleet = self.fleet.drain(backend)
+
+    def undrain(self, backend: str) -> None:
+        """Let a backend server have work again.
+
+        Raises
+        ------
+        ConfigurationError
+            If it is not draining.
+        """
+        self.fleet = self.fleet.undrain(backend)
 
     def render(self) -> str:
         """Return the YAML to publish; equal configurations give equal text."""
@@ -103,6 +143,18 @@
             subjects[SERVICE_PREFIX + name] = render_subject(service)
         return subjects
 
+    def _add(self, service: ServiceConfiguration, where: Mistake) -> None:
+        """Add a service whose name and path must be free; mistakes are at ``where``."""
+        if service.name in self.services:
+            raise ConfigurationError(
+                attrs.evolve(where, detail=f"service {service.name!r} is there already")
+            )
+        for other in self.services.values():
+            if other.path == service.path:
+                detail = f"path {service.path!r} belongs to service {other.name!r}"
+                raise ConfigurationError(attrs.evolve(where, detail=detail))
+        self.services[service.name] = service
+
 
 def parse_configuration(text: str) -> Configuration:
     """Read what `Configuration.render` wrote, or what a person wrote in the same format.
@@ -110,26 +162,44 @@
     Raises
     ------
     ConfigurationError
-        Naming the wrong value and its place.
+        Naming every mistake with its line and its place.
     """
     try:
-        document = yaml.safe_load(text)
-    except yaml.YAMLError as error:
-        raise ConfigurationError(f"not YAML: {error}".replace("\n", " ")) from error
-    if not isinstance(document, dict):
-        raise ConfigurationError(f"expected a mapping, not {document!r}")
-    unknown = sorted(set(document) - {"fleet", "services"})
-    if unknown:
-        raise ConfigurationError(f"unknown field {unknown[0]!r}; known: 'fleet', 'services'")
+        return _read_document(text)
+    except DocumentError as error:
+        raise ConfigurationError(*error.mistakes) from None
+
+
+def _read_document(text: str) -> Configuration:
+    reader = DocumentReader()
     configuration = Configuration()
-    configuration.fleet = structure_configuration(document.get("fleet") or {}, FleetConfiguration)
-    for position, service in enumerate(document.get("services") or []):
-        if not isinstance(service, dict) or not {"name", "path"} <= set(service):
-            raise ConfigurationError(f"services[{position}]: expected a mapping with name and path")
-        configuration.add_service(**service)
+    entries = reader.read_entries(compose_document(text, MAX_DOCUMENT_CHARACTERS), "")
+    for name, node in (entries or {}).items():
+        match name:
+            case "fleet":
+                fleet = reader.read_class(node, FleetConfiguration, name)
+                configuration.fleet = fleet or configuration.fleet
+            case "services":
+                for index, item in enumerate(reader.read_items(node, name) or []):
+                    _read_service(reader, configuration, item, f"{name}[{index}]")
+            case _:
+                reader.add(node, name, "unknown field; known: fleet, services")
+    reader.check()
     return configuration
 
 
+def _read_service(
+    reader: DocumentReader, configuration: Configuration, node: yaml.Node, place: str
+) -> None:
+    service = reader.read_class(node, ServiceConfiguration, place)
+    if service is None:
+        return
+    try:
+        configuration._add(service, Mistake(node.start_mark.line + 1, place, ""))
+    except ConfigurationError as error:
+        reader.mistakes.extend(error.mistakes)
+
+
 def _to_plain(value: Any) -> Any:
     """Turn classes of this library into plain data."""
     if attrs.has(type(value)):
@@ -140,4 +210,6 @@
         return {name: _to_plain(item) for name, item in value.items()}
     if isinstance(value, (list, tuple)):
         return [_to_plain(item) for item in value]
-    return value
+    if isinstance(value, (str, int, float, bool, type(None))):
+        return value
+    raise ConfigurationError(f"expected plain data, not {value!r}")
--- a/persimmondock/settings.py
+++ b/persimmondock/settings.py
@@ -11,15 +11,20 @@
 
 from __future__ import annotations
 
+import ipaddress
 import os
+import typing
 from typing import TYPE_CHECKING, Any
 
 import attrs
 import yaml
-from cattrs.errors import BaseValidationError
-from cattrs.v import transform_error
 
-from persimmondock._domain.structuring import make_strict_converter
+from persimmondock._domain.documents import (
+    DocumentError,
+    DocumentReader,
+    Mistake,
+    compose_document,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -31,6 +36,10 @@
 OPERATOR_PORT = 8101
 PEER_PORT = 8102
 DATA_PORT = 8103
+MAX_PORT = 65535
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+TEXT_TAG = "tag:yaml.org,2002:str"
+NUMBER_TAG = "tag:yaml.org,2002:float"
 
 
 class SettingsError(ValueError):
@@ -38,12 +47,12 @@
 
 
 def _check_port(_: Any, attribute: attrs.Attribute[int], value: int) -> None:
-    if not 1 <= value <= 65535:
-        raise ValueError(f"{attribute.name} must be a port from 1 to 65535, not {value}")
+    if not 1 <= value <= MAX_PORT:
+        raise ValueError(f"{attribute.name} must be a port from 1 to {MAX_PORT}, not {value}")
 
 
 def _check_positive(_: Any, attribute: attrs.Attribute[float], value: float) -> None:
-    if value <= 0:
+    if not 0 < value < float("inf"):
         raise ValueError(f"{attribute.name} must be greater than 0, not {value}")
 
 
@@ -52,6 +61,30 @@
         raise ValueError(f"{attribute.name} must not be empty")
 
 
+def _check_ip_address(_: Any, attribute: attrs.Attribute[str], value: str) -> None:
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        raise ValueError(f"{attribute.name} must be an IP address, not {value!r}") from None
+
+
+def _check_host_port(_: Any, attribute: attrs.Attribute[str], value: str) -> None:
+    host, _, port = value.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 1 <= int(port) <= MAX_PORT:
+        raise ValueError(f"{attribute.name} must be host:port, not {value!r}")
+
+
+def _check_host_port_or_empty(_: Any, attribute: attrs.Attribute[str], value: str) -> None:
+    if value:
+        _check_host_port(_, attribute, value)
+
+
+def _check_log_level(_: Any, attribute: attrs.Attribute[str], value: str) -> None:
+    if value not in LOG_LEVELS:
+        choices = ", ".join(LOG_LEVELS)
+        raise ValueError(f"{attribute.name} must be one of {choices}, not {value!r}")
+
+
 @attrs.frozen
 class Settings:
     """Settings of one daemon.
@@ -78,8 +111,8 @@
 
     daemon: str = attrs.field(validator=_check_filled)
     failure_domain: str = attrs.field(validator=_check_filled)
-    address: str = attrs.field(validator=_check_filled)
-    log: str = attrs.field(validator=_check_filled)
+    address: str = attrs.field(validator=_check_ip_address)
+    log: str = attrs.field(validator=_check_host_port)
     peer_key: str = attrs.field(validator=_check_filled)
     caller_port: int = attrs.field(default=CALLER_PORT, validator=_check_port)
     operator_port: int = attrs.field(default=OPERATOR_PORT, validator=_check_port)
@@ -88,11 +121,18 @@
     lease_term_s: float = attrs.field(default=1.5, validator=_check_positive)
     renew_every_s: float = attrs.field(default=0.3, validator=_check_positive)
     stop_within_s: float = attrs.field(default=30.0, validator=_check_positive)
-    statsd: str = ""
-    log_level: str = "INFO"
+    statsd: str = attrs.field(default="", validator=_check_host_port_or_empty)
+    log_level: str = attrs.field(default="INFO", validator=_check_log_level)
 
-
-_converter = make_strict_converter()
+    def __attrs_post_init__(self) -> None:
+        ports = (self.caller_port, self.operator_port, self.peer_port, self.data_port)
+        if len(set(ports)) != len(ports):
+            raise ValueError(f"the four ports must differ, not {', '.join(map(str, ports))}")
+        if 2 * self.renew_every_s > self.lease_term_s:
+            raise ValueError(
+                f"renew_every_s must be at most half of lease_term_s {self.lease_term_s}, "
+                f"not {self.renew_every_s}"
+            )
 
 
 def load_settings(path: Path, environment: Mapping[str, str] = os.environ) -> Settings:
@@ -101,34 +141,65 @@
     Raises
     ------
     SettingsError
-        If the file cannot be read or a value is wrong.
+        If the file cannot be read or a value is wrong; one line for each mistake.
     """
     try:
-        if path.stat().st_size > MAX_FILE_BYTES:
-            raise SettingsError(f"{path}: more than {MAX_FILE_BYTES} bytes")
-        data = yaml.safe_load(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(f"{path}: {error}") from error
-    except yaml.YAMLError as error:
-        detail = str(error).replace("\n", " ")
-        raise SettingsError(f"{path}: not YAML: {detail}") from error
-    if not isinstance(data, dict):
-        raise SettingsError(f"{path}: expected a mapping, not {data!r}")
-    return _structure_settings(path, {**data, **_read_environment(environment)})
-
-
-def _structure_settings(path: Path, data: dict[str, Any]) -> Settings:
-    try:
-        return _converter.structure(data, Settings)
-    except BaseValidationError as error:
-        raise SettingsError(f"{path}: " + "; ".join(transform_error(error))) from error
+        with path.open("rb") as file:
+            data = file.read(MAX_FILE_BYTES + 1)
+        text = data.decode("utf-8")
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path}: not UTF-8 text: {error.reason}") from error
+    if len(data) > MAX_FILE_BYTES:
+        raise SettingsError(f"{path}: larger than {MAX_FILE_BYTES} bytes")
+    return parse_settings(text, str(path), environment)
 
 
-def _read_environment(environment: Mapping[str, str]) -> dict[str, Any]:
-    """Return the fields that environment variables override."""
-    overrides = {}
+def parse_settings(text: str, name: str, environment: Mapping[str, str]) -> Settings:
+    """Read the text of a settings file.
+
+    Raises
+    ------
+    SettingsError
+        Naming ``name`` and, for each mistake, its line or its environment variable.
+    """
+    reader = DocumentReader()
+    replaced: set[str] = set()
+    try:
+        node = compose_document(text, MAX_FILE_BYTES)
+        replaced = _replace_entries(node, environment)
+        settings = reader.read_class(node, Settings)
+        reader.check()
+    except DocumentError as error:
+        mistakes = [_name_variable(mistake, replaced) for mistake in error.mistakes]
+        raise SettingsError("\n".join(f"{name}: {mistake}" for mistake in mistakes)) from error
+    assert settings is not None
+    return settings
+
+
+def _replace_entries(node: yaml.Node, environment: Mapping[str, str]) -> set[str]:
+    """Put environment variables in place of entries, and return the fields that have one."""
+    replaced: set[str] = set()
+    if not isinstance(node, yaml.MappingNode):
+        return replaced
+    hints = typing.get_type_hints(Settings)
     for field in attrs.fields(Settings):
         text = environment.get(ENVIRONMENT_PREFIX + field.name.upper())
-        if text is not None:
-            overrides[field.name] = text if field.type in (str, "str") else yaml.safe_load(text)
-    return overrides
+        if text is None:
+            continue
+        replaced.add(field.name)
+        kept = [(key, value) for key, value in node.value if key.value != field.name]
+        key = yaml.ScalarNode(TEXT_TAG, field.name, node.start_mark, node.end_mark)
+        tag = TEXT_TAG if hints[field.name] is str else NUMBER_TAG
+        value = yaml.ScalarNode(tag, text, node.start_mark, node.end_mark)
+        node.value = [*kept, (key, value)]
+    return replaced
+
+
+def _name_variable(mistake: Mistake, replaced: set[str]) -> Mistake:
+    """Name the environment variable, not the line, of a mistake that came from one."""
+    if mistake.place not in replaced:
+        return mistake
+    place = f"environment variable {ENVIRONMENT_PREFIX}{mistake.place.upper()}"
+    return Mistake(0, place, mistake.detail)
--- a/persimmondock/tests/builders.py
+++ b/persimmondock/tests/builders.py
@@ -16,6 +16,7 @@
     make_record_id,
 )
 from persimmondock._domain.view import View, fold
+from persimmondock.configuration import Configuration
 
 DOMAINS = ("recife", "fortaleza", "salvador")
 
@@ -74,3 +75,11 @@
         announced = BackendAnnounced(make_record_id(), ref, make_backend(number))
         view = fold_all([announced], view)
     return view
+
+
+def make_configuration(*names: str) -> Configuration:
+    """Return a configuration with a keyed service for each name."""
+    configuration = Configuration()
+    for name in names:
+        configuration.add_service(name, path=f"/{name}", keyed=True, slices=16)
+    return configuration
