Show the fleet, explain a key and edit the fleet from the command line

Cause: operators could publish a whole file and nothing else; a state dump was an HTTP route.

A dry run folds the change into a copy of the view and lists the slices that would move. Edits of the fleet are compare-and-set and made again on the winner; a rejected change names the author and the offset of the version that it lost to. Names of failure domains and backend servers that nobody has are refused with the choices.

--- a/persimmondock/_commands/base.py
+++ b/persimmondock/_commands/base.py
@@ -19,7 +19,6 @@
     from collections.abc import Coroutine
 
 LOG_VARIABLE = "PERSIMMONDOCK_LOG"
-OPERATOR_VARIABLE = "PERSIMMONDOCK_OPERATOR"
 MAX_PORT = 65535
 
 _T = TypeVar("_T")
--- a/persimmondock/_commands/publishing.py
+++ b/persimmondock/_commands/publishing.py
@@ -1,61 +1,292 @@
-"""Commands that change the configuration."""
+"""Commands that check and change the configuration."""
 
 from __future__ import annotations
 
+import functools
+import getpass
+import time
+from typing import TYPE_CHECKING
+
 import aiohttp
+import attrs
 from cleo.helpers import argument, option
 
 from persimmondock._adapters.log_client import HttpLog
 from persimmondock._commands.base import LOG_VARIABLE, BaseCommand, CommandError
-from persimmondock._commands.exit_codes import EXIT_DONE, EXIT_FAILED, EXIT_UNUSABLE
-from persimmondock._domain.view import Accepted, Rejection
-from persimmondock._tasks.publisher import PublishOutcome, Unchanged, Unresolved, publish
+from persimmondock._commands.exit_codes import (
+    EXIT_DONE,
+    EXIT_FAILED,
+    EXIT_INPUT,
+    EXIT_UNUSABLE,
+)
+from persimmondock._domain.configuration import FleetConfiguration
+from persimmondock._domain.previews import Preview, find_unknown_names, preview_changes
+from persimmondock._domain.view import Accepted, Rejection, View
+from persimmondock._tasks.publisher import (
+    PublishOutcome,
+    Unchanged,
+    Unresolved,
+    edit_fleet,
+    list_changes,
+    publish_changes,
+    read_view,
+)
 from persimmondock.configuration import Configuration, ConfigurationError, parse_configuration
+from persimmondock.settings import SettingsError, parse_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from persimmondock._ports.log import LogService
 
 PUBLISH_TIMEOUT_S = 10.0
 MAX_FILE_BYTES = 4 * 1024 * 1024
+SHOWN_SLICES = 16
 
+LOG_OPTION = option("log", None, f"host:port of the log service, or {LOG_VARIABLE}", flag=False)
+AUTHOR_OPTION = option("author", None, "Who publishes; the default is the user's name", flag=False)
+ALLOW_OPTION = option("allow-unknown", None, "Accept names that no running VM has")
+JSON_OPTION = option("json", None, "Write JSON")
 
-class PublishCommand(BaseCommand):
-    """Publishes a configuration."""
 
-    name = "publish"
-    description = "Publish a configuration to the log"
+class CheckCommand(BaseCommand):
+    """Checks a file without using it."""
+
+    name = "check"
+    description = "Check a settings file or a configuration, and name every mistake"
+    help = "A file with the field 'daemon' is taken for settings, any other for a configuration."
     arguments = [argument("file", "Path of the YAML file, or - for standard input")]
-    options = [
-        option("log", None, "host:port of the log service", flag=False),
-        option("author", None, "Who publishes", flag=False, default="operator"),
-    ]
 
     def perform(self) -> int:
-        """Publish and tell whether the change was accepted."""
-        configuration = self._read_configuration()
-        log_address = self.read_address("log", LOG_VARIABLE)
-        return self._report(self.run_async(self._publish(log_address, configuration)))
-
-    def _read_configuration(self) -> Configuration:
+        """Check the file."""
+        name = self.argument("file")
         text = self.read_file("file", MAX_FILE_BYTES)
-        try:
-            return parse_configuration(text)
-        except ConfigurationError as error:
-            raise CommandError(error.render_lines(self.argument("file"))) from error
+        if any(line.startswith("daemon:") for line in text.splitlines()):
+            try:
+                settings = parse_settings(text, name, {})
+            except SettingsError as error:
+                raise CommandError(str(error)) from error
+            self.show(f"{name}: settings of daemon {settings.daemon}, no mistakes")
+            return EXIT_DONE
+        services = len(read_configuration(self).services)
+        self.show(f"{name}: configuration of {services} services, no mistakes")
+        return EXIT_DONE
 
-    async def _publish(self, log_address: str, configuration: Configuration) -> PublishOutcome:
+
+class _LogCommand(BaseCommand):
+    """A command that changes the configuration in the log."""
+
+    def publish_with(self, change: Callable[[LogService, View, float], Awaitable[int]]) -> int:
+        """Read the log, let ``change`` publish, and report."""
+        return self.run_async(self._publish(self.read_address("log", LOG_VARIABLE), change))
+
+    async def _publish(
+        self, log_address: str, change: Callable[[LogService, View, float], Awaitable[int]]
+    ) -> int:
+        deadline = time.monotonic() + PUBLISH_TIMEOUT_S
         async with aiohttp.ClientSession() as session:
             log = HttpLog(log_address, session)
-            return await publish(log, configuration, self.option("author"), PUBLISH_TIMEOUT_S)
+            view = await read_view(log, View(), deadline)
+            if isinstance(view, Unresolved):
+                return self.report(view)
+            return await change(log, view, deadline)
+
+    def find_author(self) -> str:
+        """Return who publishes."""
+        given = self.option("author")
+        if given:
+            return str(given)
+        try:
+            return getpass.getuser()
+        except (KeyError, OSError):
+            return "operator"
+
+    def refuse_unknown_names(self, view: View, fleet: FleetConfiguration) -> None:
+        """Refuse names that no member has, unless the operator allows them."""
+        unknown = find_unknown_names(view, fleet)
+        if unknown and not self.option("allow-unknown"):
+            raise CommandError(
+                "\n".join(f"{line} (--allow-unknown accepts it)" for line in unknown)
+            )
 
-    def _report(self, outcome: PublishOutcome) -> int:
+    def report(self, outcome: PublishOutcome) -> int:
+        """Write the outcome of a change and return the exit code."""
+        code = EXIT_CODES[type(outcome)]
+        if self.option("json"):
+            self.show_json({"outcome": type(outcome).__name__.lower(), **attrs.asdict(outcome)})
+            return code
         match outcome:
             case Accepted(offset=offset):
                 self.show(f"accepted at offset {offset}")
-                return EXIT_DONE
             case Unchanged():
                 self.show("unchanged: everything is in force already")
-                return EXIT_DONE
-            case Rejection(subject=subject, reason=reason, offset=offset):
-                self.show_error(f"rejected: {subject}: {reason} (offset {offset})")
-                return EXIT_FAILED
+            case Rejection():
+                self.show_error(describe_rejection(outcome))
             case Unresolved(detail=detail):
-                self.show_error(f"unknown: {detail}")
-                return EXIT_UNUSABLE
+                self.show_error(f"unknown whether it is in force: {detail}; publish again to learn")
+        return code
+
+
+EXIT_CODES: dict[type, int] = {
+    Accepted: EXIT_DONE,
+    Unchanged: EXIT_DONE,
+    Rejection: EXIT_FAILED,
+    Unresolved: EXIT_UNUSABLE,
+}
+
+
+def describe_rejection(rejection: Rejection) -> str:
+    """Return one line that says why a change was rejected and by whose change."""
+    winner = f" by {rejection.author}" if rejection.author else ""
+    return f"rejected: {rejection.subject}: {rejection.reason}{winner} (offset {rejection.offset})"
+
+
+class PublishCommand(_LogCommand):
+    """Publishes a configuration."""
+
+    name = "publish"
+    description = "Publish a configuration to the log"
+    help = (
+        "The file describes the whole configuration: services that it leaves out are removed.\n"
+        "With --dry-run nothing is published; the differences and the slices that would move are "
+        "shown."
+    )
+    arguments = [argument("file", "Path of the YAML file, or - for standard input")]
+    options = [
+        LOG_OPTION,
+        AUTHOR_OPTION,
+        ALLOW_OPTION,
+        option("dry-run", None, "Show what would change and publish nothing"),
+        JSON_OPTION,
+    ]
+
+    def perform(self) -> int:
+        """Publish and tell whether the change was accepted."""
+        configuration = read_configuration(self)
+        return self.publish_with(functools.partial(self._change, configuration))
+
+    async def _change(
+        self, configuration: Configuration, log: LogService, view: View, deadline: float
+    ) -> int:
+        self.refuse_unknown_names(view, configuration.fleet)
+        changes = list_changes(view, configuration)
+        if self.option("dry-run"):
+            return self._show_preview(preview_changes(view, changes))
+        outcome = await publish_changes(log, view, changes, self.find_author(), deadline)
+        return self.report(outcome)
+
+    def _show_preview(self, preview: Preview) -> int:
+        if self.option("json"):
+            self.show_json(attrs.asdict(preview))
+            return EXIT_FAILED if preview.rejection else EXIT_DONE
+        for line in preview.differences or ["no differences"]:
+            self.show(line)
+        if preview.rejection is not None:
+            self.show_error(describe_rejection(preview.rejection))
+            return EXIT_FAILED
+        for move in preview.moves:
+            for what, slices in [
+                ("move", move.moved),
+                ("get an owner", move.first),
+                ("lose their owner", move.last),
+            ]:
+                if slices:
+                    self.show(f"{move.service}: {_count(slices, move.slices)} {what}")
+        if not preview.moves:
+            self.show("no slices move")
+        return EXIT_DONE
+
+
+class _FleetEditCommand(_LogCommand):
+    """A command that edits one name of the fleet's configuration."""
+
+    arguments = [argument("name", "Name")]
+    options = [LOG_OPTION, AUTHOR_OPTION, ALLOW_OPTION, JSON_OPTION]
+    help = (
+        "Changes the version in force by compare-and-set: when another change comes first, this "
+        "one\nis made again on top of it."
+    )
+
+    def perform(self) -> int:
+        """Edit and tell whether the change was accepted."""
+        return self.publish_with(self._change)
+
+    async def _change(self, log: LogService, view: View, deadline: float) -> int:
+        name = self.argument("name")
+        try:
+            self.refuse_unknown_names(view, self.edit(view.fleet, name))
+            outcome = await edit_fleet(
+                log, view, lambda fleet: self.edit(fleet, name), self.find_author(), deadline
+            )
+        except ConfigurationError as error:
+            raise CommandError(str(error), EXIT_INPUT) from error
+        return self.report(outcome)
+
+    def edit(self, fleet: FleetConfiguration, name: str) -> FleetConfiguration:
+        """Return the fleet's configuration with the change."""
+        raise NotImplementedError
+
+
+class DomainOutCommand(_FleetEditCommand):
+    """Takes a failure domain out."""
+
+    name = "domain out"
+    description = "Give a failure domain no new work"
+
+    def edit(self, fleet: FleetConfiguration, name: str) -> FleetConfiguration:
+        """Take the failure domain out."""
+        return fleet.take_out(name)
+
+
+class DomainBackCommand(_FleetEditCommand):
+    """Brings a failure domain back."""
+
+    name = "domain back"
+    description = "Let a failure domain have work again"
+
+    def edit(self, fleet: FleetConfiguration, name: str) -> FleetConfiguration:
+        """Bring the failure domain back."""
+        return fleet.bring_back(name)
+
+
+class DrainCommand(_FleetEditCommand):
+    """Drains a backend server."""
+
+    name = "drain"
+    description = "Give a backend server no new work"
+
+    def edit(self, fleet: FleetConfiguration, name: str) -> FleetConfiguration:
+        """Drain the backend server."""
+        return fleet.drain(name)
+
+
+class UndrainCommand(_FleetEditCommand):
+    """Uses a drained backend server again."""
+
+    name = "undrain"
+    description = "Let a drained backend server have work again"
+
+    def edit(self, fleet: FleetConfiguration, name: str) -> FleetConfiguration:
+        """Use the backend server."""
+        return fleet.undrain(name)
+
+
+def read_configuration(command: BaseCommand) -> Configuration:
+    """Return the configuration in the file that a command names.
+
+    Raises
+    ------
+    CommandError
+        With one line for each mistake.
+    """
+    text = command.read_file("file", MAX_FILE_BYTES)
+    try:
+        return parse_configuration(text)
+    except ConfigurationError as error:
+        raise CommandError(error.render_lines(command.argument("file"))) from error
+
+
+def _count(slices: tuple[int, ...], total: int) -> str:
+    shown = ", ".join(str(index) for index in slices[:SHOWN_SLICES])
+    more = ", ..." if len(slices) > SHOWN_SLICES else ""
+    return f"{len(slices)} of {total} slices ({shown}{more})"
--- a/persimmondock/_domain/view.py
+++ b/persimmondock/_domain/view.py
@@ -44,6 +44,7 @@
     from numpy.typing import NDArray
 
 RECENT_RECORD_IDS = 4096
+NEWER_VERSION = "newer version in force"
 
 
 @attrs.frozen
@@ -130,6 +131,7 @@
     subject: str
     reason: str
     offset: int
+    author: str = ""
 
 
 @attrs.frozen
@@ -366,7 +368,8 @@
         present = view.subjects.get(change.subject)
         present_offset = -1 if present is None else present.offset
         if change.base != present_offset:
-            return Rejection(change.subject, "newer version in force", present_offset)
+            author = "" if present is None else present.author
+            return Rejection(change.subject, NEWER_VERSION, present_offset, author)
         try:
             _check_change(view, change, paths)
         except ConfigurationError as error:
--- a/persimmondock/_tasks/gate.py
+++ b/persimmondock/_tasks/gate.py
@@ -65,6 +65,10 @@
             return self._service_in_flight[ref.service] > 0
         return self._in_flight[ref] > 0
 
+    def count_in_flight(self) -> int:
+        """Return how many requests the backend servers are working on."""
+        return sum(self._service_in_flight.values())
+
     def collect_kept(self, ref: SliceRef) -> tuple[KeptAnswer, ...]:
         """Return the kept answers of a slice."""
         return self.table.collect(ref.service, ref.index)
--- a/persimmondock/_tasks/operator.py
+++ b/persimmondock/_tasks/operator.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import attrs
-import numpy as np
 from aiohttp import web
 from cattrs import Converter
 from cattrs.errors import BaseValidationError
 from cattrs.v import transform_error
 
+from persimmondock._domain.explaining import UnknownServiceError, explain_key
 from persimmondock._domain.records import Backend
 from persimmondock._tasks.control import BackendSeen
+from persimmondock._tasks.dumping import dump_state, summarize
 
 if TYPE_CHECKING:
     from reactivex.subject import Subject
@@ -38,6 +39,8 @@
         application = web.Application(client_max_size=MAX_BODY_BYTES)
         application.router.add_post("/v1/backends", self._announce)
         application.router.add_get("/v1/dump", self._dump)
+        application.router.add_get("/v1/status", self._status)
+        application.router.add_get("/v1/explain", self._explain)
         return application
 
     async def _announce(self, request: web.Request) -> web.Response:
@@ -55,33 +58,15 @@
     async def _dump(self, _: web.Request) -> web.Response:
         return web.json_response(dump_state(self._membership, self._gate))
 
+    async def _status(self, _: web.Request) -> web.Response:
+        return web.json_response(attrs.asdict(summarize(self._membership, self._gate)))
 
-def dump_state(membership: Membership, gate: Gate) -> dict[str, Any]:
-    """Return a daemon's whole state as plain data."""
-    view = membership.view
-    return {
-        "daemon": membership.identity.daemon,
-        "failure_domain": membership.identity.failure_domain,
-        "incarnation": None if membership.ref is None else membership.ref.incarnation,
-        "leaving": membership.leaving,
-        "lease_deadline": membership.lease.compute_deadline() if membership.lease else None,
-        "view_offset": view.offset,
-        "members": {name: attrs.asdict(member) for name, member in view.members.items()},
-        "fleet": attrs.asdict(view.fleet),
-        "services": {
-            name: {
-                "backends": {
-                    placed.backend.name: {
-                        "member": placed.member.daemon,
-                        "slices": int((state.owners == code).sum()),
-                        "owned": np.flatnonzero(state.owners == code).tolist(),
-                    }
-                    for code, placed in state.backends.items()
-                },
-                "handovers": len(state.handovers),
-            }
-            for name, state in view.services.items()
-        },
-        "unreleased": len(membership.unreleased),
-        "request_table": len(gate.table),
-    }
+    async def _explain(self, request: web.Request) -> web.Response:
+        service, key = request.query.get("service", ""), request.query.get("key", "")
+        if not service or not key:
+            return web.Response(status=400, text="the query needs service and key\n")
+        try:
+            explanation = explain_key(self._membership.view, service, key)
+        except UnknownServiceError as error:
+            return web.Response(status=404, text=f"{error}\n")
+        return web.json_response(attrs.asdict(explanation))
--- a/persimmondock/_tasks/publisher.py
+++ b/persimmondock/_tasks/publisher.py
@@ -8,17 +8,21 @@
 
 import attrs
 
+from persimmondock._domain.configuration import FLEET_SUBJECT, render_subject
 from persimmondock._domain.records import (
     ConfigurationPublished,
     SubjectChange,
     encode_record,
     make_record_id,
 )
-from persimmondock._domain.view import Accepted, Rejection, View, fold
+from persimmondock._domain.view import NEWER_VERSION, Accepted, Rejection, View, fold
 from persimmondock._ports.log import AppendRefused, Batch, Expired, ReadFailed
 from persimmondock._tasks.log_follower import READ_LIMIT, decode_entries
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from persimmondock._domain.configuration import FleetConfiguration
     from persimmondock._ports.log import LogService
     from persimmondock.configuration import Configuration
 
@@ -74,16 +78,26 @@
 async def publish(
     log: LogService, configuration: Configuration, author: str, timeout_s: float
 ) -> PublishOutcome:
-    """Publish a configuration and wait until the log has decided.
-
-    The same record is appended again while its outcome is not known; folding it twice changes
-    nothing, and the view tells by the record's identifier whether it was accepted.
-    """
+    """Publish a configuration and wait until the log has decided."""
     deadline = time.monotonic() + timeout_s
     view = await read_view(log, View(), deadline)
     if isinstance(view, Unresolved):
         return view
-    changes = list_changes(view, configuration)
+    return await publish_changes(log, view, list_changes(view, configuration), author, deadline)
+
+
+async def publish_changes(
+    log: LogService,
+    view: View,
+    changes: tuple[SubjectChange, ...],
+    author: str,
+    deadline: float,
+) -> PublishOutcome:
+    """Publish changes based on a view and wait until the log has decided.
+
+    The same record is appended again while its outcome is not known; folding it twice changes
+    nothing, and the view tells by the record's identifier whether it was accepted.
+    """
     if not changes:
         return Unchanged()
     record = ConfigurationPublished(make_record_id(), author, changes)
@@ -98,3 +112,33 @@
         if isinstance(outcome, AppendRefused):
             await asyncio.sleep(RETRY_S)
     return Unresolved("the log does not answer")
+
+
+async def edit_fleet(
+    log: LogService,
+    view: View,
+    edit: Callable[[FleetConfiguration], FleetConfiguration],
+    author: str,
+    deadline: float,
+) -> PublishOutcome:
+    """Change the fleet's configuration; an edit that lost a race is made again on the winner.
+
+    Raises
+    ------
+    ConfigurationError
+        If the edit does not apply to the version in force.
+    """
+    while True:
+        present = view.subjects.get(FLEET_SUBJECT)
+        base = -1 if present is None else present.offset
+        wanted = edit(view.fleet)
+        if wanted == view.fleet and present is not None:
+            return Unchanged()
+        change = SubjectChange(FLEET_SUBJECT, base, render_subject(wanted))
+        outcome = await publish_changes(log, view, (change,), author, deadline)
+        if not isinstance(outcome, Rejection) or outcome.reason != NEWER_VERSION:
+            return outcome
+        read = await read_view(log, view, deadline)
+        if isinstance(read, Unresolved):
+            return read
+        view = read
--- a/persimmondock/cli.py
+++ b/persimmondock/cli.py
@@ -22,7 +22,16 @@
 from persimmondock import __version__
 from persimmondock._commands.daemon import DaemonCommand
 from persimmondock._commands.exit_codes import EXIT_INPUT
-from persimmondock._commands.publishing import PublishCommand
+from persimmondock._commands.fleet import DumpCommand, ExplainCommand, StatusCommand
+from persimmondock._commands.log import LogTailCommand
+from persimmondock._commands.publishing import (
+    CheckCommand,
+    DomainBackCommand,
+    DomainOutCommand,
+    DrainCommand,
+    PublishCommand,
+    UndrainCommand,
+)
 from persimmondock._commands.standins import (
     BackendStandinCommand,
     DemoCommand,
@@ -31,7 +40,16 @@
 
 COMMANDS = (
     DaemonCommand,
+    CheckCommand,
     PublishCommand,
+    DomainOutCommand,
+    DomainBackCommand,
+    DrainCommand,
+    UndrainCommand,
+    StatusCommand,
+    DumpCommand,
+    ExplainCommand,
+    LogTailCommand,
     DemoCommand,
     LogStandinCommand,
     BackendStandinCommand,
@@ -50,6 +68,8 @@
 
 def main() -> int:
     """Run the command line and return its exit code."""
+    if sys.argv[1:] in (["--help"], ["-h"]):
+        sys.argv[1:] = ["list"]
     try:
         return build_application().run()
     except CleoError as error:
--- a/persimmondock/standins/fleet.py
+++ b/persimmondock/standins/fleet.py
@@ -178,6 +178,12 @@
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
 
+    def write_file(self, name: str, text: str) -> str:
+        """Write a file that is removed with the fleet, and return its path."""
+        path = self._folder / name
+        path.write_text(text, encoding="utf-8")
+        return str(path)
+
     def read_output(self, name: str) -> str:
         """Return what a process printed."""
         return (self._folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
--- a/persimmondock/tests/test_view.py
+++ b/persimmondock/tests/test_view.py
@@ -91,7 +91,7 @@
     view = fold_all([first, second])
     assert view.publications[first.record_id] == Accepted(0)
     assert view.publications[second.record_id] == Rejection(
-        "service/painel", "newer version in force", 0
+        "service/painel", "newer version in force", 0, "test"
     )
     assert view.configurations["painel"].timeout_ms == 1000
 
