--- a/persimmondock/_tasks/daemon.py
+++ b/persimmondock/_tasks/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import signal
+import socket
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -13,15 +14,18 @@
 from loguru import logger
 
 from persimmondock._adapters.log_client import HttpLog
+from persimmondock._adapters.metrics import StatsdMetrics
 from persimmondock._adapters.peer_link import PeerLink
 from persimmondock._domain.leases import LeaseTerms
 from persimmondock._domain.membership import Identity, Membership
+from persimmondock._ports.metrics import MetricSink, NoMetrics
 from persimmondock._tasks.control import Control, LeaveAsked, PeerMessage
 from persimmondock._tasks.exchange import Exchange
 from persimmondock._tasks.front import Front
 from persimmondock._tasks.gate import Gate
 from persimmondock._tasks.log_follower import LogFollower, LogWriter
 from persimmondock._tasks.operator import Operator
+from persimmondock._tasks.reporter import Reporter
 
 if TYPE_CHECKING:
     from persimmondock._domain.messages import Message
@@ -31,6 +35,9 @@
 MAX_HEADER_BYTES = 16 * 1024
 KEEPALIVE_S = 75.0
 SHUTDOWN_TIMEOUT_S = 1.0
+LISTEN_BACKLOG = 512
+VIEW_QUIET_S = 1.0
+LINGER_S = 0.5
 
 
 class DaemonError(Exception):
@@ -46,6 +53,7 @@
         self._failed = False
         self._tasks: list[asyncio.Task[None]] = []
         self._runners: list[web.AppRunner] = []
+        self._caller_site: web.SockSite | None = None
 
     async def run(self) -> None:
         """Serve until a signal asks to stop, then shut down gracefully.
@@ -69,6 +77,7 @@
                 await self._stopping.wait()
                 if not self._failed:
                     await self._leave()
+                    await self._close_callers()
             finally:
                 await self._close()
         if self._failed:
@@ -94,6 +103,9 @@
         )
         self.control.report_failure = lambda error: self.fail("control", error)
         self.front = Front(self.membership, self.gate, self.exchange)
+        self.reporter = Reporter(
+            build_sink(settings), self.membership, self.gate, self.exchange, self.writer
+        )
         self.operator = Operator(self.membership, self.gate, self.control.inbox)
         identity = self.membership.identity
         self.peer_link = PeerLink(
@@ -127,14 +139,61 @@
         await self.data_link.start()
         self.control.attach(self.peer_link)
         self.exchange.attach(self.data_link)
-        await self._listen(self.front.build_application(), settings.caller_port)
+        callers = self.front.build_application()
+        callers.middlewares.insert(0, self.reporter.build_middleware())
+        bound = self._bind(settings.caller_port)
         await self._listen(self.operator.build_application(), settings.operator_port)
-        for owner in (self.follower, self.writer, self.control):
+        for owner in (self.follower, self.writer, self.control, self.reporter):
             task = asyncio.create_task(owner.run(), name=type(owner).__name__)
             task.add_done_callback(self._watch)
             self._tasks.append(task)
+        opening = asyncio.create_task(self._open_callers(callers, bound), name="Front")
+        opening.add_done_callback(self._watch)
+        self._tasks.append(opening)
+
+    def _bind(self, port: int) -> socket.socket:
+        """Take an address without accepting connections yet."""
+        address = (self._settings.address, port)
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        bound = socket.socket(family, socket.SOCK_STREAM)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.setblocking(False)
+        try:
+            bound.bind(address)
+        except OSError as error:
+            bound.close()
+            detail = f"cannot listen on {address[0]}:{port}: {error.strerror}"
+            raise OSError(error.errno, detail) from error
+        return bound
+
+    async def _open_callers(self, application: web.Application, bound: socket.socket) -> None:
+        """Accept callers once the view is known, so that no service is missing from it."""
+        try:
+            await self._wait_for_view()
+            runner = await self._set_up(application)
+            self._caller_site = web.SockSite(runner, bound, backlog=LISTEN_BACKLOG)
+            await self._caller_site.start()
+        except asyncio.CancelledError:
+            bound.close()
+            raise
+        logger.info("event=callers_accepted view_offset={}", self.membership.view.offset)
+
+    async def _wait_for_view(self) -> None:
+        """Wait for the end of the log, or, during its outage, for a view that peers gave."""
+        offset, changed_at = 0, time.monotonic()
+        while not self.membership.caught_up:
+            now = time.monotonic()
+            if self.membership.view.offset != offset:
+                offset, changed_at = self.membership.view.offset, now
+            elif offset and now - changed_at > VIEW_QUIET_S:
+                return
+            await asyncio.sleep(STOP_POLL_S)
 
     async def _listen(self, application: web.Application, port: int) -> None:
+        runner = await self._set_up(application)
+        await web.TCPSite(runner, self._settings.address, port).start()
+
+    async def _set_up(self, application: web.Application) -> web.AppRunner:
         runner = web.AppRunner(
             application,
             access_log=None,
@@ -146,18 +205,25 @@
         )
         await runner.setup()
         self._runners.append(runner)
-        site = web.TCPSite(runner, self._settings.address, port)
-        await site.start()
+        return runner
 
     async def _leave(self) -> None:
         """Hand over all slices and finish all work, within the time that settings allow."""
         stop_by = time.monotonic() + self._settings.stop_within_s
+        logger.info("event=leaving daemon={}", self._settings.daemon)
+        self.reporter.closing = True
         self.control.inbox.on_next(LeaveAsked())
         while not self.membership.left and time.monotonic() < stop_by:
             if self.membership.ref is None:
                 return
             await asyncio.sleep(STOP_POLL_S)
 
+    async def _close_callers(self) -> None:
+        """Accept no new connections, and answer what still comes on open ones."""
+        if self._caller_site is not None:
+            await self._caller_site.stop()
+            await asyncio.sleep(LINGER_S)
+
     async def _close(self) -> None:
         for runner in self._runners:
             await runner.cleanup()
@@ -182,6 +248,13 @@
     )
 
 
+def build_sink(settings: Settings) -> MetricSink:
+    """Return where a daemon's metrics go."""
+    if not settings.statsd:
+        return NoMetrics()
+    return StatsdMetrics(settings.statsd, settings.daemon)
+
+
 def locate_error(error: BaseException) -> str:
     """Return ``file:line`` of the innermost frame of an error."""
     trace = error.__traceback__
--- a/persimmondock/_tasks/exchange.py
+++ b/persimmondock/_tasks/exchange.py
@@ -19,14 +19,27 @@
     from persimmondock._tasks.gate import Gate
 
 UNREACHABLE_RETRY_MS = 200
+LEFT_GRACE_S = 0.4
 
 
 @attrs.define
 class _Waiting:
-    """A call whose reply has not come."""
+    """A call whose reply has not come.
+
+    Parameters
+    ----------
+    leaving
+        Whether the member was seen to leave; it answers for a while after its last record.
+    """
 
     member: MemberRef
     future: asyncio.Future[Verdict]
+    leaving: bool = False
+
+
+def _end_silent(waiting: _Waiting) -> None:
+    if not waiting.future.done():
+        waiting.future.set_result(MayHaveRun(Reason.PEER_SILENT))
 
 
 class Exchange:
@@ -39,6 +52,7 @@
     def __init__(self, gate: Gate) -> None:
         self._gate = gate
         self._link: PeerLink | None = None
+        self.calls = 0
         self._number = random.getrandbits(62)
         self._waiting: dict[int, _Waiting] = {}
         self._serving: dict[tuple[str, int], asyncio.Task[None]] = {}
@@ -55,7 +69,8 @@
         future: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
         if not self._link.send(member.data_address, attrs.evolve(call, number=number)):
             return NotRun(Reason.PEER_UNREACHABLE, UNREACHABLE_RETRY_MS)
-        self._waiting[number] = _Waiting(member.ref, future)
+        self.calls += 1
+        self._waiting[number] = _Waiting(member.ref, future, member.leaving)
         remaining = max(0.0, call.deadline_ms / 1000 - time.time())
         try:
             return await asyncio.wait_for(future, remaining)
@@ -70,8 +85,13 @@
     def follow_view(self, view: View) -> None:
         """End the waiting for members that are gone."""
         for waiting in self._waiting.values():
-            if view.find_member(waiting.member) is None and not waiting.future.done():
-                waiting.future.set_result(MayHaveRun(Reason.PEER_SILENT))
+            member = view.find_member(waiting.member)
+            if member is not None:
+                waiting.leaving = waiting.leaving or member.leaving
+            elif waiting.leaving:
+                asyncio.get_running_loop().call_later(LEFT_GRACE_S, _end_silent, waiting)
+            else:
+                _end_silent(waiting)
 
     def receive(self, message: Message, reply_address: str) -> None:
         """Take a message of another daemon's exchange."""
--- a/persimmondock/_tasks/log_follower.py
+++ b/persimmondock/_tasks/log_follower.py
@@ -95,6 +95,7 @@
 
     def __init__(self, log: LogService) -> None:
         self._log = log
+        self.appends = 0
         self._queue: asyncio.Queue[Record] = asyncio.Queue(MAX_QUEUED_APPENDS)
 
     def write(self, records: tuple[Record, ...]) -> None:
@@ -115,6 +116,7 @@
             await asyncio.sleep(APPEND_GAP_S)
 
     async def _append(self, records: list[Record]) -> None:
+        self.appends += 1
         kinds = ",".join(type(record).__name__ for record in records)
         match await self._log.append([encode_record(record) for record in records]):
             case Appended(offset=offset):
--- /dev/null
+++ b/persimmondock/_tasks/reporter.py
@@ -0,0 +1,92 @@
+"""The task that reports metrics, and the middleware that counts callers' requests."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from persimmondock._tasks.dumping import compute_lease_left_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from persimmondock._domain.membership import Membership
+    from persimmondock._ports.metrics import MetricSink
+    from persimmondock._tasks.exchange import Exchange
+    from persimmondock._tasks.gate import Gate
+    from persimmondock._tasks.log_follower import LogWriter
+
+REPORT_EVERY_S = 1.0
+VERDICT_HEADER = "Persimmondock-Verdict"
+REASON_HEADER = "Persimmondock-Reason"
+
+
+class Reporter:
+    """Reads the other tasks' state once a second and sends it to a sink."""
+
+    def __init__(
+        self,
+        sink: MetricSink,
+        membership: Membership,
+        gate: Gate,
+        exchange: Exchange,
+        writer: LogWriter,
+    ) -> None:
+        self._sink = sink
+        self._membership = membership
+        self._gate = gate
+        self._exchange = exchange
+        self._writer = writer
+        self._calls_seen = 0
+        self._appends_seen = 0
+        self.closing = False
+
+    async def run(self) -> None:
+        """Report for ever."""
+        while True:
+            await asyncio.sleep(REPORT_EVERY_S)
+            self.report(time.monotonic())
+
+    def report(self, now: float) -> None:
+        """Send gauges and what was counted since the last report."""
+        sink, membership = self._sink, self._membership
+        lease_left_ms = compute_lease_left_ms(membership, now)
+        if lease_left_ms is not None:
+            sink.measure("lease_left_ms", max(0, lease_left_ms))
+        sink.measure("view_offset", membership.view.offset)
+        sink.measure("members", len(membership.view.members))
+        sink.measure("handovers_waiting", len(membership.unreleased))
+        sink.measure("in_flight", self._gate.count_in_flight())
+        sink.measure("request_table", len(self._gate.table))
+        sink.count("forwards", self._exchange.calls - self._calls_seen)
+        sink.count("appends", self._writer.appends - self._appends_seen)
+        self._calls_seen = self._exchange.calls
+        self._appends_seen = self._writer.appends
+        sink.flush()
+
+    def build_middleware(self) -> Callable[..., Awaitable[web.StreamResponse]]:
+        """Return the middleware of the callers' listener."""
+
+        @web.middleware
+        async def observe(
+            request: web.Request,
+            handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+        ) -> web.StreamResponse:
+            started = time.monotonic()
+            response = await handler(request)
+            self._observe(response, (time.monotonic() - started) * 1000)
+            return response
+
+        return observe
+
+    def _observe(self, response: web.StreamResponse, milliseconds: float) -> None:
+        """Count a response; while the daemon leaves, its connection is not used again."""
+        verdict = response.headers.get(VERDICT_HEADER, "none")
+        reason = response.headers.get(REASON_HEADER, "")
+        self._sink.count(f"requests.{verdict}.{reason}" if reason else f"requests.{verdict}")
+        self._sink.time(f"request_ms.{verdict}", milliseconds)
+        if self.closing:
+            response.force_close()
