--- a/persimmondock/bench/command.py
+++ b/persimmondock/bench/command.py
@@ -2,25 +2,21 @@
 
 from __future__ import annotations
 
-import asyncio
 from contextlib import ExitStack
 from pathlib import Path
 
-from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
+from persimmondock._commands.base import BaseCommand, CommandError
+from persimmondock._commands.exit_codes import EXIT_DONE, EXIT_FAILED, EXIT_UNUSABLE
 from persimmondock.bench.broken import BREAKS
-from persimmondock.bench.faults import ScenarioError, load_scenario
-from persimmondock.bench.mixes import MIXES
+from persimmondock.bench.faults import Scenario, ScenarioError, load_scenario
+from persimmondock.bench.mixes import MIXES, Mix
 from persimmondock.bench.runner import Run, check_out, render_json, show_table
 from persimmondock.standins.fleet import FleetError
 
-EXIT_BROKEN = 1
-EXIT_INPUT = 2
-EXIT_UNUSABLE = 3
 
-
-class BenchCommand(Command):
+class BenchCommand(BaseCommand):
     """Measures a scenario on a fleet of real daemons and stand-ins."""
 
     name = "bench"
@@ -35,35 +31,41 @@
         option("json", None, "File to write the figures to", flag=False),
     ]
 
-    def handle(self) -> int:
+    def perform(self) -> int:
         """Run and report; the exit code tells whether every invariant held."""
-        try:
-            return self._handle()
-        except (ScenarioError, ValueError) as error:
-            self.line_error(str(error))
-            return EXIT_INPUT
-        except FleetError as error:
-            self.line_error(str(error))
-            return EXIT_UNUSABLE
-
-    def _handle(self) -> int:
-        scenario = load_scenario(self.argument("scenario"))
-        mix = MIXES.get(self.option("mix"))
-        if mix is None:
-            raise ScenarioError(f"no mix {self.option('mix')!r}; known: {', '.join(MIXES)}")
-        mix = scenario.adapt_mix(mix)
-        broken = self.option("break")
-        if broken and broken not in BREAKS:
-            raise ScenarioError(f"cannot break {broken!r}; known: {', '.join(BREAKS)}")
-        seed, network = int(self.option("seed")), int(self.option("network"))
-        runs = {"now": Run(mix, scenario, seed, network, broken=broken)}
+        scenario = self._read_scenario()
+        mix = scenario.adapt_mix(self._read_mix())
+        seed = self.read_number("seed", least=0)
+        network = self.read_number("network", least=1)
+        runs = {"now": Run(mix, scenario, seed, network, broken=self._read_broken())}
         with ExitStack() as stack:
             revision = self.option("beside")
             if revision:
                 source = stack.enter_context(check_out(revision))
                 runs = {revision: Run(mix, scenario, seed, network, source), **runs}
-            results = {name: asyncio.run(run.execute()) for name, run in runs.items()}
-        show_table(results, self.line)
+            try:
+                results = {name: self.run_async(run.execute()) for name, run in runs.items()}
+            except FleetError as error:
+                raise CommandError(str(error), EXIT_UNUSABLE) from error
+        show_table(results, self.show)
         if self.option("json"):
             Path(self.option("json")).write_text(render_json(results), encoding="utf-8")
-        return EXIT_BROKEN if results["now"].breaches else 0
+        return EXIT_FAILED if results["now"].breaches else EXIT_DONE
+
+    def _read_scenario(self) -> Scenario:
+        try:
+            return load_scenario(self.argument("scenario"))
+        except ScenarioError as error:
+            raise CommandError(str(error)) from error
+
+    def _read_mix(self) -> Mix:
+        name = self.option("mix")
+        if name not in MIXES:
+            raise CommandError(f"--mix: no mix {name!r}; known: {', '.join(MIXES)}")
+        return MIXES[name]
+
+    def _read_broken(self) -> str:
+        name = str(self.option("break"))
+        if name and name not in BREAKS:
+            raise CommandError(f"--break: no mechanism {name!r}; known: {', '.join(BREAKS)}")
+        return name
--- a/persimmondock/bench/faults.py
+++ b/persimmondock/bench/faults.py
@@ -6,17 +6,16 @@
 import signal
 import time
 from pathlib import Path
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING, Any, TypeAlias, get_args
 
 import attrs
 import yaml
 from cattrs.errors import BaseValidationError
 from cattrs.strategies import configure_tagged_union
-from cattrs.v import transform_error
 
 from persimmondock._adapters.log_client import HttpLog
 from persimmondock._domain.records import ConfigurationPublished, encode_record, make_record_id
-from persimmondock._domain.structuring import make_strict_converter
+from persimmondock._domain.structuring import describe_mistakes, make_strict_converter
 from persimmondock._domain.view import Accepted, Rejection, View
 from persimmondock._tasks.publisher import list_changes, publish, read_view
 from persimmondock.configuration import Configuration
@@ -208,13 +207,24 @@
         raise ScenarioError(f"no scenario {name!r}; known: {known}")
     try:
         data = yaml.safe_load(path.read_text(encoding="utf-8"))
+        _check_fault_names(path, data)
         return _converter.structure(data, Scenario)
     except yaml.YAMLError as error:
         raise ScenarioError(f"{path}: not YAML: {error}".replace("\n", " ")) from error
     except BaseValidationError as error:
-        raise ScenarioError(f"{path}: " + "; ".join(transform_error(error))) from error
-    except (KeyError, TypeError) as error:
-        raise ScenarioError(f"{path}: wrong or unknown fault: {error!r}") from error
+        raise ScenarioError(f"{path}: " + describe_mistakes(error)) from error
+
+
+def _check_fault_names(path: Path, data: Any) -> None:
+    """Refuse a document that is no mapping and faults that have no known name."""
+    if not isinstance(data, dict):
+        raise ScenarioError(f"{path}: expected a mapping, not {data!r}")
+    known = [kind.__name__ for kind in get_args(Fault)]
+    for position, fault in enumerate(data.get("faults") or []):
+        name = fault.get("fault") if isinstance(fault, dict) else fault
+        if name not in known:
+            choices = ", ".join(known)
+            raise ScenarioError(f"{path}: faults[{position}]: no fault {name!r}; known: {choices}")
 
 
 @attrs.define
--- a/persimmondock/bench/runner.py
+++ b/persimmondock/bench/runner.py
@@ -145,7 +145,8 @@
         except (TimeoutError, aiohttp.ClientError):
             return
         incarnation = state["incarnation"] or -1
-        for subject, offset in state.get("subjects", {}).items():
+        for subject, version in state["subjects"].items():
+            offset = version["offset"]
             key = (number, f"{incarnation} {subject}")
             if offset < self._newest.get(key, -1):
                 breach = Breach("configuration never reverts", at_s, f"vm-{number} {subject}")
