--- a/persimmondock/_domain/membership.py
+++ b/persimmondock/_domain/membership.py
@@ -172,6 +172,15 @@
         self._follow_view(now)
         return self._answer_asks() + self.advance(now)
 
+    def adopt_view(self, view: View, now: float) -> list[Effect]:
+        """Continue from a newer view, taken from a snapshot or from peers."""
+        if view.offset <= self.view.offset:
+            return []
+        self.view = view
+        self._notice_own_state()
+        self._follow_view(now)
+        return self._answer_asks() + self.advance(now)
+
     def note_log_read(self, now: float, caught_up: bool) -> None:
         """Note that the log answered, and whether the view has reached its end."""
         self.log_read_at = now
@@ -292,6 +301,18 @@
                 self.left = True
                 self.lease = None
 
+    def _notice_own_state(self) -> None:
+        """Catch up with records about this daemon that an adopted view covers."""
+        member = self.view.members.get(self.identity.daemon)
+        if member is None:
+            return
+        if self.ref is None and member.record_id == self._joining_id:
+            self._start_incarnation(member.ref)
+        proposal = self._proposal
+        if member.ref == self.ref and proposal is not None:
+            if member.witnesses_version != proposal.version:
+                self._adopt_witnesses(member.witnesses_version)
+
     def _start_incarnation(self, ref: MemberRef) -> None:
         member = self.view.find_member(ref)
         assert member is not None
--- a/persimmondock/_domain/records.py
+++ b/persimmondock/_domain/records.py
@@ -183,12 +183,24 @@
 
 @attrs.frozen
 class SnapshotTaken:
-    """The view after all records before an offset, encoded."""
+    """The view after all records before an offset, encoded, or a part of it.
+
+    Parameters
+    ----------
+    covers
+        Offset of the view.
+    digest
+        Digest of the whole encoded view.
+    part, parts
+        Number of this part and how many there are.
+    """
 
     record_id: str
     covers: int
     digest: str
     body: bytes
+    part: int = 0
+    parts: int = 1
 
 
 @attrs.frozen
--- /dev/null
+++ b/persimmondock/_domain/snapshot.py
@@ -0,0 +1,204 @@
+"""Snapshots: a view as bytes, cut into records, found again in the log.
+
+A snapshot stands for all records before an offset. Its digest tells whether two daemons have the
+same view and whether the bytes are whole.
+"""
+
+from __future__ import annotations
+
+import zlib
+from typing import Any, get_origin
+
+import attrs
+import msgpack
+import numpy as np
+import xxhash
+from cattrs.preconf.msgpack import make_converter
+from cattrs.strategies import configure_tagged_union
+
+from persimmondock._domain.records import MemberRef, SnapshotTaken, make_record_id
+from persimmondock._domain.view import Accepted, Rejection, View
+
+PART_BYTES = 512 * 1024
+SNAPSHOT_EVERY_RECORDS = 2_000
+SNAPSHOT_REFRESH_S = 1_800.0
+WRITER_DELAY_S = 10.0
+COMPRESSION_LEVEL = 1
+
+
+class SnapshotError(ValueError):
+    """Bytes that are not the snapshot that they are said to be."""
+
+
+@attrs.frozen
+class EncodedView:
+    """A view as bytes.
+
+    Parameters
+    ----------
+    covers
+        Offset of the view.
+    digest
+        Hash of ``body``; equal views have equal digests.
+    """
+
+    covers: int
+    digest: str
+    body: bytes
+
+
+def _is_array(kind: Any) -> bool:
+    return get_origin(kind) is np.ndarray or kind is np.ndarray
+
+
+def _unstructure_array(array: np.ndarray[Any, Any]) -> list[Any]:
+    return [array.dtype.str, zlib.compress(array.tobytes(), COMPRESSION_LEVEL)]
+
+
+def _structure_array(data: list[Any], _: Any) -> np.ndarray[Any, Any]:
+    kind, body = data
+    return np.frombuffer(zlib.decompress(body), dtype=np.dtype(kind)).copy()
+
+
+_converter = make_converter()
+_converter.register_unstructure_hook_func(_is_array, _unstructure_array)
+_converter.register_structure_hook_func(_is_array, _structure_array)
+configure_tagged_union(Accepted | Rejection, _converter, tag_name="outcome")
+
+
+def compute_digest(body: bytes) -> str:
+    """Return the digest of an encoded view."""
+    return xxhash.xxh3_128_hexdigest(body)
+
+
+def encode_view(view: View) -> EncodedView:
+    """Encode a view; equal views give equal bytes."""
+    body = zlib.compress(msgpack.packb(_converter.unstructure(view)), COMPRESSION_LEVEL)
+    return EncodedView(view.offset, compute_digest(body), body)
+
+
+def decode_view(encoded: EncodedView) -> View:
+    """Decode a view.
+
+    Raises
+    ------
+    SnapshotError
+        If the digest or the offset does not fit, or the bytes are not a view.
+    """
+    digest = compute_digest(encoded.body)
+    if digest != encoded.digest:
+        raise SnapshotError(f"digest is {digest}, not {encoded.digest}")
+    try:
+        data = msgpack.unpackb(zlib.decompress(encoded.body), strict_map_key=False)
+        view = _converter.structure(data, View)
+    except Exception as error:
+        raise SnapshotError(f"cannot decode {len(encoded.body)} bytes: {error}") from error
+    if view.offset != encoded.covers:
+        raise SnapshotError(f"offset is {view.offset}, not {encoded.covers}")
+    return view
+
+
+def split_snapshot(encoded: EncodedView, part_bytes: int = PART_BYTES) -> tuple[SnapshotTaken, ...]:
+    """Cut an encoded view into records that are each small enough for one append."""
+    starts = range(0, len(encoded.body), part_bytes)
+    return tuple(
+        SnapshotTaken(
+            record_id=make_record_id(),
+            covers=encoded.covers,
+            digest=encoded.digest,
+            body=encoded.body[start : start + part_bytes],
+            part=part,
+            parts=len(starts),
+        )
+        for part, start in enumerate(starts)
+    )
+
+
+@attrs.define
+class SnapshotSearch:
+    """Finds the newest whole snapshot among records that are read in order.
+
+    Parameters
+    ----------
+    earliest
+        Offset of the oldest record that the log keeps; a snapshot that covers less is of no use,
+        because records after it are missing.
+    """
+
+    earliest: int
+    newest: EncodedView | None = None
+    _parts: dict[str, dict[int, bytes]] = attrs.field(factory=dict)
+
+    def take(self, record: SnapshotTaken) -> None:
+        """Take a part of a snapshot."""
+        known = -1 if self.newest is None else self.newest.covers
+        if record.covers < self.earliest or record.covers <= known:
+            return
+        parts = self._parts.setdefault(record.digest, {})
+        parts[record.part] = record.body
+        if len(parts) < record.parts:
+            return
+        del self._parts[record.digest]
+        body = b"".join(parts[part] for part in sorted(parts))
+        if compute_digest(body) == record.digest:
+            self.newest = EncodedView(record.covers, record.digest, body)
+
+
+@attrs.define
+class SnapshotSchedule:
+    """Decides when this daemon writes a snapshot.
+
+    A snapshot is due when many records follow the newest one, when the newest one is old, or when
+    the log is about to drop it or has dropped it. All daemons rank themselves in one
+    pseudo-random order that differs from snapshot to snapshot; the first writes at once, and each
+    next one only if the snapshot is still missing after a delay.
+    """
+
+    every_records: int = SNAPSHOT_EVERY_RECORDS
+    _earliest: int = 0
+    _covers: int = -1
+    _seen_at: float = 0.0
+    _due_at: float | None = None
+    _write_at: float | None = None
+
+    def note_earliest(self, earliest: int) -> None:
+        """Note the offset of the oldest record that the log keeps."""
+        self._earliest = max(self._earliest, earliest)
+
+    def is_writer(self, view: View, ref: MemberRef | None, now: float) -> bool:
+        """Return whether this daemon shall write a snapshot now; True once for each turn."""
+        if view.snapshot_covers != self._covers:
+            self._covers, self._seen_at = view.snapshot_covers, now
+            self._due_at = self._write_at = None
+        if ref is None or not self._is_due(view, now):
+            return False
+        if self._due_at is None or self._write_at is None:
+            self._due_at = now
+            self._write_at = now + WRITER_DELAY_S * rank_writer(view, ref)
+        if now < self._write_at:
+            return False
+        self._write_at = now + WRITER_DELAY_S * max(1, len(view.members))
+        return True
+
+    def _is_due(self, view: View, now: float) -> bool:
+        behind = view.offset - view.snapshot_covers
+        if behind >= self.every_records or now - self._seen_at >= SNAPSHOT_REFRESH_S:
+            return True
+        if self._earliest == 0:
+            return False
+        kept = view.offset - self._earliest
+        return view.snapshot_covers - self._earliest < kept / 2
+
+
+def rank_writer(view: View, ref: MemberRef) -> int:
+    """Return how many members are to write the next snapshot before this one."""
+    own = _hash_writer(ref.daemon, view.snapshot_covers)
+    return sum(
+        _hash_writer(member.ref.daemon, view.snapshot_covers) < own
+        for member in view.members.values()
+        if not member.leaving
+    )
+
+
+def _hash_writer(daemon: str, covers: int) -> int:
+    return xxhash.xxh3_64_intdigest(f"{covers}|{daemon}".encode())
--- a/persimmondock/_domain/view.py
+++ b/persimmondock/_domain/view.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Mapping
 
 import attrs
 import numpy as np
+from numpy.typing import NDArray
 
 from persimmondock._domain.configuration import (
     FLEET_SUBJECT,
@@ -38,11 +39,6 @@
     WitnessesChanged,
 )
 
-if TYPE_CHECKING:
-    from collections.abc import Mapping
-
-    from numpy.typing import NDArray
-
 RECENT_RECORD_IDS = 4096
 
 
@@ -141,7 +137,15 @@
 
 @attrs.frozen(eq=False)
 class View:
-    """The agreed state after all records before ``offset``."""
+    """The agreed state after all records before ``offset``.
+
+    Parameters
+    ----------
+    snapshot_covers
+        Offset of the newest view of which a whole snapshot stands in the log.
+    snapshot_parts
+        Parts seen of snapshots that are not whole yet, by digest.
+    """
 
     offset: int = 0
     members: Mapping[str, Member] = attrs.field(factory=dict)
@@ -151,6 +155,8 @@
     subjects: Mapping[str, SubjectVersion] = attrs.field(factory=dict)
     publications: Mapping[str, Accepted | Rejection] = attrs.field(factory=dict)
     settled_before: int = 0
+    snapshot_covers: int = 0
+    snapshot_parts: Mapping[str, tuple[int, ...]] = attrs.field(factory=dict)
 
     def find_member(self, ref: MemberRef) -> Member | None:
         """Return the member of this very incarnation, or None."""
@@ -193,7 +199,9 @@
             return _fold_published(view, offset, record)
         case HandoversSettled(before=before):
             return _settle_handovers(view, before)
-        case SnapshotTaken() | UnreadableRecord():
+        case SnapshotTaken():
+            return _fold_snapshot(view, record)
+        case UnreadableRecord():
             return view
 
 
@@ -345,6 +353,17 @@
     return attrs.evolve(view, settled_before=before)
 
 
+def _fold_snapshot(view: View, record: SnapshotTaken) -> View:
+    """Count the parts of a snapshot; what it covers is in the view already."""
+    if not view.snapshot_covers < record.covers <= view.offset:
+        return view
+    seen = {*view.snapshot_parts.get(record.digest, ()), record.part}
+    if len(seen) == record.parts:
+        return attrs.evolve(view, snapshot_covers=record.covers, snapshot_parts={})
+    parts = {**view.snapshot_parts, record.digest: tuple(sorted(seen))}
+    return attrs.evolve(view, snapshot_parts=parts)
+
+
 def _fold_published(view: View, offset: int, record: ConfigurationPublished) -> View:
     if record.record_id in view.publications:
         return view
--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -15,12 +15,15 @@
 from persimmondock._domain.membership import Append, Effect, Send
 from persimmondock._domain.messages import Message, RecordsAsked, RecordsGiven, Released
 from persimmondock._domain.records import Backend
+from persimmondock._domain.snapshot import SnapshotSchedule, encode_view, split_snapshot
 from persimmondock._ports.log import Entry
-from persimmondock._tasks.log_follower import LogExpired, LogRead, decode_entries
+from persimmondock._tasks.log_follower import FollowerEvent, LogExpired, LogRead, LogSilent
+from persimmondock._tasks.recovery import ViewFound, decode_entries
 
 if TYPE_CHECKING:
     from persimmondock._adapters.peer_link import PeerLink
     from persimmondock._domain.membership import Membership
+    from persimmondock._domain.view import View
     from persimmondock._tasks.exchange import Exchange
     from persimmondock._tasks.gate import Gate
     from persimmondock._tasks.log_follower import LogFollower, LogWriter
@@ -56,7 +59,7 @@
     """The daemon shall shut down gracefully."""
 
 
-Event: TypeAlias = LogRead | LogExpired | PeerMessage | Tick | BackendSeen | LeaveAsked
+Event: TypeAlias = FollowerEvent | PeerMessage | Tick | BackendSeen | LeaveAsked
 
 
 class Control:
@@ -78,6 +81,8 @@
         self._link: PeerLink | None = None
         self._recent: deque[Entry] = deque(maxlen=RECENT_ENTRIES)
         self._backends_seen_at: dict[str, float] = {}
+        self._schedule = SnapshotSchedule()
+        self._encoding: set[asyncio.Task[None]] = set()
         reactivex.merge(self.inbox, follower.events).subscribe(self._handle)
 
     def attach(self, link: PeerLink) -> None:
@@ -93,16 +98,20 @@
     def _handle(self, event: Event) -> None:
         now = time.monotonic()
         match event:
-            case LogRead(entries=entries, caught_up=caught_up):
+            case LogRead(entries=entries, caught_up=caught_up, earliest=earliest):
                 self._membership.note_log_read(now, caught_up)
+                self._schedule.note_earliest(earliest)
                 self._perform(self._apply_entries(entries, now))
-            case LogExpired(earliest=earliest):
-                logger.error("event=view_expired earliest={}", earliest)
+            case ViewFound(view=view):
+                self._adopt_view(view, now)
+            case LogExpired() | LogSilent():
+                return
             case PeerMessage(message=message, reply_address=address):
                 self._receive(message, address, now)
             case Tick():
                 self._withdraw_silent_backends(now)
                 self._perform(self._membership.advance(now))
+                self._write_snapshot_if_due(now)
             case BackendSeen(backend=backend):
                 self._backends_seen_at[backend.name] = now
                 self._gate.open_station(backend)
@@ -110,6 +119,26 @@
             case LeaveAsked():
                 self._perform(self._membership.start_leaving(now))
 
+    def _adopt_view(self, view: View, now: float) -> None:
+        logger.info("event=view_adopted offset={}", view.offset)
+        self._recent.clear()
+        self._perform(self._membership.adopt_view(view, now))
+        self._exchange.follow_view(self._membership.view)
+
+    def _write_snapshot_if_due(self, now: float) -> None:
+        membership = self._membership
+        if not self._schedule.is_writer(membership.view, membership.ref, now):
+            return
+        task = asyncio.create_task(self._write_snapshot(membership.view))
+        self._encoding.add(task)
+        task.add_done_callback(self._encoding.discard)
+
+    async def _write_snapshot(self, view: View) -> None:
+        """Encode outside the event loop, since a large view takes longer than a renewal may."""
+        encoded = await asyncio.to_thread(encode_view, view)
+        logger.info("event=snapshot_written covers={} bytes={}", view.offset, len(encoded.body))
+        self._writer.write(split_snapshot(encoded))
+
     def _apply_entries(self, entries: tuple[Entry, ...], now: float) -> list[Effect]:
         fresh = tuple(e for e in entries if e.offset >= self._membership.view.offset)
         if not fresh:
--- a/persimmondock/_tasks/log_follower.py
+++ b/persimmondock/_tasks/log_follower.py
@@ -3,19 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
 from loguru import logger
 from reactivex.subject import Subject
 
-from persimmondock._domain.records import (
-    Record,
-    RecordError,
-    UnreadableRecord,
-    decode_record,
-    encode_record,
-)
+from persimmondock._domain.records import Record, encode_record
 from persimmondock._ports.log import (
     Appended,
     AppendRefused,
@@ -25,6 +19,7 @@
     Expired,
     ReadFailed,
 )
+from persimmondock._tasks.recovery import NoViewFound, ViewFound, search_snapshot
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,26 +31,47 @@
 READ_RETRY_S = 0.25
 APPEND_GAP_S = 0.02
 MAX_QUEUED_APPENDS = 1_000
+MAX_APPEND_BYTES = 1024 * 1024
 
 
 @attrs.frozen
 class LogRead:
-    """The log answered with records, perhaps none."""
+    """The log answered with records, perhaps none.
+
+    Parameters
+    ----------
+    caught_up
+        Whether these are the newest records.
+    earliest
+        Offset of the oldest record that the log keeps.
+    """
 
     entries: tuple[Entry, ...]
     caught_up: bool
+    earliest: int
 
 
 @attrs.frozen
 class LogExpired:
-    """The log no longer keeps the records that this daemon needs next."""
+    """The log keeps neither the records that this daemon needs next nor a usable snapshot."""
 
     earliest: int
 
 
+@attrs.frozen
+class LogSilent:
+    """The log does not answer."""
+
+
+FollowerEvent: TypeAlias = LogRead | LogExpired | LogSilent | ViewFound
+
+
 class LogFollower:
     """Reads the log from an offset and emits what it reads.
 
+    A daemon that knows nothing yet, or whose next record is no longer kept, continues from the
+    newest snapshot in the log. Records are never skipped without one.
+
     Parameters
     ----------
     find_start
@@ -63,27 +79,52 @@
     """
 
     def __init__(self, log: LogService, find_start: Callable[[], int]) -> None:
-        self.events: Subject[LogRead | LogExpired] = Subject()
+        self.events: Subject[FollowerEvent] = Subject()
         self._log = log
         self._find_start = find_start
+        self._wait = 0.0
 
     async def run(self) -> None:
         """Read for ever."""
-        wait = 0.0
+        while self._find_start() == 0 and not await self._recover():
+            await asyncio.sleep(READ_RETRY_S)
         while True:
-            outcome = await self._log.read(self._find_start(), READ_LIMIT, wait)
-            match outcome:
-                case Batch(entries=entries, following=following, end=end):
-                    self.events.on_next(LogRead(entries, following >= end))
-                    wait = READ_WAIT_S
-                case Expired(earliest=earliest):
-                    logger.warning("event=log_expired earliest={}", earliest)
+            await self._read()
+
+    async def _read(self) -> None:
+        outcome = await self._log.read(self._find_start(), READ_LIMIT, self._wait)
+        match outcome:
+            case Batch(entries=entries, following=following, earliest=earliest, end=end):
+                self.events.on_next(LogRead(entries, following >= end, earliest))
+                self._wait = READ_WAIT_S
+            case Expired(earliest=earliest):
+                logger.warning("event=log_expired earliest={}", earliest)
+                await self._recover()
+                await asyncio.sleep(READ_RETRY_S)
+            case ReadFailed() as failed:
+                self._note_failure(failed)
+                await asyncio.sleep(READ_RETRY_S)
+
+    async def _recover(self) -> bool:
+        """Look for a snapshot; return whether reading can go on."""
+        match await search_snapshot(self._log):
+            case ViewFound() as found:
+                logger.info("event=snapshot_found covers={}", found.view.offset)
+                self.events.on_next(found)
+                return True
+            case NoViewFound(earliest=earliest):
+                if earliest > self._find_start():
+                    logger.error("event=snapshot_missing earliest={}", earliest)
                     self.events.on_next(LogExpired(earliest))
-                    await asyncio.sleep(READ_RETRY_S)
-                case ReadFailed(detail=detail):
-                    logger.warning("event=log_read_failed detail={!r}", detail)
-                    wait = 0.0
-                    await asyncio.sleep(READ_RETRY_S)
+                return earliest <= self._find_start()
+            case ReadFailed() as failed:
+                self._note_failure(failed)
+                return False
+
+    def _note_failure(self, failed: ReadFailed) -> None:
+        logger.warning("event=log_read_failed detail={!r}", failed.detail)
+        self._wait = 0.0
+        self.events.on_next(LogSilent())
 
 
 class LogWriter:
@@ -107,32 +148,22 @@
 
     async def run(self) -> None:
         """Append for ever."""
+        payloads: list[bytes] = []
+        kinds: list[str] = []
         while True:
-            records = [await self._queue.get()]
-            while not self._queue.empty():
-                records.append(self._queue.get_nowait())
-            await self._append(records)
-            await asyncio.sleep(APPEND_GAP_S)
-
-    async def _append(self, records: list[Record]) -> None:
-        kinds = ",".join(type(record).__name__ for record in records)
-        match await self._log.append([encode_record(record) for record in records]):
+            record = await self._queue.get()
+            payloads.append(encode_record(record))
+            kinds.append(type(record).__name__)
+            if self._queue.empty() or sum(map(len, payloads)) >= MAX_APPEND_BYTES // 2:
+                await self._append(payloads, ",".join(kinds))
+                payloads, kinds = [], []
+                await asyncio.sleep(APPEND_GAP_S)
+
+    async def _append(self, payloads: list[bytes], kinds: str) -> None:
+        match await self._log.append(payloads):
             case Appended(offset=offset):
                 logger.info("event=appended offset={} kinds={}", offset, kinds)
             case AppendRefused(detail=detail):
                 logger.warning("event=append_refused kinds={} detail={!r}", kinds, detail)
             case AppendUnknown(detail=detail):
                 logger.warning("event=append_unknown kinds={} detail={!r}", kinds, detail)
-
-
-def decode_entries(entries: tuple[Entry, ...]) -> list[tuple[int, Record]]:
-    """Decode records; one that cannot be decoded changes nothing, the same on every daemon."""
-    return [(entry.offset, _decode_entry(entry)) for entry in entries]
-
-
-def _decode_entry(entry: Entry) -> Record:
-    try:
-        return decode_record(entry.payload)
-    except RecordError as error:
-        logger.warning("event=record_unreadable offset={} detail={!r}", entry.offset, error)
-        return UnreadableRecord()
--- a/persimmondock/_tasks/publisher.py
+++ b/persimmondock/_tasks/publisher.py
@@ -16,7 +16,7 @@
 )
 from persimmondock._domain.view import Accepted, Rejection, View, fold
 from persimmondock._ports.log import AppendRefused, Batch, Expired, ReadFailed
-from persimmondock._tasks.log_follower import READ_LIMIT, decode_entries
+from persimmondock._tasks.recovery import READ_LIMIT, ViewFound, decode_entries, search_snapshot
 
 if TYPE_CHECKING:
     from persimmondock._ports.log import LogService
@@ -42,6 +42,7 @@
 
 async def read_view(log: LogService, view: View, deadline: float) -> View | Unresolved:
     """Fold the log up to its end; ``deadline`` is monotonic."""
+    problem = "the log does not answer"
     while time.monotonic() < deadline:
         match await log.read(view.offset, READ_LIMIT, 0.0):
             case Batch(entries=entries, following=following, end=end):
@@ -50,10 +51,15 @@
                 if following >= end:
                     return view
             case Expired(earliest=earliest):
-                return Unresolved(f"the log keeps records from offset {earliest} only")
+                problem = f"the log keeps records from offset {earliest} and no snapshot"
+                found = await search_snapshot(log)
+                if isinstance(found, ViewFound):
+                    view = found.view
+                else:
+                    await asyncio.sleep(RETRY_S)
             case ReadFailed():
                 await asyncio.sleep(RETRY_S)
-    return Unresolved("the log does not answer")
+    return Unresolved(problem)
 
 
 def list_changes(view: View, configuration: Configuration) -> tuple[SubjectChange, ...]:
--- /dev/null
+++ b/persimmondock/_tasks/recovery.py
@@ -0,0 +1,85 @@
+"""Finding a view in the log when the records before it are no longer kept."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, TypeAlias
+
+import attrs
+from loguru import logger
+
+from persimmondock._domain.records import (
+    Record,
+    RecordError,
+    SnapshotTaken,
+    UnreadableRecord,
+    decode_record,
+)
+from persimmondock._domain.snapshot import SnapshotError, SnapshotSearch, decode_view
+from persimmondock._domain.view import View
+from persimmondock._ports.log import Batch, Entry, Expired, ReadFailed
+
+if TYPE_CHECKING:
+    from persimmondock._ports.log import LogService
+
+READ_LIMIT = 500
+
+
+@attrs.frozen
+class ViewFound:
+    """The log has a snapshot and all records after it."""
+
+    view: View
+
+
+@attrs.frozen
+class NoViewFound:
+    """The log keeps records from ``earliest`` and no usable snapshot."""
+
+    earliest: int
+
+
+SearchOutcome: TypeAlias = ViewFound | NoViewFound | ReadFailed
+
+
+async def search_snapshot(log: LogService) -> SearchOutcome:
+    """Read all that the log keeps and return the view of the newest snapshot."""
+    search = SnapshotSearch(earliest=0)
+    start = 0
+    while True:
+        match await log.read(start, READ_LIMIT, 0.0):
+            case Batch(entries=entries, following=following, end=end):
+                for _, record in decode_entries(entries):
+                    if isinstance(record, SnapshotTaken):
+                        search.take(record)
+                if following >= end:
+                    return await _conclude(search)
+                start = following
+            case Expired(earliest=earliest):
+                search = SnapshotSearch(earliest=earliest)
+                start = earliest
+            case ReadFailed() as failed:
+                return failed
+
+
+async def _conclude(search: SnapshotSearch) -> SearchOutcome:
+    if search.newest is None:
+        return NoViewFound(search.earliest)
+    try:
+        return ViewFound(await asyncio.to_thread(decode_view, search.newest))
+    except SnapshotError as error:
+        logger.error("event=snapshot_unreadable covers={} detail={!r}", search.newest.covers, error)
+        return NoViewFound(search.earliest)
+
+
+def decode_entries(entries: tuple[Entry, ...]) -> list[tuple[int, Record]]:
+    """Decode records; one that cannot be decoded changes nothing, the same on every daemon."""
+    return [(entry.offset, _decode_entry(entry)) for entry in entries]
+
+
+def _decode_entry(entry: Entry) -> Record:
+    try:
+        return decode_record(entry.payload)
+    except RecordError as error:
+        logger.warning("event=record_unreadable offset={} detail={!r}", entry.offset, error)
+        return UnreadableRecord()
