Start during a log outage with a view from peers

Cause: a daemon that started while the log was down knew no service and refused every request with 'no_such_service' until the log came back.

Change: it asks the peers in its settings, and takes a view when peers in two failure domains name the same digest at the same offset, or when all known peers do; then it follows peers' records. It cannot join without the log, but it serves as a front.

--- a/persimmondock/_domain/messages.py
+++ b/persimmondock/_domain/messages.py
@@ -109,6 +109,35 @@
     payloads: tuple[bytes, ...]
 
 
+@attrs.frozen
+class ViewAsked:
+    """A daemon that cannot read the log asks a peer for its view.
+
+    Parameters
+    ----------
+    whole
+        Whether the encoded view is wanted, or only its offset and digest.
+    """
+
+    whole: bool
+
+
+@attrs.frozen
+class ViewGiven:
+    """A daemon's view.
+
+    Parameters
+    ----------
+    body
+        The encoded view, or empty.
+    """
+
+    failure_domain: str
+    offset: int
+    digest: str
+    body: bytes
+
+
 @attrs.frozen
 class Call:
     """A caller's request on its way to a gate.
@@ -167,6 +196,8 @@
     | Released
     | RecordsAsked
     | RecordsGiven
+    | ViewAsked
+    | ViewGiven
     | Call
     | Reply
     | Cancel
--- /dev/null
+++ b/persimmondock/_domain/view_request.py
@@ -0,0 +1,85 @@
+"""Getting the view from peers when the log cannot give it.
+
+A view from peers is taken only when peers in two failure domains name the same digest at the same
+offset, or when every known peer does.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from persimmondock._domain.messages import ViewAsked, ViewGiven
+from persimmondock._domain.snapshot import EncodedView, compute_digest
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+ASK_EVERY_S = 0.5
+MAX_ASKED_PEERS = 6
+
+
+@attrs.frozen
+class Question:
+    """A question for the peer at an address."""
+
+    address: str
+    message: ViewAsked
+
+
+@attrs.frozen
+class _Claim:
+    """What a peer says its view is."""
+
+    failure_domain: str
+    offset: int
+    digest: str
+
+
+@attrs.define
+class ViewRequest:
+    """Asks peers for their views until enough of them agree.
+
+    Parameters
+    ----------
+    addresses
+        Peers to ask.
+    newer_than
+        Offset that a useful view must exceed.
+    """
+
+    addresses: Sequence[str]
+    newer_than: int
+    _claims: dict[str, _Claim] = attrs.field(factory=dict)
+    _ask_at: float = 0.0
+
+    def advance(self, now: float) -> list[Question]:
+        """Return the questions that are due; all peers are asked again each time."""
+        if now < self._ask_at:
+            return []
+        self._ask_at = now + ASK_EVERY_S
+        return [Question(address, ViewAsked(False)) for address in self.addresses]
+
+    def receive(self, message: ViewGiven, address: str) -> Question | EncodedView | None:
+        """Take an answer; return the view, or the next question, or None."""
+        if address not in self.addresses or message.offset <= self.newer_than:
+            return None
+        claim = _Claim(message.failure_domain, message.offset, message.digest)
+        self._claims[address] = claim
+        if not self._is_agreed(claim):
+            return None
+        if not message.body:
+            return Question(address, ViewAsked(True))
+        if compute_digest(message.body) != message.digest:
+            return None
+        return EncodedView(message.offset, message.digest, message.body)
+
+    def _is_agreed(self, claim: _Claim) -> bool:
+        agreeing = [
+            other
+            for other in self._claims.values()
+            if (other.offset, other.digest) == (claim.offset, claim.digest)
+        ]
+        domains = {other.failure_domain for other in agreeing}
+        return len(domains) > 1 or len(agreeing) == len(self.addresses)
--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -13,14 +13,24 @@
 from reactivex.subject import Subject
 
 from persimmondock._domain.membership import Append, Effect, Send
-from persimmondock._domain.messages import Message, RecordsAsked, RecordsGiven, Released
+from persimmondock._domain.messages import (
+    Message,
+    RecordsAsked,
+    RecordsGiven,
+    Released,
+    ViewAsked,
+    ViewGiven,
+)
 from persimmondock._domain.records import Backend
 from persimmondock._domain.snapshot import SnapshotSchedule, encode_view, split_snapshot
 from persimmondock._ports.log import Entry
 from persimmondock._tasks.log_follower import FollowerEvent, LogExpired, LogRead, LogSilent
 from persimmondock._tasks.recovery import ViewFound, decode_entries
+from persimmondock._tasks.view_transfer import ViewTransfer
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from persimmondock._adapters.peer_link import PeerLink
     from persimmondock._domain.membership import Membership
     from persimmondock._domain.view import View
@@ -72,6 +82,7 @@
         exchange: Exchange,
         follower: LogFollower,
         writer: LogWriter,
+        peers: Sequence[str] = (),
     ) -> None:
         self.inbox: Subject[Event] = Subject()
         self._membership = membership
@@ -82,6 +93,7 @@
         self._recent: deque[Entry] = deque(maxlen=RECENT_ENTRIES)
         self._backends_seen_at: dict[str, float] = {}
         self._schedule = SnapshotSchedule()
+        self._transfer = ViewTransfer(membership, peers, self._send)
         self._encoding: set[asyncio.Task[None]] = set()
         reactivex.merge(self.inbox, follower.events).subscribe(self._handle)
 
@@ -99,19 +111,24 @@
         now = time.monotonic()
         match event:
             case LogRead(entries=entries, caught_up=caught_up, earliest=earliest):
+                self._transfer.stop()
                 self._membership.note_log_read(now, caught_up)
                 self._schedule.note_earliest(earliest)
                 self._perform(self._apply_entries(entries, now))
             case ViewFound(view=view):
+                self._transfer.stop()
                 self._adopt_view(view, now)
-            case LogExpired() | LogSilent():
-                return
+            case LogExpired():
+                self._transfer.start()
+            case LogSilent():
+                self._follow_without_log(now)
             case PeerMessage(message=message, reply_address=address):
                 self._receive(message, address, now)
             case Tick():
                 self._withdraw_silent_backends(now)
                 self._perform(self._membership.advance(now))
                 self._write_snapshot_if_due(now)
+                self._transfer.advance(now)
             case BackendSeen(backend=backend):
                 self._backends_seen_at[backend.name] = now
                 self._gate.open_station(backend)
@@ -119,6 +136,13 @@
             case LeaveAsked():
                 self._perform(self._membership.start_leaving(now))
 
+    def _follow_without_log(self, now: float) -> None:
+        """Get the view, and then newer records, from peers while the log does not answer."""
+        if self._membership.view.offset == 0:
+            self._transfer.start()
+        else:
+            self._transfer.follow_peers(now)
+
     def _adopt_view(self, view: View, now: float) -> None:
         logger.info("event=view_adopted offset={}", view.offset)
         self._recent.clear()
@@ -156,6 +180,12 @@
                 entries = tuple(Entry(start + i, data) for i, data in enumerate(payloads))
                 if start <= self._membership.view.offset:
                     self._perform(self._apply_entries(entries, now))
+            case ViewAsked():
+                self._transfer.give(message, address)
+            case ViewGiven():
+                view = self._transfer.take(message, address)
+                if view is not None:
+                    self._adopt_view(view, now)
             case _:
                 if isinstance(message, Released):
                     self._gate.table.adopt(message.kept)
@@ -167,6 +197,10 @@
             payloads = tuple(entry.payload for entry in entries)
             self._link.send(address, RecordsGiven(start, payloads))
 
+    def _send(self, address: str, message: Message) -> None:
+        if self._link is not None:
+            self._link.send(address, message)
+
     def _withdraw_silent_backends(self, now: float) -> None:
         for name, seen_at in list(self._backends_seen_at.items()):
             if now - seen_at > BACKEND_SILENCE_S:
@@ -178,7 +212,6 @@
         for effect in effects:
             match effect:
                 case Send(address=address, message=message):
-                    if self._link is not None:
-                        self._link.send(address, message)
+                    self._send(address, message)
                 case Append(records=records):
                     self._writer.write(records)
--- a/persimmondock/_tasks/daemon.py
+++ b/persimmondock/_tasks/daemon.py
@@ -76,7 +76,7 @@
         self.follower = LogFollower(log, lambda: self.membership.view.offset)
         self.writer = LogWriter(log)
         self.control = Control(
-            self.membership, self.gate, self.exchange, self.follower, self.writer
+            self.membership, self.gate, self.exchange, self.follower, self.writer, settings.peers
         )
         self.front = Front(self.membership, self.gate, self.exchange)
         self.operator = Operator(self.membership, self.gate, self.control.inbox)
--- a/persimmondock/settings.py
+++ b/persimmondock/settings.py
@@ -72,6 +72,9 @@
         Length of a lease and interval of its renewal, in seconds.
     stop_within_s
         Time that a graceful shutdown may take, in seconds.
+    peers
+        ``host:port`` of some peers' peer ports, asked for the state of the fleet while the log
+        cannot be read.
     statsd
         ``host:port`` that metrics are sent to; empty sends none.
     """
@@ -88,6 +91,7 @@
     lease_term_s: float = attrs.field(default=1.5, validator=_check_positive)
     renew_every_s: float = attrs.field(default=0.3, validator=_check_positive)
     stop_within_s: float = attrs.field(default=30.0, validator=_check_positive)
+    peers: tuple[str, ...] = ()
     statsd: str = ""
     log_level: str = "INFO"
 
