--- /dev/null
+++ b/persimmondock/tests/test_log_client.py
@@ -0,0 +1,219 @@
+"""Contract of the log: the client, the follower and the publisher against the stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any
+
+import aiohttp
+import attrs
+import pytest
+from aiohttp.test_utils import TestServer
+
+from persimmondock._adapters import log_client
+from persimmondock._adapters.log_client import HttpLog
+from persimmondock._domain.records import encode_record
+from persimmondock._domain.snapshot import encode_view, split_snapshot
+from persimmondock._domain.view import Accepted, Rejection, View
+from persimmondock._ports.log import (
+    Appended,
+    AppendRefused,
+    AppendUnknown,
+    Batch,
+    Entry,
+    Expired,
+    ReadFailed,
+)
+from persimmondock._tasks import publisher
+from persimmondock._tasks.log_follower import LogExpired, LogFollower, LogRead, LogSilent
+from persimmondock._tasks.publisher import Unchanged, Unresolved, publish, read_view
+from persimmondock._tasks.recovery import NoViewFound, ViewFound, search_snapshot
+from persimmondock.configuration import Configuration
+from persimmondock.standins.log_service import LogStandin
+from persimmondock.tests.builders import fold_all, make_published
+
+
+@attrs.define
+class Bench:
+    """The stand-in, its client, and its switches."""
+
+    standin: LogStandin
+    log: HttpLog
+
+    def set_faults(self, **faults: Any) -> None:
+        self.standin.faults = attrs.evolve(self.standin.faults, **faults)
+
+    async def read_all(self) -> list[bytes]:
+        outcome = await self.log.read(0, 100, 0.0)
+        assert isinstance(outcome, Batch)
+        return [entry.payload for entry in outcome.entries]
+
+
+@contextlib.asynccontextmanager
+async def open_bench():
+    standin = LogStandin()
+    server = TestServer(standin.build_application())
+    await server.start_server()
+    async with aiohttp.ClientSession() as session:
+        yield Bench(standin, HttpLog(f"{server.host}:{server.port}", session))
+    await server.close()
+
+
+def make_configuration(timeout_ms: int) -> Configuration:
+    configuration = Configuration()
+    configuration.add_service("painel", path="/painel", keyed=True, timeout_ms=timeout_ms)
+    return configuration
+
+
+@pytest.mark.parametrize(
+    ("faults", "outcome", "written"),
+    [
+        ({}, Appended, True),
+        ({"outage": True}, AppendRefused, False),
+        ({"delay_ms": 20}, Appended, True),
+        ({"delay_ms": 400}, AppendUnknown, None),
+        ({"lose_answers": 1}, AppendUnknown, True),
+    ],
+)
+async def test_an_append_under_a_fault(faults, outcome, written, monkeypatch) -> None:
+    monkeypatch.setattr(log_client, "REQUEST_TIMEOUT_S", 0.2)
+    async with open_bench() as bench:
+        bench.set_faults(**faults)
+        assert isinstance(await bench.log.append([b"a", b"b"]), outcome)
+        bench.set_faults(outage=False, delay_ms=0, lose_answers=0)
+        if written is not None:
+            assert await bench.read_all() == ([b"a", b"b"] if written else [])
+
+
+@pytest.mark.parametrize(
+    ("faults", "expected"),
+    [
+        ({}, Batch((Entry(2, b"c"), Entry(3, b"d")), 4, 0, 5)),
+        ({"outage": True}, ReadFailed("status 503")),
+        ({"delay_ms": 20}, Batch((Entry(2, b"c"), Entry(3, b"d")), 4, 0, 5)),
+        ({"delay_ms": 400}, ReadFailed("TimeoutError()")),
+        ({"retention": 3}, Batch((Entry(2, b"c"), Entry(3, b"d")), 4, 2, 5)),
+        ({"retention": 2}, Expired(3)),
+    ],
+)
+async def test_a_read_under_a_fault(faults, expected, monkeypatch) -> None:
+    monkeypatch.setattr(log_client, "REQUEST_TIMEOUT_S", 0.2)
+    async with open_bench() as bench:
+        await bench.log.append([b"a", b"b", b"c", b"d", b"e"])
+        bench.set_faults(**faults)
+        bench.standin._drop_expired()
+        assert await bench.log.read(2, 2, 0.0) == expected
+
+
+async def test_no_server_at_all_is_a_refused_append_and_a_failed_read() -> None:
+    async with aiohttp.ClientSession() as session:
+        log = HttpLog("127.0.0.1:1", session)
+        assert isinstance(await log.append([b"a"]), AppendRefused)
+        assert isinstance(await log.read(0, 1, 0.0), ReadFailed)
+
+
+async def test_a_waiting_read_ends_with_the_next_record() -> None:
+    async with open_bench() as bench:
+        waiting = asyncio.create_task(bench.log.read(0, 10, 5.0))
+        await asyncio.sleep(0.05)
+        await bench.log.append([b"a", b"b"])
+        assert await waiting == Batch((Entry(0, b"a"), Entry(1, b"b")), 2, 0, 2)
+
+
+async def test_a_snapshot_and_its_tail_replace_records_that_expired() -> None:
+    published = make_published()
+    view = fold_all([published])
+    tail = make_published("dispatch")
+    async with open_bench() as bench:
+        await bench.log.append([encode_record(published)])
+        assert await search_snapshot(bench.log) == NoViewFound(0)
+        parts = split_snapshot(encode_view(view), part_bytes=100)
+        await bench.log.append([encode_record(part) for part in parts])
+        await bench.log.append([encode_record(tail)])
+        bench.set_faults(retention=len(parts) + 1)
+        bench.standin._drop_expired()
+        assert isinstance(await bench.log.read(0, 10, 0.0), Expired)
+        found = await search_snapshot(bench.log)
+        assert isinstance(found, ViewFound)
+        assert encode_view(found.view) == encode_view(view)
+        whole = await read_view(bench.log, View(), asyncio.get_running_loop().time() + 5)
+        assert isinstance(whole, View)
+        assert set(whole.configurations) == {"painel", "dispatch"}
+        assert whole.offset == bench.standin.end
+
+
+@pytest.mark.parametrize(
+    ("faults", "kinds"),
+    [
+        ({}, [LogRead]),
+        ({"outage": True}, [LogSilent]),
+        ({"retention": 1}, [LogExpired]),
+    ],
+)
+async def test_a_follower_tells_what_the_log_lets_it_do(faults, kinds) -> None:
+    events: list[object] = []
+    async with open_bench() as bench:
+        await bench.log.append([encode_record(make_published())] * 3)
+        bench.set_faults(**faults)
+        bench.standin._drop_expired()
+        follower = LogFollower(bench.log, lambda: 0)
+        follower.events.subscribe(events.append)
+        task = asyncio.create_task(follower.run())
+        async with asyncio.timeout(5):
+            while not events:
+                await asyncio.sleep(0.01)
+        task.cancel()
+    assert [type(event) for event in events[:1]] == kinds
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [{}, {"lose_answers": 1}, {"lose_answers": 3}, {"delay_ms": 300}],
+)
+async def test_a_change_is_accepted_in_spite_of_a_fault(faults, monkeypatch) -> None:
+    monkeypatch.setattr(log_client, "REQUEST_TIMEOUT_S", 0.2 if "delay_ms" in faults else 2.0)
+    async with open_bench() as bench:
+        view = await read_view(bench.log, View(), asyncio.get_running_loop().time() + 5)
+        assert isinstance(view, View)
+        bench.set_faults(**faults)
+        asyncio.get_running_loop().call_later(1.0, lambda: bench.set_faults(delay_ms=0))
+        outcome = await publish(bench.log, make_configuration(1000), "first", 5.0)
+        assert isinstance(outcome, Accepted)
+        bench.set_faults(delay_ms=0, lose_answers=0)
+        assert await publish(bench.log, make_configuration(1000), "first", 5.0) == Unchanged()
+
+
+async def test_racing_publishers_get_one_winner_and_learn_its_offset() -> None:
+    async with open_bench() as bench:
+        await publish(bench.log, make_configuration(1000), "before", 5.0)
+        bench.set_faults(delay_ms=30)
+        outcomes = await asyncio.gather(
+            *(
+                publish(bench.log, make_configuration(2000 + number), f"author-{number}", 5.0)
+                for number in range(4)
+            )
+        )
+        winners = [outcome for outcome in outcomes if isinstance(outcome, Accepted)]
+        losers = [outcome for outcome in outcomes if isinstance(outcome, Rejection)]
+        assert len(winners) == 1
+        assert len(losers) == 3
+        assert {loser.offset for loser in losers} == {winners[0].offset}
+
+
+async def test_a_log_that_stays_down_leaves_the_change_unresolved(monkeypatch) -> None:
+    monkeypatch.setattr(publisher, "RETRY_S", 0.05)
+    async with open_bench() as bench:
+        bench.set_faults(outage=True)
+        outcome = await publish(bench.log, make_configuration(1000), "first", 0.3)
+        assert outcome == Unresolved("the log does not answer")
+
+
+async def test_a_log_without_records_or_snapshot_leaves_the_change_unresolved() -> None:
+    async with open_bench() as bench:
+        await bench.log.append([encode_record(make_published())] * 3)
+        bench.set_faults(retention=1)
+        bench.standin._drop_expired()
+        outcome = await publish(bench.log, make_configuration(1000), "first", 0.3)
+        assert outcome == Unresolved("the log keeps records from offset 2 and no snapshot")
+        assert bench.standin.end == 3
