Spread log records down two trees in large sites

Cause: every daemon read the log, so that at 15,000 members each record cost the log 15,000 answers.

Change: above 100 members three members of each failure domain read the log; records travel down two trees inside the failure domain; gaps are asked for, then read from the log. Detection stays with the leases.

--- /dev/null
+++ b/benchmarks/detection.py
@@ -0,0 +1,261 @@
+"""Ways to detect lost members, driven through their decision code under virtual time.
+
+``python -m benchmarks.detection`` prints the table of docs/design/spreading.md. Two cases: a
+whole failure domain is lost at once; one member in a hundred is silent for up to ``LATE_S`` now
+and then, and nobody is lost.
+
+The lease way is the one in use: ``WitnessBook`` and ``choose_witnesses``. The rings are the paper's
+(Rosso and Francesquini, section 3): each member sends to the next one on the ring, who takes over
+the observation of the one before when it declares a loss.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import sys
+from collections import defaultdict
+
+import attrs
+import numpy as np
+
+from persimmondock._domain.leases import LeaseTerms, WitnessBook, is_majority
+from persimmondock._domain.messages import Frame, Granted, Renew, encode_frame
+from persimmondock._domain.records import MemberRef
+from persimmondock._domain.witnesses import WITNESSES, choose_witnesses
+from persimmondock.tests.builders import make_member
+
+SEED = 7
+MEMBERS = (15, 150, 1_500, 15_000)
+TERMS = LeaseTerms()
+RUN_S = 12.0
+LOST_AT_S = 3.0
+STEP_S = 0.1
+LATE_SHARE = 0.01
+LATE_EVERY_S = 4.0
+LATE_S = 3.0
+EXACT_MEMBERS = 1_500
+
+
+def measure_message() -> float:
+    """Return the mean size of a frame with one renewal or one promise."""
+    holder, witness = MemberRef("recife-1234", 1234567), MemberRef("salvador-1234", 1234567)
+    messages = Renew(holder, 123456, 1234567), Granted(witness, holder, 123456, 1234567)
+    frames = [Frame("recife-1234", "10.1.2.3:8102", (message,)) for message in messages]
+    return float(np.mean([len(encode_frame(frame)) for frame in frames]))
+
+
+@attrs.define
+class Site:
+    """Members, who is lost, and when each is late."""
+
+    count: int
+    domains: int
+    lost: set[int]
+    late: dict[int, list[tuple[float, float]]]
+
+    def is_silent(self, member: int, now: float) -> bool:
+        """Return whether a member sends nothing at ``now``."""
+        if member in self.lost and now >= LOST_AT_S:
+            return True
+        return any(start <= now < end for start, end in self.late.get(member, ()))
+
+    def find_domain(self, member: int) -> int:
+        """Return a member's failure domain; neighbours by number share it."""
+        return member * self.domains // self.count
+
+
+def make_site(count: int, lose_domain: bool, stragglers: bool, rng: random.Random) -> Site:
+    """Return a site with the faults of one case."""
+    site = Site(count, 3 if count < 1_000 else 27, set(), {})
+    if lose_domain:
+        site.lost = {m for m in range(count) if site.find_domain(m) == 1}
+    if stragglers:
+        for member in rng.sample(range(count), max(1, int(count * LATE_SHARE))):
+            starts = np.arange(rng.uniform(0, LATE_EVERY_S), RUN_S, LATE_EVERY_S)
+            site.late[member] = [(s, s + rng.uniform(0, LATE_S)) for s in starts]
+    return site
+
+
+@attrs.define
+class Outcome:
+    """What a way cost and found."""
+
+    detected: dict[int, float] = attrs.field(factory=dict)
+    false_alarms: int = 0
+    readmitted: int = 0
+    messages: int = 0
+
+
+def run_ring(site: Site, shuffled: bool, readmit: bool, rng: random.Random) -> Outcome:
+    """Run the heartbeat ring: one message a period, and a timeout as long as a lease term."""
+    ring = list(range(site.count))
+    if shuffled:
+        rng.shuffle(ring)
+    timeout = TERMS.term + TERMS.grace
+    previous = {member: ring[i - 1] for i, member in enumerate(ring)}
+    heard = dict.fromkeys(ring, 0.0)
+    out = Outcome()
+    declared: set[int] = set()
+    for step in range(int(RUN_S / STEP_S)):
+        now = step * STEP_S
+        _take_heartbeats(site, previous, heard, now, out)
+        for observer in ring:
+            if observer in declared or site.is_silent(observer, now):
+                continue
+            emitter = previous[observer]
+            if emitter == observer or now - heard[observer] < timeout:
+                continue
+            _declare(site, emitter, now, out, declared)
+            previous[observer] = previous[emitter]
+            heard[observer] = now
+        if readmit:
+            _readmit(site, declared, now, out)
+    return out
+
+
+def _take_heartbeats(
+    site: Site, previous: dict[int, int], heard: dict[int, float], now: float, out: Outcome
+) -> None:
+    period_steps = round(TERMS.renew_every / STEP_S)
+    if round(now / STEP_S) % period_steps:
+        return
+    for observer, emitter in previous.items():
+        if not site.is_silent(emitter, now):
+            heard[observer] = now
+            out.messages += 1
+
+
+def _declare(site: Site, member: int, now: float, out: Outcome, declared: set[int]) -> None:
+    declared.add(member)
+    if member in site.lost and now >= LOST_AT_S:
+        out.detected[member] = now - LOST_AT_S
+    else:
+        out.false_alarms += 1
+
+
+def _readmit(site: Site, declared: set[int], now: float, out: Outcome) -> None:
+    """Take back members that are heard again."""
+    for member in [m for m in declared if m not in site.lost and not site.is_silent(m, now)]:
+        declared.discard(member)
+        out.readmitted += 1
+        out.messages += 1
+
+
+def run_leases(site: Site, rng: random.Random) -> Outcome:
+    """Run the witnesses' side of the leases with the code in use."""
+    refs = [MemberRef(f"vm-{number}", number) for number in range(site.count)]
+    witnesses = choose_all_witnesses(site, refs)
+    books = {number: WitnessBook(TERMS) for number in range(site.count)}
+    watched: dict[int, list[int]] = defaultdict(list)
+    for holder, chosen in witnesses.items():
+        for witness in chosen:
+            books[witness].watch(refs[holder], 0.0)
+            watched[witness].append(holder)
+    out = Outcome()
+    votes: dict[int, int] = defaultdict(int)
+    due = [(rng.uniform(0, TERMS.renew_every), holder) for holder in range(site.count)]
+    heapq.heapify(due)
+    for step in range(int(RUN_S / STEP_S)):
+        now = step * STEP_S
+        _renew_due(site, refs, witnesses, books, due, now, out)
+        for witness, holders in watched.items():
+            if site.is_silent(witness, now):
+                continue
+            for holder in holders:
+                if books[witness].has_lapsed(refs[holder], now):
+                    books[witness].vote(refs[holder])
+                    votes[holder] += 1
+                    out.messages += WITNESSES - 1
+                    size = len(witnesses[holder])
+                    if is_majority(votes[holder], size) and not is_majority(
+                        votes[holder] - 1, size
+                    ):
+                        _declare(site, holder, now, out, set())
+    return out
+
+
+def _renew_due(
+    site: Site,
+    refs: list[MemberRef],
+    witnesses: dict[int, tuple[int, ...]],
+    books: dict[int, WitnessBook],
+    due: list[tuple[float, int]],
+    now: float,
+    out: Outcome,
+) -> None:
+    while due[0][0] <= now:
+        at, holder = heapq.heappop(due)
+        heapq.heappush(due, (at + TERMS.renew_every, holder))
+        if site.is_silent(holder, at):
+            continue
+        for witness in witnesses[holder]:
+            out.messages += 1
+            if not site.is_silent(witness, at) and books[witness].renew(refs[holder], 0, at):
+                out.messages += 1
+
+
+def choose_all_witnesses(site: Site, refs: list[MemberRef]) -> dict[int, tuple[int, ...]]:
+    """Choose every member's witnesses; in a large site each one chooses among a sample."""
+    members = [
+        make_member(ref, f"domain-{site.find_domain(number)}") for number, ref in enumerate(refs)
+    ]
+    rng = random.Random(SEED)
+    chosen = {}
+    for number, member in enumerate(members):
+        others = members if site.count <= EXACT_MEMBERS else rng.sample(members, 200)
+        others = [other for other in others if other is not member]
+        picked = choose_witnesses(member.ref.daemon, member.failure_domain, others)
+        chosen[number] = tuple(witness.incarnation for witness in picked)
+    return chosen
+
+
+WAYS = {
+    "ring": lambda site, rng: run_ring(site, False, False, rng),
+    "ring, shuffled": lambda site, rng: run_ring(site, True, False, rng),
+    "ring, shuffled, re-admission": lambda site, rng: run_ring(site, True, True, rng),
+    "leases, 3 witnesses": run_leases,
+}
+CASES = {"failure domain lost": (True, False), "stragglers": (False, True)}
+
+
+def run_way(way: str, members: int, case: str) -> tuple[Site, Outcome]:
+    """Run one way in one case."""
+    site = make_site(members, *CASES[case], random.Random(SEED))
+    return site, WAYS[way](site, random.Random(SEED))
+
+
+class Detection:
+    """Benchmark of one case."""
+
+    params = (list(WAYS), MEMBERS, list(CASES))
+    param_names = ("way", "members", "case")
+
+    def track_messages(self, way: str, members: int, case: str) -> float:
+        """Return the messages that each member sends a second."""
+        return run_way(way, members, case)[1].messages / members / RUN_S
+
+
+def main() -> None:
+    """Print the table."""
+    print(
+        "members | case | way | found | first s | all s | false alarms | taken back | "
+        "msg/daemon/s | bytes/daemon/s"
+    )
+    message_bytes = measure_message()
+    sizes = [int(size) for size in sys.argv[1:]] or MEMBERS
+    for members in sizes:
+        for case in CASES:
+            for way in WAYS:
+                site, out = run_way(way, members, case)
+                times = sorted(out.detected.values()) or [float("nan")]
+                rate = out.messages / members / RUN_S
+                print(
+                    f"{members} | {case} | {way} | {len(out.detected)} of {len(site.lost)} | "
+                    f"{times[0]:.1f} | {times[-1]:.1f} | {out.false_alarms} | {out.readmitted} | "
+                    f"{rate:.2f} | {rate * message_bytes:.0f}"
+                )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/spreading.py
@@ -0,0 +1,181 @@
+"""Ways to spread one log record, driven through their decision code under virtual time.
+
+``python -m benchmarks.spreading`` prints the table of docs/design/spreading.md. Members lie in 27
+failure domains, or 3 in small sites. A dead member takes messages and does nothing; the view does
+not know yet. A member that misses the record learns of it when it next renews its lease with a
+witness that has it.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import sys
+
+import attrs
+import numpy as np
+
+from persimmondock._domain.spreading import READERS, Trees
+
+SEED = 5
+MEMBERS = (15, 150, 1_500, 15_000)
+DEAD_SHARES = (0.0, 0.01, 0.1)
+RECORD_BYTES = 350
+ASK_BYTES = 120
+LOG_ANSWER_S = 0.005
+HOP_S = 0.001
+SEND_S = 0.0002
+RENEW_S = 0.3
+WITNESSES = 3
+
+
+@attrs.frozen
+class EveryoneReads:
+    """Every member reads the log."""
+
+    readers: int = 1 << 30
+
+    def list_targets(self, position: int, count: int) -> list[int]:
+        """Return nothing: nobody forwards."""
+        return []
+
+
+@attrs.frozen
+class PowersOfTwo:
+    """Forward-only spreading in steps of powers of two (Rosso and Francesquini, section 3)."""
+
+    readers: int = READERS
+
+    def list_targets(self, position: int, count: int) -> list[int]:
+        """Return the positions one, two, four ... steps ahead on the ring."""
+        steps = range((count - 1).bit_length())
+        return [(position + (1 << step)) % count for step in steps]
+
+
+METHODS = {
+    "everyone reads": EveryoneReads(),
+    "one tree of 4": Trees(copies=1),
+    "one tree of 8": Trees(copies=1, fan_out=8),
+    "two trees of 2": Trees(fan_out=2),
+    "two trees of 4": Trees(fan_out=4),
+    "two trees of 8": Trees(fan_out=8),
+    "powers of two": PowersOfTwo(),
+}
+
+
+@attrs.define
+class Outcome:
+    """Arrival time and traffic of each living member."""
+
+    arrived: list[float]
+    hops: list[int]
+    sent: list[int]
+    repaired: int
+    log_reads: int
+
+
+@attrs.define
+class Spread:
+    """One record on its way through one failure domain."""
+
+    method: EveryoneReads | Trees | PowersOfTwo
+    alive: list[bool]
+    random: random.Random
+    arrived: dict[int, float] = attrs.field(factory=dict)
+    hops: dict[int, int] = attrs.field(factory=dict)
+    sent: dict[int, int] = attrs.field(factory=dict)
+    queue: list[tuple[float, int, int]] = attrs.field(factory=list)
+
+    def run(self) -> int:
+        """Spread the record; return how many members had to ask for it."""
+        for position in range(min(self.method.readers, len(self.alive))):
+            wait = self.random.uniform(0.5, 1.5) * LOG_ANSWER_S
+            heapq.heappush(self.queue, (wait, position, 0))
+        self._deliver()
+        repaired = 0
+        while missing := self._list_missing():
+            repaired += 1
+            self._repair(missing)
+            self._deliver()
+        return repaired
+
+    def _list_missing(self) -> list[int]:
+        return [p for p, alive in enumerate(self.alive) if alive and p not in self.arrived]
+
+    def _deliver(self) -> None:
+        while self.queue:
+            now, position, hop = heapq.heappop(self.queue)
+            if not self.alive[position] or position in self.arrived:
+                continue
+            self.arrived[position], self.hops[position] = now, hop
+            targets = self.method.list_targets(position, len(self.alive))
+            self.sent[position] = self.sent.get(position, 0) + len(targets)
+            for number, target in enumerate(targets, start=1):
+                hop_s = self.random.uniform(0.5, 1.5) * HOP_S
+                heapq.heappush(self.queue, (now + number * SEND_S + hop_s, target, hop + 1))
+
+    def _repair(self, missing: list[int]) -> None:
+        """Let the member that learns first of the missing record ask a witness for it."""
+        holders = list(self.arrived)
+        first = min((self._find_repair(holders), position) for position in missing)
+        now, position = first
+        self.sent[position] = self.sent.get(position, 0) + 1
+        heapq.heappush(self.queue, (now, position, 1 + max(self.hops.values())))
+
+    def _find_repair(self, holders: list[int]) -> float:
+        at = min(self.arrived[self.random.choice(holders)] for _ in range(WITNESSES))
+        return at + self.random.uniform(0, RENEW_S) + 2 * HOP_S
+
+
+def run_method(method: EveryoneReads | Trees | PowersOfTwo, members: int, dead: float) -> Outcome:
+    """Spread one record to all failure domains; they do not depend on each other."""
+    rng = random.Random(SEED)
+    domains = 3 if members < 1_000 else 27
+    total = Outcome([], [], [], 0, 0)
+    for domain in range(domains):
+        count = members // domains + (domain < members % domains)
+        alive = [rng.random() >= dead for _ in range(count)]
+        if not any(alive[:READERS]):
+            alive[0] = True
+        spread = Spread(method, alive, rng)
+        total.repaired += spread.run()
+        total.log_reads += min(method.readers, count)
+        for position in spread.arrived:
+            total.arrived.append(spread.arrived[position])
+            total.hops.append(spread.hops[position])
+            total.sent.append(spread.sent.get(position, 0))
+    return total
+
+
+class Spreading:
+    """Benchmark of one record."""
+
+    params = (list(METHODS), MEMBERS, DEAD_SHARES)
+    param_names = ("method", "members", "dead")
+
+    def track_p99_ms(self, method: str, members: int, dead: float) -> float:
+        """Return the delay that 99 of 100 members stay below."""
+        return float(np.percentile(run_method(METHODS[method], members, dead).arrived, 99)) * 1e3
+
+
+def main() -> None:
+    """Print the table."""
+    head = ("members", "dead", "method", "p50 ms", "p99 ms", "max ms", "hops", "asked")
+    tail = ("msg/daemon", "max msg", "bytes/daemon", "log reads")
+    print(" | ".join((*head, *tail)))
+    sizes = [int(size) for size in sys.argv[1:]] or MEMBERS
+    for members in sizes:
+        for dead in DEAD_SHARES:
+            for name, method in METHODS.items():
+                outcome = run_method(method, members, dead)
+                times = np.percentile(outcome.arrived, (50, 99, 100)) * 1e3
+                mean = float(np.mean(outcome.sent))
+                print(
+                    f"{members} | {dead:.0%} | {name} | {times[0]:.1f} | {times[1]:.1f} | "
+                    f"{times[2]:.1f} | {max(outcome.hops)} | {outcome.repaired} | {mean:.2f} | "
+                    f"{max(outcome.sent)} | {mean * RECORD_BYTES:.0f} | {outcome.log_reads}"
+                )
+
+
+if __name__ == "__main__":
+    main()
--- a/persimmondock/_domain/membership.py
+++ b/persimmondock/_domain/membership.py
@@ -186,6 +186,12 @@
         self.log_read_at = now
         self.caught_up = self.caught_up or caught_up
 
+    def needs_log(self, now: float) -> bool:
+        """Return whether this daemon must hear from the log itself: to join, or to vote."""
+        if self.ref is None:
+            return True
+        return any(self.book.has_lapsed(holder, now) for holder in self.book.promises)
+
     def announce_backend(self, backend: Backend, now: float) -> list[Effect]:
         """Serve through a backend server that announced itself."""
         self.backends[backend.name] = backend
--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -26,6 +26,7 @@
 from persimmondock._ports.log import Entry
 from persimmondock._tasks.log_follower import FollowerEvent, LogExpired, LogRead, LogSilent
 from persimmondock._tasks.recovery import ViewFound, decode_entries
+from persimmondock._tasks.spreader import Spreader
 from persimmondock._tasks.view_transfer import ViewTransfer
 
 if TYPE_CHECKING:
@@ -88,12 +89,15 @@
         self._membership = membership
         self._gate = gate
         self._exchange = exchange
+        self._follower = follower
         self._writer = writer
         self._link: PeerLink | None = None
         self._recent: deque[Entry] = deque(maxlen=RECENT_ENTRIES)
         self._backends_seen_at: dict[str, float] = {}
         self._schedule = SnapshotSchedule()
         self._transfer = ViewTransfer(membership, peers, self._send)
+        self._spreader = Spreader(membership, self._send)
+        follower.reads_log = self._spreader.reads_log
         self._encoding: set[asyncio.Task[None]] = set()
         reactivex.merge(self.inbox, follower.events).subscribe(self._handle)
 
@@ -129,6 +133,8 @@
                 self._perform(self._membership.advance(now))
                 self._write_snapshot_if_due(now)
                 self._transfer.advance(now)
+                if self._membership.needs_log(now) or self._spreader.needs_log(now):
+                    self._follower.read_now()
             case BackendSeen(backend=backend):
                 self._backends_seen_at[backend.name] = now
                 self._gate.open_station(backend)
@@ -168,11 +174,13 @@
         if not fresh:
             return []
         self._recent.extend(fresh)
+        self._spreader.forward(fresh)
         effects = self._membership.apply_records(decode_entries(fresh), now)
         self._exchange.follow_view(self._membership.view)
         return effects
 
     def _receive(self, message: Message, address: str, now: float) -> None:
+        self._spreader.note(message, address)
         match message:
             case RecordsAsked(start=start):
                 self._give_records(start, address)
--- a/persimmondock/_tasks/log_follower.py
+++ b/persimmondock/_tasks/log_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
@@ -30,6 +31,7 @@
 READ_WAIT_S = 1.0
 READ_RETRY_S = 0.25
 APPEND_GAP_S = 0.02
+IDLE_READ_S = 10.0
 MAX_QUEUED_APPENDS = 1_000
 MAX_APPEND_BYTES = 1024 * 1024
 
@@ -76,20 +78,40 @@
     ----------
     find_start
         Returns the offset of the next record wanted; peers may have supplied some meanwhile.
+
+    Attributes
+    ----------
+    reads_log
+        Tells whether this daemon reads the log all the time, or now and then because peers send
+        it the records.
     """
 
     def __init__(self, log: LogService, find_start: Callable[[], int]) -> None:
         self.events: Subject[FollowerEvent] = Subject()
         self._log = log
         self._find_start = find_start
+        self.reads_log: Callable[[], bool] = lambda: True
+        self._wanted = asyncio.Event()
         self._wait = 0.0
 
+    def read_now(self) -> None:
+        """Read the log at once, although peers send the records."""
+        self._wanted.set()
+
     async def run(self) -> None:
         """Read for ever."""
         while self._find_start() == 0 and not await self._recover():
             await asyncio.sleep(READ_RETRY_S)
         while True:
             await self._read()
+            await self._wait_until_wanted()
+
+    async def _wait_until_wanted(self) -> None:
+        if not self.reads_log():
+            self._wait = 0.0
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wanted.wait(), IDLE_READ_S)
+        self._wanted.clear()
 
     async def _read(self) -> None:
         outcome = await self._log.read(self._find_start(), READ_LIMIT, self._wait)
--- a/persimmondock/tests/builders.py
+++ b/persimmondock/tests/builders.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from persimmondock._domain.configuration import ServiceConfiguration, render_subject
+from persimmondock._domain.membership import Identity
 from persimmondock._domain.records import (
     Backend,
     BackendAnnounced,
@@ -15,7 +16,7 @@
     SubjectChange,
     make_record_id,
 )
-from persimmondock._domain.view import View, fold
+from persimmondock._domain.view import Member, View, fold
 
 DOMAINS = ("recife", "fortaleza", "salvador")
 
@@ -74,3 +75,34 @@
         announced = BackendAnnounced(make_record_id(), ref, make_backend(number))
         view = fold_all([announced], view)
     return view
+
+
+def make_identity(number: int) -> Identity:
+    """Return what daemon ``vm-NUMBER`` knows of itself."""
+    joined = make_joined(number)
+    return Identity(
+        daemon=joined.daemon,
+        failure_domain=joined.failure_domain,
+        peer_address=joined.peer_address,
+        data_address=joined.data_address,
+        caller_address=joined.caller_address,
+        operator_address=joined.operator_address,
+    )
+
+
+def make_member(
+    ref: MemberRef, failure_domain: str, witnesses: tuple[MemberRef, ...] = ()
+) -> Member:
+    """Return a member of a view."""
+    return Member(
+        ref=ref,
+        record_id=make_record_id(),
+        failure_domain=failure_domain,
+        peer_address=f"{ref.daemon}:8102",
+        data_address=f"{ref.daemon}:8103",
+        caller_address=f"{ref.daemon}:8100",
+        operator_address=f"{ref.daemon}:8101",
+        witnesses=witnesses,
+        successor=None,
+        witnesses_version=ref.incarnation,
+    )
--- /dev/null
+++ b/persimmondock/tests/test_spreading.py
@@ -0,0 +1,104 @@
+"""Tests of the spreading of records."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from persimmondock._domain.leases import LeaseTerms
+from persimmondock._domain.membership import Membership
+from persimmondock._domain.messages import RecordsAsked, RecordsGiven, Renew
+from persimmondock._domain.spreading import Trees, plan_spreading
+from persimmondock._ports.log import Entry
+from persimmondock._tasks import spreader
+from persimmondock._tasks.spreader import MISSING_FOR_S, Spreader
+from persimmondock.tests.builders import make_identity, make_view
+
+
+def list_reached(trees: Trees, count: int, dead: int | None) -> set[int]:
+    reached = {position for position in range(min(trees.readers, count)) if position != dead}
+    fresh = list(reached)
+    while fresh:
+        targets = set(trees.list_targets(fresh.pop(), count)) - reached - {dead}
+        reached |= targets
+        fresh += targets
+    return reached
+
+
+@pytest.mark.parametrize("count", [1, 2, 4, 15, 56, 555])
+@pytest.mark.parametrize("fan_out", [2, 4, 8])
+def test_two_trees_reach_all_and_cost_two_messages_a_member(count, fan_out) -> None:
+    trees = Trees(fan_out=fan_out)
+    assert list_reached(trees, count, None) == set(range(count))
+    received = Counter(t for position in range(count) for t in trees.list_targets(position, count))
+    assert all(1 <= received[position] <= 2 for position in range(trees.readers, count))
+    assert all(len(trees.list_targets(position, count)) <= 2 * fan_out for position in range(count))
+
+
+@pytest.mark.parametrize("count", [56, 555])
+def test_one_dead_member_cuts_off_few_in_two_trees(count) -> None:
+    worst = max(count - 1 - len(list_reached(Trees(), count, dead)) for dead in range(count))
+    worst_of_one = max(
+        count - 1 - len(list_reached(Trees(copies=1), count, dead)) for dead in range(count)
+    )
+    assert worst <= 1 < worst_of_one
+
+
+def test_small_sites_and_strangers_read_the_log() -> None:
+    members = make_view(12).members
+    assert plan_spreading(members.values(), "vm-1", direct_members=12).reads_log
+    assert plan_spreading(members.values(), "stranger", direct_members=11).reads_log
+
+
+def test_large_sites_have_a_few_readers_in_each_failure_domain() -> None:
+    members = make_view(18).members
+    trees = Trees(readers=2)
+    plans = {name: plan_spreading(members.values(), name, trees, 10) for name in members}
+    readers = [members[name].failure_domain for name, plan in plans.items() if plan.reads_log]
+    assert Counter(readers) == {"recife": 2, "fortaleza": 2, "salvador": 2}
+    domain_of = {member.peer_address: member.failure_domain for member in members.values()}
+    for name, plan in plans.items():
+        assert {domain_of[target] for target in plan.targets} <= {members[name].failure_domain}
+
+
+def make_spreader(monkeypatch) -> tuple[Spreader, list[tuple[str, object]]]:
+    monkeypatch.setattr(
+        spreader,
+        "plan_spreading",
+        lambda members, daemon: plan_spreading(members, daemon, Trees(readers=1), 10),
+    )
+    view = make_view(30)
+    members = view.members.values()
+    reader = next(
+        number
+        for number in range(30)
+        if plan_spreading(members, f"vm-{number}", Trees(readers=1), 10).reads_log
+    )
+    membership = Membership(make_identity(reader), LeaseTerms(), lambda _: False, lambda _: ())
+    membership.view = view
+    sent: list[tuple[str, object]] = []
+    return Spreader(membership, lambda address, message: sent.append((address, message))), sent
+
+
+def test_new_records_are_sent_on(monkeypatch) -> None:
+    subject, sent = make_spreader(monkeypatch)
+    subject.forward((Entry(61, b"a"), Entry(62, b"b")))
+    assert sent
+    assert {message for _, message in sent} == {RecordsGiven(61, (b"a", b"b"))}
+
+
+def test_a_gap_is_asked_for_and_then_read_from_the_log(monkeypatch) -> None:
+    subject, sent = make_spreader(monkeypatch)
+    assert not subject.needs_log(10.0)
+    subject.note(RecordsGiven(70, (b"a",)), "peer")
+    assert sent == [("peer", RecordsAsked(61))]
+    assert not subject.needs_log(10.0)
+    assert subject.needs_log(10.1 + MISSING_FOR_S)
+
+
+def test_offsets_in_renewals_tell_of_missing_records(monkeypatch) -> None:
+    subject, _ = make_spreader(monkeypatch)
+    subject.note(Renew(next(iter(make_view(1).members.values())).ref, 1, 62), "peer")
+    subject.needs_log(10.0)
+    assert subject.needs_log(10.1 + MISSING_FOR_S)
