Spread witnesses over all failure domains

Cause: the first three failure domains by name gave all witnesses of all members; at 1,500 members in 27 failure domains only 4 had witnesses and one member watched 41 holders. Two lost failure domains of these would have ended every lease.

Change: each daemon takes the failure domains in its own pseudo-random order.

--- a/persimmondock/_domain/witnesses.py
+++ b/persimmondock/_domain/witnesses.py
@@ -16,7 +16,11 @@
 
 
 def _rank(daemon: str, member: Member) -> int:
-    return xxhash.xxh3_64_intdigest(f"{daemon}|{member.ref.daemon}".encode())
+    return _hash_pair(daemon, member.ref.daemon)
+
+
+def _hash_pair(daemon: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{daemon}|{name}".encode())
 
 
 def choose_witnesses(
@@ -36,7 +40,9 @@
     by_domain: dict[str, list[Member]] = {}
     for member in ranked:
         by_domain.setdefault(member.failure_domain, []).append(member)
-    domains = sorted(by_domain, key=lambda name: (name == failure_domain, name))
+    domains = sorted(
+        by_domain, key=lambda name: (name == failure_domain, _hash_pair(daemon, name), name)
+    )
     chosen: list[MemberRef] = []
     while len(chosen) < count and any(by_domain.values()):
         for domain in domains:
