--- a/persimmondock/_commands/fleet.py
+++ b/persimmondock/_commands/fleet.py
@@ -19,7 +19,7 @@
 from persimmondock._commands.exit_codes import EXIT_DONE, EXIT_FAILED, EXIT_UNUSABLE
 from persimmondock._domain.record_text import describe_record
 from persimmondock._ports.log import Batch
-from persimmondock._tasks.log_follower import decode_entries
+from persimmondock._tasks.recovery import decode_entries
 
 ASK_TIMEOUT_S = 3.0
 CONCURRENT_ASKS = 64
--- a/persimmondock/_commands/log.py
+++ b/persimmondock/_commands/log.py
@@ -14,7 +14,8 @@
 from persimmondock._commands.exit_codes import EXIT_DONE, EXIT_UNUSABLE
 from persimmondock._domain.record_text import describe_record
 from persimmondock._ports.log import Batch, Expired, ReadFailed
-from persimmondock._tasks.log_follower import READ_LIMIT, READ_RETRY_S, decode_entries
+from persimmondock._tasks.log_follower import READ_LIMIT, READ_RETRY_S
+from persimmondock._tasks.recovery import decode_entries
 
 FOLLOW_WAIT_S = 5.0
 READ_WITHIN_S = 5.0
--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -13,16 +13,28 @@
 from reactivex.subject import Subject
 
 from persimmondock._domain.membership import Append, Effect, Send
-from persimmondock._domain.messages import Message, RecordsAsked, RecordsGiven, Released
+from persimmondock._domain.messages import (
+    Message,
+    RecordsAsked,
+    RecordsGiven,
+    Released,
+    ViewAsked,
+    ViewGiven,
+)
 from persimmondock._domain.records import Backend
+from persimmondock._domain.snapshot import SnapshotSchedule, encode_view, split_snapshot
 from persimmondock._ports.log import Entry
-from persimmondock._tasks.log_follower import LogExpired, LogRead, decode_entries
+from persimmondock._tasks.log_follower import FollowerEvent, LogExpired, LogRead, LogSilent
+from persimmondock._tasks.recovery import ViewFound, decode_entries
+from persimmondock._tasks.spreader import Spreader
+from persimmondock._tasks.view_transfer import ViewTransfer
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from persimmondock._adapters.peer_link import PeerLink
     from persimmondock._domain.membership import Membership
+    from persimmondock._domain.view import View
     from persimmondock._tasks.exchange import Exchange
     from persimmondock._tasks.gate import Gate
     from persimmondock._tasks.log_follower import LogFollower, LogWriter
@@ -58,7 +70,7 @@
     """The daemon shall shut down gracefully."""
 
 
-Event: TypeAlias = LogRead | LogExpired | PeerMessage | Tick | BackendSeen | LeaveAsked
+Event: TypeAlias = FollowerEvent | PeerMessage | Tick | BackendSeen | LeaveAsked
 
 
 class Control:
@@ -71,15 +83,22 @@
         exchange: Exchange,
         follower: LogFollower,
         writer: LogWriter,
+        peers: Sequence[str] = (),
     ) -> None:
         self.inbox: Subject[Event] = Subject()
         self._membership = membership
         self._gate = gate
         self._exchange = exchange
+        self._follower = follower
         self._writer = writer
         self._link: PeerLink | None = None
         self._recent: deque[Entry] = deque(maxlen=RECENT_ENTRIES)
         self._backends_seen_at: dict[str, float] = {}
+        self._schedule = SnapshotSchedule()
+        self._transfer = ViewTransfer(membership, peers, self._send)
+        self._spreader = Spreader(membership, self._send)
+        follower.reads_log = self._spreader.reads_log
+        self._encoding: set[asyncio.Task[None]] = set()
         self.report_failure: Callable[[Exception], None] = _raise_failure
         reactivex.merge(self.inbox, follower.events).subscribe(self._take)
 
@@ -103,16 +122,27 @@
     def _handle(self, event: Event) -> None:
         now = time.monotonic()
         match event:
-            case LogRead(entries=entries, caught_up=caught_up):
+            case LogRead(entries=entries, caught_up=caught_up, earliest=earliest):
+                self._transfer.stop()
                 self._membership.note_log_read(now, caught_up)
+                self._schedule.note_earliest(earliest)
                 self._perform(self._apply_entries(entries, now))
-            case LogExpired(earliest=earliest):
-                logger.error("event=view_expired earliest={}", earliest)
+            case ViewFound(view=view):
+                self._transfer.stop()
+                self._adopt_view(view, now)
+            case LogExpired():
+                self._transfer.start()
+            case LogSilent():
+                self._follow_without_log(now)
             case PeerMessage(message=message, reply_address=address):
                 self._receive(message, address, now)
             case Tick():
                 self._withdraw_silent_backends(now)
                 self._perform(self._membership.advance(now))
+                self._write_snapshot_if_due(now)
+                self._transfer.advance(now)
+                if self._membership.needs_log(now) or self._spreader.needs_log(now):
+                    self._follower.read_now()
             case BackendSeen(backend=backend):
                 self._backends_seen_at[backend.name] = now
                 self._gate.open_station(backend)
@@ -120,16 +150,45 @@
             case LeaveAsked():
                 self._perform(self._membership.start_leaving(now))
 
+    def _follow_without_log(self, now: float) -> None:
+        """Get the view, and then newer records, from peers while the log does not answer."""
+        if self._membership.view.offset == 0:
+            self._transfer.start()
+        else:
+            self._transfer.follow_peers(now)
+
+    def _adopt_view(self, view: View, now: float) -> None:
+        logger.info("event=view_adopted offset={}", view.offset)
+        self._recent.clear()
+        self._perform(self._membership.adopt_view(view, now))
+        self._exchange.follow_view(self._membership.view)
+
+    def _write_snapshot_if_due(self, now: float) -> None:
+        membership = self._membership
+        if not self._schedule.is_writer(membership.view, membership.ref, now):
+            return
+        task = asyncio.create_task(self._write_snapshot(membership.view))
+        self._encoding.add(task)
+        task.add_done_callback(self._encoding.discard)
+
+    async def _write_snapshot(self, view: View) -> None:
+        """Encode outside the event loop, since a large view takes longer than a renewal may."""
+        encoded = await asyncio.to_thread(encode_view, view)
+        logger.info("event=snapshot_written covers={} bytes={}", view.offset, len(encoded.body))
+        self._writer.write(split_snapshot(encoded))
+
     def _apply_entries(self, entries: tuple[Entry, ...], now: float) -> list[Effect]:
         fresh = tuple(e for e in entries if e.offset >= self._membership.view.offset)
         if not fresh:
             return []
         self._recent.extend(fresh)
+        self._spreader.forward(fresh)
         effects = self._membership.apply_records(decode_entries(fresh), now)
         self._exchange.follow_view(self._membership.view)
         return effects
 
     def _receive(self, message: Message, address: str, now: float) -> None:
+        self._spreader.note(message, address)
         match message:
             case RecordsAsked(start=start):
                 self._give_records(start, address)
@@ -137,6 +196,12 @@
                 entries = tuple(Entry(start + i, data) for i, data in enumerate(payloads))
                 if start <= self._membership.view.offset:
                     self._perform(self._apply_entries(entries, now))
+            case ViewAsked():
+                self._transfer.give(message, address)
+            case ViewGiven():
+                view = self._transfer.take(message, address)
+                if view is not None:
+                    self._adopt_view(view, now)
             case _:
                 if isinstance(message, Released):
                     self._gate.table.adopt(message.kept)
@@ -148,6 +213,10 @@
             payloads = tuple(entry.payload for entry in entries)
             self._link.send(address, RecordsGiven(start, payloads))
 
+    def _send(self, address: str, message: Message) -> None:
+        if self._link is not None:
+            self._link.send(address, message)
+
     def _withdraw_silent_backends(self, now: float) -> None:
         for name, seen_at in list(self._backends_seen_at.items()):
             if now - seen_at > BACKEND_SILENCE_S:
@@ -159,8 +228,7 @@
         for effect in effects:
             match effect:
                 case Send(address=address, message=message):
-                    if self._link is not None:
-                        self._link.send(address, message)
+                    self._send(address, message)
                 case Append(records=records):
                     self._writer.write(records)
 
--- a/persimmondock/bench/runner.py
+++ b/persimmondock/bench/runner.py
@@ -19,8 +19,9 @@
 from persimmondock._adapters.log_client import HttpLog
 from persimmondock._domain.view import Accepted, View, fold
 from persimmondock._ports.log import Batch
-from persimmondock._tasks.log_follower import READ_LIMIT, decode_entries
+from persimmondock._tasks.log_follower import READ_LIMIT
 from persimmondock._tasks.publisher import publish
+from persimmondock._tasks.recovery import decode_entries
 from persimmondock.bench.callers import Callers
 from persimmondock.bench.faults import FaultPlayer, Scenario, VmLost, VmStarted
 from persimmondock.bench.measures import Breach, Measures, RunData, compute_measures
