Queue requests by class and shed hopeless ones early

Cause: requests waited for a slot in order of arrival until their deadlines, so deferrable work displaced work that must answer fast, and refusals came when the caller had already given up.

Change: one queue per class with deadlines. A request that cannot be answered in time is refused when that is clear, with the time after which its place in the queue would suffice. Silent backend servers' connections are closed.

--- /dev/null
+++ b/benchmarks/load.py
@@ -0,0 +1,157 @@
+"""An open-loop load on a fleet, and what its callers saw."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import aiohttp
+import attrs
+import numpy as np
+
+from persimmondock._adapters.log_client import HttpLog
+from persimmondock._domain.view import Accepted
+from persimmondock._tasks.publisher import publish
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from persimmondock.configuration import Configuration
+    from persimmondock.standins.fleet import Fleet, JournalRun
+
+VERDICT_HEADER = "Persimmondock-Verdict"
+REASON_HEADER = "Persimmondock-Reason"
+DEADLINE_HEADER = "Persimmondock-Deadline"
+PUBLISH_TIMEOUT_S = 10.0
+GIVE_UP_S = 15.0
+
+
+@attrs.frozen
+class Stream:
+    """Requests of one kind at a steady rate.
+
+    Parameters
+    ----------
+    path
+        Path with ``{key}`` where a random key goes.
+    rate
+        Requests a second, whether or not earlier ones were answered.
+    deadline_s
+        Seconds that each caller has.
+    keys
+        Number of keys.
+    """
+
+    name: str
+    path: str
+    rate: float
+    deadline_s: float
+    keys: int = 200
+
+
+@attrs.frozen
+class Sample:
+    """One request as its caller saw it."""
+
+    stream: str
+    path: str
+    sent_at: float
+    seconds: float
+    verdict: str
+    reason: str
+
+
+@attrs.define
+class Load:
+    """Sends streams to random daemons of a fleet."""
+
+    fleet: Fleet
+    session: aiohttp.ClientSession
+    numbers: Sequence[int]
+    samples: list[Sample] = attrs.field(factory=list)
+    _random: random.Random = attrs.field(factory=lambda: random.Random(7))
+    _sent: int = 0
+
+    async def send_streams(self, streams: Iterable[Stream], seconds: float) -> None:
+        """Send all streams for a time and wait for every answer."""
+        await asyncio.gather(*(self._send_stream(stream, seconds) for stream in streams))
+
+    async def _send_stream(self, stream: Stream, seconds: float) -> None:
+        start = time.monotonic()
+        calls = []
+        for index in range(int(stream.rate * seconds)):
+            due = start + index / stream.rate
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            calls.append(asyncio.create_task(self.send(stream)))
+        await asyncio.gather(*calls)
+
+    async def send(self, stream: Stream, headers: dict[str, str] | None = None) -> Sample:
+        """Send one request and note how it ended."""
+        self._sent += 1
+        key = f"key-{self._random.randrange(stream.keys)}"
+        path = f"{stream.path.format(key=key)}?n={self._sent}"
+        number = self._random.choice(list(self.numbers))
+        sent_at = time.time()
+        fields = {
+            DEADLINE_HEADER: str(int((sent_at + stream.deadline_s) * 1000)),
+            **(headers or {}),
+        }
+        verdict, reason = await self._exchange(number, path, fields)
+        sample = Sample(stream.name, path, sent_at, time.time() - sent_at, verdict, reason)
+        self.samples.append(sample)
+        return sample
+
+    async def _exchange(self, number: int, path: str, headers: dict[str, str]) -> tuple[str, str]:
+        url = f"http://{self.fleet.find_caller_address(number)}{path}"
+        try:
+            async with self.session.post(url, headers=headers) as response:
+                await response.read()
+                return (
+                    response.headers.get(VERDICT_HEADER, "none"),
+                    response.headers.get(REASON_HEADER, ""),
+                )
+        except (TimeoutError, aiohttp.ClientError) as error:
+            return "no_answer", type(error).__name__
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Return a session for callers."""
+    return aiohttp.ClientSession(
+        timeout=aiohttp.ClientTimeout(total=GIVE_UP_S), connector=aiohttp.TCPConnector(limit=0)
+    )
+
+
+async def put_in_force(fleet: Fleet, configuration: Configuration) -> None:
+    """Publish a configuration."""
+    log = HttpLog(fleet.log_address, fleet.session)
+    outcome = await publish(log, configuration, "benchmark", PUBLISH_TIMEOUT_S)
+    assert isinstance(outcome, Accepted), outcome
+
+
+def describe(samples: Sequence[Sample]) -> str:
+    """Return one line on the samples of a stream."""
+    verdicts = Counter(sample.verdict for sample in samples)
+    reasons = Counter(sample.reason for sample in samples if sample.reason)
+    answered = [sample.seconds for sample in samples if sample.verdict == "answered"]
+    refused = [sample.seconds for sample in samples if sample.verdict == "not_run"]
+    return (
+        f"sent={len(samples)} verdicts={dict(verdicts)} reasons={dict(reasons)} "
+        f"answered_ms={_list_quantiles(answered)} refused_ms={_list_quantiles(refused)}"
+    )
+
+
+def _list_quantiles(seconds: list[float]) -> str:
+    """Return p50/p99/p99.9 in milliseconds."""
+    if not seconds:
+        return "-"
+    values = np.quantile(np.array(seconds) * 1000, [0.5, 0.99, 0.999])
+    return "/".join(f"{value:.0f}" for value in values)
+
+
+def count_false_refusals(samples: Iterable[Sample], runs: Iterable[JournalRun]) -> int:
+    """Return how many requests were refused as not run and are in a journal."""
+    ran = {run.path for run in runs}
+    return sum(sample.verdict == "not_run" and sample.path in ran for sample in samples)
--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -153,6 +153,7 @@
             if now - seen_at > BACKEND_SILENCE_S:
                 logger.warning("event=backend_silent backend={}", name)
                 del self._backends_seen_at[name]
+                self._gate.close_station(name)
                 self._perform(self._membership.withdraw_backend(name, now))
 
     def _perform(self, effects: list[Effect]) -> None:
--- a/persimmondock/_tasks/daemon.py
+++ b/persimmondock/_tasks/daemon.py
@@ -94,7 +94,7 @@
             is_busy=lambda ref: self.gate.is_busy(ref),
             collect_kept=lambda ref: self.gate.collect_kept(ref),
         )
-        self.gate = Gate(self.membership)
+        self.gate = Gate(self.membership, frozenset(settings.gate_without))
         self.exchange = Exchange(self.gate)
         self.follower = LogFollower(log, lambda: self.membership.view.offset)
         self.writer = LogWriter(log)
--- a/persimmondock/_tasks/gate.py
+++ b/persimmondock/_tasks/gate.py
@@ -11,12 +11,12 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-import aiohttp
 import attrs
 import xxhash
 from loguru import logger
 
 from persimmondock._adapters.backend_client import SLICE_HEADER, run_request
+from persimmondock._domain.mechanisms import Mechanism
 from persimmondock._domain.membership import Membership, SliceRef
 from persimmondock._domain.request_table import (
     Known,
@@ -26,6 +26,7 @@
     WaitForFirst,
 )
 from persimmondock._domain.verdict import Header, MayHaveRun, NotRun, Reason, Verdict
+from persimmondock._tasks.station import Station
 
 if TYPE_CHECKING:
     from persimmondock._domain.messages import Call, KeptAnswer
@@ -33,25 +34,18 @@
 
 ANY_SLICE = -1
 NOT_OWNER_RETRY_MS = 200
-OVERLOADED_RETRY_MS = 200
+UNREACHABLE_RETRY_MS = 200
 WAIT_FOR_HANDOVER_S = 0.02
 
 
-@attrs.define
-class _Station:
-    """One backend server with its slots and its connections."""
-
-    backend: Backend
-    slots: asyncio.Semaphore
-    session: aiohttp.ClientSession
-
-
 class Gate:
     """Lets requests into the backend servers beside this daemon."""
 
-    def __init__(self, membership: Membership) -> None:
+    def __init__(self, membership: Membership, without: frozenset[Mechanism] = frozenset()) -> None:
         self._membership = membership
-        self._stations: dict[str, _Station] = {}
+        self._without = without
+        self._stations: dict[str, Station] = {}
+        self._retiring: set[asyncio.Task[None]] = set()
         self._in_flight: Counter[SliceRef] = Counter()
         self._service_in_flight: Counter[str] = Counter()
         self._first_attempts: dict[RequestKey, asyncio.Future[Verdict]] = {}
@@ -80,14 +74,23 @@
         present = self._stations.get(backend.name)
         if present is not None and present.backend == backend:
             return
-        connector = aiohttp.TCPConnector(limit=backend.connections)
-        session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-        self._stations[backend.name] = _Station(backend, asyncio.Semaphore(backend.slots), session)
+        self.close_station(backend.name)
+        self._stations[backend.name] = Station(backend, self._without)
+
+    def close_station(self, name: str) -> None:
+        """Stop to serve through a backend server; what runs there runs to its end."""
+        station = self._stations.pop(name, None)
+        if station is not None:
+            task = asyncio.ensure_future(station.retire())
+            self._retiring.add(task)
+            task.add_done_callback(self._retiring.discard)
 
     async def close(self) -> None:
         """Close all connections."""
+        for task in list(self._retiring):
+            task.cancel()
         for station in self._stations.values():
-            await station.session.close()
+            await station.close()
 
     # Requests.
 
@@ -151,21 +154,18 @@
     async def _run(self, call: Call, ref: SliceRef) -> Verdict:
         station = self._stations.get(call.backend)
         if station is None:
-            return NotRun(Reason.NOT_OWNER, NOT_OWNER_RETRY_MS)
-        return await self._run_in_slot(call, ref, station)
-
-    async def _run_in_slot(self, call: Call, ref: SliceRef, station: _Station) -> Verdict:
-        remaining = call.deadline_ms / 1000 - time.time()
-        try:
-            await asyncio.wait_for(station.slots.acquire(), max(0.0, remaining))
-        except TimeoutError:
-            return NotRun(Reason.OVERLOADED, OVERLOADED_RETRY_MS)
+            return NotRun(Reason.BACKEND_UNREACHABLE, UNREACHABLE_RETRY_MS)
+        place = await station.enter(call)
+        if isinstance(place, NotRun):
+            return place
+        verdict: Verdict = MayHaveRun(Reason.CANCELLED)
         try:
-            return await self._dispatch(call, ref, station)
+            verdict = await self._dispatch(call, ref, station)
         finally:
-            station.slots.release()
+            station.leave(place, verdict)
+        return verdict
 
-    async def _dispatch(self, call: Call, ref: SliceRef, station: _Station) -> Verdict:
+    async def _dispatch(self, call: Call, ref: SliceRef, station: Station) -> Verdict:
         """Check everything a last time and send; nothing is awaited between the two."""
         now = time.monotonic()
         remaining = call.deadline_ms / 1000 - time.time()
--- /dev/null
+++ b/persimmondock/_tasks/station.py
@@ -0,0 +1,141 @@
+"""One backend server as its gate sees it: its connections, its queue and its capacity."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from typing import TYPE_CHECKING
+
+import aiohttp
+import attrs
+
+from persimmondock._domain.capacity import Capacity
+from persimmondock._domain.mechanisms import Mechanism
+from persimmondock._domain.queues import Waiting, WorkQueue
+from persimmondock._domain.verdict import NotRun, Reason, Verdict
+
+if TYPE_CHECKING:
+    from persimmondock._domain.messages import Call
+    from persimmondock._domain.records import Backend
+
+WATCH_EVERY_S = 0.02
+KEEP_CONNECTION_S = 60.0
+RETIRED_RETRY_MS = 200
+
+
+@attrs.frozen
+class Place:
+    """The right to send one request to the backend server."""
+
+    number: int
+
+
+@attrs.define
+class _Waiter:
+    """A request in the queue and the future that its caller waits for."""
+
+    call: Call
+    future: asyncio.Future[Place | NotRun]
+
+
+class Station:
+    """Lets requests into one backend server."""
+
+    def __init__(self, backend: Backend, without: frozenset[Mechanism] = frozenset()) -> None:
+        self.backend = backend
+        self.capacity = Capacity(backend.slots)
+        self.queue = WorkQueue(enabled=Mechanism.QUEUE not in without)
+        self.session = _open_session(backend)
+        self.retired = False
+        self._number = 0
+        self._waiters: dict[int, _Waiter] = {}
+        self._watcher: asyncio.Task[None] | None = None
+
+    async def enter(self, call: Call) -> Place | NotRun:
+        """Wait for a place, or return why there will be none."""
+        if self.retired:
+            return NotRun(Reason.BACKEND_UNREACHABLE, RETIRED_RETRY_MS)
+        now = time.monotonic()
+        self._number += 1
+        number = self._number
+        if self.capacity.has_room() and not self.queue:
+            return self._start(number, now)
+        deadline = now + call.deadline_ms / 1000 - time.time()
+        waiting = Waiting(number, call.may_wait, deadline)
+        refusal = self.queue.offer(waiting, self.capacity.compute_pace(now), now)
+        if refusal is not None:
+            return refusal
+        waiter = _Waiter(call, asyncio.get_running_loop().create_future())
+        self._waiters[number] = waiter
+        self._pump(now)
+        return await self._wait(number, waiter)
+
+    def leave(self, place: Place, verdict: Verdict) -> None:
+        """Give a place back."""
+        now = time.monotonic()
+        self.capacity.finish(place.number, verdict, now)
+        self._pump(now)
+
+    async def retire(self) -> None:
+        """Refuse what waits, let what runs end, and close the connections."""
+        self.retired = True
+        for number in list(self._waiters):
+            self._refuse(number, NotRun(Reason.BACKEND_UNREACHABLE, RETIRED_RETRY_MS))
+        while self.capacity.running:
+            await asyncio.sleep(WATCH_EVERY_S)
+        await self.close()
+
+    async def close(self) -> None:
+        """Close the connections at once."""
+        if self._watcher is not None:
+            self._watcher.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._watcher
+        await self.session.close()
+
+    async def _wait(self, number: int, waiter: _Waiter) -> Place | NotRun:
+        try:
+            return await waiter.future
+        except asyncio.CancelledError:
+            self._waiters.pop(number, None)
+            self.queue.remove(number)
+            if number in self.capacity.running:
+                self.leave(Place(number), NotRun(Reason.CANCELLED))
+            raise
+
+    def _pump(self, now: float) -> None:
+        """Refuse what has become hopeless and start what has room."""
+        if self.queue:
+            for shed in self.queue.shed(self.capacity.compute_pace(now), now):
+                self._refuse(shed.number, shed.refusal)
+        while self.queue and self.capacity.has_room():
+            item = self.queue.take()
+            if item is None:
+                break
+            waiter = self._waiters.pop(item.number)
+            place = self._start(item.number, now)
+            waiter.future.set_result(place)
+
+    def _start(self, number: int, now: float) -> Place:
+        self.capacity.start(number, now)
+        if self._watcher is None or self._watcher.done():
+            self._watcher = asyncio.create_task(self._watch())
+        return Place(number)
+
+    def _refuse(self, number: int, refusal: NotRun) -> None:
+        waiter = self._waiters.pop(number)
+        self.queue.remove(number)
+        if not waiter.future.done():
+            waiter.future.set_result(refusal)
+
+    async def _watch(self) -> None:
+        """Look after the queue until the station is idle."""
+        while self.queue or self.capacity.running:
+            await asyncio.sleep(WATCH_EVERY_S)
+            self._pump(time.monotonic())
+
+
+def _open_session(backend: Backend) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(limit=backend.connections, keepalive_timeout=KEEP_CONNECTION_S)
+    return aiohttp.ClientSession(connector=connector, auto_decompress=False)
--- a/persimmondock/settings.py
+++ b/persimmondock/settings.py
@@ -25,6 +25,7 @@
     Mistake,
     compose_document,
 )
+from persimmondock._domain.mechanisms import Mechanism
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -107,6 +108,8 @@
         Time that a graceful shutdown may take, in seconds.
     statsd
         ``host:port`` that metrics are sent to; empty sends none.
+    gate_without
+        Mechanisms of the gate that are switched off, to measure what each one is worth.
     """
 
     daemon: str = attrs.field(validator=_check_filled)
@@ -123,6 +126,7 @@
     stop_within_s: float = attrs.field(default=30.0, validator=_check_positive)
     statsd: str = attrs.field(default="", validator=_check_host_port_or_empty)
     log_level: str = attrs.field(default="INFO", validator=_check_log_level)
+    gate_without: tuple[Mechanism, ...] = ()
 
     def __attrs_post_init__(self) -> None:
         ports = (self.caller_port, self.operator_port, self.peer_port, self.data_port)
