Ramp cold backend servers up and follow what they refuse

Cause: a gate gave a backend server its announced slots from the first request on. A cold one that falls over under full load never became warm, and one that sheds was asked again and again.

Change: a concurrency limit that falls to what was borne when a request is refused, and a ramp that takes every backend server for cold, grows by completions that filled a level, and doubts the level on a latency step, also of requests that are still running. Lost connections and a new instance start it over. The stand-in counts work while cold; a run that overloaded it warms nothing.

--- a/benchmarks/gate_scenarios.py
+++ b/benchmarks/gate_scenarios.py
@@ -8,15 +8,23 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
+import signal
 import sys
+import time
+from functools import partial
 from typing import TYPE_CHECKING, TypeAlias
 
+import attrs
+
 from benchmarks.load import (
+    SLICES,
     Load,
     Stream,
     count_false_refusals,
     describe,
+    find_keys,
     open_session,
     put_in_force,
 )
@@ -40,8 +48,8 @@
         {"suffix": "/audit", "urgency": Urgency.MAY_WAIT},
         {"suffix": "/assign", "idempotent": False},
     ]
-    configuration.add_service("painel", path="/painel", keyed=True, slices=64, routes=routes)
-    configuration.add_service("recepcao", path="/recepcao", slices=64, routes=routes)
+    configuration.add_service("painel", path="/painel", keyed=True, slices=SLICES, routes=routes)
+    configuration.add_service("recepcao", path="/recepcao", slices=SLICES, routes=routes)
     return configuration
 
 
@@ -76,9 +84,9 @@
         del os.environ[WITHOUT_VARIABLE]
 
 
-def show_streams(load: Load, label: str, since: float = 0.0) -> None:
+def show_streams(load: Load, label: str, since: float = 0.0, until: float = math.inf) -> None:
     """Print what the callers of each stream saw."""
-    samples = [sample for sample in load.samples if sample.sent_at >= since]
+    samples = [sample for sample in load.samples if since <= sample.sent_at < until]
     for name in dict.fromkeys(sample.stream for sample in samples):
         chosen = [sample for sample in samples if sample.stream == name]
         print(f"{label} stream={name} {describe(chosen)}", flush=True)
@@ -89,23 +97,103 @@
 async def compare_queues() -> None:
     """Offer a third more than the backend servers can do, half of it deferrable."""
 
-    async def overload(load: Load) -> None:
+    async def measure(load: Load, label: str) -> None:
         await load.send_streams([Stream("warm-up", "/painel/{key}/show", 100, 2.0)], 3.0)
         load.samples.clear()
         fast = Stream("fast", "/painel/{key}/show", 120, 1.0)
         deferrable = Stream("deferrable", "/painel/{key}/audit", 120, 8.0)
         await load.send_streams([fast, deferrable], 10.0)
+        show_streams(load, label)
 
+    plans = build_plans(3, slots=3, work_ms=50)
     for label, without in (("queue=off", [Mechanism.QUEUE]), ("queue=on", [])):
-
-        async def measure(load: Load, label: str = label) -> None:
-            await overload(load)
-            show_streams(load, label)
-
-        await run_on_fleet(build_plans(3, slots=3, work_ms=50), without, measure)
-
-
-SCENARIOS: dict[str, Callable[[], Awaitable[None]]] = {"queue": compare_queues}
+        await run_on_fleet(plans, without, partial(measure, label=label))
+
+
+async def show_backend(load: Load, label: str, number: int) -> None:
+    """Print what a backend server counted."""
+    url = f"http://{load.fleet.find_backend_address(number)}/control/journal"
+    async with load.fleet.session.get(url) as response:
+        state = await response.json()
+    del state["entries"]
+    print(f"{label} {state}", flush=True)
+
+
+async def compare_ramps() -> None:
+    """Start cold under load, turn cold without a word, and restart."""
+
+    async def measure(load: Load, label: str) -> None:
+        stream = Stream("fast", "/painel/{key}/show", 300, 1.0)
+        sending = asyncio.create_task(load.send_streams([stream], 14.0))
+        await asyncio.sleep(4.0)
+        await show_backend(load, f"{label} phase=cold_start", 1)
+        await load.fleet.set_backend_faults(1, turn_cold=True)
+        turned_at = time.time()
+        await asyncio.sleep(5.0)
+        await show_backend(load, f"{label} phase=turned_cold", 1)
+        load.fleet.signal_process("backend-1", signal.SIGKILL)
+        load.fleet.start_backend(1)
+        await sending
+        await show_backend(load, f"{label} phase=restarted", 1)
+        show_streams(load, label)
+        show_streams(load, f"{label} phase=turned_cold", turned_at, turned_at + 5.0)
+
+    plans = build_plans(3, slots=12, work_ms=50)
+    for label, without in (("ramp=off", [Mechanism.RAMP]), ("ramp=on", [])):
+        await run_on_fleet(plans, without, partial(measure, label=label))
+
+
+async def warm_up(load: Load) -> Stream:
+    """Make VM 1's backend server warm, gently, and return a stream of its keys."""
+    stream = Stream("fast", "/painel/{key}/show", 20, 1.0, await find_keys(load.fleet, 1))
+    await load.send_streams([stream], 3.0)
+    await load.send_streams([attrs.evolve(stream, rate=150)], 3.0)
+    load.samples.clear()
+    return stream
+
+
+async def compare_limits() -> None:
+    """Let one backend server shed above a third of the slots that it announced."""
+
+    async def measure(load: Load, label: str) -> None:
+        stream = await warm_up(load)
+        await load.fleet.set_backend_faults(1, usable_slots=4)
+        await load.send_streams([attrs.evolve(stream, name="shedding", rate=70)], 8.0)
+        await show_backend(load, label, 1)
+        show_streams(load, label)
+
+    plans = build_plans(3, slots=12, work_ms=50)
+    for label, without in (("limit=off", [Mechanism.LIMIT]), ("limit=on", [])):
+        await run_on_fleet(plans, without, partial(measure, label=label))
+
+
+async def compare_slowed() -> None:
+    """Slow one backend server with keys down by a factor for a while."""
+
+    async def measure(load: Load, label: str) -> None:
+        stream = await warm_up(load)
+        await load.fleet.set_backend_faults(1, slowness=4.0)
+        await load.send_streams([attrs.evolve(stream, name="slowed", rate=50)], 6.0)
+        await load.fleet.set_backend_faults(1, slowness=1.0)
+        await load.send_streams([attrs.evolve(stream, name="after", rate=50)], 4.0)
+        show_streams(load, label)
+
+    plans = build_plans(3, slots=12, work_ms=50)
+    everything = [Mechanism.QUEUE, Mechanism.LIMIT, Mechanism.RAMP]
+    for label, without in (
+        ("gate=off", everything),
+        ("gate=queue", [Mechanism.LIMIT, Mechanism.RAMP]),
+        ("gate=on", []),
+    ):
+        await run_on_fleet(plans, without, partial(measure, label=label))
+
+
+SCENARIOS: dict[str, Callable[[], Awaitable[None]]] = {
+    "queue": compare_queues,
+    "ramp": compare_ramps,
+    "limit": compare_limits,
+    "slowed": compare_slowed,
+}
 
 
 async def main(names: Sequence[str]) -> None:
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import time
 from collections import Counter
@@ -13,6 +14,7 @@
 import numpy as np
 
 from persimmondock._adapters.log_client import HttpLog
+from persimmondock._domain.slices import find_slice
 from persimmondock._domain.view import Accepted
 from persimmondock._tasks.publisher import publish
 
@@ -27,6 +29,7 @@
 DEADLINE_HEADER = "Persimmondock-Deadline"
 PUBLISH_TIMEOUT_S = 10.0
 GIVE_UP_S = 15.0
+SLICES = 64
 
 
 @attrs.frozen
@@ -42,14 +45,14 @@
     deadline_s
         Seconds that each caller has.
     keys
-        Number of keys.
+        Keys to choose from.
     """
 
     name: str
     path: str
     rate: float
     deadline_s: float
-    keys: int = 200
+    keys: tuple[str, ...] = tuple(f"key-{number}" for number in range(200))
 
 
 @attrs.frozen
@@ -91,7 +94,7 @@
     async def send(self, stream: Stream, headers: dict[str, str] | None = None) -> Sample:
         """Send one request and note how it ended."""
         self._sent += 1
-        key = f"key-{self._random.randrange(stream.keys)}"
+        key = self._random.choice(stream.keys)
         path = f"{stream.path.format(key=key)}?n={self._sent}"
         number = self._random.choice(list(self.numbers))
         sent_at = time.time()
@@ -117,6 +120,15 @@
             return "no_answer", type(error).__name__
 
 
+async def find_keys(fleet: Fleet, number: int, count: int = 50) -> tuple[str, ...]:
+    """Return keys that a VM's backend server owns."""
+    state = await fleet.dump(number)
+    services = state["services"][fleet.plans[number].service]
+    owned = set(services["backends"][f"backend-{number}"]["owned"])
+    keys = (f"key-{index}" for index in range(100_000))
+    return tuple(itertools.islice((k for k in keys if find_slice(k, SLICES) in owned), count))
+
+
 def open_session() -> aiohttp.ClientSession:
     """Return a session for callers."""
     return aiohttp.ClientSession(
--- /dev/null
+++ b/persimmondock/_domain/limits.py
@@ -0,0 +1,49 @@
+"""A concurrency limit that follows what a backend server refuses.
+
+A refusal shows what the backend server bears: the requests that it was running. The limit falls to
+that number and grows back, up to the announced slots, by completions at the limit: slowly at
+first, since the next refusal is probably near, and twice as fast after each step without one.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+FIRST_GROWTH = 1 / 16
+
+
+@attrs.define
+class ConcurrencyLimit:
+    """Additive increase with growing steps; decrease to what was borne.
+
+    Parameters
+    ----------
+    slots
+        Slots that the backend server announced; the limit never passes them.
+    """
+
+    slots: int
+    _value: float = attrs.field(init=False)
+    _growth: float = FIRST_GROWTH
+
+    def __attrs_post_init__(self) -> None:
+        self._value = float(self.slots)
+
+    @property
+    def value(self) -> int:
+        """Requests that may run at the same time."""
+        return int(self._value)
+
+    def note_completed(self, filled: bool) -> None:
+        """Grow after a request that was answered; ``filled`` if it took the last free slot."""
+        if not filled:
+            return
+        before = self.value
+        self._value = min(float(self.slots), self._value + self._growth / self._value)
+        if self.value > before:
+            self._growth = min(1.0, 2.0 * self._growth)
+
+    def note_shed(self, running: int) -> None:
+        """Fall to the number of requests that ran when another one was refused."""
+        self._value = max(1.0, min(self._value, float(running)))
+        self._growth = FIRST_GROWTH
--- a/persimmondock/_domain/messages.py
+++ b/persimmondock/_domain/messages.py
@@ -159,6 +159,26 @@
     number: int
 
 
+@attrs.frozen
+class SuspectSeen:
+    """A backend server died while it ran a request, or a suspect turned out harmless.
+
+    Parameters
+    ----------
+    fingerprint
+        Hash of method, path and body.
+    kills
+        Backend servers that died while they ran the request; 0 when it is no suspect any more.
+    until_ms
+        When the suspicion ends, in Unix milliseconds.
+    """
+
+    service: str
+    fingerprint: int
+    kills: int
+    until_ms: int
+
+
 Message: TypeAlias = (
     Renew
     | Granted
@@ -167,6 +187,7 @@
     | Released
     | RecordsAsked
     | RecordsGiven
+    | SuspectSeen
     | Call
     | Reply
     | Cancel
--- /dev/null
+++ b/persimmondock/_domain/ramps.py
@@ -0,0 +1,164 @@
+"""The ramp by which a cold backend server gets more work.
+
+Every backend server counts as cold until its own completions have shown otherwise. While cold it
+gets a few requests at a time; each level is passed by completions that filled it and whose latency
+was usual. A latency step sends it to the lowest level, where the next completions tell two causes
+apart: with usual latency at the lowest level it could not bear the load, so it is cold; with high
+latency even there it is slow by itself, and less work would not make it faster.
+"""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import attrs
+
+COLD_LEVEL = 1
+COMPLETIONS_PER_LEVEL = 12
+MAX_COMPLETIONS_PER_LEVEL = 192
+STEPS_TO_DOUBT = 3
+USUAL_PROBES = 2
+SLOW_PROBES = 1
+
+
+@attrs.frozen
+class Ramping:
+    """Taken for cold.
+
+    Parameters
+    ----------
+    needed
+        Completions that this level takes.
+    seen
+        Completions at this level so far.
+    """
+
+    level: int
+    needed: int = COMPLETIONS_PER_LEVEL
+    seen: int = 0
+
+
+@attrs.frozen
+class Warm:
+    """Bears its slots."""
+
+
+@attrs.frozen
+class Doubted:
+    """Runs a few requests one at a time to see why its latency stepped up.
+
+    Parameters
+    ----------
+    previous
+        State before the step.
+    usual, slow
+        Completions of either latency among the requests started since.
+    """
+
+    previous: Ramping | Warm
+    usual: int = 0
+    slow: int = 0
+
+
+RampState: TypeAlias = Ramping | Doubted | Warm
+
+
+@attrs.define
+class Ramp:
+    """Bounds the work of one backend server by what it was seen to bear.
+
+    Parameters
+    ----------
+    slots
+        Level at which it counts as warm.
+    generation
+        Grows with each change of state but a climb; completions of earlier starts prove nothing.
+    """
+
+    slots: int
+    state: RampState = attrs.field(factory=lambda: Ramping(COLD_LEVEL))
+    generation: int = 0
+    _steps: int = 0
+
+    @property
+    def level(self) -> int:
+        """Requests that may run at the same time."""
+        match self.state:
+            case Ramping(level=level):
+                return level
+            case Doubted():
+                return COLD_LEVEL
+            case Warm():
+                return self.slots
+
+    def turn_cold(self) -> None:
+        """Start over, because the backend server was restarted or lost its connections."""
+        self._change(Ramping(COLD_LEVEL))
+
+    def doubt(self) -> None:
+        """Note that latencies stepped up."""
+        if not isinstance(self.state, Doubted) and self.level > COLD_LEVEL:
+            self._change(Doubted(self.state))
+
+    def note_completed(self, generation: int, step: bool, filled: bool) -> bool:
+        """Count a completion; return whether usual latencies must be learned anew.
+
+        Parameters
+        ----------
+        generation
+            Generation in which the request was started.
+        step
+            Whether its latency was far above the usual one.
+        filled
+            Whether it took the last free place of the level.
+        """
+        if generation != self.generation:
+            return False
+        self._steps = self._steps + 1 if step else 0
+        match self.state:
+            case Doubted() as state:
+                return self._settle_doubt(state, step)
+            case _ if self._steps >= STEPS_TO_DOUBT:
+                return self._notice_step()
+            case Ramping() as state if filled and not step:
+                self._climb(state)
+        return False
+
+    def _notice_step(self) -> bool:
+        """Doubt the level, or take the latency for usual when there is no lower one."""
+        self._steps = 0
+        if self.level == COLD_LEVEL:
+            return True
+        self.doubt()
+        return False
+
+    def _settle_doubt(self, state: Doubted, step: bool) -> bool:
+        state = attrs.evolve(state, slow=state.slow + step, usual=state.usual + (not step))
+        self.state = state
+        if state.slow >= SLOW_PROBES:
+            self._change(state.previous)
+            return True
+        if state.usual >= USUAL_PROBES:
+            self._change(_descend(state.previous))
+        return False
+
+    def _climb(self, state: Ramping) -> None:
+        state = attrs.evolve(state, seen=state.seen + 1)
+        if state.seen >= state.needed:
+            state = Ramping(2 * state.level, max(COMPLETIONS_PER_LEVEL, state.needed // 2))
+        self.state = Warm() if state.level >= self.slots else state
+
+    def _change(self, state: RampState) -> None:
+        self.state = state
+        self.generation += 1
+        self._steps = 0
+
+
+def _descend(state: Ramping | Warm) -> Ramping:
+    """Return where to climb from after a level that was not borne."""
+    match state:
+        case Warm():
+            return Ramping(COLD_LEVEL)
+        case Ramping(level=level, needed=needed):
+            lower = max(COLD_LEVEL, level // 2)
+            return Ramping(lower, min(2 * needed, MAX_COMPLETIONS_PER_LEVEL))
--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -48,9 +48,16 @@
 
 @attrs.frozen
 class BackendSeen:
-    """A backend server announced itself to this daemon."""
+    """A backend server announced itself to this daemon.
+
+    Parameters
+    ----------
+    instance
+        Changes when the backend server is restarted; empty when it does not say.
+    """
 
     backend: Backend
+    instance: str = ""
 
 
 @attrs.frozen
@@ -113,9 +120,9 @@
             case Tick():
                 self._withdraw_silent_backends(now)
                 self._perform(self._membership.advance(now))
-            case BackendSeen(backend=backend):
+            case BackendSeen(backend=backend, instance=instance):
                 self._backends_seen_at[backend.name] = now
-                self._gate.open_station(backend)
+                self._gate.open_station(backend, instance)
                 self._perform(self._membership.announce_backend(backend, now))
             case LeaveAsked():
                 self._perform(self._membership.start_leaving(now))
--- a/persimmondock/_tasks/gate.py
+++ b/persimmondock/_tasks/gate.py
@@ -26,7 +26,7 @@
     WaitForFirst,
 )
 from persimmondock._domain.verdict import Header, MayHaveRun, NotRun, Reason, Verdict
-from persimmondock._tasks.station import Station
+from persimmondock._tasks.station import Station, StationState
 
 if TYPE_CHECKING:
     from persimmondock._domain.messages import Call, KeptAnswer
@@ -69,13 +69,17 @@
 
     # Backend servers.
 
-    def open_station(self, backend: Backend) -> None:
-        """Begin to serve through a backend server."""
+    def open_station(self, backend: Backend, instance: str = "") -> None:
+        """Begin to serve through a backend server, or through its next instance."""
         present = self._stations.get(backend.name)
-        if present is not None and present.backend == backend:
+        if present is not None and (present.backend, present.instance) == (backend, instance):
             return
         self.close_station(backend.name)
-        self._stations[backend.name] = Station(backend, self._without)
+        self._stations[backend.name] = Station(backend, instance, self._without)
+
+    def describe_stations(self) -> dict[str, StationState]:
+        """Return what each backend server has and may have."""
+        return {name: station.describe() for name, station in self._stations.items()}
 
     def close_station(self, name: str) -> None:
         """Stop to serve through a backend server; what runs there runs to its end."""
--- a/persimmondock/_tasks/operator.py
+++ b/persimmondock/_tasks/operator.py
@@ -45,14 +45,15 @@
 
     async def _announce(self, request: web.Request) -> web.Response:
         try:
-            backend = _converter.structure(await request.json(), Backend)
+            body = await request.json()
+            backend = _converter.structure(body, Backend)
         except BaseValidationError as error:
             return web.Response(status=400, text="; ".join(transform_error(error)) + "\n")
         except ValueError as error:
             return web.Response(status=400, text=f"{error}\n")
         if self._membership.leaving:
             return web.Response(status=503, text="this daemon is leaving\n")
-        self._inbox.on_next(BackendSeen(backend))
+        self._inbox.on_next(BackendSeen(backend, str(body.get("instance", ""))))
         return web.Response(text="ok\n")
 
     async def _dump(self, _: web.Request) -> web.Response:
--- a/persimmondock/_tasks/station.py
+++ b/persimmondock/_tasks/station.py
@@ -11,6 +11,7 @@
 import attrs
 
 from persimmondock._domain.capacity import Capacity
+from persimmondock._domain.latencies import WorkKind
 from persimmondock._domain.mechanisms import Mechanism
 from persimmondock._domain.queues import Waiting, WorkQueue
 from persimmondock._domain.verdict import NotRun, Reason, Verdict
@@ -39,12 +40,29 @@
     future: asyncio.Future[Place | NotRun]
 
 
+@attrs.frozen
+class StationState:
+    """What a backend server has and may have at one moment, for dumps and metrics."""
+
+    instance: str
+    running: int
+    waiting: int
+    level: int
+    limit: int
+    ramp: str
+    ramp_level: int
+    service_ms: float
+
+
 class Station:
     """Lets requests into one backend server."""
 
-    def __init__(self, backend: Backend, without: frozenset[Mechanism] = frozenset()) -> None:
+    def __init__(
+        self, backend: Backend, instance: str = "", without: frozenset[Mechanism] = frozenset()
+    ) -> None:
         self.backend = backend
-        self.capacity = Capacity(backend.slots)
+        self.instance = instance
+        self.capacity = Capacity(backend.slots, without)
         self.queue = WorkQueue(enabled=Mechanism.QUEUE not in without)
         self.session = _open_session(backend)
         self.retired = False
@@ -60,7 +78,7 @@
         self._number += 1
         number = self._number
         if self.capacity.has_room() and not self.queue:
-            return self._start(number, now)
+            return self._start(number, call, now)
         deadline = now + call.deadline_ms / 1000 - time.time()
         waiting = Waiting(number, call.may_wait, deadline)
         refusal = self.queue.offer(waiting, self.capacity.compute_pace(now), now)
@@ -77,6 +95,21 @@
         self.capacity.finish(place.number, verdict, now)
         self._pump(now)
 
+    def describe(self) -> StationState:
+        """Return the present state."""
+        capacity = self.capacity
+        pace = capacity.compute_pace(time.monotonic())
+        return StationState(
+            instance=self.instance,
+            running=len(capacity.running),
+            waiting=len(self.queue),
+            level=capacity.level,
+            limit=capacity.limit.value,
+            ramp=type(capacity.ramp.state).__name__.lower(),
+            ramp_level=capacity.ramp.level,
+            service_ms=round(1000 * (pace.service_s or 0.0), 1),
+        )
+
     async def retire(self) -> None:
         """Refuse what waits, let what runs end, and close the connections."""
         self.retired = True
@@ -114,11 +147,11 @@
             if item is None:
                 break
             waiter = self._waiters.pop(item.number)
-            place = self._start(item.number, now)
+            place = self._start(item.number, waiter.call, now)
             waiter.future.set_result(place)
 
-    def _start(self, number: int, now: float) -> Place:
-        self.capacity.start(number, now)
+    def _start(self, number: int, call: Call, now: float) -> Place:
+        self.capacity.start(number, WorkKind(call.may_wait, call.idempotent), now)
         if self._watcher is None or self._watcher.done():
             self._watcher = asyncio.create_task(self._watch())
         return Place(number)
@@ -133,7 +166,9 @@
         """Look after the queue until the station is idle."""
         while self.queue or self.capacity.running:
             await asyncio.sleep(WATCH_EVERY_S)
-            self._pump(time.monotonic())
+            now = time.monotonic()
+            self.capacity.watch(now)
+            self._pump(now)
 
 
 def _open_session(backend: Backend) -> aiohttp.ClientSession:
--- a/persimmondock/standins/backend_server.py
+++ b/persimmondock/standins/backend_server.py
@@ -49,12 +49,15 @@
         Age of the load report, in seconds.
     reported_load
         Load that is reported whatever the real one; None reports the real one.
+    usable_slots
+        Slots that it really has; None means those that it announces.
     """
 
     slowness: float = 1.0
     draining: bool = False
     report_lag_s: float = 0.0
     reported_load: int | None = None
+    usable_slots: int | None = None
 
 
 @attrs.frozen
@@ -68,7 +71,7 @@
     cold_slots
         Slots that it bears while cold.
     cold_runs
-        Completions after which it is warm.
+        Completions after which it is warm; a run that overloaded it while cold does not count.
     journal
         Path of a file that each start and end of a run is written to, one JSON object a line, so
         that it outlives the process; empty writes none.
@@ -109,7 +112,10 @@
         self.journal: list[JournalEntry] = []
         self.instance = uuid.uuid4().hex
         self.in_flight = 0
+        self.refusals = 0
+        self.runs_while_cold = 0
         self.overloads_while_cold = 0
+        self.peak_while_cold = 0
         self._crash = crash or (lambda: os._exit(CRASH_STATUS))
         self._warm_runs = 0
         self._tokens: dict[int, int] = {}
@@ -174,6 +180,7 @@
             self._crash()
         refusal = self._find_refusal(request)
         if refusal:
+            self.refusals += 1
             return web.Response(status=503, headers={NOT_RUN_HEADER: refusal}, text=refusal)
         return await self._run(request)
 
@@ -181,7 +188,7 @@
         """Return why the request may not start, or an empty string."""
         if self.faults.draining:
             return "draining"
-        if self.in_flight >= self.profile.slots:
+        if self.in_flight >= (self.faults.usable_slots or self.profile.slots):
             return "no_slot"
         deadline = request.headers.get(DEADLINE_HEADER)
         if deadline and time.time() * 1000 > int(deadline):
@@ -211,13 +218,13 @@
         number = len(self.journal)
         self._write_start(number, entry)
         self.in_flight += 1
-        if self.cold and self.in_flight > self.profile.cold_slots:
-            self.overloads_while_cold += 1
+        overloaded = self.cold and self.in_flight > self.profile.cold_slots
+        self._count_cold_run(overloaded)
         try:
             body = await request.read()
             await asyncio.sleep(self._compute_work(request))
             entry.completed = True
-            self._warm_runs += 1
+            self._warm_runs += not overloaded
         finally:
             entry.ended_at = time.time()
             self._write_end(number, entry)
@@ -234,6 +241,12 @@
             }
         )
 
+    def _count_cold_run(self, overloaded: bool) -> None:
+        if self.cold:
+            self.runs_while_cold += 1
+            self.overloads_while_cold += overloaded
+            self.peak_while_cold = max(self.peak_while_cold, self.in_flight)
+
     def _write_start(self, number: int, entry: JournalEntry) -> None:
         fields = attrs.asdict(entry)
         event = {"event": "start", "run": number, "at": entry.started_at}
@@ -278,7 +291,11 @@
         return web.json_response(
             {
                 "backend": self.profile.name,
+                "refusals": self.refusals,
+                "cold": self.cold,
+                "runs_while_cold": self.runs_while_cold,
                 "overloads_while_cold": self.overloads_while_cold,
+                "peak_while_cold": self.peak_while_cold,
                 "entries": [attrs.asdict(entry) for entry in self.journal],
             }
         )
