Call a request not run only if no attempt of it may have run

Cause: the front retries an idempotent request after an attempt whose outcome is unknown; when the last attempt was refused it answered with that refusal.

Change: an unknown attempt outweighs later refusals. A draining gate's refusal is tried elsewhere.

--- a/persimmondock/_tasks/front.py
+++ b/persimmondock/_tasks/front.py
@@ -54,6 +54,7 @@
         Reason.PEER_UNREACHABLE,
         Reason.PEER_SILENT,
         Reason.BACKEND_REFUSED,
+        Reason.DRAINING,
         Reason.BACKEND_UNREACHABLE,
         Reason.BACKEND_LOST,
     }
@@ -141,12 +142,14 @@
 
     async def _route(self, call: Call) -> Verdict:
         """Try the gates that the view names until the request ends or its deadline passes."""
+        unknown: MayHaveRun | None = None
         while True:
             verdict = await self._try_once(call)
-            if not _may_retry(call, verdict):
-                return verdict
-            if time.time() + RETRY_GAP_S >= call.deadline_ms / 1000:
-                return verdict
+            late = time.time() + RETRY_GAP_S >= call.deadline_ms / 1000
+            if late or not _may_retry(call, verdict):
+                return unknown if unknown and isinstance(verdict, NotRun) else verdict
+            if isinstance(verdict, MayHaveRun):
+                unknown = verdict
             await asyncio.sleep(RETRY_GAP_S)
 
     async def _try_once(self, call: Call) -> Verdict:
