Bound the request table and let losses age

Cause: nothing called expire, the table had no bound, a waiting attempt ignored its own deadline, and after the loss of an owner identifiers without an issue offset were refused for ever.

Change: entries expire in order of their times and are bounded in number; a full table refuses new identifiers. Answers are bounded in bytes; the oldest are dropped but the request stays known. Handed-over answers are bounded a slice. A waiting attempt ends as unknown at its own deadline. A loss that this daemon has known for request_id_ms no longer matters to identifiers without an offset, because a kept answer would have been forgotten by then, too.

--- a/benchmarks/gate_scenarios.py
+++ b/benchmarks/gate_scenarios.py
@@ -30,6 +30,7 @@
 )
 from persimmondock._domain.mechanisms import Mechanism
 from persimmondock.configuration import Configuration, Urgency
+from persimmondock.standins.checks import find_repeated_runs
 from persimmondock.standins.fleet import Fleet, VmPlan
 
 if TYPE_CHECKING:
@@ -37,6 +38,7 @@
 
 NETWORK = 31
 WITHOUT_VARIABLE = "PERSIMMONDOCK_GATE_WITHOUT"
+REQUEST_ID_MS = 6_000
 DOMAINS = ("recife", "fortaleza", "salvador")
 Scenario: TypeAlias = "Callable[[Load], Awaitable[None]]"
 
@@ -48,7 +50,14 @@
         {"suffix": "/audit", "urgency": Urgency.MAY_WAIT},
         {"suffix": "/assign", "idempotent": False},
     ]
-    configuration.add_service("painel", path="/painel", keyed=True, slices=SLICES, routes=routes)
+    configuration.add_service(
+        "painel",
+        path="/painel",
+        keyed=True,
+        slices=SLICES,
+        routes=routes,
+        request_id_ms=REQUEST_ID_MS,
+    )
     configuration.add_service("recepcao", path="/recepcao", slices=SLICES, routes=routes)
     return configuration
 
@@ -188,11 +197,50 @@
         await run_on_fleet(plans, without, partial(measure, label=label))
 
 
+async def run_resends() -> None:
+    """Send each identifier through three daemons, lose a VM, and send new identifiers."""
+
+    async def send_thrice(load: Load, stream: Stream, number: int) -> None:
+        headers = {"Idempotency-Key": f"resend-{number}"}
+        path = f"/painel/key-{number % 200}/assign"
+        stream = attrs.evolve(stream, path=path)
+        first = asyncio.create_task(load.send(stream, headers, counted=False))
+        await asyncio.sleep(0.01)
+        later = [load.send(stream, headers, counted=False) for _ in range(2)]
+        if number % 2:
+            first.cancel()
+        await asyncio.gather(first, *later, return_exceptions=True)
+
+    async def measure(load: Load) -> None:
+        stream = Stream("resent", "", 0, 1.0)
+        for start in range(0, 600, 20):
+            calls = [send_thrice(load, stream, start + index) for index in range(20)]
+            await asyncio.gather(*calls)
+        show_streams(load, "resends")
+        repeated = find_repeated_runs(load.fleet.read_journals())
+        print(f"resends ran_twice={len(repeated)}", flush=True)
+        load.samples.clear()
+        keys = await find_keys(load.fleet, 1)
+        load.fleet.kill_vm(1)
+        load.numbers = [number for number in load.numbers if number != 1]
+        killed_at = time.time()
+        while time.time() < killed_at + 12.0:
+            stream = Stream("after loss", "/painel/{key}/assign", 0, 0.5, keys)
+            await load.send(stream, {"Idempotency-Key": f"new-{time.time()}"})
+            await asyncio.sleep(0.05)
+        answered = [s.sent_at - killed_at for s in load.samples if s.verdict == "answered"]
+        print(f"loss first_answer_s={min(answered):.2f}", flush=True)
+        show_streams(load, "loss")
+
+    await run_on_fleet(build_plans(3, slots=12, work_ms=50), [], measure)
+
+
 SCENARIOS: dict[str, Callable[[], Awaitable[None]]] = {
     "queue": compare_queues,
     "ramp": compare_ramps,
     "limit": compare_limits,
     "slowed": compare_slowed,
+    "resends": run_resends,
 }
 
 
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -91,11 +91,13 @@
             calls.append(asyncio.create_task(self.send(stream)))
         await asyncio.gather(*calls)
 
-    async def send(self, stream: Stream, headers: dict[str, str] | None = None) -> Sample:
-        """Send one request and note how it ended."""
+    async def send(
+        self, stream: Stream, headers: dict[str, str] | None = None, counted: bool = True
+    ) -> Sample:
+        """Send one request and note how it ended; ``counted`` makes its path unique."""
         self._sent += 1
         key = self._random.choice(stream.keys)
-        path = f"{stream.path.format(key=key)}?n={self._sent}"
+        path = stream.path.format(key=key) + (f"?n={self._sent}" if counted else "")
         number = self._random.choice(list(self.numbers))
         sent_at = time.time()
         fields = {
--- a/persimmondock/_domain/request_table.py
+++ b/persimmondock/_domain/request_table.py
@@ -7,17 +7,23 @@
 
 from __future__ import annotations
 
+import heapq
 from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
 
 from persimmondock._domain.messages import KeptAnswer
-from persimmondock._domain.verdict import MayHaveRun, NotRun, Reason, Verdict
+from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 UNKNOWN_ISSUE = -1
+MAX_ENTRIES = 32_768
+MAX_BYTES = 16 * 1024 * 1024
+MAX_HANDED_BYTES = 1024 * 1024
+RUNNING_RECHECK_MS = 1_000
+SPARE_EXPIRIES = 1_024
 
 
 @attrs.frozen
@@ -56,17 +62,48 @@
     expires_at_ms: int
 
 
+@attrs.frozen
+class _SliceKey:
+    service: str
+    slice: int
+
+
 @attrs.define
 class RequestTable:
-    """The requests that one gate has seen."""
-
+    """The requests that one gate has seen.
+
+    An entry stays until its time has passed, since forgetting it earlier could let a request run
+    twice. So a full table refuses new requests, and a table with too many bytes drops the oldest
+    answers but remembers that they were given.
+
+    Parameters
+    ----------
+    max_entries
+        Entries that it holds at most.
+    max_bytes
+        Bytes of kept answers that it holds at most.
+    """
+
+    max_entries: int = MAX_ENTRIES
+    max_bytes: int = MAX_BYTES
+    kept_bytes: int = 0
     _entries: dict[RequestKey, _Entry] = attrs.field(factory=dict)
+    _by_slice: dict[_SliceKey, dict[str, None]] = attrs.field(factory=dict)
+    _expiries: list[tuple[int, int, RequestKey]] = attrs.field(factory=list)
+    _answers: dict[RequestKey, None] = attrs.field(factory=dict)
+    _added: int = 0
 
     def __len__(self) -> int:
         return len(self._entries)
 
     def admit(
-        self, key: RequestKey, fingerprint: int, issued_at: int, floor: int, expires_at_ms: int
+        self,
+        key: RequestKey,
+        fingerprint: int,
+        issued_at: int,
+        floor: int,
+        expires_at_ms: int,
+        now_ms: int,
     ) -> Admission:
         """Decide what an attempt may do.
 
@@ -78,9 +115,10 @@
             View offset known when the identifier was issued, or ``UNKNOWN_ISSUE``.
         floor
             Offset of the last record by which an owner of the slice was lost, or -1.
-        expires_at_ms
-            When the entry may be forgotten, in Unix milliseconds.
+        expires_at_ms, now_ms
+            When the entry may be forgotten, and the present, in Unix milliseconds.
         """
+        self.expire(now_ms)
         entry = self._entries.get(key)
         if entry is not None:
             if entry.fingerprint != fingerprint:
@@ -90,41 +128,116 @@
             return Known(entry.verdict)
         if floor >= 0 and issued_at <= floor:
             return Known(MayHaveRun(Reason.SENT_TO_LOST_OWNER))
-        self._entries[key] = _Entry(fingerprint, None, expires_at_ms)
+        if len(self._entries) >= self.max_entries:
+            return Known(NotRun(Reason.OVERLOADED, self._compute_room_in(now_ms)))
+        self._add(key, _Entry(fingerprint, None, expires_at_ms))
         return RunFirst()
 
     def end(self, key: RequestKey, verdict: Verdict) -> None:
         """Note how the first attempt ended; one that has not run leaves no trace."""
         match verdict:
             case NotRun():
-                self._entries.pop(key, None)
+                self._drop(key)
             case _:
-                self._entries[key].verdict = verdict
+                self._keep(key, self._entries[key], verdict)
 
     def expire(self, now_ms: int) -> None:
         """Forget entries whose time has passed and that are not running."""
-        for key, entry in list(self._entries.items()):
-            if entry.verdict is not None and entry.expires_at_ms <= now_ms:
-                del self._entries[key]
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            _, _, key = heapq.heappop(self._expiries)
+            entry = self._entries.get(key)
+            if entry is None or entry.expires_at_ms > now_ms:
+                continue
+            if entry.verdict is None:
+                entry.expires_at_ms = now_ms + RUNNING_RECHECK_MS
+                self._schedule(key, entry)
+            else:
+                self._drop(key)
 
     def collect(self, service: str, index: int) -> tuple[KeptAnswer, ...]:
-        """Return the ended entries of a slice, to be handed to its new owner."""
-        return tuple(
-            KeptAnswer(
-                key.service,
-                key.slice,
-                key.request_id,
-                entry.fingerprint,
-                entry.verdict,
-                entry.expires_at_ms,
+        """Return the ended entries of a slice, to be handed to its new owner.
+
+        Answers beyond ``MAX_HANDED_BYTES`` are handed over without their bodies.
+        """
+        kept: list[KeptAnswer] = []
+        handed_bytes = 0
+        for request_id in self._by_slice.get(_SliceKey(service, index), ()):
+            entry = self._entries[RequestKey(service, index, request_id)]
+            verdict = entry.verdict
+            if verdict is None:
+                continue
+            handed_bytes += compute_size(verdict)
+            if handed_bytes > MAX_HANDED_BYTES and isinstance(verdict, Answered):
+                verdict = MayHaveRun(Reason.ANSWER_NOT_KEPT)
+            kept.append(
+                KeptAnswer(
+                    service, index, request_id, entry.fingerprint, verdict, entry.expires_at_ms
+                )
             )
-            for key, entry in self._entries.items()
-            if key.service == service and key.slice == index and entry.verdict is not None
-        )
+        return tuple(kept)
 
     def adopt(self, kept: Iterable[KeptAnswer]) -> None:
-        """Take over entries of an earlier owner."""
+        """Take over entries of an earlier owner, also beyond the bound on entries."""
         for item in kept:
             key = RequestKey(item.service, item.slice, item.request_id)
-            entry = _Entry(item.fingerprint, item.verdict, item.expires_at_ms)
-            self._entries.setdefault(key, entry)
+            if key not in self._entries:
+                entry = _Entry(item.fingerprint, None, item.expires_at_ms)
+                self._add(key, entry)
+                self._keep(key, entry, item.verdict)
+
+    def _add(self, key: RequestKey, entry: _Entry) -> None:
+        self._entries[key] = entry
+        self._by_slice.setdefault(_SliceKey(key.service, key.slice), {})[key.request_id] = None
+        self._schedule(key, entry)
+
+    def _schedule(self, key: RequestKey, entry: _Entry) -> None:
+        self._added += 1
+        if len(self._expiries) > 2 * len(self._entries) + SPARE_EXPIRIES:
+            self._expiries = [item for item in self._expiries if self._is_current(item)]
+            heapq.heapify(self._expiries)
+        heapq.heappush(self._expiries, (entry.expires_at_ms, self._added, key))
+
+    def _is_current(self, item: tuple[int, int, RequestKey]) -> bool:
+        entry = self._entries.get(item[2])
+        return entry is not None and entry.expires_at_ms == item[0]
+
+    def _keep(self, key: RequestKey, entry: _Entry, verdict: Verdict) -> None:
+        entry.verdict = verdict
+        self.kept_bytes += compute_size(verdict)
+        if isinstance(verdict, Answered):
+            self._answers[key] = None
+        while self.kept_bytes > self.max_bytes and self._answers:
+            self._drop_answer(next(iter(self._answers)))
+
+    def _drop_answer(self, key: RequestKey) -> None:
+        """Remember only that a request ran."""
+        del self._answers[key]
+        entry = self._entries[key]
+        assert entry.verdict is not None
+        self.kept_bytes -= compute_size(entry.verdict)
+        entry.verdict = MayHaveRun(Reason.ANSWER_NOT_KEPT)
+
+    def _drop(self, key: RequestKey) -> None:
+        entry = self._entries.pop(key, None)
+        if entry is None:
+            return
+        if entry.verdict is not None:
+            self.kept_bytes -= compute_size(entry.verdict)
+        self._answers.pop(key, None)
+        slice_key = _SliceKey(key.service, key.slice)
+        identifiers = self._by_slice[slice_key]
+        del identifiers[key.request_id]
+        if not identifiers:
+            del self._by_slice[slice_key]
+
+    def _compute_room_in(self, now_ms: int) -> int:
+        """Return the milliseconds until the next entry expires."""
+        return max(1, self._expiries[0][0] - now_ms) if self._expiries else 1
+
+
+def compute_size(verdict: Verdict) -> int:
+    """Return the bytes of a kept answer."""
+    if not isinstance(verdict, Answered):
+        return 0
+    answer = verdict.answer
+    return len(answer.body) + sum(len(h.name) + len(h.value) for h in answer.headers)
--- a/persimmondock/_domain/verdict.py
+++ b/persimmondock/_domain/verdict.py
@@ -29,6 +29,7 @@
     MISSING_REQUEST_ID = "missing_request_id"
     REQUEST_ID_REUSED = "request_id_reused"
     SENT_TO_LOST_OWNER = "sent_to_lost_owner"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     BACKEND_REFUSED = "backend_refused"
     BACKEND_UNREACHABLE = "backend_unreachable"
     BACKEND_LOST = "backend_lost"
--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -119,6 +119,7 @@
                 self._receive(message, address, now)
             case Tick():
                 self._withdraw_silent_backends(now)
+                self._gate.advance(now)
                 self._perform(self._membership.advance(now))
             case BackendSeen(backend=backend, instance=instance):
                 self._backends_seen_at[backend.name] = now
--- a/persimmondock/_tasks/gate.py
+++ b/persimmondock/_tasks/gate.py
@@ -16,9 +16,11 @@
 from loguru import logger
 
 from persimmondock._adapters.backend_client import SLICE_HEADER, run_request
+from persimmondock._domain.floors import FloorClock
 from persimmondock._domain.mechanisms import Mechanism
 from persimmondock._domain.membership import Membership, SliceRef
 from persimmondock._domain.request_table import (
+    UNKNOWN_ISSUE,
     Known,
     RequestKey,
     RequestTable,
@@ -48,7 +50,8 @@
         self._retiring: set[asyncio.Task[None]] = set()
         self._in_flight: Counter[SliceRef] = Counter()
         self._service_in_flight: Counter[str] = Counter()
-        self._first_attempts: dict[RequestKey, asyncio.Future[Verdict]] = {}
+        self._first_attempts: dict[RequestKey, asyncio.Task[Verdict]] = {}
+        self._floor_clock = FloorClock()
         self.table = RequestTable()
 
     # Questions of the membership.
@@ -96,6 +99,11 @@
         for station in self._stations.values():
             await station.close()
 
+    def advance(self, now: float) -> None:
+        """Do what is due from time to time."""
+        self._floor_clock.note(self._membership.view.offset, now)
+        self.table.expire(int(time.time() * 1000))
+
     # Requests.
 
     async def submit(self, call: Call) -> Verdict:
@@ -123,36 +131,56 @@
     async def _run_once(self, call: Call, ref: SliceRef) -> Verdict:
         """Run a non-idempotent request unless an attempt with its identifier has run."""
         key = RequestKey(call.service, call.slice, call.request_id)
-        state = self._membership.view.services[call.service]
-        configuration = self._membership.view.configurations[call.service]
-        expires_at_ms = int(time.time() * 1000) + configuration.request_id_ms
+        configuration = self._membership.view.configurations.get(call.service)
+        if configuration is None:
+            return NotRun(Reason.NO_SUCH_SERVICE)
+        now_ms = int(time.time() * 1000)
         admission = self.table.admit(
             key,
-            _compute_fingerprint(call),
+            compute_fingerprint(call),
             call.issued_at,
-            int(state.floors[call.slice]),
-            expires_at_ms,
+            self._find_floor(call, configuration.request_id_ms),
+            now_ms + configuration.request_id_ms,
+            now_ms,
         )
         match admission:
             case Known(verdict=verdict):
                 return verdict
             case WaitForFirst():
-                return await asyncio.shield(self._first_attempts[key])
+                return await self._wait_for_first(self._first_attempts[key], call)
             case RunFirst():
                 task = asyncio.ensure_future(self._run_first(call, ref, key))
+                self._first_attempts[key] = task
                 return await asyncio.shield(task)
 
+    def _find_floor(self, call: Call, request_id_ms: int) -> int:
+        """Return the offset that an identifier must have been issued after, or -1.
+
+        Answers are kept for ``request_id_ms``, so a loss that has been known for that long no
+        longer matters to identifiers that do not say when they were issued.
+        """
+        floor = int(self._membership.view.services[call.service].floors[call.slice])
+        if floor < 0 or call.issued_at != UNKNOWN_ISSUE:
+            return floor
+        old = self._floor_clock.is_older(floor, request_id_ms / 1000, time.monotonic())
+        return -1 if old else floor
+
+    async def _wait_for_first(self, first: asyncio.Task[Verdict], call: Call) -> Verdict:
+        """Return the first attempt's verdict, or that it is not known by the deadline."""
+        remaining = max(0.0, call.deadline_ms / 1000 - time.time())
+        try:
+            return await asyncio.wait_for(asyncio.shield(first), remaining)
+        except TimeoutError:
+            return MayHaveRun(Reason.DEADLINE_PASSED)
+
     async def _run_first(self, call: Call, ref: SliceRef, key: RequestKey) -> Verdict:
         """Run the first attempt to its end, whether or not its caller waits."""
-        future: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
-        self._first_attempts[key] = future
         verdict: Verdict = MayHaveRun(Reason.CANCELLED)
         try:
             verdict = await self._run(call, ref)
         finally:
             self.table.end(key, verdict)
             del self._first_attempts[key]
-            future.set_result(verdict)
         return verdict
 
     async def _run(self, call: Call, ref: SliceRef) -> Verdict:
@@ -211,7 +239,7 @@
     return attrs.evolve(call, headers=(*call.headers, header))
 
 
-def _compute_fingerprint(call: Call) -> int:
+def compute_fingerprint(call: Call) -> int:
     """Return a hash of what makes two requests the same."""
     digest = xxhash.xxh3_64(f"{call.method} {call.path}".encode())
     digest.update(call.body)
--- /dev/null
+++ b/persimmondock/tests/test_request_table.py
@@ -0,0 +1,138 @@
+"""Tests of the request table and of the age of losses."""
+
+from __future__ import annotations
+
+import pytest
+
+from persimmondock._domain.floors import FloorClock
+from persimmondock._domain.request_table import (
+    MAX_HANDED_BYTES,
+    SPARE_EXPIRIES,
+    UNKNOWN_ISSUE,
+    Known,
+    RequestKey,
+    RequestTable,
+    RunFirst,
+    WaitForFirst,
+)
+from persimmondock._domain.verdict import Answer, Answered, MayHaveRun, NotRun, Reason
+
+KEEP_MS = 1_000
+NOT_KEPT = MayHaveRun(Reason.ANSWER_NOT_KEPT)
+
+
+def make_answer(size=10):
+    return Answered(Answer(200, (), b"x" * size))
+
+
+def make_key(name="a", index=0):
+    return RequestKey("painel", index, name)
+
+
+def admit(table, name="a", fingerprint=1, issued_at=UNKNOWN_ISSUE, floor=-1, now_ms=0):
+    return table.admit(make_key(name), fingerprint, issued_at, floor, now_ms + KEEP_MS, now_ms)
+
+
+@pytest.mark.parametrize(
+    ("verdict", "second"),
+    [
+        (make_answer(), Known(make_answer())),
+        (MayHaveRun(Reason.BACKEND_LOST), Known(MayHaveRun(Reason.BACKEND_LOST))),
+        (NotRun(Reason.OVERLOADED), RunFirst()),
+    ],
+)
+def test_a_later_attempt_gets_the_outcome_of_the_first(verdict, second) -> None:
+    table = RequestTable()
+    assert admit(table) == RunFirst()
+    assert admit(table) == WaitForFirst()
+    table.end(make_key(), verdict)
+    assert admit(table) == second
+
+
+@pytest.mark.parametrize("ended", [False, True])
+def test_an_identifier_names_one_request(ended) -> None:
+    table = RequestTable()
+    admit(table)
+    if ended:
+        table.end(make_key(), make_answer())
+    assert admit(table, fingerprint=2) == Known(NotRun(Reason.REQUEST_ID_REUSED))
+
+
+@pytest.mark.parametrize(
+    ("issued_at", "floor", "admitted"),
+    [(UNKNOWN_ISSUE, -1, True), (UNKNOWN_ISSUE, 5, False), (5, 5, False), (6, 5, True)],
+)
+def test_what_a_lost_owner_may_have_run_does_not_run_again(issued_at, floor, admitted) -> None:
+    admission = admit(RequestTable(), issued_at=issued_at, floor=floor)
+    refusal = Known(MayHaveRun(Reason.SENT_TO_LOST_OWNER))
+    assert admission == (RunFirst() if admitted else refusal)
+
+
+def test_entries_expire_unless_they_run() -> None:
+    table = RequestTable()
+    admit(table, "ended")
+    admit(table, "running")
+    table.end(make_key("ended"), make_answer())
+    table.expire(KEEP_MS - 1)
+    assert len(table) == 2
+    table.expire(KEEP_MS)
+    assert len(table) == 1
+    assert admit(table, "running", now_ms=KEEP_MS) == WaitForFirst()
+    table.end(make_key("running"), make_answer())
+    table.expire(10 * KEEP_MS)
+    assert (len(table), table.kept_bytes) == (0, 0)
+
+
+def test_a_full_table_refuses_new_requests_until_an_entry_expires() -> None:
+    table = RequestTable(max_entries=1)
+    admit(table)
+    table.end(make_key(), make_answer())
+    assert admit(table, "b", now_ms=400) == Known(NotRun(Reason.OVERLOADED, 600))
+    assert admit(table, "a", now_ms=400) == Known(make_answer())
+    assert admit(table, "b", now_ms=1_000) == RunFirst()
+
+
+def test_too_many_bytes_drop_the_oldest_answers_but_not_the_memory_of_them() -> None:
+    table = RequestTable(max_bytes=100)
+    for name in "abc":
+        admit(table, name)
+        table.end(make_key(name), make_answer(40))
+    assert table.kept_bytes == 80
+    assert [admit(table, name) for name in "abc"] == [
+        Known(NOT_KEPT),
+        Known(make_answer(40)),
+        Known(make_answer(40)),
+    ]
+
+
+def test_refused_requests_leave_nothing_behind() -> None:
+    table = RequestTable()
+    for number in range(5 * SPARE_EXPIRIES):
+        admit(table, str(number))
+        table.end(make_key(str(number)), NotRun(Reason.OVERLOADED))
+    assert len(table) == 0
+    assert len(table._expiries) <= SPARE_EXPIRIES + 3
+
+
+def test_ended_entries_are_handed_over_within_a_bound() -> None:
+    table, other = RequestTable(), RequestTable()
+    for name in ("big", "bigger", "running"):
+        admit(table, name)
+    table.end(make_key("big"), make_answer(MAX_HANDED_BYTES))
+    table.end(make_key("bigger"), make_answer(MAX_HANDED_BYTES))
+    other.adopt(table.collect("painel", 0))
+    other.adopt(table.collect("painel", 0))
+    assert len(other) == 2
+    assert admit(other, "big") == Known(make_answer(MAX_HANDED_BYTES))
+    assert admit(other, "bigger") == Known(NOT_KEPT)
+    assert table.collect("painel", 1) == ()
+
+
+def test_a_loss_ages_from_the_moment_it_was_known() -> None:
+    clock = FloorClock()
+    clock.note(10, 100.0)
+    clock.note(20, 200.0)
+    assert clock.is_older(9, 50.0, 150.0)
+    assert not clock.is_older(10, 50.0, 240.0)
+    assert clock.is_older(10, 50.0, 250.0)
+    assert not clock.is_older(20, 0.1, 999.0)
