--- /dev/null
+++ b/benchmarks/gate_scenarios.py
@@ -0,0 +1,255 @@
+"""Scenarios of the gate, each with its mechanism off and on in one run.
+
+Run one by name::
+
+    python -m benchmarks.gate_scenarios queue
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import os
+import signal
+import sys
+import time
+from functools import partial
+from typing import TYPE_CHECKING, TypeAlias
+
+import attrs
+
+from benchmarks.load import (
+    SLICES,
+    Load,
+    Stream,
+    count_false_refusals,
+    describe,
+    find_keys,
+    open_session,
+    put_in_force,
+)
+from persimmondock._domain.mechanisms import Mechanism
+from persimmondock.configuration import Configuration, Urgency
+from persimmondock.standins.checks import find_repeated_runs
+from persimmondock.standins.fleet import Fleet, VmPlan
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Sequence
+
+NETWORK = 31
+WITHOUT_VARIABLE = "PERSIMMONDOCK_GATE_WITHOUT"
+REQUEST_ID_MS = 6_000
+DOMAINS = ("recife", "fortaleza", "salvador")
+Scenario: TypeAlias = "Callable[[Load], Awaitable[None]]"
+
+
+def build_configuration() -> Configuration:
+    """Return one service with keys and one without."""
+    configuration = Configuration()
+    routes = [
+        {"suffix": "/audit", "urgency": Urgency.MAY_WAIT},
+        {"suffix": "/assign", "idempotent": False},
+    ]
+    configuration.add_service(
+        "painel",
+        path="/painel",
+        keyed=True,
+        slices=SLICES,
+        routes=routes,
+        request_id_ms=REQUEST_ID_MS,
+    )
+    configuration.add_service("recepcao", path="/recepcao", slices=SLICES, routes=routes)
+    return configuration
+
+
+def build_plans(count: int, **options: float) -> list[VmPlan]:
+    """Return VMs with backend servers of the service with keys, then of the other."""
+    return [
+        VmPlan(
+            number,
+            DOMAINS[number % 3],
+            "painel" if number <= count else "recepcao",
+            **options,  # type: ignore[arg-type]
+        )
+        for number in range(1, 2 * count + 1)
+    ]
+
+
+async def run_on_fleet(
+    plans: Sequence[VmPlan], without: Sequence[Mechanism], scenario: Scenario
+) -> None:
+    """Run a scenario on a fresh fleet with some mechanisms off."""
+    os.environ[WITHOUT_VARIABLE] = "[" + ", ".join(without) + "]"
+    fleet = Fleet(plans, network=NETWORK)
+    try:
+        await fleet.start()
+        await put_in_force(fleet, build_configuration())
+        await fleet.wait_until_placed(["painel", "recepcao"], list(fleet.plans))
+        async with open_session() as session:
+            load = Load(fleet, session, list(fleet.plans))
+            await scenario(load)
+    finally:
+        await fleet.stop()
+        del os.environ[WITHOUT_VARIABLE]
+
+
+def show_streams(load: Load, label: str, since: float = 0.0, until: float = math.inf) -> None:
+    """Print what the callers of each stream saw."""
+    samples = [sample for sample in load.samples if since <= sample.sent_at < until]
+    for name in dict.fromkeys(sample.stream for sample in samples):
+        chosen = [sample for sample in samples if sample.stream == name]
+        print(f"{label} stream={name} {describe(chosen)}", flush=True)
+    false = count_false_refusals(load.samples, load.fleet.read_journals())
+    print(f"{label} refused_as_not_run_but_ran={false}", flush=True)
+
+
+async def compare_queues() -> None:
+    """Offer a third more than the backend servers can do, half of it deferrable."""
+
+    async def measure(load: Load, label: str) -> None:
+        await load.send_streams([Stream("warm-up", "/painel/{key}/show", 100, 2.0)], 3.0)
+        load.samples.clear()
+        fast = Stream("fast", "/painel/{key}/show", 120, 1.0)
+        deferrable = Stream("deferrable", "/painel/{key}/audit", 120, 8.0)
+        await load.send_streams([fast, deferrable], 10.0)
+        show_streams(load, label)
+
+    plans = build_plans(3, slots=3, work_ms=50)
+    for label, without in (("queue=off", [Mechanism.QUEUE]), ("queue=on", [])):
+        await run_on_fleet(plans, without, partial(measure, label=label))
+
+
+async def show_backend(load: Load, label: str, number: int) -> None:
+    """Print what a backend server counted."""
+    url = f"http://{load.fleet.find_backend_address(number)}/control/journal"
+    async with load.fleet.session.get(url) as response:
+        state = await response.json()
+    del state["entries"]
+    print(f"{label} {state}", flush=True)
+
+
+async def compare_ramps() -> None:
+    """Start cold under load, turn cold without a word, and restart."""
+
+    async def measure(load: Load, label: str) -> None:
+        stream = Stream("fast", "/painel/{key}/show", 300, 1.0)
+        sending = asyncio.create_task(load.send_streams([stream], 14.0))
+        await asyncio.sleep(4.0)
+        await show_backend(load, f"{label} phase=cold_start", 1)
+        await load.fleet.set_backend_faults(1, turn_cold=True)
+        turned_at = time.time()
+        await asyncio.sleep(5.0)
+        await show_backend(load, f"{label} phase=turned_cold", 1)
+        load.fleet.signal_process("backend-1", signal.SIGKILL)
+        load.fleet.start_backend(1)
+        await sending
+        await show_backend(load, f"{label} phase=restarted", 1)
+        show_streams(load, label)
+        show_streams(load, f"{label} phase=turned_cold", turned_at, turned_at + 5.0)
+
+    plans = build_plans(3, slots=12, work_ms=50)
+    for label, without in (("ramp=off", [Mechanism.RAMP]), ("ramp=on", [])):
+        await run_on_fleet(plans, without, partial(measure, label=label))
+
+
+async def warm_up(load: Load) -> Stream:
+    """Make VM 1's backend server warm, gently, and return a stream of its keys."""
+    stream = Stream("fast", "/painel/{key}/show", 20, 1.0, await find_keys(load.fleet, 1))
+    await load.send_streams([stream], 3.0)
+    await load.send_streams([attrs.evolve(stream, rate=150)], 3.0)
+    load.samples.clear()
+    return stream
+
+
+async def compare_limits() -> None:
+    """Let one backend server shed above a third of the slots that it announced."""
+
+    async def measure(load: Load, label: str) -> None:
+        stream = await warm_up(load)
+        await load.fleet.set_backend_faults(1, usable_slots=4)
+        await load.send_streams([attrs.evolve(stream, name="shedding", rate=70)], 8.0)
+        await show_backend(load, label, 1)
+        show_streams(load, label)
+
+    plans = build_plans(3, slots=12, work_ms=50)
+    for label, without in (("limit=off", [Mechanism.LIMIT]), ("limit=on", [])):
+        await run_on_fleet(plans, without, partial(measure, label=label))
+
+
+async def compare_slowed() -> None:
+    """Slow one backend server with keys down by a factor for a while."""
+
+    async def measure(load: Load, label: str) -> None:
+        stream = await warm_up(load)
+        await load.fleet.set_backend_faults(1, slowness=4.0)
+        await load.send_streams([attrs.evolve(stream, name="slowed", rate=50)], 6.0)
+        await load.fleet.set_backend_faults(1, slowness=1.0)
+        await load.send_streams([attrs.evolve(stream, name="after", rate=50)], 4.0)
+        show_streams(load, label)
+
+    plans = build_plans(3, slots=12, work_ms=50)
+    everything = [Mechanism.QUEUE, Mechanism.LIMIT, Mechanism.RAMP]
+    for label, without in (
+        ("gate=off", everything),
+        ("gate=queue", [Mechanism.LIMIT, Mechanism.RAMP]),
+        ("gate=on", []),
+    ):
+        await run_on_fleet(plans, without, partial(measure, label=label))
+
+
+async def run_resends() -> None:
+    """Send each identifier through three daemons, lose a VM, and send new identifiers."""
+
+    async def send_thrice(load: Load, stream: Stream, number: int) -> None:
+        headers = {"Idempotency-Key": f"resend-{number}"}
+        path = f"/painel/key-{number % 200}/assign"
+        stream = attrs.evolve(stream, path=path)
+        first = asyncio.create_task(load.send(stream, headers, counted=False))
+        await asyncio.sleep(0.01)
+        later = [load.send(stream, headers, counted=False) for _ in range(2)]
+        if number % 2:
+            first.cancel()
+        await asyncio.gather(first, *later, return_exceptions=True)
+
+    async def measure(load: Load) -> None:
+        stream = Stream("resent", "", 0, 1.0)
+        for start in range(0, 600, 20):
+            calls = [send_thrice(load, stream, start + index) for index in range(20)]
+            await asyncio.gather(*calls)
+        show_streams(load, "resends")
+        repeated = find_repeated_runs(load.fleet.read_journals())
+        print(f"resends ran_twice={len(repeated)}", flush=True)
+        load.samples.clear()
+        keys = await find_keys(load.fleet, 1)
+        load.fleet.kill_vm(1)
+        load.numbers = [number for number in load.numbers if number != 1]
+        killed_at = time.time()
+        while time.time() < killed_at + 12.0:
+            stream = Stream("after loss", "/painel/{key}/assign", 0, 0.5, keys)
+            await load.send(stream, {"Idempotency-Key": f"new-{time.time()}"})
+            await asyncio.sleep(0.05)
+        answered = [s.sent_at - killed_at for s in load.samples if s.verdict == "answered"]
+        print(f"loss first_answer_s={min(answered):.2f}", flush=True)
+        show_streams(load, "loss")
+
+    await run_on_fleet(build_plans(3, slots=12, work_ms=50), [], measure)
+
+
+SCENARIOS: dict[str, Callable[[], Awaitable[None]]] = {
+    "queue": compare_queues,
+    "ramp": compare_ramps,
+    "limit": compare_limits,
+    "slowed": compare_slowed,
+    "resends": run_resends,
+}
+
+
+async def main(names: Sequence[str]) -> None:
+    """Run the named scenarios, or all."""
+    for name in names or SCENARIOS:
+        print(f"scenario={name}", flush=True)
+        await SCENARIOS[name]()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(sys.argv[1:]))
--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -60,9 +60,16 @@
 
 @attrs.frozen
 class BackendSeen:
-    """A backend server announced itself to this daemon."""
+    """A backend server announced itself to this daemon.
+
+    Parameters
+    ----------
+    instance
+        Changes when the backend server is restarted; empty when it does not say.
+    """
 
     backend: Backend
+    instance: str = ""
 
 
 @attrs.frozen
@@ -138,14 +145,15 @@
                 self._receive(message, address, now)
             case Tick():
                 self._withdraw_silent_backends(now)
+                self._gate.advance(now)
                 self._perform(self._membership.advance(now))
                 self._write_snapshot_if_due(now)
                 self._transfer.advance(now)
                 if self._membership.needs_log(now) or self._spreader.needs_log(now):
                     self._follower.read_now()
-            case BackendSeen(backend=backend):
+            case BackendSeen(backend=backend, instance=instance):
                 self._backends_seen_at[backend.name] = now
-                self._gate.open_station(backend)
+                self._gate.open_station(backend, instance)
                 self._perform(self._membership.announce_backend(backend, now))
             case LeaveAsked():
                 self._perform(self._membership.start_leaving(now))
@@ -222,6 +230,7 @@
             if now - seen_at > BACKEND_SILENCE_S:
                 logger.warning("event=backend_silent backend={}", name)
                 del self._backends_seen_at[name]
+                self._gate.close_station(name)
                 self._perform(self._membership.withdraw_backend(name, now))
 
     def _perform(self, effects: list[Effect]) -> None:
