--- a/persimmondock/standins/backend_server.py
+++ b/persimmondock/standins/backend_server.py
@@ -258,7 +258,7 @@
 
     def _write(self, event: dict[str, Any]) -> None:
         if self._file is not None:
-            self._file.write(json.dumps(event) + "\n")
+            self._file.write(json.dumps({**event, "instance": self.instance}) + "\n")
 
     def _compute_work(self, request: web.Request) -> float:
         """Return the seconds that a request takes; more while cold and overloaded."""
--- a/persimmondock/standins/fleet.py
+++ b/persimmondock/standins/fleet.py
@@ -305,18 +305,25 @@
 
 
 def read_journal(backend: str, path: Path) -> list[JournalRun]:
-    """Read a journal file; a run without an end was cut when the backend server was lost."""
-    open_runs: dict[int, dict[str, Any]] = {}
-    runs = []
-    last_at = 0.0
+    """Read a journal file; a run without an end was cut when its process was lost."""
+    by_instance: dict[str, list[dict[str, Any]]] = {}
     for line in path.read_text(encoding="utf-8").splitlines():
         event = json.loads(line)
-        last_at = event["at"]
+        by_instance.setdefault(event["instance"], []).append(event)
+    return [run for events in by_instance.values() for run in _read_instance(backend, events)]
+
+
+def _read_instance(backend: str, events: list[dict[str, Any]]) -> list[JournalRun]:
+    """Return the runs of one process; it numbers them from 1."""
+    open_runs: dict[int, dict[str, Any]] = {}
+    runs = []
+    for event in events:
         if event["event"] == "start":
             open_runs[event["run"]] = event
         else:
             started = open_runs.pop(event["run"])
             runs.append(_build_run(backend, started, event["at"], event["completed"]))
+    last_at = events[-1]["at"]
     runs += [_build_run(backend, started, last_at, False) for started in open_runs.values()]
     return runs
 
