Hold a request that kills backend servers to two of them

Cause: a request that crashes its backend server was sent to the next one as often as its caller, or the front's retries, sent it.

Change: what a backend server had when it died is suspected by a hash of method, path and body, and told to all daemons. A suspect is tried once more, alone on its backend server; where any backend server could run it, only the owner of the slice of its hash may. Environment variables can give settings that are lists.

--- a/benchmarks/gate_scenarios.py
+++ b/benchmarks/gate_scenarios.py
@@ -39,6 +39,7 @@
 NETWORK = 31
 WITHOUT_VARIABLE = "PERSIMMONDOCK_GATE_WITHOUT"
 REQUEST_ID_MS = 6_000
+EXIT_POLL_S = 0.01
 DOMAINS = ("recife", "fortaleza", "salvador")
 Scenario: TypeAlias = "Callable[[Load], Awaitable[None]]"
 
@@ -79,7 +80,7 @@
     plans: Sequence[VmPlan], without: Sequence[Mechanism], scenario: Scenario
 ) -> None:
     """Run a scenario on a fresh fleet with some mechanisms off."""
-    os.environ[WITHOUT_VARIABLE] = "[" + ", ".join(without) + "]"
+    os.environ[WITHOUT_VARIABLE] = ",".join(without)
     fleet = Fleet(plans, network=NETWORK)
     try:
         await fleet.start()
@@ -235,12 +236,49 @@
     await run_on_fleet(build_plans(3, slots=12, work_ms=50), [], measure)
 
 
+async def restart_dead_backends(fleet: Fleet, kills: list[float]) -> None:
+    """Start backend servers again after they died, and note when they did."""
+    while True:
+        for number in fleet.plans:
+            if await fleet.wait_for_exit(f"backend-{number}", EXIT_POLL_S) is not None:
+                kills.append(time.time())
+                fleet.start_backend(number)
+
+
+async def compare_poison() -> None:
+    """Send a request that kills backend servers through all daemons while others work."""
+
+    async def measure(load: Load, label: str) -> None:
+        await load.send_streams([Stream("warm-up", "/painel/{key}/show", 60, 1.0)], 4.0)
+        load.samples.clear()
+        for path in ("/painel/key-7/poison", "/recepcao/key-7/poison"):
+            kills: list[float] = []
+            supervisor = asyncio.create_task(restart_dead_backends(load.fleet, kills))
+            poison = Stream(f"poison {path}", path, 10, 2.0)
+            others = [
+                Stream(f"beside {path}", "/painel/{key}/show", 60, 3.0),
+                Stream(f"beside {path}", "/recepcao/{key}/show", 60, 3.0),
+            ]
+            await asyncio.gather(
+                load.send_streams([poison], 12.0, {"Standin-Poison": "1"}, counted=False),
+                load.send_streams(others, 13.0),
+            )
+            supervisor.cancel()
+            print(f"{label} path={path} kills={len(kills)}", flush=True)
+        show_streams(load, label)
+
+    plans = build_plans(3, slots=12, work_ms=50)
+    for label, without in (("poison=off", [Mechanism.POISON]), ("poison=on", [])):
+        await run_on_fleet(plans, without, partial(measure, label=label))
+
+
 SCENARIOS: dict[str, Callable[[], Awaitable[None]]] = {
     "queue": compare_queues,
     "ramp": compare_ramps,
     "limit": compare_limits,
     "slowed": compare_slowed,
     "resends": run_resends,
+    "poison": compare_poison,
 }
 
 
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -78,17 +78,25 @@
     _random: random.Random = attrs.field(factory=lambda: random.Random(7))
     _sent: int = 0
 
-    async def send_streams(self, streams: Iterable[Stream], seconds: float) -> None:
+    async def send_streams(
+        self,
+        streams: Iterable[Stream],
+        seconds: float,
+        headers: dict[str, str] | None = None,
+        counted: bool = True,
+    ) -> None:
         """Send all streams for a time and wait for every answer."""
-        await asyncio.gather(*(self._send_stream(stream, seconds) for stream in streams))
+        await asyncio.gather(*(self._send_stream(s, seconds, headers, counted) for s in streams))
 
-    async def _send_stream(self, stream: Stream, seconds: float) -> None:
+    async def _send_stream(
+        self, stream: Stream, seconds: float, headers: dict[str, str] | None, counted: bool
+    ) -> None:
         start = time.monotonic()
         calls = []
         for index in range(int(stream.rate * seconds)):
             due = start + index / stream.rate
             await asyncio.sleep(max(0.0, due - time.monotonic()))
-            calls.append(asyncio.create_task(self.send(stream)))
+            calls.append(asyncio.create_task(self.send(stream, headers, counted)))
         await asyncio.gather(*calls)
 
     async def send(
--- a/persimmondock/_domain/queues.py
+++ b/persimmondock/_domain/queues.py
@@ -108,6 +108,13 @@
         queue = self._choose_next()
         return queue.popleft() if queue else None
 
+    def peek(self) -> Waiting | None:
+        """Return the request that `take` would return."""
+        starts = self._fast_starts
+        queue = self._choose_next()
+        self._fast_starts = starts
+        return queue[0] if queue else None
+
     def remove(self, number: int) -> None:
         """Drop a request whose caller has gone."""
         for queue in (self._fast, self._deferrable):
--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -18,6 +18,7 @@
     RecordsAsked,
     RecordsGiven,
     Released,
+    SuspectSeen,
     ViewAsked,
     ViewGiven,
 )
@@ -28,6 +29,7 @@
 from persimmondock._tasks.recovery import ViewFound, decode_entries
 from persimmondock._tasks.spreader import Spreader
 from persimmondock._tasks.view_transfer import ViewTransfer
+from persimmondock._tasks.warner import Warner
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -105,6 +107,7 @@
         self._transfer = ViewTransfer(membership, peers, self._send)
         self._spreader = Spreader(membership, self._send)
         follower.reads_log = self._spreader.reads_log
+        self._warner = Warner(membership, gate, self._send)
         self._encoding: set[asyncio.Task[None]] = set()
         self.report_failure: Callable[[Exception], None] = _raise_failure
         reactivex.merge(self.inbox, follower.events).subscribe(self._take)
@@ -146,6 +149,7 @@
             case Tick():
                 self._withdraw_silent_backends(now)
                 self._gate.advance(now)
+                self._warner.advance()
                 self._perform(self._membership.advance(now))
                 self._write_snapshot_if_due(now)
                 self._transfer.advance(now)
@@ -210,6 +214,8 @@
                 view = self._transfer.take(message, address)
                 if view is not None:
                     self._adopt_view(view, now)
+            case SuspectSeen():
+                self._gate.learn_suspect(message)
             case _:
                 if isinstance(message, Released):
                     self._gate.table.adopt(message.kept)
--- a/persimmondock/_tasks/front.py
+++ b/persimmondock/_tasks/front.py
@@ -153,6 +153,7 @@
             await asyncio.sleep(RETRY_GAP_S)
 
     async def _try_once(self, call: Call) -> Verdict:
+        call = self._gate.pin_suspect(call)
         placed = self._choose_backend(call)
         if placed is None:
             return NotRun(Reason.NO_OWNER, NO_OWNER_RETRY_MS)
--- a/persimmondock/_tasks/gate.py
+++ b/persimmondock/_tasks/gate.py
@@ -19,6 +19,7 @@
 from persimmondock._domain.floors import FloorClock
 from persimmondock._domain.mechanisms import Mechanism
 from persimmondock._domain.membership import Membership, SliceRef
+from persimmondock._domain.poison import Handling, RequestPrint, SuspectBook
 from persimmondock._domain.request_table import (
     UNKNOWN_ISSUE,
     Known,
@@ -27,11 +28,14 @@
     RunFirst,
     WaitForFirst,
 )
-from persimmondock._domain.verdict import Header, MayHaveRun, NotRun, Reason, Verdict
-from persimmondock._tasks.station import Station, StationState
+from persimmondock._domain.slices import find_slice
+from persimmondock._domain.verdict import Answered, Header, MayHaveRun, NotRun, Reason, Verdict
+from persimmondock._tasks.station import Place, Station, StationState
 
 if TYPE_CHECKING:
-    from persimmondock._domain.messages import Call, KeptAnswer
+    from collections.abc import Callable
+
+    from persimmondock._domain.messages import Call, KeptAnswer, SuspectSeen
     from persimmondock._domain.records import Backend
 
 ANY_SLICE = -1
@@ -52,7 +56,9 @@
         self._service_in_flight: Counter[str] = Counter()
         self._first_attempts: dict[RequestKey, asyncio.Task[Verdict]] = {}
         self._floor_clock = FloorClock()
+        self._spread: Callable[[SuspectSeen], None] = lambda _: None
         self.table = RequestTable()
+        self.suspects = SuspectBook()
 
     # Questions of the membership.
 
@@ -102,7 +108,9 @@
     def advance(self, now: float) -> None:
         """Do what is due from time to time."""
         self._floor_clock.note(self._membership.view.offset, now)
-        self.table.expire(int(time.time() * 1000))
+        now_ms = int(time.time() * 1000)
+        self.table.expire(now_ms)
+        self.suspects.forget(now_ms)
 
     # Requests.
 
@@ -187,16 +195,95 @@
         station = self._stations.get(call.backend)
         if station is None:
             return NotRun(Reason.BACKEND_UNREACHABLE, UNREACHABLE_RETRY_MS)
-        place = await station.enter(call)
-        if isinstance(place, NotRun):
-            return place
+        while True:
+            handling = self._judge(call)
+            refusal = self._refuse_suspect(call, handling)
+            if refusal is not None:
+                return refusal
+            place = await station.enter(call, handling is Handling.ALONE)
+            if isinstance(place, NotRun):
+                return place
+            if self._judge(call) is handling:
+                return await self._run_in_place(call, ref, station, place, handling)
+            station.leave(place, NotRun(Reason.SUSPECTED_POISON))
+
+    async def _run_in_place(
+        self, call: Call, ref: SliceRef, station: Station, place: Place, handling: Handling
+    ) -> Verdict:
         verdict: Verdict = MayHaveRun(Reason.CANCELLED)
+        station.sent[place.number] = call
         try:
             verdict = await self._dispatch(call, ref, station)
         finally:
+            self._note_outcome(station, place, handling, verdict)
+            station.sent.pop(place.number, None)
             station.leave(place, verdict)
         return verdict
 
+    # Requests that may kill backend servers.
+
+    def attach(self, spread: Callable[[SuspectSeen], None]) -> None:
+        """Tell other daemons of suspects through a function."""
+        self._spread = spread
+
+    def learn_suspect(self, seen: SuspectSeen) -> None:
+        """Take over what another daemon saw of a suspect."""
+        self.suspects.learn(seen, int(time.time() * 1000))
+
+    def pin_suspect(self, call: Call) -> Call:
+        """Return a call with a slice if it is a suspect that any gate could run.
+
+        The owner of the slice of its fingerprint alone may try it, so that it is never on two
+        backend servers at a time.
+        """
+        configuration = self._membership.view.configurations.get(call.service)
+        if call.slice != ANY_SLICE or configuration is None:
+            return call
+        if self._judge(call) is Handling.FREE:
+            return call
+        index = find_slice(str(compute_fingerprint(call)), configuration.slices)
+        return attrs.evolve(call, slice=index)
+
+    def _judge(self, call: Call) -> Handling:
+        if not self.suspects or Mechanism.POISON in self._without:
+            return Handling.FREE
+        return self.suspects.judge(_identify(call), int(time.time() * 1000))
+
+    def _refuse_suspect(self, call: Call, handling: Handling) -> NotRun | None:
+        match handling:
+            case Handling.REFUSED:
+                until_ms = self.suspects.find_end_ms(_identify(call))
+                return NotRun(Reason.SUSPECTED_POISON, until_ms - int(time.time() * 1000))
+            case Handling.ALONE if call.slice == ANY_SLICE:
+                return NotRun(Reason.NOT_OWNER, NOT_OWNER_RETRY_MS)
+            case _:
+                return None
+
+    def _note_outcome(
+        self, station: Station, place: Place, handling: Handling, verdict: Verdict
+    ) -> None:
+        """Suspect what ran when a backend server died; clear a suspect that survived alone."""
+        if Mechanism.POISON in self._without:
+            return
+        now_ms = int(time.time() * 1000)
+        seen: list[SuspectSeen] = []
+        match verdict:
+            case MayHaveRun(reason=Reason.BACKEND_LOST | Reason.ANSWER_TRUNCATED):
+                if place.number in station.sent:
+                    running = [_identify(call) for call in station.sent.values()]
+                    station.sent.clear()
+                    seen = self.suspects.note_crash(running, now_ms)
+            case Answered() if handling is Handling.ALONE:
+                seen = self.suspects.note_survived(_identify(station.sent[place.number]), now_ms)
+        for item in seen:
+            logger.warning(
+                "event=suspect_seen service={} fingerprint={:x} kills={}",
+                item.service,
+                item.fingerprint,
+                item.kills,
+            )
+            self._spread(item)
+
     async def _dispatch(self, call: Call, ref: SliceRef, station: Station) -> Verdict:
         """Check everything a last time and send; nothing is awaited between the two."""
         now = time.monotonic()
@@ -239,6 +326,10 @@
     return attrs.evolve(call, headers=(*call.headers, header))
 
 
+def _identify(call: Call) -> RequestPrint:
+    return RequestPrint(call.service, compute_fingerprint(call))
+
+
 def compute_fingerprint(call: Call) -> int:
     """Return a hash of what makes two requests the same."""
     digest = xxhash.xxh3_64(f"{call.method} {call.path}".encode())
--- a/persimmondock/_tasks/station.py
+++ b/persimmondock/_tasks/station.py
@@ -66,21 +66,29 @@
         self.queue = WorkQueue(enabled=Mechanism.QUEUE not in without)
         self.session = _open_session(backend)
         self.retired = False
+        self.sent: dict[int, Call] = {}
+        self._alone: int | None = None
         self._number = 0
         self._waiters: dict[int, _Waiter] = {}
         self._watcher: asyncio.Task[None] | None = None
 
-    async def enter(self, call: Call) -> Place | NotRun:
-        """Wait for a place, or return why there will be none."""
+    async def enter(self, call: Call, alone: bool = False) -> Place | NotRun:
+        """Wait for a place, or return why there will be none.
+
+        Parameters
+        ----------
+        alone
+            Whether nothing else may run at the same time.
+        """
         if self.retired:
             return NotRun(Reason.BACKEND_UNREACHABLE, RETIRED_RETRY_MS)
         now = time.monotonic()
         self._number += 1
         number = self._number
-        if self.capacity.has_room() and not self.queue:
-            return self._start(number, call, now)
         deadline = now + call.deadline_ms / 1000 - time.time()
-        waiting = Waiting(number, call.may_wait, deadline)
+        waiting = Waiting(number, call.may_wait, deadline, alone)
+        if not self.queue and self._has_room(waiting):
+            return self._start(waiting, call, now)
         refusal = self.queue.offer(waiting, self.capacity.compute_pace(now), now)
         if refusal is not None:
             return refusal
@@ -93,6 +101,8 @@
         """Give a place back."""
         now = time.monotonic()
         self.capacity.finish(place.number, verdict, now)
+        if self._alone == place.number:
+            self._alone = None
         self._pump(now)
 
     def describe(self) -> StationState:
@@ -142,19 +152,25 @@
         if self.queue:
             for shed in self.queue.shed(self.capacity.compute_pace(now), now):
                 self._refuse(shed.number, shed.refusal)
-        while self.queue and self.capacity.has_room():
+        while (first := self.queue.peek()) is not None and self._has_room(first):
             item = self.queue.take()
-            if item is None:
-                break
+            assert item is not None
             waiter = self._waiters.pop(item.number)
-            place = self._start(item.number, waiter.call, now)
-            waiter.future.set_result(place)
-
-    def _start(self, number: int, call: Call, now: float) -> Place:
-        self.capacity.start(number, WorkKind(call.may_wait, call.idempotent), now)
+            waiter.future.set_result(self._start(item, waiter.call, now))
+
+    def _has_room(self, item: Waiting) -> bool:
+        """Return whether a request may start now."""
+        if self._alone is not None or (item.alone and self.capacity.running):
+            return False
+        return self.capacity.has_room()
+
+    def _start(self, item: Waiting, call: Call, now: float) -> Place:
+        self.capacity.start(item.number, WorkKind(call.may_wait, call.idempotent), now)
+        if item.alone:
+            self._alone = item.number
         if self._watcher is None or self._watcher.done():
             self._watcher = asyncio.create_task(self._watch())
-        return Place(number)
+        return Place(item.number)
 
     def _refuse(self, number: int, refusal: NotRun) -> None:
         waiter = self._waiters.pop(number)
--- a/persimmondock/settings.py
+++ b/persimmondock/settings.py
@@ -40,6 +40,7 @@
 MAX_PORT = 65535
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 TEXT_TAG = "tag:yaml.org,2002:str"
+LIST_TAG = "tag:yaml.org,2002:seq"
 NUMBER_TAG = "tag:yaml.org,2002:float"
 
 
@@ -199,12 +200,19 @@
         replaced.add(field.name)
         kept = [(key, value) for key, value in node.value if key.value != field.name]
         key = yaml.ScalarNode(TEXT_TAG, field.name, node.start_mark, node.end_mark)
-        tag = TEXT_TAG if hints[field.name] is str else NUMBER_TAG
-        value = yaml.ScalarNode(tag, text, node.start_mark, node.end_mark)
-        node.value = [*kept, (key, value)]
+        node.value = [*kept, (key, _make_value(text, hints[field.name], node))]
     return replaced
 
 
+def _make_value(text: str, hint: Any, near: yaml.Node) -> yaml.Node:
+    """Return the text of an environment variable as an entry; commas separate a list's items."""
+    marks = (near.start_mark, near.end_mark)
+    if typing.get_origin(hint) is tuple:
+        items = [yaml.ScalarNode(TEXT_TAG, item, *marks) for item in text.split(",") if item]
+        return yaml.SequenceNode(LIST_TAG, items, *marks)
+    return yaml.ScalarNode(TEXT_TAG if hint is str else NUMBER_TAG, text, *marks)
+
+
 def _name_variable(mistake: Mistake, replaced: set[str]) -> Mistake:
     """Name the environment variable, not the line, of a mistake that came from one."""
     if mistake.place not in replaced:
--- a/persimmondock/tests/test_settings.py
+++ b/persimmondock/tests/test_settings.py
@@ -27,6 +27,15 @@
     assert parse_settings(without_log, "vm.yaml", {"PERSIMMONDOCK_LOG": "a:1"}).log == "a:1"
 
 
+@pytest.mark.parametrize(
+    ("text", "peers"),
+    [("", ()), ("10.0.0.2:8102", ("10.0.0.2:8102",)), ("a:1,b:2", ("a:1", "b:2"))],
+)
+def test_environment_gives_lists(text, peers):
+    """Commas separate the items of a list."""
+    assert parse_settings(FIVE_LINES, "vm.yaml", {"PERSIMMONDOCK_PEERS": text}).peers == peers
+
+
 @pytest.mark.parametrize(
     ("text", "message"),
     [
