Send each request once, whole, and only while it may be sent

Cause: the HTTP library sends GET, PUT and DELETE again when a kept connection ends; callers could set the token, slice and deadline fields; an answer without a length could be cut unnoticed; a process paused while it connected sent after its lease; a slice that went away and came back could run a waiting request that another owner had run meanwhile.

Change: no second send; the gate's fields are its own; an answer of unknown length is truncated; the instant is checked again between having a connection and sending; a request is bound to the fencing token it was admitted under, and a verdict handed over meanwhile counts. Gates of draining or leaving backend servers refuse requests without keys.

--- a/persimmondock/_domain/request_table.py
+++ b/persimmondock/_domain/request_table.py
@@ -91,6 +91,7 @@
     _by_slice: dict[_SliceKey, dict[str, None]] = attrs.field(factory=dict)
     _expiries: list[tuple[int, int, RequestKey]] = attrs.field(factory=list)
     _answers: dict[RequestKey, None] = attrs.field(factory=dict)
+    _handed: dict[RequestKey, Verdict] = attrs.field(factory=dict)
     _added: int = 0
 
     def __len__(self) -> int:
@@ -135,7 +136,10 @@
 
     def end(self, key: RequestKey, verdict: Verdict) -> None:
         """Note how the first attempt ended; one that has not run leaves no trace."""
+        handed = self._handed.pop(key, None)
         match verdict:
+            case NotRun() if handed is not None:
+                self._keep(key, self._entries[key], handed)
             case NotRun():
                 self._drop(key)
             case _:
@@ -177,10 +181,17 @@
         return tuple(kept)
 
     def adopt(self, kept: Iterable[KeptAnswer]) -> None:
-        """Take over entries of an earlier owner, also beyond the bound on entries."""
+        """Take over entries of an earlier owner, also beyond the bound on entries.
+
+        Where an attempt has been admitted here but not sent before the slice went away, the
+        earlier owner's verdict counts once that attempt has been refused.
+        """
         for item in kept:
             key = RequestKey(item.service, item.slice, item.request_id)
-            if key not in self._entries:
+            present = self._entries.get(key)
+            if present is not None and present.verdict is None:
+                self._handed[key] = item.verdict
+            elif present is None:
                 entry = _Entry(item.fingerprint, None, item.expires_at_ms)
                 self._add(key, entry)
                 self._keep(key, entry, item.verdict)
--- a/persimmondock/_domain/verdict.py
+++ b/persimmondock/_domain/verdict.py
@@ -34,6 +34,7 @@
     BACKEND_UNREACHABLE = "backend_unreachable"
     BACKEND_LOST = "backend_lost"
     ANSWER_TRUNCATED = "answer_truncated"
+    ANSWER_INVALID = "answer_invalid"
     ANSWER_TOO_LARGE = "answer_too_large"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_SILENT = "peer_silent"
--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -215,7 +215,7 @@
                 if view is not None:
                     self._adopt_view(view, now)
             case SuspectSeen():
-                self._gate.learn_suspect(message)
+                self._gate.suspects.learn(message)
             case _:
                 if isinstance(message, Released):
                     self._gate.table.adopt(message.kept)
--- a/persimmondock/_tasks/gate.py
+++ b/persimmondock/_tasks/gate.py
@@ -11,15 +11,13 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-import attrs
-import xxhash
 from loguru import logger
 
-from persimmondock._adapters.backend_client import SLICE_HEADER, run_request
+from persimmondock._adapters.backend_client import run_request
 from persimmondock._domain.floors import FloorClock
 from persimmondock._domain.mechanisms import Mechanism
 from persimmondock._domain.membership import Membership, SliceRef
-from persimmondock._domain.poison import Handling, RequestPrint, SuspectBook
+from persimmondock._domain.poison import Handling
 from persimmondock._domain.request_table import (
     UNKNOWN_ISSUE,
     Known,
@@ -28,17 +26,17 @@
     RunFirst,
     WaitForFirst,
 )
-from persimmondock._domain.slices import find_slice
-from persimmondock._domain.verdict import Answered, Header, MayHaveRun, NotRun, Reason, Verdict
+from persimmondock._domain.verdict import MayHaveRun, NotRun, Reason, Verdict
 from persimmondock._tasks.station import Place, Station, StationState
+from persimmondock._tasks.suspects import Suspects, compute_fingerprint
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from persimmondock._domain.messages import Call, KeptAnswer, SuspectSeen
+    from persimmondock._domain.messages import Call, KeptAnswer
     from persimmondock._domain.records import Backend
 
 ANY_SLICE = -1
+NO_TOKEN = -1
+DRAINING_RETRY_MS = 200
 NOT_OWNER_RETRY_MS = 200
 UNREACHABLE_RETRY_MS = 200
 WAIT_FOR_HANDOVER_S = 0.02
@@ -56,9 +54,8 @@
         self._service_in_flight: Counter[str] = Counter()
         self._first_attempts: dict[RequestKey, asyncio.Task[Verdict]] = {}
         self._floor_clock = FloorClock()
-        self._spread: Callable[[SuspectSeen], None] = lambda _: None
         self.table = RequestTable()
-        self.suspects = SuspectBook()
+        self.suspects = Suspects(enabled=Mechanism.POISON not in without)
 
     # Questions of the membership.
 
@@ -83,6 +80,8 @@
         present = self._stations.get(backend.name)
         if present is not None and (present.backend, present.instance) == (backend, instance):
             return
+        if present is not None and present.instance != instance:
+            self.suspects.note_restart(present)
         self.close_station(backend.name)
         self._stations[backend.name] = Station(backend, instance, self._without)
 
@@ -110,7 +109,12 @@
         self._floor_clock.note(self._membership.view.offset, now)
         now_ms = int(time.time() * 1000)
         self.table.expire(now_ms)
-        self.suspects.forget(now_ms)
+        self.suspects.book.forget(now_ms)
+
+    def pin_suspect(self, call: Call) -> Call:
+        """Return a call with the slice of the only gate that may try it, if it is a suspect."""
+        configuration = self._membership.view.configurations.get(call.service)
+        return call if configuration is None else self.suspects.pin(call, configuration.slices)
 
     # Requests.
 
@@ -121,9 +125,16 @@
             refusal = await self._wait_for_slice(ref, call)
             if refusal is not None:
                 return refusal
+        token = self._find_token(ref)
         if call.idempotent:
-            return await self._run(call, ref)
-        return await self._run_once(call, ref)
+            return await self._run(call, ref, token)
+        return await self._run_once(call, ref, token)
+
+    def _find_token(self, ref: SliceRef) -> int:
+        """Return the fencing token of a slice, or -1 where none is owned."""
+        if ref.index == ANY_SLICE:
+            return NO_TOKEN
+        return int(self._membership.view.services[ref.service].tokens[ref.index])
 
     async def _wait_for_slice(self, ref: SliceRef, call: Call) -> NotRun | None:
         """Wait while earlier owners release the slice; refuse if it belongs to another."""
@@ -136,7 +147,7 @@
                 return NotRun(Reason.HANDOVER_PENDING, NOT_OWNER_RETRY_MS)
             await asyncio.sleep(WAIT_FOR_HANDOVER_S)
 
-    async def _run_once(self, call: Call, ref: SliceRef) -> Verdict:
+    async def _run_once(self, call: Call, ref: SliceRef, token: int) -> Verdict:
         """Run a non-idempotent request unless an attempt with its identifier has run."""
         key = RequestKey(call.service, call.slice, call.request_id)
         configuration = self._membership.view.configurations.get(call.service)
@@ -157,7 +168,7 @@
             case WaitForFirst():
                 return await self._wait_for_first(self._first_attempts[key], call)
             case RunFirst():
-                task = asyncio.ensure_future(self._run_first(call, ref, key))
+                task = asyncio.ensure_future(self._run_first(call, ref, token, key))
                 self._first_attempts[key] = task
                 return await asyncio.shield(task)
 
@@ -181,123 +192,91 @@
         except TimeoutError:
             return MayHaveRun(Reason.DEADLINE_PASSED)
 
-    async def _run_first(self, call: Call, ref: SliceRef, key: RequestKey) -> Verdict:
+    async def _run_first(self, call: Call, ref: SliceRef, token: int, key: RequestKey) -> Verdict:
         """Run the first attempt to its end, whether or not its caller waits."""
         verdict: Verdict = MayHaveRun(Reason.CANCELLED)
         try:
-            verdict = await self._run(call, ref)
+            verdict = await self._run(call, ref, token)
         finally:
             self.table.end(key, verdict)
             del self._first_attempts[key]
         return verdict
 
-    async def _run(self, call: Call, ref: SliceRef) -> Verdict:
+    async def _run(self, call: Call, ref: SliceRef, token: int) -> Verdict:
         station = self._stations.get(call.backend)
         if station is None:
             return NotRun(Reason.BACKEND_UNREACHABLE, UNREACHABLE_RETRY_MS)
         while True:
-            handling = self._judge(call)
-            refusal = self._refuse_suspect(call, handling)
+            refusal = self._find_refusal(call, ref, token, time.monotonic())
+            if refusal is not None:
+                return refusal
+            handling = self.suspects.judge(call)
+            refusal = self.suspects.refuse(call, handling)
             if refusal is not None:
                 return refusal
             place = await station.enter(call, handling is Handling.ALONE)
             if isinstance(place, NotRun):
                 return place
-            if self._judge(call) is handling:
-                return await self._run_in_place(call, ref, station, place, handling)
+            if self.suspects.judge(call) is handling:
+                return await self._run_in_place(call, ref, token, station, place, handling)
             station.leave(place, NotRun(Reason.SUSPECTED_POISON))
 
     async def _run_in_place(
-        self, call: Call, ref: SliceRef, station: Station, place: Place, handling: Handling
+        self,
+        call: Call,
+        ref: SliceRef,
+        token: int,
+        station: Station,
+        place: Place,
+        handling: Handling,
     ) -> Verdict:
         verdict: Verdict = MayHaveRun(Reason.CANCELLED)
         station.sent[place.number] = call
         try:
-            verdict = await self._dispatch(call, ref, station)
+            verdict = await self._dispatch(call, ref, token, station)
         finally:
-            self._note_outcome(station, place, handling, verdict)
-            station.sent.pop(place.number, None)
+            self.suspects.note_outcome(station, place, handling, verdict)
             station.leave(place, verdict)
         return verdict
 
-    # Requests that may kill backend servers.
-
-    def attach(self, spread: Callable[[SuspectSeen], None]) -> None:
-        """Tell other daemons of suspects through a function."""
-        self._spread = spread
+    def _find_refusal(self, call: Call, ref: SliceRef, token: int, now: float) -> NotRun | None:
+        """Return why a request may not be sent at this moment.
 
-    def learn_suspect(self, seen: SuspectSeen) -> None:
-        """Take over what another daemon saw of a suspect."""
-        self.suspects.learn(seen, int(time.time() * 1000))
-
-    def pin_suspect(self, call: Call) -> Call:
-        """Return a call with a slice if it is a suspect that any gate could run.
-
-        The owner of the slice of its fingerprint alone may try it, so that it is never on two
-        backend servers at a time.
+        A slice that went to another owner and came back has a new token; the other owner may have
+        run the request meanwhile.
         """
-        configuration = self._membership.view.configurations.get(call.service)
-        if call.slice != ANY_SLICE or configuration is None:
-            return call
-        if self._judge(call) is Handling.FREE:
-            return call
-        index = find_slice(str(compute_fingerprint(call)), configuration.slices)
-        return attrs.evolve(call, slice=index)
-
-    def _judge(self, call: Call) -> Handling:
-        if not self.suspects or Mechanism.POISON in self._without:
-            return Handling.FREE
-        return self.suspects.judge(_identify(call), int(time.time() * 1000))
-
-    def _refuse_suspect(self, call: Call, handling: Handling) -> NotRun | None:
-        match handling:
-            case Handling.REFUSED:
-                until_ms = self.suspects.find_end_ms(_identify(call))
-                return NotRun(Reason.SUSPECTED_POISON, until_ms - int(time.time() * 1000))
-            case Handling.ALONE if call.slice == ANY_SLICE:
-                return NotRun(Reason.NOT_OWNER, NOT_OWNER_RETRY_MS)
-            case _:
-                return None
-
-    def _note_outcome(
-        self, station: Station, place: Place, handling: Handling, verdict: Verdict
-    ) -> None:
-        """Suspect what ran when a backend server died; clear a suspect that survived alone."""
-        if Mechanism.POISON in self._without:
-            return
-        now_ms = int(time.time() * 1000)
-        seen: list[SuspectSeen] = []
-        match verdict:
-            case MayHaveRun(reason=Reason.BACKEND_LOST | Reason.ANSWER_TRUNCATED):
-                if place.number in station.sent:
-                    running = [_identify(call) for call in station.sent.values()]
-                    station.sent.clear()
-                    seen = self.suspects.note_crash(running, now_ms)
-            case Answered() if handling is Handling.ALONE:
-                seen = self.suspects.note_survived(_identify(station.sent[place.number]), now_ms)
-        for item in seen:
-            logger.warning(
-                "event=suspect_seen service={} fingerprint={:x} kills={}",
-                item.service,
-                item.fingerprint,
-                item.kills,
-            )
-            self._spread(item)
-
-    async def _dispatch(self, call: Call, ref: SliceRef, station: Station) -> Verdict:
-        """Check everything a last time and send; nothing is awaited between the two."""
-        now = time.monotonic()
-        remaining = call.deadline_ms / 1000 - time.time()
-        if remaining <= 0:
+        if time.time() * 1000 >= call.deadline_ms:
             return NotRun(Reason.DEADLINE_PASSED)
         if not self._membership.holds_lease(now):
             return NotRun(Reason.LEASE_LAPSED, NOT_OWNER_RETRY_MS)
-        token = -1
+        if ref.index == ANY_SLICE:
+            return self._find_drain(call)
+        if not self._membership.serves_slice(ref, now) or self._find_token(ref) != token:
+            return NotRun(Reason.NOT_OWNER, NOT_OWNER_RETRY_MS)
+        return None
+
+    def _find_drain(self, call: Call) -> NotRun | None:
+        """Return a refusal if this daemon or its backend server gets no new work."""
+        view = self._membership.view
+        ref = self._membership.ref
+        member = None if ref is None else view.find_member(ref)
+        if (
+            member is None
+            or member.leaving
+            or member.failure_domain in view.fleet.failure_domains_out
+            or call.backend in view.fleet.draining
+        ):
+            return NotRun(Reason.DRAINING, DRAINING_RETRY_MS)
+        return None
+
+    async def _dispatch(self, call: Call, ref: SliceRef, token: int, station: Station) -> Verdict:
+        """Check everything a last time and send; nothing is awaited between the two."""
+        now = time.monotonic()
+        refusal = self._find_refusal(call, ref, token, now)
+        if refusal is not None:
+            return refusal
+        remaining = call.deadline_ms / 1000 - time.time()
         if ref.index != ANY_SLICE:
-            if not self._membership.serves_slice(ref, now):
-                return NotRun(Reason.NOT_OWNER, NOT_OWNER_RETRY_MS)
-            token = int(self._membership.view.services[ref.service].tokens[ref.index])
-            call = _add_header(call, Header(SLICE_HEADER, str(ref.index)))
             assert self._membership.lease is not None
             remaining = min(remaining, self._membership.lease.compute_deadline() - now)
         deadline_ms = int((time.time() + remaining) * 1000)
@@ -320,18 +299,3 @@
                 verdict.reason,
             )
         return verdict
-
-
-def _add_header(call: Call, header: Header) -> Call:
-    return attrs.evolve(call, headers=(*call.headers, header))
-
-
-def _identify(call: Call) -> RequestPrint:
-    return RequestPrint(call.service, compute_fingerprint(call))
-
-
-def compute_fingerprint(call: Call) -> int:
-    """Return a hash of what makes two requests the same."""
-    digest = xxhash.xxh3_64(f"{call.method} {call.path}".encode())
-    digest.update(call.body)
-    return digest.intdigest() >> 1
--- a/persimmondock/_tasks/station.py
+++ b/persimmondock/_tasks/station.py
@@ -5,11 +5,12 @@
 import asyncio
 import contextlib
 import time
+from collections import deque
 from typing import TYPE_CHECKING
 
-import aiohttp
 import attrs
 
+from persimmondock._adapters.backend_client import open_backend_session
 from persimmondock._domain.capacity import Capacity
 from persimmondock._domain.latencies import WorkKind
 from persimmondock._domain.mechanisms import Mechanism
@@ -21,8 +22,8 @@
     from persimmondock._domain.records import Backend
 
 WATCH_EVERY_S = 0.02
-KEEP_CONNECTION_S = 60.0
 RETIRED_RETRY_MS = 200
+MAX_CUT_OFF = 16
 
 
 @attrs.frozen
@@ -64,9 +65,10 @@
         self.instance = instance
         self.capacity = Capacity(backend.slots, without)
         self.queue = WorkQueue(enabled=Mechanism.QUEUE not in without)
-        self.session = _open_session(backend)
+        self.session = open_backend_session(backend.connections)
         self.retired = False
         self.sent: dict[int, Call] = {}
+        self.cut_off: deque[Call] = deque(maxlen=MAX_CUT_OFF)
         self._alone: int | None = None
         self._number = 0
         self._waiters: dict[int, _Waiter] = {}
@@ -185,8 +187,3 @@
             now = time.monotonic()
             self.capacity.watch(now)
             self._pump(now)
-
-
-def _open_session(backend: Backend) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(limit=backend.connections, keepalive_timeout=KEEP_CONNECTION_S)
-    return aiohttp.ClientSession(connector=connector, auto_decompress=False)
--- /dev/null
+++ b/persimmondock/_tasks/suspects.py
@@ -0,0 +1,130 @@
+"""The gate's handling of requests that may kill backend servers."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+import xxhash
+from loguru import logger
+
+from persimmondock._domain.poison import Handling, RequestPrint, SuspectBook
+from persimmondock._domain.slices import find_slice
+from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from persimmondock._domain.messages import Call, SuspectSeen
+    from persimmondock._tasks.station import Place, Station
+
+ANY_SLICE = -1
+ELSEWHERE_RETRY_MS = 200
+
+
+class Suspects:
+    """Judges requests by what backend servers died of.
+
+    Parameters
+    ----------
+    enabled
+        Whether requests are suspected at all.
+    """
+
+    def __init__(self, enabled: bool = True) -> None:
+        self.book = SuspectBook()
+        self._enabled = enabled
+        self._spread: Callable[[SuspectSeen], None] = lambda _: None
+
+    def attach(self, spread: Callable[[SuspectSeen], None]) -> None:
+        """Tell other daemons of suspects through a function."""
+        self._spread = spread
+
+    def learn(self, seen: SuspectSeen) -> None:
+        """Take over what another daemon saw of a suspect."""
+        self.book.learn(seen, _read_clock_ms())
+
+    def pin(self, call: Call, slices: int) -> Call:
+        """Return a call with a slice if it is a suspect that any gate could run.
+
+        The owner of the slice of its fingerprint alone may try it, so that it is never on two
+        backend servers at a time.
+        """
+        if call.slice != ANY_SLICE or self.judge(call) is Handling.FREE:
+            return call
+        return attrs.evolve(call, slice=find_slice(str(compute_fingerprint(call)), slices))
+
+    def judge(self, call: Call) -> Handling:
+        """Return how a request is to be run now."""
+        if not self._enabled or not self.book:
+            return Handling.FREE
+        return self.book.judge(identify(call), _read_clock_ms())
+
+    def refuse(self, call: Call, handling: Handling) -> NotRun | None:
+        """Return a refusal of a request that must not run, or not at this gate."""
+        match handling:
+            case Handling.REFUSED:
+                remaining_ms = self.book.find_end_ms(identify(call)) - _read_clock_ms()
+                return NotRun(Reason.SUSPECTED_POISON, max(1, remaining_ms))
+            case Handling.ALONE if call.slice == ANY_SLICE:
+                return NotRun(Reason.NOT_OWNER, ELSEWHERE_RETRY_MS)
+            case _:
+                return None
+
+    def note_outcome(
+        self, station: Station, place: Place, handling: Handling, verdict: Verdict
+    ) -> None:
+        """Suspect what ran when a backend server died; clear a suspect that survived alone."""
+        call = station.sent.pop(place.number, None)
+        if not self._enabled or call is None:
+            return
+        match verdict:
+            case MayHaveRun(reason=Reason.BACKEND_LOST):
+                running = [call, *station.sent.values()]
+                station.sent.clear()
+                self._tell(self.book.note_crash(map(identify, running), _read_clock_ms()))
+            case MayHaveRun(reason=Reason.ANSWER_TRUNCATED):
+                station.cut_off.append(call)
+            case NotRun(reason=Reason.BACKEND_UNREACHABLE):
+                self.note_restart(station)
+            case Answered():
+                station.cut_off.clear()
+                if handling is Handling.ALONE:
+                    self._tell(self.book.note_survived(identify(call), _read_clock_ms()))
+
+    def note_restart(self, station: Station) -> None:
+        """Suspect requests whose answers were cut off just before their backend server was gone.
+
+        A cut answer alone does not show a death: the backend server may have a defect.
+        """
+        calls = list(station.cut_off)
+        station.cut_off.clear()
+        if self._enabled and calls:
+            self._tell(self.book.note_crash(map(identify, calls), _read_clock_ms()))
+
+    def _tell(self, seen: Iterable[SuspectSeen]) -> None:
+        for item in seen:
+            logger.warning(
+                "event=suspect_seen service={} fingerprint={:x} kills={}",
+                item.service,
+                item.fingerprint,
+                item.kills,
+            )
+            self._spread(item)
+
+
+def identify(call: Call) -> RequestPrint:
+    """Return what identifies a request whatever its identifier is."""
+    return RequestPrint(call.service, compute_fingerprint(call))
+
+
+def compute_fingerprint(call: Call) -> int:
+    """Return a hash of what makes two requests the same."""
+    digest = xxhash.xxh3_64(f"{call.method} {call.path}".encode())
+    digest.update(call.body)
+    return digest.intdigest() >> 1
+
+
+def _read_clock_ms() -> int:
+    return int(time.time() * 1000)
--- a/persimmondock/_tasks/warner.py
+++ b/persimmondock/_tasks/warner.py
@@ -28,7 +28,7 @@
         self._gate = gate
         self._send = send
         self._told: set[MemberRef] = set()
-        gate.attach(self.spread)
+        gate.suspects.attach(self.spread)
 
     def spread(self, seen: SuspectSeen) -> None:
         """Tell every other member."""
@@ -41,6 +41,6 @@
         members = {member.ref: member for member in self._membership.view.members.values()}
         for ref in members.keys() - self._told:
             if self._membership.ref in members[ref].witnesses:
-                for seen in self._gate.suspects.list_seen():
+                for seen in self._gate.suspects.book.list_seen():
                     self._send(members[ref].peer_address, seen)
         self._told = set(members)
--- a/persimmondock/tests/builders.py
+++ b/persimmondock/tests/builders.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
+import attrs
+
 from persimmondock._domain.configuration import ServiceConfiguration, render_subject
 from persimmondock._domain.membership import Identity
+from persimmondock._domain.messages import Call
 from persimmondock._domain.records import (
     Backend,
     BackendAnnounced,
@@ -115,3 +119,23 @@
         successor=None,
         witnesses_version=ref.incarnation,
     )
+
+
+def make_call(**changes: Any) -> Call:
+    """Return a call of an idempotent request without a key."""
+    call = Call(
+        number=0,
+        service="painel",
+        backend="backend-1",
+        slice=-1,
+        method="POST",
+        path="/painel/key-1/show",
+        headers=(),
+        body=b"",
+        request_id="",
+        issued_at=-1,
+        idempotent=True,
+        may_wait=False,
+        deadline_ms=int((time.time() + 5.0) * 1000),
+    )
+    return attrs.evolve(call, **changes)
--- /dev/null
+++ b/persimmondock/tests/test_backend_client.py
@@ -0,0 +1,201 @@
+"""Contract tests of the backend client against a server whose every byte is scripted."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import socket
+import time
+from types import SimpleNamespace
+
+import attrs
+import pytest
+
+from persimmondock._adapters import backend_client
+from persimmondock._adapters.backend_client import open_backend_session, run_request
+from persimmondock._domain.verdict import Answered, Header, MayHaveRun, NotRun, Reason
+from persimmondock.tests.builders import make_call
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+MAX_BYTES = 1_000
+
+
+@attrs.define
+class Script:
+    """A server that reads each request and then plays bytes.
+
+    Parameters
+    ----------
+    plays
+        Bytes for each request in turn; the connection ends after ``None`` and after ``ends``.
+    """
+
+    plays: list[bytes | None]
+    ends: bool = False
+    resets: bool = False
+    delay_s: float = 0.0
+    requests: list[bytes] = attrs.field(factory=list)
+    closed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @contextlib.asynccontextmanager
+    async def listen(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        try:
+            yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        finally:
+            server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.requests.append(head)
+                data = self.plays[min(len(self.requests), len(self.plays)) - 1]
+                if self.delay_s and await self._is_cancelled(reader):
+                    return
+                writer.write(data or b"")
+                await writer.drain()
+                if data is None or self.ends:
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            self.closed.set()
+            if self.resets:
+                option = (1).to_bytes(4, "little") + bytes(4)
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, option
+                )
+            writer.close()
+
+    async def _is_cancelled(self, reader) -> bool:
+        try:
+            return await asyncio.wait_for(reader.read(1), self.delay_s) == b""
+        except TimeoutError:
+            return False
+
+
+async def run(address, call=None, session=None, timeout=1.0):
+    own = session or open_backend_session(4)
+    try:
+        deadline_ms = int((time.time() + timeout) * 1000)
+        return await run_request(own, address, call or make_call(), 7, deadline_ms, timeout)
+    finally:
+        if session is None:
+            await own.close()
+
+
+@pytest.mark.parametrize(
+    ("script", "verdict"),
+    [
+        (Script([None]), MayHaveRun(Reason.BACKEND_LOST)),
+        (Script([None], resets=True), MayHaveRun(Reason.BACKEND_LOST)),
+        (Script([b"HTTP/1.1 200 OK\r\nContent-Le"], ends=True), MayHaveRun(Reason.BACKEND_LOST)),
+        (
+            Script([b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"], ends=True),
+            MayHaveRun(Reason.ANSWER_TRUNCATED),
+        ),
+        (
+            Script(
+                [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"], ends=True
+            ),
+            MayHaveRun(Reason.ANSWER_TRUNCATED),
+        ),
+        (Script([b"HTTP/1.0 200 OK\r\n\r\nok"], ends=True), MayHaveRun(Reason.ANSWER_TRUNCATED)),
+        (
+            Script([b"HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n" + bytes(1001)]),
+            MayHaveRun(Reason.ANSWER_TOO_LARGE),
+        ),
+        (Script([b"nonsense\r\n\r\n"]), MayHaveRun(Reason.ANSWER_INVALID)),
+        (Script([WHOLE], delay_s=2.0), MayHaveRun(Reason.DEADLINE_PASSED)),
+        (
+            Script([b"HTTP/1.1 503 x\r\nPersimmondock-Not-Run: y\r\nContent-Length: 0\r\n\r\n"]),
+            NotRun(Reason.BACKEND_REFUSED, backend_client.REFUSED_RETRY_MS),
+        ),
+    ],
+)
+async def test_each_fault_has_its_verdict(script, verdict, monkeypatch) -> None:
+    monkeypatch.setattr(backend_client, "MAX_ANSWER_BYTES", MAX_BYTES)
+    async with script.listen() as address:
+        assert await run(address, timeout=0.3) == verdict
+    assert len(script.requests) == 1
+
+
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+async def test_any_whole_answer_is_an_answer(status) -> None:
+    script = Script([f"HTTP/1.1 {status} x\r\nContent-Length: 2\r\n\r\nok".encode()])
+    async with script.listen() as address:
+        verdict = await run(address)
+    assert isinstance(verdict, Answered)
+    assert (verdict.answer.status, verdict.answer.body) == (status, b"ok")
+
+
+async def test_a_refused_connection_is_not_run() -> None:
+    async with Script([]).listen() as address:
+        pass
+    assert await run(address) == NotRun(Reason.BACKEND_UNREACHABLE, backend_client.REFUSED_RETRY_MS)
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+async def test_no_request_is_sent_twice_when_a_kept_connection_ends(method) -> None:
+    script = Script([WHOLE, None, WHOLE])
+    async with script.listen() as address, open_backend_session(4) as session:
+        assert isinstance(await run(address, make_call(method=method), session), Answered)
+        second = await run(address, make_call(method=method), session)
+    assert second == MayHaveRun(Reason.BACKEND_LOST)
+    assert len(script.requests) == 2
+
+
+@pytest.mark.parametrize("reused", [False, True])
+async def test_nothing_is_sent_after_its_instant(reused, monkeypatch) -> None:
+    """The process was paused between the last check of the lease and the connection."""
+    script = Script([WHOLE])
+    async with script.listen() as address, open_backend_session(4) as session:
+        if reused:
+            await run(address, session=session)
+        instants = itertools.chain([0.0], itertools.repeat(60.0))
+        clock = SimpleNamespace(monotonic=lambda: next(instants))
+        monkeypatch.setattr(backend_client, "time", clock)
+        verdict = await run(address, session=session)
+    assert verdict == NotRun(Reason.LEASE_LAPSED, backend_client.REFUSED_RETRY_MS)
+    assert len(script.requests) == reused
+
+
+async def test_cancelling_closes_the_connection() -> None:
+    script = Script([WHOLE], delay_s=5.0)
+    async with script.listen() as address:
+        task = asyncio.create_task(run(address))
+        while not script.requests:
+            await asyncio.sleep(0.005)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        await asyncio.wait_for(script.closed.wait(), 1.0)
+
+
+async def test_callers_cannot_set_the_fields_of_the_gate() -> None:
+    forged = tuple(
+        Header(name, "99")
+        for name in ("persimmondock-token", "PERSIMMONDOCK-SLICE", "idempotency-key", "X-Kept")
+    )
+    script = Script([WHOLE])
+    async with script.listen() as address:
+        await run(address, make_call(headers=forged, request_id="own"))
+    fields = script.requests[0].lower()
+    assert fields.count(b": 99") == 1
+    assert all(part in fields for part in (b"x-kept: 99", b"persimmondock-token: 7", b": own"))
+    assert b"accept-encoding" not in fields
+
+
+async def test_a_field_that_cannot_be_sent_is_a_bad_request() -> None:
+    call = make_call(headers=(Header("X-Odd", "\udce9"),))
+    assert await run("127.0.0.1:1", call) == NotRun(Reason.BAD_REQUEST)
+
+
+async def test_cookies_of_one_caller_do_not_reach_another() -> None:
+    script = Script([b"HTTP/1.1 200 OK\r\nSet-Cookie: a=1\r\nContent-Length: 0\r\n\r\n"])
+    async with script.listen() as address, open_backend_session(4) as session:
+        for _ in range(2):
+            await run(address, session=session)
+    assert b"cookie" not in script.requests[1].lower()
--- a/persimmondock/tests/test_request_table.py
+++ b/persimmondock/tests/test_request_table.py
@@ -128,6 +128,22 @@
     assert table.collect("painel", 1) == ()
 
 
+@pytest.mark.parametrize(
+    ("here", "kept"),
+    [(NotRun(Reason.NOT_OWNER), make_answer(7)), (make_answer(8), make_answer(8))],
+)
+def test_a_verdict_handed_over_counts_if_the_attempt_here_was_refused(here, kept) -> None:
+    """The slice went away and came back while the attempt waited for a slot."""
+    table, other = RequestTable(), RequestTable()
+    admit(table)
+    admit(other)
+    other.end(make_key(), make_answer(7))
+    table.adopt(other.collect("painel", 0))
+    assert admit(table) == WaitForFirst()
+    table.end(make_key(), here)
+    assert admit(table) == Known(kept)
+
+
 def test_a_loss_ages_from_the_moment_it_was_known() -> None:
     clock = FloorClock()
     clock.note(10, 100.0)
