Fold records without scanning all members and slices

Cause: each record copied the whole members, the service's dictionaries and three arrays, listed all backend servers to find shares, and placed all slices again.

Change: a service keeps an index (shares, slices of each code, codes by name and by member); a series of records read together copies each part once and then changes its copy in place; placement looks only for slices that move; a published configuration places only services that it can alter.

--- a/persimmondock/_domain/membership.py
+++ b/persimmondock/_domain/membership.py
@@ -36,7 +36,7 @@
     WitnessesChanged,
     make_record_id,
 )
-from persimmondock._domain.view import Handover, Member, View, fold
+from persimmondock._domain.view import Handover, Member, View, finish_edit, fold, start_edit
 from persimmondock._domain.witnesses import choose_successor, choose_witnesses
 
 if TYPE_CHECKING:
@@ -165,10 +165,13 @@
 
     def apply_records(self, entries: Iterable[tuple[int, Record]], now: float) -> list[Effect]:
         """Fold records read from the log or given by a peer."""
-        for offset, record in entries:
-            before = self.view
-            self.view = fold(before, offset, record)
-            self._notice_own_record(offset, record, now)
+        self.view = start_edit(self.view)
+        try:
+            for offset, record in entries:
+                self.view = fold(self.view, offset, record)
+                self._notice_own_record(offset, record, now)
+        finally:
+            self.view = finish_edit(self.view)
         self._follow_view(now)
         return self._answer_asks() + self.advance(now)
 
--- a/persimmondock/_domain/placement.py
+++ b/persimmondock/_domain/placement.py
@@ -18,6 +18,7 @@
     from numpy.typing import NDArray
 
 NO_OWNER = -1
+FEW_CODES = 4
 
 
 @attrs.frozen
@@ -36,14 +37,28 @@
     weight: int
 
 
+@attrs.frozen(eq=False)
+class Moves:
+    """Slices that move, and the code of the new owner of each."""
+
+    slices: NDArray[np.int64]
+    targets: NDArray[np.int32]
+
+
 def compute_quotas(shares: Sequence[Share], slices: int) -> NDArray[np.int64]:
-    """Divide slices among shares by largest remainder; ties go to the lower code."""
-    weights = np.array([share.weight for share in shares], dtype=np.int64)
+    """Divide slices among shares by largest remainder; ties go to the earlier share."""
+    return _divide(np.array([share.weight for share in shares], dtype=np.int64), slices)
+
+
+def _divide(weights: NDArray[np.int64], slices: int) -> NDArray[np.int64]:
     total = int(weights.sum())
     quotas = weights * slices // total
     remainders = weights * slices % total
     missing = slices - int(quotas.sum())
-    order = np.lexsort((np.array([share.code for share in shares]), -remainders))
+    if remainders.min() == remainders.max():
+        quotas[:missing] += 1
+        return quotas
+    order = np.argsort(-remainders, kind="stable")
     quotas[order[:missing]] += 1
     return quotas
 
@@ -63,46 +78,94 @@
         Largest number of slices that are moved only for balance; None for no limit. Slices whose
         owner has no share always move.
     """
-    if not shares:
-        return np.full_like(owners, NO_OWNER)
     codes = np.array([share.code for share in shares], dtype=np.int32)
-    quotas = compute_quotas(shares, len(owners))
-    positions = _index_codes(codes, owners)
-    counts = np.bincount(positions[positions >= 0], minlength=len(codes))
-    homeless = np.flatnonzero(positions < 0)
-    room = np.maximum(quotas - counts, 0)
-    excess = _select_excess(positions, counts, quotas, int(room.sum()) - len(homeless), budget)
-    moving = np.concatenate([homeless, excess])
-    targets = np.repeat(codes, room)[: len(moving)]
+    weights = np.array([share.weight for share in shares], dtype=np.int64)
+    counts = count_slices(owners, 1 + max((share.code for share in shares), default=0))
+    moves = plan_moves(owners, codes, weights, counts, budget)
     placed = owners.copy()
-    placed[moving] = targets
+    placed[moves.slices] = moves.targets
     return placed
 
 
-def _index_codes(codes: NDArray[np.int32], owners: NDArray[np.int32]) -> NDArray[np.int64]:
-    """Return the position of each owner in ``codes``, or -1 where it has no share."""
-    positions = np.searchsorted(codes, owners)
-    positions[positions == len(codes)] = 0
-    return np.where(codes[positions] == owners, positions, -1)
+def count_slices(owners: NDArray[np.int32], codes: int) -> NDArray[np.int64]:
+    """Return the number of slices of each code, for at least ``codes`` codes."""
+    return np.bincount(owners[owners >= 0], minlength=codes).astype(np.int64)
 
 
-def _select_excess(
-    positions: NDArray[np.int64],
+def plan_moves(
+    owners: NDArray[np.int32],
+    codes: NDArray[np.int32],
+    weights: NDArray[np.int64],
     counts: NDArray[np.int64],
-    quotas: NDArray[np.int64],
-    wanted: int,
-    budget: int | None,
-) -> NDArray[np.int64]:
-    """Return slices that owners above their quota give up, lowest slices first."""
+    budget: int | None = None,
+) -> Moves:
+    """Return what moves after a change of shares.
+
+    Parameters
+    ----------
+    owners, budget
+        As for `place_slices`.
+    codes, weights
+        The shares, ordered by code.
+    counts
+        Number of slices that each code owns.
+    """
+    if not len(codes):
+        owned = np.flatnonzero(owners != NO_OWNER)
+        return Moves(owned, np.full(len(owned), NO_OWNER, dtype=np.int32))
+    quotas = _divide(weights, len(owners))
+    held = counts[codes]
+    homeless = _find_homeless(owners, codes, counts)
+    room = np.maximum(quotas - held, 0)
+    wanted = int(room.sum()) - len(homeless)
     if budget is not None:
         wanted = min(wanted, budget)
-    over = np.flatnonzero(counts > quotas)
+    excess = _select_excess(owners, codes, held - quotas, wanted)
+    moving = np.concatenate([homeless, excess])
+    return Moves(moving, np.repeat(codes, room)[: len(moving)])
+
+
+def find_slices(owners: NDArray[np.int32], codes: Sequence[int]) -> NDArray[np.int64]:
+    """Return the slices that some codes own, in order."""
+    if len(codes) <= FEW_CODES:
+        mask = np.zeros(len(owners), dtype=bool)
+        for code in codes:
+            mask |= owners == code
+        return np.flatnonzero(mask)
+    wanted = np.zeros(max(int(owners.max()), *codes) + 2, dtype=bool)
+    wanted[list(codes)] = True
+    return np.flatnonzero(wanted[owners])
+
+
+def _find_homeless(
+    owners: NDArray[np.int32], codes: NDArray[np.int32], counts: NDArray[np.int64]
+) -> NDArray[np.int64]:
+    """Return the slices whose owner has no share."""
+    without_share = counts > 0
+    without_share[codes] = False
+    homeless: list[int] = np.flatnonzero(without_share).tolist()
+    if int(counts.sum()) < len(owners):
+        homeless.append(NO_OWNER)
+    if not homeless:
+        return np.empty(0, dtype=np.int64)
+    return find_slices(owners, homeless)
+
+
+def _select_excess(
+    owners: NDArray[np.int32],
+    codes: NDArray[np.int32],
+    surplus: NDArray[np.int64],
+    wanted: int,
+) -> NDArray[np.int64]:
+    """Return slices that owners above their quota give up, lowest codes and slices first."""
+    over = np.flatnonzero(surplus > 0)
     if wanted <= 0 or not len(over):
         return np.empty(0, dtype=np.int64)
-    candidates = np.flatnonzero(np.isin(positions, over))
-    by_owner = candidates[np.argsort(positions[candidates], kind="stable")]
-    owner_of = positions[by_owner]
-    starts = np.searchsorted(owner_of, owner_of, side="left")
-    rank = np.arange(len(by_owner)) - starts
-    given_up = by_owner[rank < (counts - quotas)[owner_of]]
-    return given_up[:wanted]
+    needed = int(np.searchsorted(np.cumsum(surplus[over]), wanted)) + 1
+    over = over[:needed]
+    candidates = find_slices(owners, codes[over].tolist())
+    by_owner = candidates[np.argsort(owners[candidates], kind="stable")]
+    owner_of = owners[by_owner]
+    rank = np.arange(len(by_owner)) - np.searchsorted(owner_of, owner_of, side="left")
+    allowed = surplus[over][np.searchsorted(codes[over], owner_of)]
+    return by_owner[rank < allowed][:wanted]
--- a/persimmondock/_domain/snapshot.py
+++ b/persimmondock/_domain/snapshot.py
@@ -13,11 +13,12 @@
 import msgpack
 import numpy as np
 import xxhash
+from cattrs.gen import make_dict_unstructure_fn, override
 from cattrs.preconf.msgpack import make_converter
 from cattrs.strategies import configure_tagged_union
 
 from persimmondock._domain.records import MemberRef, SnapshotTaken, make_record_id
-from persimmondock._domain.view import Accepted, Rejection, View
+from persimmondock._domain.view import Accepted, Rejection, ServiceState, View, build_indexes
 
 PART_BYTES = 512 * 1024
 SNAPSHOT_EVERY_RECORDS = 2_000
@@ -66,6 +67,20 @@
 configure_tagged_union(Accepted | Rejection, _converter, tag_name="outcome")
 
 
+_converter.register_unstructure_hook(
+    ServiceState,
+    make_dict_unstructure_fn(
+        ServiceState, _converter, index=override(omit=True), edit=override(omit=True)
+    ),
+)
+_converter.register_unstructure_hook(
+    View,
+    make_dict_unstructure_fn(
+        View, _converter, edit=override(omit=True), members_edit=override(omit=True)
+    ),
+)
+
+
 def compute_digest(body: bytes) -> str:
     """Return the digest of an encoded view."""
     return xxhash.xxh3_128_hexdigest(body)
@@ -95,7 +110,7 @@
         raise SnapshotError(f"cannot decode {len(encoded.body)} bytes: {error}") from error
     if view.offset != encoded.covers:
         raise SnapshotError(f"offset is {view.offset}, not {encoded.covers}")
-    return view
+    return build_indexes(view)
 
 
 def split_snapshot(encoded: EncodedView, part_bytes: int = PART_BYTES) -> tuple[SnapshotTaken, ...]:
--- a/persimmondock/_domain/view.py
+++ b/persimmondock/_domain/view.py
@@ -12,6 +12,7 @@
 import numpy as np
 from numpy.typing import NDArray
 
+from persimmondock._domain.backend_index import BackendIndex, make_index
 from persimmondock._domain.configuration import (
     FLEET_SUBJECT,
     SERVICE_PREFIX,
@@ -20,7 +21,7 @@
     ServiceConfiguration,
     parse_subject,
 )
-from persimmondock._domain.placement import NO_OWNER, Share, place_slices
+from persimmondock._domain.placement import NO_OWNER, find_slices, plan_moves
 from persimmondock._domain.records import (
     Backend,
     BackendAnnounced,
@@ -83,6 +84,10 @@
     lost_at: int
 
 
+class Edit:
+    """Identity of a series of folds; what it has copied once, it changes in place."""
+
+
 @attrs.frozen(eq=False)
 class ServiceState:
     """One service: its backend servers and the owner of each slice.
@@ -99,15 +104,21 @@
         Offset of the last record by which the slice's owner was lost, or -1.
     handovers
         For slices that moved, the members that may not have released them yet.
+    index
+        Facts derived from the others.
+    edit
+        The series of folds that may change this object's contents in place.
     """
 
     slices: int
-    backends: Mapping[int, PlacedBackend]
+    backends: dict[int, PlacedBackend]
     next_code: int
     owners: NDArray[np.int32]
     tokens: NDArray[np.int64]
     floors: NDArray[np.int64]
-    handovers: Mapping[int, tuple[Handover, ...]]
+    handovers: dict[int, tuple[Handover, ...]]
+    index: BackendIndex | None = None
+    edit: Edit | None = None
 
 
 @attrs.frozen
@@ -147,10 +158,12 @@
         Offset of the newest view of which a whole snapshot stands in the log.
     snapshot_parts
         Parts seen of snapshots that are not whole yet, by digest.
+    edit, members_edit
+        The series of folds that is under way, and the one that has copied ``members``.
     """
 
     offset: int = 0
-    members: Mapping[str, Member] = attrs.field(factory=dict)
+    members: dict[str, Member] = attrs.field(factory=dict)
     services: Mapping[str, ServiceState] = attrs.field(factory=dict)
     configurations: Mapping[str, ServiceConfiguration] = attrs.field(factory=dict)
     fleet: FleetConfiguration = attrs.field(factory=FleetConfiguration)
@@ -159,6 +172,8 @@
     settled_before: int = 0
     snapshot_covers: int = 0
     snapshot_parts: Mapping[str, tuple[int, ...]] = attrs.field(factory=dict)
+    edit: Edit | None = None
+    members_edit: Edit | None = None
 
     def find_member(self, ref: MemberRef) -> Member | None:
         """Return the member of this very incarnation, or None."""
@@ -166,11 +181,24 @@
         return member if member is not None and member.ref == ref else None
 
 
+def start_edit(view: View) -> View:
+    """Return a view for a series of folds, of which only the last result may be kept.
+
+    The series copies each large part of the view once, not once for each record.
+    """
+    return attrs.evolve(view, edit=Edit())
+
+
+def finish_edit(view: View) -> View:
+    """Return the result of a series of folds, which no later fold changes."""
+    return attrs.evolve(view, edit=None)
+
+
 def fold(view: View, offset: int, record: Record) -> View:
     """Return the view after one more record.
 
     A record that does not apply, because it lost a race or repeats another, changes nothing but
-    the offset.
+    the offset. The given view stays as it is, unless it is part of a series of folds.
 
     Raises
     ------
@@ -181,6 +209,12 @@
         return view
     if offset > view.offset:
         raise ValueError(f"record {offset} does not follow a view up to {view.offset}")
+    if view.edit is None:
+        return finish_edit(_fold(start_edit(view), offset, record))
+    return _fold(view, offset, record)
+
+
+def _fold(view: View, offset: int, record: Record) -> View:
     view = attrs.evolve(view, offset=offset + 1)
     match record:
         case MemberJoined():
@@ -250,7 +284,12 @@
     if member is None or member.leaving:
         return view
     view = _with_member(view, attrs.evolve(member, leaving=True))
-    return _place_services(view, offset, _list_services(view, ref))
+    for name in _list_services(view, ref):
+        view, state = _edit_service(view, name)
+        index = _get_index(view, state)
+        index.exclude(index.codes_of[ref])
+        view = _place_service(view, offset, name)
+    return view
 
 
 def _fold_lost(view: View, offset: int, record: MemberLost) -> View:
@@ -267,54 +306,52 @@
     backend = record.backend
     if view.find_member(record.member) is None:
         return view
-    state = view.services.get(backend.service) or _make_service(backend.service, view)
-    if any(placed.backend.name == backend.name for placed in state.backends.values()):
+    if backend.service not in view.services:
+        view = _with_service(view, backend.service, _make_service(backend.service, view))
+    if backend.name in _get_index(view, view.services[backend.service]).code_of:
         return view
+    view, state = _edit_service(view, backend.service)
     placed = PlacedBackend(state.next_code, record.member, backend)
-    state = attrs.evolve(
-        state,
-        backends={**state.backends, placed.code: placed},
-        next_code=state.next_code + 1,
-    )
-    view = _with_service(view, backend.service, state)
-    return _place_services(view, offset, [backend.service])
+    state.backends[placed.code] = placed
+    index = _get_index(view, state)
+    index.add(placed.code, record.member, backend, is_eligible(view, placed))
+    view = _with_service(view, backend.service, attrs.evolve(state, next_code=placed.code + 1))
+    return _place_service(view, offset, backend.service)
 
 
 def _fold_withdrawn(view: View, offset: int, record: BackendWithdrawn) -> View:
     for name, state in view.services.items():
-        for code, placed in state.backends.items():
-            if placed.backend.name == record.backend and placed.member == record.member:
-                return _remove_backends(view, offset, name, {code}, lost=False)
+        code = _get_index(view, state).code_of.get(record.backend)
+        if code is not None and state.backends[code].member == record.member:
+            return _remove_backends(view, offset, name, {code}, lost=False)
     return view
 
 
 def _remove_member(view: View, offset: int, ref: MemberRef, lost: bool) -> View:
     if view.find_member(ref) is None:
         return view
-    members = dict(view.members)
-    del members[ref.daemon]
-    view = attrs.evolve(view, members=members)
+    view = _edit_members(view)
+    del view.members[ref.daemon]
     for name in list(view.services):
         view = _drop_handovers(view, offset, name, ref, lost)
     for name in _list_services(view, ref):
-        state = view.services[name]
-        codes = {code for code, placed in state.backends.items() if placed.member == ref}
+        codes = set(_get_index(view, view.services[name]).codes_of[ref])
         view = _remove_backends(view, offset, name, codes, lost)
     return view
 
 
 def _remove_backends(view: View, offset: int, name: str, codes: set[int], lost: bool) -> View:
     """Place the slices of removed backend servers; the rest of the service stays."""
-    state = view.services[name]
+    view, state = _edit_service(view, name)
     if lost:
-        floors = state.floors.copy()
-        floors[np.isin(state.owners, list(codes))] = offset
-        state = attrs.evolve(state, floors=floors)
-        view = _with_service(view, name, state)
-    view = _place_service(view, offset, name, removed=codes)
-    state = view.services[name]
-    backends = {code: placed for code, placed in state.backends.items() if code not in codes}
-    return _with_service(view, name, attrs.evolve(state, backends=backends))
+        state.floors[find_slices(state.owners, sorted(codes))] = offset
+    index = _get_index(view, state)
+    index.exclude(codes)
+    view = _place_service(view, offset, name)
+    for code in codes:
+        placed = state.backends.pop(code)
+        index.remove(code, placed.member, placed.backend)
+    return view
 
 
 def _drop_handovers(view: View, offset: int, name: str, ref: MemberRef, lost: bool) -> View:
@@ -330,16 +367,14 @@
     ]
     if not affected:
         return view
-    floors = state.floors.copy()
+    view, state = _edit_service(view, name)
     if lost:
-        floors[affected] = offset
-    handovers = dict(state.handovers)
+        state.floors[affected] = offset
     for index in affected:
-        remaining = tuple(held for held in handovers.pop(index) if held.member != ref)
+        remaining = tuple(held for held in state.handovers.pop(index) if held.member != ref)
         if remaining:
-            handovers[index] = remaining
-    state = attrs.evolve(state, handovers=handovers, floors=floors)
-    return _with_service(view, name, state)
+            state.handovers[index] = remaining
+    return view
 
 
 def _settle_handovers(view: View, before: int) -> View:
@@ -378,7 +413,17 @@
         return view
     for change in record.changes:
         view = _apply_change(view, offset, record, change)
-    return _place_services(view, offset, list(view.services))
+    for name in _list_changed_services(view, record):
+        view = _place_service(view, offset, name)
+    return view
+
+
+def _list_changed_services(view: View, record: ConfigurationPublished) -> list[str]:
+    """Return the services whose placement a change may alter."""
+    subjects = {change.subject for change in record.changes}
+    if FLEET_SUBJECT in subjects:
+        return list(view.services)
+    return [name for name in view.services if SERVICE_PREFIX + name in subjects]
 
 
 def _judge_changes(view: View, offset: int, record: ConfigurationPublished) -> Accepted | Rejection:
@@ -427,7 +472,8 @@
     )
     view = attrs.evolve(view, subjects=subjects)
     if change.subject == FLEET_SUBJECT:
-        return attrs.evolve(view, fleet=parse_subject(change.body or "{}", FleetConfiguration))
+        view = attrs.evolve(view, fleet=parse_subject(change.body or "{}", FleetConfiguration))
+        return _find_all_shares(view)
     name = change.subject.removeprefix(SERVICE_PREFIX)
     configurations = dict(view.configurations)
     configurations.pop(name, None)
@@ -440,7 +486,8 @@
         return view
     fresh = _make_service(name, view)
     if state is not None:
-        fresh = attrs.evolve(fresh, backends=state.backends, next_code=state.next_code)
+        fresh = attrs.evolve(fresh, backends=dict(state.backends), next_code=state.next_code)
+        fresh = attrs.evolve(fresh, index=build_index(view, fresh))
     return _with_service(view, name, fresh)
 
 
@@ -458,36 +505,105 @@
     )
 
 
-def _place_services(view: View, offset: int, names: list[str]) -> View:
-    for name in names:
-        view = _place_service(view, offset, name, removed=set())
+def _find_all_shares(view: View) -> View:
+    """Find again which backend servers may own slices."""
+    for name in list(view.services):
+        view, state = _edit_service(view, name)
+        _get_index(view, state).set_shares(_find_shares(view, state))
     return view
 
 
-def _place_service(view: View, offset: int, name: str, removed: set[int]) -> View:
+def _find_shares(view: View, state: ServiceState) -> dict[int, int]:
+    """Return the slots of each backend server that may own slices, by code."""
+    return {
+        code: placed.backend.slots
+        for code, placed in state.backends.items()
+        if is_eligible(view, placed)
+    }
+
+
+def build_index(view: View, state: ServiceState) -> BackendIndex:
+    """Return the index of a service, derived from the rest of the view."""
+    index = make_index(state.owners, state.next_code)
+    for code, placed in sorted(state.backends.items()):
+        index.add(code, placed.member, placed.backend, eligible=False)
+    index.set_shares(_find_shares(view, state))
+    return index
+
+
+def build_indexes(view: View) -> View:
+    """Return a decoded view with the indexes of all services."""
+    services = {
+        name: attrs.evolve(state, index=build_index(view, state))
+        for name, state in view.services.items()
+    }
+    return attrs.evolve(view, services=services)
+
+
+def _get_index(view: View, state: ServiceState) -> BackendIndex:
+    return state.index or build_index(view, state)
+
+
+def _edit_service(view: View, name: str) -> tuple[View, ServiceState]:
+    """Return a service whose contents this series of folds may change, copied if need be."""
+    state = view.services[name]
+    if state.edit is view.edit:
+        return view, state
+    state = attrs.evolve(
+        state,
+        backends=dict(state.backends),
+        owners=state.owners.copy(),
+        tokens=state.tokens.copy(),
+        floors=state.floors.copy(),
+        handovers=dict(state.handovers),
+        index=state.index.copy() if state.index else build_index(view, state),
+        edit=view.edit,
+    )
+    return _with_service(view, name, state), state
+
+
+def _edit_members(view: View) -> View:
+    """Return a view whose members this series of folds may change, copied if need be."""
+    if view.members_edit is view.edit:
+        return view
+    return attrs.evolve(view, members=dict(view.members), members_edit=view.edit)
+
+
+def _place_service(view: View, offset: int, name: str) -> View:
     """Give each slice of a service an owner; owners that lose a slice become handovers."""
     state = view.services[name]
-    shares = [
-        Share(code, placed.backend.slots)
-        for code, placed in sorted(state.backends.items())
-        if code not in removed and is_eligible(view, placed)
-    ]
-    if name not in view.configurations:
-        shares = []
-    owners = place_slices(state.owners, shares)
-    moved = np.flatnonzero(owners != state.owners)
-    if not len(moved):
+    index = _get_index(view, state)
+    codes = index.codes if name in view.configurations else index.codes[:0]
+    moves = plan_moves(state.owners, codes, index.weights[: len(codes)], index.counts)
+    if not len(moves.slices):
         return view
-    tokens = state.tokens.copy()
-    tokens[moved] = offset
-    handovers = dict(state.handovers)
-    for index in moved.tolist():
-        previous = state.backends.get(int(state.owners[index]))
-        if previous is not None and view.find_member(previous.member) is not None:
-            handover = Handover(previous.member, offset)
-            handovers[index] = (*handovers.get(index, ()), handover)
-    state = attrs.evolve(state, owners=owners, tokens=tokens, handovers=handovers)
-    return _with_service(view, name, state)
+    view, state = _edit_service(view, name)
+    previous = state.owners[moves.slices]
+    state.owners[moves.slices] = moves.targets
+    state.tokens[moves.slices] = offset
+    _get_index(view, state).move(previous, moves.targets)
+    _add_handovers(view, offset, state, moves.slices, previous)
+    return view
+
+
+def _add_handovers(
+    view: View,
+    offset: int,
+    state: ServiceState,
+    slices: NDArray[np.int64],
+    previous: NDArray[np.int32],
+) -> None:
+    """Note the previous owners that may still serve slices that moved."""
+    handovers = {}
+    for code in np.unique(previous).tolist():
+        placed = state.backends.get(code)
+        if placed is not None and view.find_member(placed.member) is not None:
+            handovers[code] = Handover(placed.member, offset)
+    if not handovers:
+        return
+    for index, code in zip(slices.tolist(), previous.tolist(), strict=True):
+        if code in handovers:
+            state.handovers[index] = (*state.handovers.get(index, ()), handovers[code])
 
 
 def is_eligible(view: View, placed: PlacedBackend) -> bool:
@@ -503,14 +619,14 @@
 
 def _list_services(view: View, ref: MemberRef) -> list[str]:
     return [
-        name
-        for name, state in view.services.items()
-        if any(placed.member == ref for placed in state.backends.values())
+        name for name, state in view.services.items() if ref in _get_index(view, state).codes_of
     ]
 
 
 def _with_member(view: View, member: Member) -> View:
-    return attrs.evolve(view, members={**view.members, member.ref.daemon: member})
+    view = _edit_members(view)
+    view.members[member.ref.daemon] = member
+    return view
 
 
 def _with_service(view: View, name: str, state: ServiceState) -> View:
