Bound the connections and slow senders of the HTTP listeners

Cause: a listener took any number of connections and waited for ever for a header or a body.

Change: a listener closes connections over a bound (caller_connections, 4096; 256 for operators), connections that send no whole header within 10 s, and requests whose body does not come within 30 s; headers are at most 16 KiB. A late body is cut before the request is sent on.

--- /dev/null
+++ b/persimmondock/_adapters/listeners.py
@@ -0,0 +1,154 @@
+"""HTTP listeners with bounds on connections and on slow senders."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+import attrs
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+BACKLOG = 512
+MAX_HEADER_BYTES = 16 * 1024
+KEEPALIVE_S = 75.0
+SHUTDOWN_TIMEOUT_S = 1.0
+
+
+@attrs.frozen
+class Bounds:
+    """What one listener accepts.
+
+    Parameters
+    ----------
+    connections
+        Connections at the same time; others are closed at once.
+    first_header_within_s
+        Seconds within which a new connection must have sent a whole request header.
+    body_within_s
+        Seconds within which a request's body must have come.
+    """
+
+    connections: int
+    first_header_within_s: float = 10.0
+    body_within_s: float = 30.0
+
+
+class _Refusal(asyncio.Protocol):
+    """Closes a connection at once."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport.close()
+
+
+class Listener:
+    """Serves one HTTP application on one address.
+
+    The address is taken when the listener is made; connections are accepted from `start` on.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be listened on; the message has it.
+    """
+
+    def __init__(self, application: web.Application, host: str, port: int, bounds: Bounds) -> None:
+        application.middlewares.insert(0, self._build_middleware())
+        self._runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE_S,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        self._bounds = bounds
+        self._socket = bind_socket(host, port)
+        self._server: asyncio.Server | None = None
+        self._silent: set[asyncio.BaseProtocol] = set()
+
+    async def start(self) -> None:
+        """Accept connections."""
+        await self._runner.setup()
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._accept, sock=self._socket, backlog=BACKLOG)
+
+    def stop_accepting(self) -> None:
+        """Accept no new connections; open ones are still served."""
+        if self._server is not None:
+            self._server.close()
+
+    async def close(self) -> None:
+        """Let requests end for a short while, then close all connections."""
+        self.stop_accepting()
+        self._socket.close()
+        await self._runner.cleanup()
+
+    def _accept(self) -> asyncio.BaseProtocol:
+        """Return the protocol of a new connection."""
+        server = self._runner.server
+        if server is None or len(server.connections) >= self._bounds.connections:
+            return _Refusal()
+        protocol = server()
+        self._silent.add(protocol)
+        asyncio.get_running_loop().call_later(
+            self._bounds.first_header_within_s, self._close_silent, protocol
+        )
+        return protocol
+
+    def _close_silent(self, protocol: web.RequestHandler) -> None:
+        """Close a connection that has not sent a whole request header yet."""
+        if protocol not in self._silent:
+            return
+        self._silent.discard(protocol)
+        if protocol.transport is not None:
+            protocol.transport.abort()
+
+    def _build_middleware(self) -> Callable[..., Awaitable[web.StreamResponse]]:
+        @web.middleware
+        async def bound_sender(
+            request: web.Request,
+            handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+        ) -> web.StreamResponse:
+            self._silent.discard(request.protocol)
+            if not request.can_read_body:
+                return await handler(request)
+            loop = asyncio.get_running_loop()
+            timer = loop.call_later(self._bounds.body_within_s, _cut_slow_body, request)
+            try:
+                return await handler(request)
+            finally:
+                timer.cancel()
+
+        return bound_sender
+
+
+def _cut_slow_body(request: web.Request) -> None:
+    """Close a request's connection if its body has not come; it has not been sent on."""
+    if not request.content.is_eof() and request.transport is not None:
+        request.transport.close()
+
+
+def bind_socket(host: str, port: int) -> socket.socket:
+    """Take an address without accepting connections yet.
+
+    Raises
+    ------
+    OSError
+        If the address is in use or not an address of this VM; the message has it.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.setblocking(False)
+    try:
+        bound.bind((host, port))
+    except OSError as error:
+        bound.close()
+        detail = f"cannot listen on {host}:{port}: {error.strerror}"
+        raise OSError(error.errno, detail) from error
+    return bound
--- a/persimmondock/_tasks/daemon.py
+++ b/persimmondock/_tasks/daemon.py
@@ -5,14 +5,13 @@
 import asyncio
 import os
 import signal
-import socket
 import time
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
-from aiohttp import web
 from loguru import logger
 
+from persimmondock._adapters.listeners import Bounds, Listener
 from persimmondock._adapters.log_client import HttpLog
 from persimmondock._adapters.metrics import StatsdMetrics
 from persimmondock._adapters.peer_link import PeerLink
@@ -28,14 +27,13 @@
 from persimmondock._tasks.reporter import Reporter
 
 if TYPE_CHECKING:
+    from aiohttp import web
+
     from persimmondock._domain.messages import Message
     from persimmondock.settings import Settings
 
 STOP_POLL_S = 0.05
-MAX_HEADER_BYTES = 16 * 1024
-KEEPALIVE_S = 75.0
-SHUTDOWN_TIMEOUT_S = 1.0
-LISTEN_BACKLOG = 512
+OPERATOR_CONNECTIONS = 256
 VIEW_QUIET_S = 1.0
 LINGER_S = 0.5
 
@@ -52,8 +50,7 @@
         self._stopping = asyncio.Event()
         self._failed = False
         self._tasks: list[asyncio.Task[None]] = []
-        self._runners: list[web.AppRunner] = []
-        self._caller_site: web.SockSite | None = None
+        self._listeners: list[Listener] = []
 
     async def run(self) -> None:
         """Serve until a signal asks to stop, then shut down gracefully.
@@ -141,41 +138,21 @@
         self.exchange.attach(self.data_link)
         callers = self.front.build_application()
         callers.middlewares.insert(0, self.reporter.build_middleware())
-        bound = self._bind(settings.caller_port)
-        await self._listen(self.operator.build_application(), settings.operator_port)
+        self._callers = self._listen(callers, settings.caller_port, settings.caller_connections)
+        operators = self.operator.build_application()
+        await self._listen(operators, settings.operator_port, OPERATOR_CONNECTIONS).start()
         for owner in (self.follower, self.writer, self.control, self.reporter):
             task = asyncio.create_task(owner.run(), name=type(owner).__name__)
             task.add_done_callback(self._watch)
             self._tasks.append(task)
-        opening = asyncio.create_task(self._open_callers(callers, bound), name="Front")
+        opening = asyncio.create_task(self._open_callers(), name="Front")
         opening.add_done_callback(self._watch)
         self._tasks.append(opening)
 
-    def _bind(self, port: int) -> socket.socket:
-        """Take an address without accepting connections yet."""
-        address = (self._settings.address, port)
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        bound = socket.socket(family, socket.SOCK_STREAM)
-        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        bound.setblocking(False)
-        try:
-            bound.bind(address)
-        except OSError as error:
-            bound.close()
-            detail = f"cannot listen on {address[0]}:{port}: {error.strerror}"
-            raise OSError(error.errno, detail) from error
-        return bound
-
-    async def _open_callers(self, application: web.Application, bound: socket.socket) -> None:
+    async def _open_callers(self) -> None:
         """Accept callers once the view is known, so that no service is missing from it."""
-        try:
-            await self._wait_for_view()
-            runner = await self._set_up(application)
-            self._caller_site = web.SockSite(runner, bound, backlog=LISTEN_BACKLOG)
-            await self._caller_site.start()
-        except asyncio.CancelledError:
-            bound.close()
-            raise
+        await self._wait_for_view()
+        await self._callers.start()
         logger.info("event=callers_accepted view_offset={}", self.membership.view.offset)
 
     async def _wait_for_view(self) -> None:
@@ -189,23 +166,11 @@
                 return
             await asyncio.sleep(STOP_POLL_S)
 
-    async def _listen(self, application: web.Application, port: int) -> None:
-        runner = await self._set_up(application)
-        await web.TCPSite(runner, self._settings.address, port).start()
-
-    async def _set_up(self, application: web.Application) -> web.AppRunner:
-        runner = web.AppRunner(
-            application,
-            access_log=None,
-            handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_S,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-        )
-        await runner.setup()
-        self._runners.append(runner)
-        return runner
+    def _listen(self, application: web.Application, port: int, connections: int) -> Listener:
+        """Take an address; what has been taken is given back in the end."""
+        listener = Listener(application, self._settings.address, port, Bounds(connections))
+        self._listeners.append(listener)
+        return listener
 
     async def _leave(self) -> None:
         """Hand over all slices and finish all work, within the time that settings allow."""
@@ -220,13 +185,12 @@
 
     async def _close_callers(self) -> None:
         """Accept no new connections, and answer what still comes on open ones."""
-        if self._caller_site is not None:
-            await self._caller_site.stop()
-            await asyncio.sleep(LINGER_S)
+        self._callers.stop_accepting()
+        await asyncio.sleep(LINGER_S)
 
     async def _close(self) -> None:
-        for runner in self._runners:
-            await runner.cleanup()
+        for listener in self._listeners:
+            await listener.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/persimmondock/settings.py
+++ b/persimmondock/settings.py
@@ -52,7 +52,7 @@
         raise ValueError(f"{attribute.name} must be a port from 1 to {MAX_PORT}, not {value}")
 
 
-def _check_positive(_: Any, attribute: attrs.Attribute[float], value: float) -> None:
+def _check_positive(_: Any, attribute: attrs.Attribute[Any], value: float) -> None:
     if not 0 < value < float("inf"):
         raise ValueError(f"{attribute.name} must be greater than 0, not {value}")
 
@@ -102,6 +102,8 @@
         ``host:port`` of the log service.
     peer_key
         Secret that all daemons share; it authenticates messages between them.
+    caller_connections
+        Connections of callers at the same time; others are closed at once.
     lease_term_s, renew_every_s
         Length of a lease and interval of its renewal, in seconds.
     stop_within_s
@@ -124,6 +126,7 @@
     operator_port: int = attrs.field(default=OPERATOR_PORT, validator=_check_port)
     peer_port: int = attrs.field(default=PEER_PORT, validator=_check_port)
     data_port: int = attrs.field(default=DATA_PORT, validator=_check_port)
+    caller_connections: int = attrs.field(default=4096, validator=_check_positive)
     lease_term_s: float = attrs.field(default=1.5, validator=_check_positive)
     renew_every_s: float = attrs.field(default=0.3, validator=_check_positive)
     stop_within_s: float = attrs.field(default=30.0, validator=_check_positive)
