Pack the program as one file, and check that a daemon is one process

Cause: a VM has no disk and no Python set up, and a process must start no other process.

Change: make binary freezes the program into a folder, packs it as an uncompressed archive and appends that to a small launcher, which unpacks it once into a folder named by its digest and executes it in the same process. make check-process runs a daemon, looks at /proc and, where strace is there, traces its system calls: no process, no io_uring, no shared memory.

The frozen program has not been built yet.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: demo test setup format
+.PHONY: demo test setup format binary check-process
 
 setup: .venv/ready
 
@@ -16,11 +16,20 @@
 
 # Formatter check, linter, types, then the tests.
 test: setup
-	$(BIN)/black --quiet --check persimmondock benchmarks
-	$(BIN)/ruff check --quiet persimmondock benchmarks
+	$(BIN)/black --quiet --check persimmondock benchmarks packaging
+	$(BIN)/ruff check --quiet persimmondock benchmarks packaging
 	$(BIN)/mypy
 	$(BIN)/python -m pytest
 
+# One file for a VM without Python: dist/persimmondock.
+binary: setup
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[binary]'
+	$(BIN)/python packaging/build.py
+
+# One daemon is one process, without io_uring and shared memory.
+check-process: setup
+	$(BIN)/python -m benchmarks.check_process
+
 format: setup
-	$(BIN)/black --quiet persimmondock benchmarks
-	$(BIN)/ruff check --fix persimmondock benchmarks
+	$(BIN)/black --quiet persimmondock benchmarks packaging
+	$(BIN)/ruff check --fix persimmondock benchmarks packaging
--- a/persimmondock/standins/fleet.py
+++ b/persimmondock/standins/fleet.py
@@ -31,6 +31,8 @@
 BACKEND_PORT = 8200
 START_WITHIN_S = 20.0
 POLL_S = 0.1
+FROZEN = getattr(sys, "frozen", False)
+PROGRAM = (sys.executable,) if FROZEN else (sys.executable, "-m", "persimmondock")
 
 
 @attrs.frozen
@@ -97,7 +99,7 @@
         self._network = network
         self._term_s = term_s
         self._source = source
-        self._program = [sys.executable, "-m", "persimmondock"]
+        self._program = list(PROGRAM)
         if broken:
             self._program = [sys.executable, "-m", "persimmondock.bench.broken", broken]
         self._folder = Path(tempfile.mkdtemp(prefix="persimmondock-"))
