--- a/persimmondock/configuration.py
+++ b/persimmondock/configuration.py
@@ -132,9 +132,9 @@
         }
         return yaml.safe_dump(document, sort_keys=True, allow_unicode=True)
 
-    def print(self, file: TextIO = sys.stdout) -> None:
-        """Print the YAML to publish."""
-        file.write(self.render())
+    def print(self, file: TextIO | None = None) -> None:
+        """Print the YAML to publish, to standard output unless a file is given."""
+        (file or sys.stdout).write(self.render())
 
     def list_subjects(self) -> dict[str, str]:
         """Return the body of each subject that the configuration describes."""
