Judge the outcome of a request over all its attempts

Cause: the front returned the verdict of the last attempt, so an idempotent request whose first attempt may have run was refused as "not run" after a second one found no owner. A call queued for a peer that was down waited until its deadline. Every refusal was tried again each 50 ms until the deadline.

Change: a router beside the front keeps the history of attempts; any doubt makes the whole request "may have run". Retries are paid from a budget per service (0.2 of first attempts, fading within a second, 10 a second at least) and at most 5 a request. A request whose slice has no reachable owner waits for one up to 3 s and is woken by changes of the view. The link hands back messages that never left, and tells when a connection is lost; idempotent calls are then tried elsewhere at once, others wait until the view says that the member is lost. Replies count only from the peer that was called.

--- /dev/null
+++ b/benchmarks/front_scenarios.py
@@ -0,0 +1,187 @@
+"""Scenarios of the front, each with a mechanism off and on in one run.
+
+Run one with ``python -m benchmarks.front_scenarios NAME``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+import time
+from itertools import pairwise
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from benchmarks.offered_load import OfferedLoad
+from benchmarks.variant import COUNTERS_VARIABLE, WITHOUT_VARIABLE
+from persimmondock._adapters.log_client import HttpLog
+from persimmondock._domain.view import Accepted
+from persimmondock._tasks.publisher import publish
+from persimmondock.configuration import Configuration
+from persimmondock.standins import fleet as fleets
+from persimmondock.standins.fleet import Fleet, VmPlan
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+NETWORK = 41
+DOMAINS = ("recife", "fortaleza", "salvador")
+PROGRAM = (sys.executable, "-m", "benchmarks.variant")
+PUBLISH_TIMEOUT_S = 10.0
+WARM_UP_S = 2.0
+QUANTILES = (0.5, 0.99, 0.999)
+
+
+@attrs.define
+class Stage:
+    """A fleet under load."""
+
+    fleet: Fleet
+    folder: Path
+    load: OfferedLoad
+
+    async def publish(self, configuration: Configuration) -> None:
+        """Publish a configuration and check that it was accepted."""
+        log = HttpLog(self.fleet.log_address, self.fleet.session)
+        outcome = await publish(log, configuration, "benchmark", PUBLISH_TIMEOUT_S)
+        assert isinstance(outcome, Accepted), outcome
+
+    def compute_peak_attempts(self, since: float, until: float) -> tuple[float, float]:
+        """Return attempts over offered requests, in all and in the worst second."""
+        bins: dict[int, list[int]] = {}
+        for path in self.folder.glob("*.counters"):
+            rows = [line.split() for line in path.read_text().splitlines()]
+            for before, after in pairwise(rows):
+                at = float(after[0])
+                if since <= at < until:
+                    item = bins.setdefault(int(at), [0, 0])
+                    item[0] += int(after[1]) - int(before[1])
+                    item[1] += int(after[2]) - int(before[2])
+        offered = sum(item[0] for item in bins.values())
+        attempts = sum(item[1] for item in bins.values())
+        peak = max(item[1] / item[0] for item in bins.values() if item[0] >= 10)
+        return attempts / offered, peak
+
+
+@attrs.frozen
+class Scenario:
+    """What is measured with a mechanism off and on."""
+
+    mechanism: str
+    plans: tuple[VmPlan, ...]
+    rate_per_s: float
+    duration_s: float
+    disturb: Callable[[Stage], Awaitable[None]]
+    keyed: bool = False
+
+
+def make_plans(count: int, **options: Any) -> tuple[VmPlan, ...]:
+    """Return VMs of one service over three failure domains."""
+    return tuple(
+        VmPlan(number, DOMAINS[number % len(DOMAINS)], "painel", **options)
+        for number in range(1, count + 1)
+    )
+
+
+def make_configuration(keyed: bool) -> Configuration:
+    """Return the configuration of one service whose requests are idempotent."""
+    configuration = Configuration()
+    configuration.add_service("painel", path="/painel", keyed=keyed, slices=64, timeout_ms=4_000)
+    return configuration
+
+
+async def run_once(scenario: Scenario, without: str) -> Stage:
+    """Run a scenario on a fleet of its own and return what was seen."""
+    fleets.PROGRAM = PROGRAM
+    fleet = Fleet(scenario.plans, network=NETWORK)
+    numbers = [plan.number for plan in scenario.plans]
+    with tempfile.TemporaryDirectory() as folder:
+        fleets.os.environ.update({COUNTERS_VARIABLE: folder, WITHOUT_VARIABLE: without})
+        addresses = [fleet.find_caller_address(number) for number in numbers]
+        paths = [f"/painel/key-{number}/show" for number in range(200)]
+        stage = Stage(fleet, Path(folder), OfferedLoad(addresses, scenario.rate_per_s, paths))
+        try:
+            await fleet.start()
+            await stage.publish(make_configuration(scenario.keyed))
+            await fleet.wait_until_placed(["painel"] if scenario.keyed else [], numbers)
+            await asyncio.sleep(WARM_UP_S)
+            started_at = time.time()
+            await asyncio.gather(stage.load.run(scenario.duration_s), scenario.disturb(stage))
+            report(without or "all on", stage, started_at)
+        finally:
+            await fleet.stop()
+    return stage
+
+
+def report(name: str, stage: Stage, started_at: float) -> None:
+    """Print one run's figures."""
+    overall, peak = stage.compute_peak_attempts(started_at + 1, time.time())
+    took = [outcome.took_s * 1000 for outcome in stage.load.outcomes]
+    refused = [
+        outcome.took_s * 1000
+        for outcome in stage.load.outcomes
+        if outcome.verdict in ("not_run", "may_have_run")
+    ]
+    print(f"--- {name}")
+    print(f"attempts over offered        {overall:.2f}, worst second {peak:.2f}")
+    print(f"verdicts                     {stage.load.count_verdicts()}")
+    print(f"answered p50 p99 p99.9 ms    {stage.load.compute_quantiles_ms(QUANTILES)}")
+    print(f"slowest answer, refusal ms   {max(took):.0f}, {max(refused, default=0):.0f}")
+
+
+async def refuse_everywhere(stage: Stage) -> None:
+    """Let every backend server refuse all work for a while."""
+    await asyncio.sleep(3.0)
+    await asyncio.gather(*(stage.fleet.set_backend_faults(n, draining=True) for n in _all(stage)))
+    await asyncio.sleep(4.0)
+    await asyncio.gather(*(stage.fleet.set_backend_faults(n, draining=False) for n in _all(stage)))
+
+
+async def move_domain(stage: Stage) -> None:
+    """Take a failure domain out and bring it back."""
+    configuration = make_configuration(keyed=True)
+    for change in (configuration.take_out, configuration.bring_back):
+        await asyncio.sleep(3.0)
+        change("recife")
+        await stage.publish(configuration)
+
+
+async def lose_domain(stage: Stage) -> None:
+    """End all VMs of a failure domain at once, and start them again."""
+    lost = [n for n, plan in stage.fleet.plans.items() if plan.failure_domain == "recife"]
+    stage.load.addresses = [
+        stage.fleet.find_caller_address(n) for n in stage.fleet.plans if n not in lost
+    ]
+    await asyncio.sleep(3.0)
+    for number in lost:
+        stage.fleet.kill_vm(number)
+    await asyncio.sleep(4.0)
+    for number in lost:
+        stage.fleet.start_vm(number)
+
+
+def _all(stage: Stage) -> list[int]:
+    return list(stage.fleet.plans)
+
+
+SCENARIOS = {
+    "outage": Scenario("retry_budget", make_plans(4), 200, 10, refuse_everywhere),
+    "domain_lost": Scenario("retry_budget", make_plans(6), 200, 12, lose_domain, keyed=True),
+    "domain_out": Scenario("retry_budget", make_plans(6), 200, 10, move_domain, keyed=True),
+}
+
+
+async def main() -> None:
+    """Run the scenarios named on the command line, each off and on."""
+    for name in sys.argv[1:] or SCENARIOS:
+        scenario = SCENARIOS[name]
+        print(f"=== {name}: {scenario.mechanism} off and on, {scenario.rate_per_s} requests/s")
+        for without in (scenario.mechanism, ""):
+            await run_once(scenario, without)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/benchmarks/variant.py
@@ -0,0 +1,76 @@
+"""A daemon with one mechanism of the front switched off, for measurements off against on.
+
+It writes how many calls its router was offered and how many attempts it made, four times a second.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+import threading
+import time
+from pathlib import Path
+
+from persimmondock._domain import retries
+from persimmondock._tasks import router
+
+COUNTERS_EVERY_S = 0.25
+COUNTERS_VARIABLE = "PERSIMMONDOCK_BENCH_COUNTERS"
+WITHOUT_VARIABLE = "PERSIMMONDOCK_BENCH_WITHOUT"
+UNLIMITED = 1 << 30
+
+_routers: list[router.Router] = []
+
+
+def switch_off(mechanism: str) -> None:
+    """Replace a mechanism by what a plain front would do.
+
+    Raises
+    ------
+    ValueError
+        If there is no such mechanism.
+    """
+    match mechanism:
+        case "":
+            return
+        case "retry_budget":
+            retries.MAX_RETRIES = UNLIMITED
+            retries.RetryBudget.spend = lambda *_: True  # type: ignore[method-assign]
+        case _:
+            raise ValueError(f"no mechanism {mechanism!r}")
+
+
+def write_counters(path: Path) -> None:
+    """Append the time, the offered calls and the attempts for ever."""
+    with path.open("a", buffering=1, encoding="utf-8") as file:
+        while True:
+            offered = sum(item.offered for item in _routers)
+            attempts = sum(item.attempts for item in _routers)
+            file.write(f"{time.time()} {offered} {attempts}\n")
+            time.sleep(COUNTERS_EVERY_S)
+
+
+def _register(self: router.Router, *arguments: object) -> None:
+    _build_router(self, *arguments)  # type: ignore[arg-type]
+    _routers.append(self)
+
+
+_build_router = router.Router.__init__
+
+
+def main() -> None:
+    """Run the program with what the environment switches off."""
+    from persimmondock.cli import main as run
+
+    for mechanism in os.environ.get(WITHOUT_VARIABLE, "").split(","):
+        switch_off(mechanism)
+    router.Router.__init__ = _register  # type: ignore[method-assign]
+    folder = os.environ.get(COUNTERS_VARIABLE)
+    if folder:
+        path = Path(folder) / f"{os.getpid()}.counters"
+        threading.Thread(target=write_counters, args=(path,), daemon=True).start()
+    sys.exit(run())
+
+
+if __name__ == "__main__":
+    main()
--- a/persimmondock/_adapters/backend_client.py
+++ b/persimmondock/_adapters/backend_client.py
@@ -13,11 +13,11 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from persimmondock._domain.fields import pass_answer_fields
 from persimmondock._domain.messages import Call
 from persimmondock._domain.verdict import (
     Answer,
     Answered,
-    Header,
     MayHaveRun,
     NotRun,
     Reason,
@@ -38,9 +38,6 @@
 GATE_HEADERS = frozenset(
     name.lower() for name in (TOKEN_HEADER, DEADLINE_HEADER, SLICE_HEADER, REQUEST_ID_HEADER)
 )
-HOP_HEADERS = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "content-length", "host", "te", "upgrade"}
-)
 
 
 async def run_request(
@@ -173,11 +170,8 @@
         body += await response.content.read(MAX_ANSWER_BYTES + 1 - len(body))
     if len(body) > MAX_ANSWER_BYTES:
         return MayHaveRun(Reason.ANSWER_TOO_LARGE)
-    headers = tuple(
-        Header(name, value)
-        for name, value in response.headers.items()
-        if name.lower() not in HOP_HEADERS
-    )
+    is_head = response.method == "HEAD"
+    headers = pass_answer_fields(response.headers.items(), keep_length=is_head)
     return Answered(Answer(response.status, headers, body))
 
 
--- a/persimmondock/_adapters/listeners.py
+++ b/persimmondock/_adapters/listeners.py
@@ -61,6 +61,7 @@
             application,
             access_log=None,
             handler_cancellation=True,
+            auto_decompress=False,
             keepalive_timeout=KEEPALIVE_S,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
--- /dev/null
+++ b/persimmondock/_domain/fields.py
@@ -0,0 +1,88 @@
+"""HTTP header fields: the module's own, and which ones pass from side to side."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from persimmondock._domain.verdict import Header
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+VERDICT_HEADER = "Persimmondock-Verdict"
+REASON_HEADER = "Persimmondock-Reason"
+RETRY_AFTER_MS_HEADER = "Persimmondock-Retry-After-Ms"
+KEY_HEADER = "Persimmondock-Key"
+DEADLINE_HEADER = "Persimmondock-Deadline"
+FIRST_ATTEMPT_HEADER = "Persimmondock-First-Attempt"
+REQUEST_ID_HEADER = "Idempotency-Key"
+OWN_PREFIX = "persimmondock-"
+CONTENT_LENGTH = "content-length"
+CONNECTION = "connection"
+HOP_HEADERS = frozenset(
+    {
+        CONNECTION,
+        CONTENT_LENGTH,
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def pass_request_fields(
+    fields: Iterable[tuple[str, str]], keep_request_id: bool
+) -> tuple[Header, ...]:
+    """Return the fields of a caller's request that a backend server gets.
+
+    Fields of the module itself are dropped, so that no caller can forge a fencing token. Only the
+    key passes.
+    """
+    passed = _drop_hop_fields(fields)
+    return tuple(
+        field
+        for field in passed
+        if not _is_own(field.name)
+        and (keep_request_id or field.name.lower() != REQUEST_ID_HEADER.lower())
+    )
+
+
+def pass_answer_fields(fields: Iterable[tuple[str, str]], keep_length: bool) -> tuple[Header, ...]:
+    """Return the fields of a backend server's answer that the caller gets.
+
+    Parameters
+    ----------
+    keep_length
+        Whether ``Content-Length`` passes: in an answer to HEAD it says the length of a body that
+        is not there.
+    """
+    listed = list(fields)
+    passed = [field for field in _drop_hop_fields(listed) if not _is_own(field.name)]
+    if keep_length:
+        passed += [Header(name, text) for name, text in listed if name.lower() == CONTENT_LENGTH]
+    return tuple(passed)
+
+
+def _drop_hop_fields(fields: Iterable[tuple[str, str]]) -> list[Header]:
+    """Drop the fields that concern one connection, also those that ``Connection`` names."""
+    listed = list(fields)
+    named = {
+        name.strip().lower()
+        for field, text in listed
+        if field.lower() == CONNECTION
+        for name in text.split(",")
+    }
+    dropped = HOP_HEADERS | named
+    return [Header(name, text) for name, text in listed if name.lower() not in dropped]
+
+
+def _is_own(name: str) -> bool:
+    lowered = name.lower()
+    return lowered.startswith(OWN_PREFIX) and lowered != KEY_HEADER.lower()
--- /dev/null
+++ b/persimmondock/_domain/retries.py
@@ -0,0 +1,163 @@
+"""Retries of a request inside the system, and the budget that bounds them.
+
+An attempt that a gate or a backend server has refused or lost costs the fleet work, so a further
+one is paid from the service's budget. While a slice has no owner that can be reached and serves
+it, the request may wait for one for a bounded time; that costs no backend server any work.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+
+import attrs
+
+from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
+
+RETRY_SHARE = 0.2
+RETRY_WINDOW_S = 1.0
+MIN_RETRIES_PER_S = 10.0
+GIVEN_UP_RETRY_MS = 500
+MAX_BACKEND_LOSSES = 1
+MAX_RETRIES = 5
+
+WITHOUT_OWNER = frozenset({Reason.NO_OWNER, Reason.PEER_UNREACHABLE, Reason.LEASE_LAPSED})
+REFUSED_HERE = frozenset(
+    {
+        Reason.NOT_OWNER,
+        Reason.HANDOVER_PENDING,
+        Reason.BACKEND_REFUSED,
+        Reason.BACKEND_UNREACHABLE,
+        Reason.DRAINING,
+    }
+)
+REFUSED_FOR_LOAD = frozenset({Reason.OVERLOADED})
+LOST_ON_THE_WAY = frozenset({Reason.PEER_SILENT, Reason.BACKEND_LOST})
+
+
+@attrs.define
+class RetryBudget:
+    """A token bucket filled by first attempts and emptied by retries.
+
+    Tokens fade with the time constant ``window_s``, so the bucket never holds more than what the
+    first attempts of about one window have brought.
+
+    Parameters
+    ----------
+    share
+        Tokens that one first attempt brings.
+    window_s
+        Time constant of fading, in seconds.
+    min_per_s
+        Tokens that a second brings without any first attempt.
+    """
+
+    share: float = RETRY_SHARE
+    window_s: float = RETRY_WINDOW_S
+    min_per_s: float = MIN_RETRIES_PER_S
+    refused: int = 0
+    _tokens: float = attrs.field(init=False)
+    _updated_at: float | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self._tokens = self.min_per_s * self.window_s
+
+    def record_first(self, now: float) -> None:
+        """Count a first attempt at a monotonic instant."""
+        self._fade(now)
+        self._tokens += self.share
+
+    def spend(self, now: float) -> bool:
+        """Take one token for a retry; return False when none is left."""
+        self._fade(now)
+        if self._tokens < 1.0:
+            self.refused += 1
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _fade(self, now: float) -> None:
+        if self._updated_at is not None and now > self._updated_at:
+            kept = math.exp((self._updated_at - now) / self.window_s)
+            base = self.min_per_s * self.window_s
+            self._tokens = base + (self._tokens - base) * kept
+        self._updated_at = now
+
+
+class Step(enum.Enum):
+    """What follows an attempt."""
+
+    FINISH = enum.auto()
+    RETRY = enum.auto()
+    WAIT_FOR_OWNER = enum.auto()
+
+
+@attrs.define
+class History:
+    """The attempts of one request so far.
+
+    Parameters
+    ----------
+    doubt
+        The first outcome that leaves open whether the request ran. Once there is one, the request
+        as a whole can no longer be called not run.
+    tried
+        Backend servers of the attempts that failed.
+    """
+
+    idempotent: bool
+    has_slice: bool
+    doubt: MayHaveRun | None = None
+    losses: int = 0
+    retries: int = 0
+    tried: set[str] = attrs.field(factory=set)
+
+    def record(self, verdict: Verdict, backend: str) -> None:
+        """Note how an attempt ended."""
+        match verdict:
+            case MayHaveRun(reason=reason):
+                self.doubt = self.doubt or verdict
+                self.losses += reason is Reason.BACKEND_LOST
+        if not isinstance(verdict, Answered):
+            self.tried.add(backend)
+
+    def plan(self, verdict: Verdict) -> Step:
+        """Decide what follows an attempt that ended with a verdict."""
+        step = self._plan_without_limit(verdict)
+        return Step.FINISH if step is Step.RETRY and self.retries >= MAX_RETRIES else step
+
+    def _plan_without_limit(self, verdict: Verdict) -> Step:
+        match verdict:
+            case NotRun(reason=reason):
+                return self._plan_refused(reason)
+            case MayHaveRun(reason=reason):
+                may_retry = self.idempotent and reason in LOST_ON_THE_WAY
+                return Step.RETRY if may_retry and not self._is_suspect() else Step.FINISH
+            case Answered():
+                return Step.FINISH
+
+    def conclude(self, verdict: Verdict) -> Verdict:
+        """Return the verdict on the request as a whole from that on its last attempt."""
+        match verdict:
+            case NotRun() if self.doubt is not None:
+                return self.doubt
+            case NotRun(reason=reason, retry_after_ms=0) if self._is_temporary(reason):
+                return NotRun(reason, GIVEN_UP_RETRY_MS)
+            case _:
+                return verdict
+
+    def _plan_refused(self, reason: Reason) -> Step:
+        if reason in WITHOUT_OWNER:
+            return Step.WAIT_FOR_OWNER if self.has_slice else Step.RETRY
+        if reason in REFUSED_HERE:
+            return Step.RETRY
+        if reason in REFUSED_FOR_LOAD and not self.has_slice:
+            return Step.RETRY
+        return Step.FINISH
+
+    def _is_suspect(self) -> bool:
+        """Return whether the request may be what ends backend servers."""
+        return self.losses > MAX_BACKEND_LOSSES
+
+    def _is_temporary(self, reason: Reason) -> bool:
+        return reason in WITHOUT_OWNER | REFUSED_HERE | REFUSED_FOR_LOAD
--- a/persimmondock/_domain/verdict.py
+++ b/persimmondock/_domain/verdict.py
@@ -40,6 +40,7 @@
     PEER_SILENT = "peer_silent"
     RETRY_BUDGET_SPENT = "retry_budget_spent"
     CANCELLED = "cancelled"
+    INTERNAL_ERROR = "internal_error"
 
 
 @attrs.frozen
--- a/persimmondock/_tasks/exchange.py
+++ b/persimmondock/_tasks/exchange.py
@@ -8,17 +8,21 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from loguru import logger
 
 from persimmondock._domain.messages import Call, Cancel, Message, Reply
 from persimmondock._domain.verdict import MayHaveRun, NotRun, Reason, Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from persimmondock._adapters.peer_link import PeerLink
     from persimmondock._domain.records import MemberRef
     from persimmondock._domain.view import Member, View
     from persimmondock._tasks.gate import Gate
 
 UNREACHABLE_RETRY_MS = 200
+REPLY_GRACE_S = 0.05
 LEFT_GRACE_S = 0.4
 
 
@@ -33,13 +37,15 @@
     """
 
     member: MemberRef
+    address: str
+    idempotent: bool
     future: asyncio.Future[Verdict]
     leaving: bool = False
 
-
-def _end_silent(waiting: _Waiting) -> None:
-    if not waiting.future.done():
-        waiting.future.set_result(MayHaveRun(Reason.PEER_SILENT))
+    def end(self, verdict: Verdict) -> None:
+        """Give the caller a verdict unless it has one."""
+        if not self.future.done():
+            self.future.set_result(verdict)
 
 
 class Exchange:
@@ -56,66 +62,125 @@
         self._number = random.getrandbits(62)
         self._waiting: dict[int, _Waiting] = {}
         self._serving: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._view_changed = asyncio.Event()
+        self.stray_replies = 0
 
     def attach(self, link: PeerLink) -> None:
         """Use a link for all calls."""
         self._link = link
+        link.undelivered = self.return_undelivered
+        link.disconnected = self.note_disconnected
+
+    # The front's side.
 
     async def call(self, member: Member, call: Call) -> Verdict:
-        """Send a call to a member's gate and wait for the verdict."""
+        """Send a call to a member's gate and wait for the verdict.
+
+        ``NotRun`` is the gate's own word, or means that the call never left this daemon.
+        """
         assert self._link is not None
+        remaining = call.deadline_ms / 1000 - time.time()
+        if remaining <= 0:
+            return NotRun(Reason.DEADLINE_PASSED)
         self._number += 1
         number = self._number
+        address = member.data_address
         future: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
-        if not self._link.send(member.data_address, attrs.evolve(call, number=number)):
-            return NotRun(Reason.PEER_UNREACHABLE, UNREACHABLE_RETRY_MS)
+        self._waiting[number] = _Waiting(
+            member.ref, address, call.idempotent, future, member.leaving
+        )
         self.calls += 1
-        self._waiting[number] = _Waiting(member.ref, future, member.leaving)
-        remaining = max(0.0, call.deadline_ms / 1000 - time.time())
         try:
-            return await asyncio.wait_for(future, remaining)
+            if not self._link.send(address, attrs.evolve(call, number=number)):
+                return NotRun(Reason.PEER_UNREACHABLE, UNREACHABLE_RETRY_MS)
+            return await asyncio.wait_for(future, remaining + REPLY_GRACE_S)
         except TimeoutError:
             return MayHaveRun(Reason.DEADLINE_PASSED)
         except asyncio.CancelledError:
-            self._link.send(member.data_address, Cancel(number))
+            self._link.send(address, Cancel(number))
             raise
         finally:
             del self._waiting[number]
 
+    async def wait_for_view(self, until: float) -> None:
+        """Return when the view changes, at the latest at a Unix time in seconds."""
+        try:
+            await asyncio.wait_for(self._view_changed.wait(), max(0.0, until - time.time()))
+        except TimeoutError:
+            return
+
     def follow_view(self, view: View) -> None:
-        """End the waiting for members that are gone."""
+        """End the waiting for members that are gone, and wake what waits for a change."""
         for waiting in self._waiting.values():
             member = view.find_member(waiting.member)
+            silent = MayHaveRun(Reason.PEER_SILENT)
             if member is not None:
                 waiting.leaving = waiting.leaving or member.leaving
             elif waiting.leaving:
-                asyncio.get_running_loop().call_later(LEFT_GRACE_S, _end_silent, waiting)
+                asyncio.get_running_loop().call_later(LEFT_GRACE_S, waiting.end, silent)
             else:
-                _end_silent(waiting)
+                waiting.end(silent)
+        self._view_changed.set()
+        self._view_changed = asyncio.Event()
+
+    def return_undelivered(self, messages: Iterable[Message]) -> None:
+        """Take back messages that the link has not sent and never will."""
+        for message in messages:
+            if isinstance(message, Call) and message.number in self._waiting:
+                refusal = NotRun(Reason.PEER_UNREACHABLE, UNREACHABLE_RETRY_MS)
+                self._waiting[message.number].end(refusal)
+
+    def note_disconnected(self, address: str) -> None:
+        """End the waiting for idempotent calls to a peer whose connection was lost.
+
+        Calls that are not idempotent keep waiting: the peer may be well and answer, and nobody
+        else may run them before the view says that it is lost.
+        """
+        for number, waiting in self._waiting.items():
+            if waiting.address == address and waiting.idempotent and not waiting.future.done():
+                waiting.end(MayHaveRun(Reason.PEER_SILENT))
+                assert self._link is not None
+                self._link.send(address, Cancel(number))
+
+    # Both sides.
 
     def receive(self, message: Message, reply_address: str) -> None:
         """Take a message of another daemon's exchange."""
         match message:
             case Call():
-                key = (reply_address, message.number)
-                if key not in self._serving:
-                    task = asyncio.create_task(self._serve(message, reply_address))
-                    self._serving[key] = task
+                self._start_serving(message, reply_address)
             case Reply(number=number, verdict=verdict):
-                waiting = self._waiting.get(number)
-                if waiting is not None and not waiting.future.done():
-                    waiting.future.set_result(verdict)
+                self._take_reply(number, verdict, reply_address)
             case Cancel(number=number):
-                task_or_none = self._serving.get((reply_address, number))
-                if task_or_none is not None:
-                    task_or_none.cancel()
+                task = self._serving.get((reply_address, number))
+                if task is not None:
+                    task.cancel()
             case _:
                 return
 
+    def _take_reply(self, number: int, verdict: Verdict, address: str) -> None:
+        """Hand a reply to the call that waits for it; late and crossed ones are dropped."""
+        waiting = self._waiting.get(number)
+        if waiting is None or waiting.address != address or waiting.future.done():
+            self.stray_replies += 1
+            return
+        waiting.end(verdict)
+
+    # The gate's side.
+
+    def _start_serving(self, call: Call, reply_address: str) -> None:
+        key = (reply_address, call.number)
+        if key in self._serving:
+            return
+        task = asyncio.create_task(self._serve(call, reply_address))
+        self._serving[key] = task
+        task.add_done_callback(lambda _: self._serving.pop(key, None))
+
     async def _serve(self, call: Call, reply_address: str) -> None:
         assert self._link is not None
         try:
             verdict = await self._gate.submit(call)
-            self._link.send(reply_address, Reply(call.number, verdict))
-        finally:
-            del self._serving[(reply_address, call.number)]
+        except Exception:
+            logger.exception("event=call_failed service={}", call.service)
+            verdict = MayHaveRun(Reason.INTERNAL_ERROR)
+        self._link.send(reply_address, Reply(call.number, verdict))
--- /dev/null
+++ b/persimmondock/_tasks/router.py
@@ -0,0 +1,134 @@
+"""The way of a request from a front to a gate: choice of the backend server, attempts, retries."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import attrs
+from loguru import logger
+
+from persimmondock._domain.placement import NO_OWNER
+from persimmondock._domain.retries import GIVEN_UP_RETRY_MS, History, RetryBudget, Step
+from persimmondock._domain.verdict import MayHaveRun, NotRun, Reason, Verdict
+from persimmondock._domain.view import PlacedBackend, is_eligible
+from persimmondock._tasks.gate import ANY_SLICE
+
+if TYPE_CHECKING:
+    from persimmondock._domain.membership import Membership
+    from persimmondock._domain.messages import Call
+    from persimmondock._tasks.exchange import Exchange
+    from persimmondock._tasks.gate import Gate
+
+FIRST_GAP_S = 0.02
+MAX_GAP_S = 0.2
+OWNER_POLL_S = 0.1
+MAX_OWNER_WAIT_S = 3.0
+MAX_WAITING = 1_000
+
+
+class Router:
+    """Takes calls to gates until they end.
+
+    Attributes
+    ----------
+    offered
+        Calls that were routed.
+    attempts
+        Calls that were given to a gate or sent to one.
+    """
+
+    def __init__(self, membership: Membership, gate: Gate, exchange: Exchange) -> None:
+        self._membership = membership
+        self._gate = gate
+        self._exchange = exchange
+        self._budgets: defaultdict[str, RetryBudget] = defaultdict(RetryBudget)
+        self._waiting = 0
+        self.offered = 0
+        self.attempts = 0
+
+    async def route(self, call: Call) -> Verdict:
+        """Try the gates that the view names until the request ends or is given up."""
+        self.offered += 1
+        self._budgets[call.service].record_first(time.monotonic())
+        history = History(call.idempotent, call.slice != ANY_SLICE)
+        give_up_at_ms = min(call.deadline_ms, int((time.time() + MAX_OWNER_WAIT_S) * 1000))
+        while True:
+            call = self._gate.pin_suspect(call)
+            history.has_slice = call.slice != ANY_SLICE
+            placed = self._choose_backend(call, history)
+            if placed is None:
+                return history.conclude(NotRun(Reason.NO_OWNER, GIVEN_UP_RETRY_MS))
+            verdict = await self._try_once(call, placed)
+            history.record(verdict, placed.backend.name)
+            match history.plan(verdict):
+                case Step.FINISH:
+                    return history.conclude(verdict)
+                case Step.RETRY:
+                    proceeds = await self._prepare_retry(call, history)
+                    history.retries += 1
+                case Step.WAIT_FOR_OWNER:
+                    proceeds = await self._wait_for_owner(placed, call, give_up_at_ms)
+            if not proceeds:
+                return history.conclude(verdict)
+
+    async def _try_once(self, call: Call, placed: PlacedBackend) -> Verdict:
+        member = self._membership.view.find_member(placed.member)
+        if member is None:
+            return NotRun(Reason.NO_OWNER, GIVEN_UP_RETRY_MS)
+        self.attempts += 1
+        call = attrs.evolve(call, backend=placed.backend.name)
+        try:
+            if placed.member == self._membership.ref:
+                return await self._gate.submit(call)
+            return await self._exchange.call(member, call)
+        except Exception:
+            logger.exception("event=attempt_failed service={}", call.service)
+            return MayHaveRun(Reason.INTERNAL_ERROR)
+
+    async def _prepare_retry(self, call: Call, history: History) -> bool:
+        """Pay for a retry and wait for its time; return False when there shall be none."""
+        gap = min(MAX_GAP_S, FIRST_GAP_S * 2**history.retries)
+        if not history.has_slice and history.retries == 0:
+            gap = 0.0
+        if time.time() + gap >= call.deadline_ms / 1000:
+            return False
+        if not self._budgets[call.service].spend(time.monotonic()):
+            return False
+        await asyncio.sleep(gap * random.uniform(0.5, 1.0))
+        return True
+
+    async def _wait_for_owner(self, placed: PlacedBackend, call: Call, give_up_at_ms: int) -> bool:
+        """Wait until the slice has another owner or its owner may be tried again."""
+        retry_at = time.time() + OWNER_POLL_S
+        if self._waiting >= MAX_WAITING or retry_at >= give_up_at_ms / 1000:
+            return False
+        self._waiting += 1
+        try:
+            while time.time() < retry_at and self._find_owner(call) == placed:
+                await self._exchange.wait_for_view(retry_at)
+            return True
+        finally:
+            self._waiting -= 1
+
+    def _choose_backend(self, call: Call, history: History) -> PlacedBackend | None:
+        """Return the owner of the slice, or any eligible backend server."""
+        if call.slice != ANY_SLICE:
+            return self._find_owner(call)
+        view = self._membership.view
+        state = view.services.get(call.service)
+        if state is None:
+            return None
+        eligible = [placed for placed in state.backends.values() if is_eligible(view, placed)]
+        untried = [placed for placed in eligible if placed.backend.name not in history.tried]
+        return random.choice(untried or eligible) if eligible else None
+
+    def _find_owner(self, call: Call) -> PlacedBackend | None:
+        state = self._membership.view.services.get(call.service)
+        if state is None or call.slice >= len(state.owners):
+            return None
+        owner = int(state.owners[call.slice])
+        return state.backends.get(owner) if owner != NO_OWNER else None
