Choose backend servers by what the front has seen itself

Cause: requests that any backend server may run went to a random one, so with one of four slowed ten times a quarter of them was slow.

Change: of two candidates picked at random the front takes the one where the request is expected to end first: own requests in flight over slots, weighted mean of recent latencies, age of the oldest request in flight, a preference for the own failure domain. What was seen fades towards the usual latency, so that a straggler is tried again every few seconds. A failure counts as a slow answer. Load reports do not reach fronts and are not used.

--- a/benchmarks/front_scenarios.py
+++ b/benchmarks/front_scenarios.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from itertools import pairwise
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -129,6 +130,8 @@
     print(f"attempts over offered        {overall:.2f}, worst second {peak:.2f}")
     print(f"verdicts                     {stage.load.count_verdicts()}")
     print(f"answered p50 p99 p99.9 ms    {stage.load.compute_quantiles_ms(QUANTILES)}")
+    runs = Counter(run.backend for run in stage.fleet.read_journals())
+    print(f"runs by backend server       {dict(sorted(runs.items()))}")
     print(f"slowest answer, refusal ms   {max(took):.0f}, {max(refused, default=0):.0f}")
 
 
@@ -163,12 +166,20 @@
         stage.fleet.start_vm(number)
 
 
+async def slow_one(stage: Stage) -> None:
+    """Slow one backend server down for most of the run."""
+    await asyncio.sleep(1.0)
+    await stage.fleet.set_backend_faults(1, slowness=10.0)
+
+
 def _all(stage: Stage) -> list[int]:
     return list(stage.fleet.plans)
 
 
 SCENARIOS = {
+    "straggler": Scenario("choosing", make_plans(4, work_ms=40.0), 60, 20, slow_one),
     "outage": Scenario("retry_budget", make_plans(4), 200, 10, refuse_everywhere),
+    "hedge": Scenario("hedging", make_plans(4, work_ms=40.0), 60, 20, slow_one),
     "domain_lost": Scenario("retry_budget", make_plans(6), 200, 12, lose_domain, keyed=True),
     "domain_out": Scenario("retry_budget", make_plans(6), 200, 10, move_domain, keyed=True),
 }
--- a/benchmarks/variant.py
+++ b/benchmarks/variant.py
@@ -11,7 +11,7 @@
 import time
 from pathlib import Path
 
-from persimmondock._domain import retries
+from persimmondock._domain import choosing, hedging, retries
 from persimmondock._tasks import router
 
 COUNTERS_EVERY_S = 0.25
@@ -36,6 +36,12 @@
         case "retry_budget":
             retries.MAX_RETRIES = UNLIMITED
             retries.RetryBudget.spend = lambda *_: True  # type: ignore[method-assign]
+        case "choosing":
+            choosing.Chooser.choose = (  # type: ignore[method-assign]
+                lambda _, candidates, now, source: source.choice(candidates)
+            )
+        case "hedging":
+            hedging.HEDGE_SHARE = hedging.MIN_HEDGES_PER_S = 0.0
         case _:
             raise ValueError(f"no mechanism {mechanism!r}")
 
--- /dev/null
+++ b/persimmondock/_domain/choosing.py
@@ -0,0 +1,140 @@
+"""Choice of a backend server for requests that any of a service's may run.
+
+A front goes by what it has seen itself: its own requests in flight and how long recent ones took.
+Of two candidates picked at random it takes the one where the request is likely to end first. What
+was seen long ago fades towards what the others take, so that a slow backend server is tried again
+with one request every few seconds.
+"""
+
+from __future__ import annotations
+
+import math
+from statistics import median
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+FADE_S = 4.0
+USUAL_EVERY_S = 0.2
+SLOWER_WEIGHT = 0.3
+FASTER_WEIGHT = 0.1
+FIRST_LATENCY_S = 0.005
+FAILURE_LATENCY_S = 0.25
+OTHER_DOMAIN_FACTOR = 1.25
+
+
+@attrs.frozen
+class Candidate:
+    """A backend server that may be given the request.
+
+    Parameters
+    ----------
+    near
+        Whether it is in the front's own failure domain.
+    """
+
+    name: str
+    slots: int
+    near: bool
+
+
+@attrs.define
+class Observation:
+    """What a front has seen of one backend server.
+
+    Parameters
+    ----------
+    latency_s
+        Weighted mean of recent latencies, in seconds.
+    seen_at
+        Monotonic instant of the last one.
+    started
+        Monotonic instants at which the requests in flight were sent, the oldest first.
+    """
+
+    latency_s: float = FIRST_LATENCY_S
+    seen_at: float = -math.inf
+    started: dict[int, float] = attrs.field(factory=dict)
+
+    def count(self, took_s: float, now: float) -> None:
+        """Take in the latency of a request that ended."""
+        if self.seen_at == -math.inf:
+            self.latency_s = took_s
+        else:
+            weight = SLOWER_WEIGHT if took_s > self.latency_s else FASTER_WEIGHT
+            self.latency_s += weight * (took_s - self.latency_s)
+        self.seen_at = now
+
+    def estimate(self, usual_s: float, now: float) -> float:
+        """Return the latency to expect; the older the observation, the nearer to the usual one."""
+        kept = math.exp(min(0.0, self.seen_at - now) / FADE_S)
+        expected = usual_s + (self.latency_s - usual_s) * kept
+        oldest = next(iter(self.started.values()), now)
+        return max(expected, now - oldest)
+
+
+@attrs.define
+class Chooser:
+    """Chooses among the backend servers of one service for one kind of request."""
+
+    _observations: dict[str, Observation] = attrs.field(factory=dict)
+    _number: int = 0
+    _usual_s: float = FIRST_LATENCY_S
+    _usual_until: float = -math.inf
+
+    def choose(
+        self, candidates: Sequence[Candidate], now: float, source: random.Random
+    ) -> Candidate:
+        """Return the better one of two candidates picked at random."""
+        if len(candidates) == 1:
+            return candidates[0]
+        first, second = source.sample(candidates, 2)
+        usual_s = self._find_usual(now)
+        if self.compute_cost(second, usual_s, now) < self.compute_cost(first, usual_s, now):
+            return second
+        return first
+
+    def compute_cost(self, candidate: Candidate, usual_s: float, now: float) -> float:
+        """Return the seconds that a request is expected to take at a candidate."""
+        seen = self._observations.get(candidate.name)
+        distance = 1.0 if candidate.near else OTHER_DOMAIN_FACTOR
+        if seen is None:
+            return usual_s * distance
+        occupied = (len(seen.started) + 1) / candidate.slots
+        return seen.estimate(usual_s, now) * distance * (1.0 + occupied)
+
+    def start(self, name: str, now: float) -> int:
+        """Note that a request was sent; return its number."""
+        self._number += 1
+        self._observations.setdefault(name, Observation()).started[self._number] = now
+        return self._number
+
+    def end(self, name: str, number: int, now: float, answered: bool) -> None:
+        """Note that a request ended; a failure counts as a slow answer, however fast it came."""
+        seen = self._observations[name]
+        took_s = now - seen.started.pop(number)
+        seen.count(took_s if answered else max(took_s, FAILURE_LATENCY_S), now)
+
+    def abandon(self, name: str, number: int, now: float) -> None:
+        """Note that nobody waits for a request any more; it took at least this long."""
+        seen = self._observations[name]
+        took_s = now - seen.started.pop(number)
+        if took_s > seen.latency_s:
+            seen.count(took_s, now)
+
+    def forget(self, present: set[str]) -> None:
+        """Drop what was seen of backend servers that are gone."""
+        for name in self._observations.keys() - present:
+            if not self._observations[name].started:
+                del self._observations[name]
+
+    def _find_usual(self, now: float) -> float:
+        """Return the median latency of all backend servers, computed a few times a second."""
+        if now >= self._usual_until and self._observations:
+            self._usual_s = median(seen.latency_s for seen in self._observations.values())
+            self._usual_until = now + USUAL_EVERY_S
+        return self._usual_s
--- a/persimmondock/_tasks/router.py
+++ b/persimmondock/_tasks/router.py
@@ -11,13 +11,19 @@
 import attrs
 from loguru import logger
 
+from persimmondock._domain.choosing import Candidate, Chooser
+from persimmondock._domain.hedging import QuantileTracker, make_hedge_budget
 from persimmondock._domain.placement import NO_OWNER
 from persimmondock._domain.retries import GIVEN_UP_RETRY_MS, History, RetryBudget, Step
-from persimmondock._domain.verdict import MayHaveRun, NotRun, Reason, Verdict
-from persimmondock._domain.view import PlacedBackend, is_eligible
+from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
+from persimmondock._domain.view import Member, PlacedBackend, View, is_eligible
 from persimmondock._tasks.gate import ANY_SLICE
+from persimmondock._tasks.race import race_attempts
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from typing import Any
+
     from persimmondock._domain.membership import Membership
     from persimmondock._domain.messages import Call
     from persimmondock._tasks.exchange import Exchange
@@ -30,6 +36,18 @@
 MAX_WAITING = 1_000
 
 
+@attrs.define
+class _Pool:
+    """The eligible backend servers of one service in one view, and how they have done."""
+
+    view: View
+    placed: dict[str, PlacedBackend] = attrs.field(factory=dict)
+    candidates: list[Candidate] = attrs.field(factory=list)
+    chooser: Chooser = attrs.field(factory=Chooser)
+    delay: QuantileTracker = attrs.field(factory=QuantileTracker)
+    hedges: RetryBudget = attrs.field(factory=make_hedge_budget)
+
+
 class Router:
     """Takes calls to gates until they end.
 
@@ -37,8 +55,10 @@
     ----------
     offered
         Calls that were routed.
+    hedges
+        Second attempts that were started while a first one was under way.
     attempts
-        Calls that were given to a gate or sent to one.
+        Calls that were given to a gate or sent to one; those that never left do not count.
     """
 
     def __init__(self, membership: Membership, gate: Gate, exchange: Exchange) -> None:
@@ -46,8 +66,11 @@
         self._gate = gate
         self._exchange = exchange
         self._budgets: defaultdict[str, RetryBudget] = defaultdict(RetryBudget)
+        self._pools: dict[tuple[str, bool], _Pool] = {}
+        self._random = random.Random()
         self._waiting = 0
         self.offered = 0
+        self.hedges = 0
         self.attempts = 0
 
     async def route(self, call: Call) -> Verdict:
@@ -62,8 +85,7 @@
             placed = self._choose_backend(call, history)
             if placed is None:
                 return history.conclude(NotRun(Reason.NO_OWNER, GIVEN_UP_RETRY_MS))
-            verdict = await self._try_once(call, placed)
-            history.record(verdict, placed.backend.name)
+            verdict = await self._try(call, placed, history)
             match history.plan(verdict):
                 case Step.FINISH:
                     return history.conclude(verdict)
@@ -75,19 +97,71 @@
             if not proceeds:
                 return history.conclude(verdict)
 
-    async def _try_once(self, call: Call, placed: PlacedBackend) -> Verdict:
+    async def _try(self, call: Call, placed: PlacedBackend, history: History) -> Verdict:
+        """Make one attempt, or two that race, and note how each went."""
+        if call.slice != ANY_SLICE:
+            verdict = await self._send(call, placed)
+            history.record(verdict, placed.backend.name)
+            return verdict
+        pool = self._find_pool(call)
+        first = self._observe(call, placed, pool, history)
+        if call.may_wait or len(pool.candidates) == 1:
+            return await first
+        pool.hedges.record_first(time.monotonic())
+        verdicts = await race_attempts(
+            first, lambda: self._start_hedge(call, pool, history, placed), pool.delay.estimate_s
+        )
+        return verdicts[-1]
+
+    def _start_hedge(
+        self, call: Call, pool: _Pool, history: History, first: PlacedBackend
+    ) -> Coroutine[Any, Any, Verdict] | None:
+        """Return a second attempt at another backend server, if the budget allows one."""
+        if not pool.hedges.spend(time.monotonic()):
+            return None
+        history.tried.add(first.backend.name)
+        second = self._choose_backend(call, history)
+        if second is None or second == first:
+            return None
+        self.hedges += 1
+        return self._observe(call, second, pool, history)
+
+    async def _observe(
+        self, call: Call, placed: PlacedBackend, pool: _Pool, history: History
+    ) -> Verdict:
+        """Make one attempt at a chosen backend server; later choices go by how long it took."""
+        name, started_at = placed.backend.name, time.monotonic()
+        number = pool.chooser.start(name, started_at)
+        try:
+            verdict = await self._send(call, placed)
+        except asyncio.CancelledError:
+            pool.chooser.abandon(name, number, time.monotonic())
+            raise
+        now = time.monotonic()
+        pool.chooser.end(name, number, now, isinstance(verdict, Answered))
+        pool.delay.count(now - started_at)
+        history.record(verdict, name)
+        return verdict
+
+    async def _send(self, call: Call, placed: PlacedBackend) -> Verdict:
         member = self._membership.view.find_member(placed.member)
         if member is None:
             return NotRun(Reason.NO_OWNER, GIVEN_UP_RETRY_MS)
-        self.attempts += 1
         call = attrs.evolve(call, backend=placed.backend.name)
+        self.attempts += 1
         try:
-            if placed.member == self._membership.ref:
-                return await self._gate.submit(call)
-            return await self._exchange.call(member, call)
+            verdict = await self._submit(call, member)
         except Exception:
             logger.exception("event=attempt_failed service={}", call.service)
             return MayHaveRun(Reason.INTERNAL_ERROR)
+        if isinstance(verdict, NotRun) and verdict.reason is Reason.PEER_UNREACHABLE:
+            self.attempts -= 1
+        return verdict
+
+    async def _submit(self, call: Call, member: Member) -> Verdict:
+        if member.ref == self._membership.ref:
+            return await self._gate.submit(call)
+        return await self._exchange.call(member, call)
 
     async def _prepare_retry(self, call: Call, history: History) -> bool:
         """Pay for a retry and wait for its time; return False when there shall be none."""
@@ -115,16 +189,38 @@
             self._waiting -= 1
 
     def _choose_backend(self, call: Call, history: History) -> PlacedBackend | None:
-        """Return the owner of the slice, or any eligible backend server."""
+        """Return the owner of the slice, or the best of the eligible backend servers."""
         if call.slice != ANY_SLICE:
             return self._find_owner(call)
+        pool = self._find_pool(call)
+        if not pool.candidates:
+            return None
+        untried = [item for item in pool.candidates if item.name not in history.tried]
+        candidates = untried or pool.candidates
+        chosen = pool.chooser.choose(candidates, time.monotonic(), self._random)
+        return pool.placed[chosen.name]
+
+    def _find_pool(self, call: Call) -> _Pool:
+        """Return the pool for calls of this kind, brought in line with the view."""
         view = self._membership.view
+        pool = self._pools.get((call.service, call.may_wait))
+        if pool is None:
+            pool = self._pools[(call.service, call.may_wait)] = _Pool(view)
+        elif pool.view is view:
+            return pool
+        pool.view = view
         state = view.services.get(call.service)
-        if state is None:
-            return None
-        eligible = [placed for placed in state.backends.values() if is_eligible(view, placed)]
-        untried = [placed for placed in eligible if placed.backend.name not in history.tried]
-        return random.choice(untried or eligible) if eligible else None
+        backends = state.backends.values() if state is not None else ()
+        pool.placed = {item.backend.name: item for item in backends if is_eligible(view, item)}
+        pool.candidates = [self._describe(item) for item in pool.placed.values()]
+        pool.chooser.forget(set(pool.placed))
+        return pool
+
+    def _describe(self, placed: PlacedBackend) -> Candidate:
+        member = self._membership.view.find_member(placed.member)
+        domain = self._membership.identity.failure_domain
+        near = member is not None and member.failure_domain == domain
+        return Candidate(placed.backend.name, placed.backend.slots, near)
 
     def _find_owner(self, call: Call) -> PlacedBackend | None:
         state = self._membership.view.services.get(call.service)
