Authenticate frames between daemons and refuse replayed ones

Cause: any process that reached a peer port could send calls and votes, and a recorded frame could be sent again; queues and sockets had no bound in bytes.

Change: each frame carries a keyed BLAKE2b hash, its sender's boot nonce, the receiver's nonce and a number that its sender never uses twice. The receiver's nonce is learnt by a greeting whose reply echoes a random token; it changes with each process and when the memory of senders is full, so replay protection needs neither a clock nor storage. Garbage, wrong keys, replays and full queues are refused, counted by reason and reported once a second at most. Bounds: 16 MiB a frame, 4096 messages and 16 MiB queued a peer, 64 MiB in all, 4096 peers. A message handler that fails no longer ends the reader. wait_for gave way to timeout(): in Python 3.11 it loses a cancellation that meets a result.

--- a/persimmondock/_domain/messages.py
+++ b/persimmondock/_domain/messages.py
@@ -1,8 +1,8 @@
-"""Messages between daemons, and the frame that carries several of them."""
+"""Messages between daemons, and their encoding in frames of several."""
 
 from __future__ import annotations
 
-from typing import Any, TypeAlias
+from typing import TYPE_CHECKING, Any, TypeAlias
 
 import attrs
 import msgpack
@@ -12,6 +12,9 @@
 from persimmondock._domain.records import MemberRef
 from persimmondock._domain.verdict import Answered, Header, MayHaveRun, NotRun, Verdict
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 
 @attrs.frozen
 class Renew:
@@ -225,25 +228,8 @@
 )
 
 
-@attrs.frozen
-class Frame:
-    """Messages sent together.
-
-    Parameters
-    ----------
-    sender
-        Name of the sending daemon.
-    reply_address
-        Where its answers go.
-    """
-
-    sender: str
-    reply_address: str
-    messages: tuple[Message, ...]
-
-
 class FrameError(ValueError):
-    """Bytes from a peer that are not a frame."""
+    """Bytes from a peer that are not a frame of known messages."""
 
 
 _converter = make_converter()
@@ -251,21 +237,26 @@
 configure_tagged_union(Message, _converter, tag_name="kind")
 
 
-def encode_frame(frame: Frame) -> bytes:
-    """Encode a frame."""
-    return msgpack.packb(_converter.unstructure(frame))
+def encode_message(message: Message) -> bytes:
+    """Encode one message."""
+    return msgpack.packb(_converter.unstructure(message, unstructure_as=Message))
+
+
+def join_messages(encoded: Sequence[bytes]) -> bytes:
+    """Return the payload of a frame of encoded messages."""
+    return msgpack.Packer().pack_array_header(len(encoded)) + b"".join(encoded)
 
 
-def decode_frame(data: bytes) -> Frame:
-    """Decode a frame.
+def decode_messages(payload: bytes) -> tuple[Message, ...]:
+    """Decode the payload of a frame.
 
     Raises
     ------
     FrameError
-        If the bytes are not a frame of known messages.
+        If the bytes are not known messages.
     """
     try:
-        value: Any = msgpack.unpackb(data)
-        return _converter.structure(value, Frame)
+        values: list[Any] = msgpack.unpackb(payload)
+        return _converter.structure(values, tuple[Message, ...])  # type: ignore[arg-type]
     except Exception as error:
-        raise FrameError(f"cannot decode a frame of {len(data)} bytes: {error}") from error
+        raise FrameError(f"not messages: {type(error).__name__}") from error
--- a/persimmondock/_tasks/daemon.py
+++ b/persimmondock/_tasks/daemon.py
@@ -106,10 +106,18 @@
         self.operator = Operator(self.membership, self.gate, self.control.inbox)
         identity = self.membership.identity
         self.peer_link = PeerLink(
-            settings.daemon, identity.peer_address, self._receive_control, _log_refused
+            settings.daemon,
+            identity.peer_address,
+            self._receive_control,
+            _log_refused,
+            settings.peer_key,
         )
         self.data_link = PeerLink(
-            settings.daemon, identity.data_address, self.exchange.receive, _log_refused
+            settings.daemon,
+            identity.data_address,
+            self.exchange.receive,
+            _log_refused,
+            settings.peer_key,
         )
 
     def fail(self, task: str, error: BaseException) -> None:
--- a/persimmondock/_tasks/exchange.py
+++ b/persimmondock/_tasks/exchange.py
@@ -93,7 +93,8 @@
         try:
             if not self._link.send(address, attrs.evolve(call, number=number)):
                 return NotRun(Reason.PEER_UNREACHABLE, UNREACHABLE_RETRY_MS)
-            return await asyncio.wait_for(future, remaining + REPLY_GRACE_S)
+            async with asyncio.timeout(remaining + REPLY_GRACE_S):
+                return await future
         except TimeoutError:
             return MayHaveRun(Reason.DEADLINE_PASSED)
         except asyncio.CancelledError:
@@ -105,7 +106,8 @@
     async def wait_for_view(self, until: float) -> None:
         """Return when the view changes, at the latest at a Unix time in seconds."""
         try:
-            await asyncio.wait_for(self._view_changed.wait(), max(0.0, until - time.time()))
+            async with asyncio.timeout(max(0.0, until - time.time())):
+                await self._view_changed.wait()
         except TimeoutError:
             return
 
--- /dev/null
+++ b/persimmondock/tests/test_peer_link.py
@@ -0,0 +1,225 @@
+"""Tests of the link between daemons, on loopback and against forged frames."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+import attrs
+import pytest
+
+from persimmondock._adapters import peer_link
+from persimmondock._adapters.peer_link import PeerLink
+from persimmondock._domain.messages import (
+    Cancel,
+    FrameError,
+    RecordsAsked,
+    encode_message,
+    join_messages,
+)
+from persimmondock._domain.sealing import (
+    NO_NONCE,
+    Kind,
+    ReplayGuard,
+    SealedFrame,
+    Sealer,
+    StaleNonceError,
+    draw_nonce,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from persimmondock._domain.messages import Message
+
+KEY = "a key of the fleet"
+
+
+def find_free_address() -> str:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{free.getsockname()[1]}"
+
+
+@attrs.define
+class Ends:
+    """What came out of a link."""
+
+    received: list[tuple[Message, str]] = attrs.field(factory=list)
+    undelivered: list[Message] = attrs.field(factory=list)
+    disconnected: list[str] = attrs.field(factory=list)
+    reports: list[str] = attrs.field(factory=list)
+
+    def make_link(self, address: str, key: str = KEY) -> PeerLink:
+        link = PeerLink(
+            "vm-1",
+            address,
+            lambda message, sender: self.received.append((message, sender)),
+            self.reports.append,
+            peer_key=key,
+        )
+        link.undelivered = self.undelivered.extend
+        link.disconnected = self.disconnected.append
+        return link
+
+
+async def wait_for(condition: Callable[[], object]) -> None:
+    for _ in range(600):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("nothing happened within 6 s")
+
+
+async def test_messages_arrive_also_at_a_peer_that_was_replaced() -> None:
+    here, there = find_free_address(), find_free_address()
+    mine, theirs = Ends(), Ends()
+    link, peer = mine.make_link(here), theirs.make_link(there)
+    await link.start()
+    await peer.start()
+    try:
+        for number in range(3):
+            assert link.send(there, Cancel(number))
+        await wait_for(lambda: len(theirs.received) == 3)
+        assert theirs.received == [(Cancel(number), here) for number in range(3)]
+        await peer.close()
+        await wait_for(lambda: mine.disconnected == [there])
+        peer = theirs.make_link(there)
+        await peer.start()
+        await wait_for(lambda: link.send(there, Cancel(3)) and len(theirs.received) > 3)
+        assert theirs.received[-1] == (Cancel(3), here)
+    finally:
+        await link.close()
+        await peer.close()
+
+
+async def test_messages_to_nobody_come_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(peer_link, "SEND_TIMEOUT_MS", 50)
+    ends, nobody = Ends(), find_free_address()
+    link = ends.make_link(find_free_address())
+    try:
+        assert link.send(nobody, Cancel(1))
+        await wait_for(lambda: ends.undelivered == [Cancel(1)])
+        assert not link.send(nobody, Cancel(2))
+    finally:
+        await link.close()
+
+
+async def test_a_peer_with_another_key_gets_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(peer_link, "GREETING_TIMEOUT_S", 0.1)
+    there = find_free_address()
+    mine, theirs = Ends(), Ends()
+    link, peer = mine.make_link(find_free_address()), theirs.make_link(there, key="another")
+    await peer.start()
+    try:
+        link.send(there, Cancel(1))
+        await wait_for(lambda: mine.undelivered == [Cancel(1)])
+        assert theirs.received == []
+        assert peer.refused["wrong seal"] >= 1
+        assert len(theirs.reports) == 1
+    finally:
+        await link.close()
+        await peer.close()
+
+
+@pytest.mark.parametrize(
+    ("limit", "value", "accepted"),
+    [
+        ("MAX_QUEUED_MESSAGES", 2, [2, 2]),
+        ("MAX_QUEUED_BYTES", 80, [2, 2]),
+        ("MAX_TOTAL_QUEUED_BYTES", 80, [2, 0]),
+    ],
+)
+async def test_what_waits_for_peers_is_bounded(
+    monkeypatch: pytest.MonkeyPatch, limit: str, value: int, accepted: list[int]
+) -> None:
+    monkeypatch.setattr(peer_link, limit, value)
+    link = Ends().make_link(find_free_address())
+    addresses = [find_free_address() for _ in accepted]
+    message = RecordsAsked(2**40)
+    assert 2 * len(encode_message(message)) <= 80 < 3 * len(encode_message(message))
+    counts = [sum(link.send(address, message) for _ in range(9)) for address in addresses]
+    assert counts == accepted
+    assert link.refused["queue full"] == 18 - sum(accepted)
+    await link.close()
+
+
+async def test_the_number_of_peers_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(peer_link, "MAX_PEERS", 1)
+    link = Ends().make_link(find_free_address())
+    assert link.send(find_free_address(), Cancel(0))
+    assert not link.send(find_free_address(), Cancel(0))
+    await link.close()
+
+
+# Sealing.
+
+
+def make_frame(guard: ReplayGuard, number: int = 1, sender_nonce: bytes = b"s" * 8) -> SealedFrame:
+    payload = join_messages([encode_message(Cancel(number))])
+    return SealedFrame(
+        Kind.MESSAGES, "10.0.0.1:8103", sender_nonce, guard.nonce, NO_NONCE, number, payload
+    )
+
+
+def test_a_sealed_frame_opens_with_the_same_key_only() -> None:
+    frame = make_frame(ReplayGuard())
+    data = Sealer(KEY).seal(frame)
+    assert Sealer(KEY).open(data) == frame
+    with pytest.raises(FrameError):
+        Sealer("another").open(data)
+
+
+@pytest.mark.parametrize("position", [0, 15, 16, 17, 30, 50, -1])
+def test_a_changed_frame_is_refused(position: int) -> None:
+    data = bytearray(Sealer(KEY).seal(make_frame(ReplayGuard())))
+    data[position] ^= 1
+    with pytest.raises(FrameError):
+        Sealer(KEY).open(bytes(data))
+
+
+def test_a_frame_is_taken_once_and_in_order() -> None:
+    guard = ReplayGuard()
+    for number in (1, 2, 5):
+        guard.admit(make_frame(guard, number))
+    for number in (1, 3, 5):
+        with pytest.raises(FrameError):
+            guard.admit(make_frame(guard, number))
+
+
+def test_frames_for_an_earlier_process_are_refused() -> None:
+    earlier, later = ReplayGuard(), ReplayGuard()
+    with pytest.raises(StaleNonceError):
+        later.admit(make_frame(earlier))
+
+
+def test_a_full_memory_makes_old_frames_useless() -> None:
+    guard = ReplayGuard(max_senders=2)
+    old = [make_frame(guard, 1, draw_nonce()) for _ in range(3)]
+    for frame in old[:2]:
+        guard.admit(frame)
+    for frame in (old[2], *old):
+        with pytest.raises(StaleNonceError):
+            guard.admit(frame)
+    guard.admit(make_frame(guard, 1, old[0].sender_nonce))
+
+
+async def test_replayed_frames_and_greetings_reach_nobody() -> None:
+    ends = Ends()
+    link = ends.make_link(find_free_address())
+    guard, sealer = link._guard, Sealer(KEY)
+    data = sealer.seal(make_frame(guard))
+    forged = SealedFrame(
+        Kind.GREETING_REPLY, "10.0.0.1:8103", b"s" * 8, NO_NONCE, b"t" * 8, 9, b"n" * 8
+    )
+    for item in (data, data, b"", b"garbage" * 40, sealer.seal(forged)):
+        link._take_frame(item)
+    assert ends.received == [(Cancel(1), "10.0.0.1:8103")]
+    assert link.refused == {
+        "replayed or overtaken": 1,
+        "too short": 1,
+        "wrong seal": 1,
+        "reply to no greeting": 1,
+    }
+    await link.close()
