Take hedged requests out

Cause: a second attempt beside one that takes longer than 95 in 100 was to cut the tail that is left when stragglers are avoided.

--- a/benchmarks/front_scenarios.py
+++ b/benchmarks/front_scenarios.py
@@ -179,7 +179,6 @@
 SCENARIOS = {
     "straggler": Scenario("choosing", make_plans(4, work_ms=40.0), 60, 20, slow_one),
     "outage": Scenario("retry_budget", make_plans(4), 200, 10, refuse_everywhere),
-    "hedge": Scenario("hedging", make_plans(4, work_ms=40.0), 60, 20, slow_one),
     "domain_lost": Scenario("retry_budget", make_plans(6), 200, 12, lose_domain, keyed=True),
     "domain_out": Scenario("retry_budget", make_plans(6), 200, 10, move_domain, keyed=True),
 }
--- a/benchmarks/variant.py
+++ b/benchmarks/variant.py
@@ -11,7 +11,7 @@
 import time
 from pathlib import Path
 
-from persimmondock._domain import choosing, hedging, retries
+from persimmondock._domain import choosing, retries
 from persimmondock._tasks import router
 
 COUNTERS_EVERY_S = 0.25
@@ -40,8 +40,6 @@
             choosing.Chooser.choose = (  # type: ignore[method-assign]
                 lambda _, candidates, now, source: source.choice(candidates)
             )
-        case "hedging":
-            hedging.HEDGE_SHARE = hedging.MIN_HEDGES_PER_S = 0.0
         case _:
             raise ValueError(f"no mechanism {mechanism!r}")
 
--- a/persimmondock/_tasks/router.py
+++ b/persimmondock/_tasks/router.py
@@ -12,18 +12,13 @@
 from loguru import logger
 
 from persimmondock._domain.choosing import Candidate, Chooser
-from persimmondock._domain.hedging import QuantileTracker, make_hedge_budget
 from persimmondock._domain.placement import NO_OWNER
 from persimmondock._domain.retries import GIVEN_UP_RETRY_MS, History, RetryBudget, Step
 from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
 from persimmondock._domain.view import Member, PlacedBackend, View, is_eligible
 from persimmondock._tasks.gate import ANY_SLICE
-from persimmondock._tasks.race import race_attempts
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
-    from typing import Any
-
     from persimmondock._domain.membership import Membership
     from persimmondock._domain.messages import Call
     from persimmondock._tasks.exchange import Exchange
@@ -44,8 +39,6 @@
     placed: dict[str, PlacedBackend] = attrs.field(factory=dict)
     candidates: list[Candidate] = attrs.field(factory=list)
     chooser: Chooser = attrs.field(factory=Chooser)
-    delay: QuantileTracker = attrs.field(factory=QuantileTracker)
-    hedges: RetryBudget = attrs.field(factory=make_hedge_budget)
 
 
 class Router:
@@ -55,8 +48,6 @@
     ----------
     offered
         Calls that were routed.
-    hedges
-        Second attempts that were started while a first one was under way.
     attempts
         Calls that were given to a gate or sent to one; those that never left do not count.
     """
@@ -70,7 +61,6 @@
         self._random = random.Random()
         self._waiting = 0
         self.offered = 0
-        self.hedges = 0
         self.attempts = 0
 
     async def route(self, call: Call) -> Verdict:
@@ -98,48 +88,20 @@
                 return history.conclude(verdict)
 
     async def _try(self, call: Call, placed: PlacedBackend, history: History) -> Verdict:
-        """Make one attempt, or two that race, and note how each went."""
+        """Make one attempt; later choices go by how it went."""
         if call.slice != ANY_SLICE:
             verdict = await self._send(call, placed)
             history.record(verdict, placed.backend.name)
             return verdict
-        pool = self._find_pool(call)
-        first = self._observe(call, placed, pool, history)
-        if call.may_wait or len(pool.candidates) == 1:
-            return await first
-        pool.hedges.record_first(time.monotonic())
-        verdicts = await race_attempts(
-            first, lambda: self._start_hedge(call, pool, history, placed), pool.delay.estimate_s
-        )
-        return verdicts[-1]
-
-    def _start_hedge(
-        self, call: Call, pool: _Pool, history: History, first: PlacedBackend
-    ) -> Coroutine[Any, Any, Verdict] | None:
-        """Return a second attempt at another backend server, if the budget allows one."""
-        if not pool.hedges.spend(time.monotonic()):
-            return None
-        history.tried.add(first.backend.name)
-        second = self._choose_backend(call, history)
-        if second is None or second == first:
-            return None
-        self.hedges += 1
-        return self._observe(call, second, pool, history)
-
-    async def _observe(
-        self, call: Call, placed: PlacedBackend, pool: _Pool, history: History
-    ) -> Verdict:
-        """Make one attempt at a chosen backend server; later choices go by how long it took."""
-        name, started_at = placed.backend.name, time.monotonic()
-        number = pool.chooser.start(name, started_at)
+        chooser = self._find_pool(call).chooser
+        name = placed.backend.name
+        number = chooser.start(name, time.monotonic())
         try:
             verdict = await self._send(call, placed)
         except asyncio.CancelledError:
-            pool.chooser.abandon(name, number, time.monotonic())
+            chooser.abandon(name, number, time.monotonic())
             raise
-        now = time.monotonic()
-        pool.chooser.end(name, number, now, isinstance(verdict, Answered))
-        pool.delay.count(now - started_at)
+        chooser.end(name, number, time.monotonic(), isinstance(verdict, Answered))
         history.record(verdict, name)
         return verdict
 
