Read configurations in one pass, and keep each mistake on one line

Cause: a loader was made for each value, names were counted once for each name and paths compared with each other. A line break in a field's name broke the message into two lines.

Change: one constructor for all values, cached types, sets; published bodies are at most 64 KiB; odd names are quoted.

--- a/persimmondock/_domain/configuration.py
+++ b/persimmondock/_domain/configuration.py
@@ -15,7 +15,7 @@
 
 FLEET_SUBJECT = "fleet"
 SERVICE_PREFIX = "service/"
-MAX_BODY_BYTES = 256 * 1024
+MAX_BODY_BYTES = 64 * 1024
 MAX_SLICES = 1 << 20
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 
@@ -42,9 +42,11 @@
 
 
 def _check_distinct(_: Any, attribute: attrs.Attribute[Any], value: tuple[str, ...]) -> None:
+    seen: set[str] = set()
     for name in value:
-        if value.count(name) > 1:
+        if name in seen:
             raise ValueError(f"{attribute.name} has {name!r} twice")
+        seen.add(name)
 
 
 def _check_name(_: Any, attribute: attrs.Attribute[str], value: str) -> None:
--- a/persimmondock/_domain/documents.py
+++ b/persimmondock/_domain/documents.py
@@ -9,8 +9,10 @@
 
 import collections.abc
 import enum
+import functools
 import types
 import typing
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 import attrs
@@ -116,6 +118,11 @@
     return "\t" in content[: len(content) - len(content.lstrip())]
 
 
+@functools.cache
+def _read_hints(kind: type) -> dict[str, Any]:
+    return typing.get_type_hints(kind)
+
+
 @attrs.define
 class DocumentReader:
     """Builds typed classes from a node tree and collects the mistakes."""
@@ -125,7 +132,7 @@
     def read_class(self, node: yaml.Node, kind: type[_T], place: str = "") -> _T | None:
         """Return an attrs class built from a mapping, or None after mistakes."""
         fields = {field.name: field for field in attrs.fields(kind)}  # type: ignore[arg-type]
-        hints = typing.get_type_hints(kind)
+        hints = _read_hints(kind)  # type: ignore[arg-type]
         entries = self.read_entries(node, place)
         if entries is None:
             return None
@@ -247,7 +254,9 @@
 
 
 def join_place(place: str, name: str) -> str:
-    """Return the place of a field within another place."""
+    """Return the place of a field within another place; odd names are quoted and cut."""
+    if not name.isprintable() or not name or len(name) > MAX_SHOWN_CHARACTERS:
+        name = repr(name[:MAX_SHOWN_CHARACTERS])
     return f"{place}.{name}" if place else name
 
 
@@ -263,12 +272,20 @@
     return text
 
 
+_constructor = yaml.constructor.SafeConstructor()
+_CONSTRUCTORS: dict[str, Callable[[yaml.ScalarNode], Any]] = {
+    "tag:yaml.org,2002:null": _constructor.construct_yaml_null,
+    "tag:yaml.org,2002:bool": _constructor.construct_yaml_bool,
+    "tag:yaml.org,2002:int": _constructor.construct_yaml_int,
+    "tag:yaml.org,2002:float": _constructor.construct_yaml_float,
+}
+
+
 def _construct(node: yaml.Node) -> Any:
-    """Return the plain value of a scalar node; text that only looks like a date stays text."""
-    if not isinstance(node, yaml.ScalarNode):
-        return node
+    """Return the plain value of a scalar node; what only looks like a date or so stays text."""
+    if not isinstance(node, yaml.ScalarNode) or node.tag not in _CONSTRUCTORS:
+        return node.value
     try:
-        value = yaml.SafeLoader("").construct_object(node)
+        return _CONSTRUCTORS[node.tag](node)
     except (yaml.YAMLError, ValueError, OverflowError):
         return node.value
-    return value if isinstance(value, (str, int, float, bool, type(None))) else node.value
--- a/persimmondock/configuration.py
+++ b/persimmondock/configuration.py
@@ -32,6 +32,7 @@
     DocumentReader,
     Mistake,
     compose_document,
+    join_place,
 )
 
 if TYPE_CHECKING:
@@ -71,7 +72,8 @@
         except ConfigurationError as error:
             unplaced = [attrs.evolve(mistake, line=0) for mistake in error.mistakes]
             raise ConfigurationError(*unplaced) from None
-        self._add(service, Mistake(0, "", ""))
+        paths = {other.path: other.name for other in self.services.values()}
+        self._add(service, paths, Mistake(0, "", ""))
         return service
 
     def set_limits(self, service: str, **limits: Any) -> ServiceConfiguration:
@@ -143,17 +145,17 @@
             subjects[SERVICE_PREFIX + name] = render_subject(service)
         return subjects
 
-    def _add(self, service: ServiceConfiguration, where: Mistake) -> None:
+    def _add(self, service: ServiceConfiguration, paths: dict[str, str], where: Mistake) -> None:
         """Add a service whose name and path must be free; mistakes are at ``where``."""
         if service.name in self.services:
             raise ConfigurationError(
                 attrs.evolve(where, detail=f"service {service.name!r} is there already")
             )
-        for other in self.services.values():
-            if other.path == service.path:
-                detail = f"path {service.path!r} belongs to service {other.name!r}"
-                raise ConfigurationError(attrs.evolve(where, detail=detail))
+        if service.path in paths:
+            detail = f"path {service.path!r} belongs to service {paths[service.path]!r}"
+            raise ConfigurationError(attrs.evolve(where, detail=detail))
         self.services[service.name] = service
+        paths[service.path] = service.name
 
 
 def parse_configuration(text: str) -> Configuration:
@@ -173,6 +175,7 @@
 def _read_document(text: str) -> Configuration:
     reader = DocumentReader()
     configuration = Configuration()
+    paths: dict[str, str] = {}
     entries = reader.read_entries(compose_document(text, MAX_DOCUMENT_CHARACTERS), "")
     for name, node in (entries or {}).items():
         match name:
@@ -181,21 +184,25 @@
                 configuration.fleet = fleet or configuration.fleet
             case "services":
                 for index, item in enumerate(reader.read_items(node, name) or []):
-                    _read_service(reader, configuration, item, f"{name}[{index}]")
+                    _read_service(reader, configuration, paths, item, f"{name}[{index}]")
             case _:
-                reader.add(node, name, "unknown field; known: fleet, services")
+                reader.add(node, join_place("", name), "unknown field; known: fleet, services")
     reader.check()
     return configuration
 
 
 def _read_service(
-    reader: DocumentReader, configuration: Configuration, node: yaml.Node, place: str
+    reader: DocumentReader,
+    configuration: Configuration,
+    paths: dict[str, str],
+    node: yaml.Node,
+    place: str,
 ) -> None:
     service = reader.read_class(node, ServiceConfiguration, place)
     if service is None:
         return
     try:
-        configuration._add(service, Mistake(node.start_mark.line + 1, place, ""))
+        configuration._add(service, paths, Mistake(node.start_mark.line + 1, place, ""))
     except ConfigurationError as error:
         reader.mistakes.extend(error.mistakes)
 
--- a/persimmondock/tests/test_configuration.py
+++ b/persimmondock/tests/test_configuration.py
@@ -80,6 +80,10 @@
         "fleet:\n  failure_domains_out: [recife, recife]\n",
         (2, "fleet.failure_domains_out", "has 'recife' twice"),
     ),
+    "line break in a name": (
+        '"a\\nb": 1\n',
+        (1, "'a\\nb'", "unknown field; known: fleet, services"),
+    ),
     "services as mapping": ("services: {}\n", (1, "services", "expected a list, not a mapping")),
 }
 
