Refuse wrong announcements, and write the page for callers

Cause: a backend server announced with no slots would have gone into the log and into every daemon's placement. The tests used fixed loopback addresses, so that two runs on one machine met. The page for callers was missing.

Change: names, slots and connections of a backend server are checked when it is announced, with the value in the answer, and when a record is decoded; a wrong record is unreadable and changes nothing. Each test run has a loopback network of its own. The page for callers lists headers, verdicts and every reason; tests compare it and the table of settings with the source. Queues and the concurrency level are in status and metrics; a shutdown that ran out of time says so.

--- a/persimmondock/_commands/fleet.py
+++ b/persimmondock/_commands/fleet.py
@@ -31,6 +31,7 @@
     "view_offset",
     "lease_left_ms",
     "in_flight",
+    "queued",
     "slices",
     "waiting",
     "backends",
--- a/persimmondock/_domain/records.py
+++ b/persimmondock/_domain/records.py
@@ -14,6 +14,9 @@
 from cattrs.preconf.msgpack import make_converter
 from cattrs.strategies import configure_tagged_union
 
+MAX_NAME_CHARACTERS = 255
+MAX_COUNT = 100_000
+
 
 @attrs.frozen
 class MemberRef:
@@ -31,6 +34,17 @@
     incarnation: int
 
 
+def _check_text(_: Any, attribute: attrs.Attribute[str], value: str) -> None:
+    if not 0 < len(value) <= MAX_NAME_CHARACTERS or not value.isprintable():
+        bound = f"1 to {MAX_NAME_CHARACTERS} printable characters"
+        raise ValueError(f"{attribute.name} must be {bound}, not {value!r}")
+
+
+def _check_count(_: Any, attribute: attrs.Attribute[int], value: int) -> None:
+    if not 1 <= value <= MAX_COUNT:
+        raise ValueError(f"{attribute.name} must be from 1 to {MAX_COUNT}, not {value}")
+
+
 @attrs.frozen
 class Backend:
     """A backend server as its daemon announces it.
@@ -51,11 +65,11 @@
         Whether it refuses requests that carry an outdated fencing token.
     """
 
-    name: str
-    service: str
-    address: str
-    slots: int
-    connections: int
+    name: str = attrs.field(validator=_check_text)
+    service: str = attrs.field(validator=_check_text)
+    address: str = attrs.field(validator=_check_text)
+    slots: int = attrs.field(validator=_check_count)
+    connections: int = attrs.field(validator=_check_count)
     checks_tokens: bool
 
 
--- a/persimmondock/_tasks/daemon.py
+++ b/persimmondock/_tasks/daemon.py
@@ -182,6 +182,8 @@
             if self.membership.ref is None:
                 return
             await asyncio.sleep(STOP_POLL_S)
+        if not self.membership.left:
+            logger.warning("event=leave_unfinished in_flight={}", self.gate.count_in_flight())
 
     async def _close_callers(self) -> None:
         """Accept no new connections, and answer what still comes on open ones."""
--- a/persimmondock/_tasks/dumping.py
+++ b/persimmondock/_tasks/dumping.py
@@ -40,6 +40,7 @@
     slices: int
     waiting: int
     in_flight: int
+    queued: int
     leaving: bool
 
 
@@ -56,6 +57,7 @@
         slices=sum(_count_own(membership, state) for state in services.values()),
         waiting=len(membership.unreleased),
         in_flight=gate.count_in_flight(),
+        queued=sum(station.waiting for station in gate.describe_stations().values()),
         leaving=membership.leaving,
     )
 
--- a/persimmondock/_tasks/operator.py
+++ b/persimmondock/_tasks/operator.py
@@ -23,6 +23,7 @@
     from persimmondock._tasks.gate import Gate
 
 MAX_BODY_BYTES = 64 * 1024
+MAX_INSTANCE_CHARACTERS = 255
 _converter = Converter()
 
 
@@ -48,12 +49,13 @@
             body = await request.json()
             backend = _converter.structure(body, Backend)
         except BaseValidationError as error:
-            return web.Response(status=400, text="; ".join(transform_error(error)) + "\n")
+            return web.Response(status=400, text=describe_error(error) + "\n")
         except ValueError as error:
             return web.Response(status=400, text=f"{error}\n")
         if self._membership.leaving:
             return web.Response(status=503, text="this daemon is leaving\n")
-        self._inbox.on_next(BackendSeen(backend, str(body.get("instance", ""))))
+        instance = str(body.get("instance", ""))[:MAX_INSTANCE_CHARACTERS]
+        self._inbox.on_next(BackendSeen(backend, instance))
         return web.Response(text="ok\n")
 
     async def _dump(self, _: web.Request) -> web.Response:
@@ -71,3 +73,9 @@
         except UnknownServiceError as error:
             return web.Response(status=404, text=f"{error}\n")
         return web.json_response(attrs.asdict(explanation))
+
+
+def describe_error(error: BaseValidationError) -> str:
+    """Return one line for all wrong values of an announcement."""
+    lines = transform_error(error, format_exception=lambda cause, _: str(cause))
+    return "; ".join(" ".join(line.split()) for line in lines)
--- a/persimmondock/_tasks/reporter.py
+++ b/persimmondock/_tasks/reporter.py
@@ -61,6 +61,9 @@
         sink.measure("handovers_waiting", len(membership.unreleased))
         sink.measure("in_flight", self._gate.count_in_flight())
         sink.measure("request_table", len(self._gate.table))
+        stations = self._gate.describe_stations().values()
+        sink.measure("queued", sum(station.waiting for station in stations))
+        sink.measure("concurrency_level", sum(station.level for station in stations))
         sink.count("forwards", self._exchange.calls - self._calls_seen)
         sink.count("appends", self._writer.appends - self._appends_seen)
         self._calls_seen = self._exchange.calls
--- a/persimmondock/tests/builders.py
+++ b/persimmondock/tests/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import time
 from typing import Any
 
@@ -23,6 +24,8 @@
 from persimmondock._domain.view import Member, View, fold
 from persimmondock.configuration import Configuration
 
+# Loopback network of this test process, so that test runs on one machine do not meet.
+NETWORK = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 256}."
 DOMAINS = ("recife", "fortaleza", "salvador")
 
 
--- a/persimmondock/tests/test_cli.py
+++ b/persimmondock/tests/test_cli.py
@@ -14,8 +14,9 @@
 from persimmondock._domain.membership import Membership
 from persimmondock._tasks.daemon import Daemon, DaemonError
 from persimmondock.settings import Settings
+from persimmondock.tests.builders import NETWORK
 
-TEST_ADDRESS = "127.0.51.90"
+TEST_ADDRESS = f"{NETWORK}90"
 
 
 def run_cli(monkeypatch: pytest.MonkeyPatch, *arguments: str) -> int:
@@ -70,7 +71,7 @@
     path = tmp_path / "vm.yaml"
     port = taken_address.rpartition(":")[2]
     path.write_text(
-        f"daemon: vm-1\nfailure_domain: recife\naddress: {TEST_ADDRESS}\nlog: 127.0.51.91:1\n"
+        f"daemon: vm-1\nfailure_domain: recife\naddress: {TEST_ADDRESS}\nlog: {NETWORK}91:1\n"
         f"peer_key: test\npeer_port: {port}\n"
     )
     assert run_cli(monkeypatch, "daemon", str(path)) == EXIT_UNUSABLE
@@ -81,7 +82,7 @@
 
 async def test_daemon_ends_after_an_unexpected_error(monkeypatch):
     """A daemon whose control task fails ends by an error instead of serving on."""
-    settings = Settings("vm-1", "recife", "127.0.51.92", "127.0.51.93:1", "test")
+    settings = Settings("vm-1", "recife", f"{NETWORK}92", f"{NETWORK}93:1", "test")
     daemon = Daemon(settings)
 
     def break_control() -> None:
--- a/persimmondock/tests/test_docs.py
+++ b/persimmondock/tests/test_docs.py
@@ -25,11 +25,13 @@
 
 import persimmondock
 from persimmondock import cli
+from persimmondock._domain.verdict import Reason
+from persimmondock.settings import Settings
+from persimmondock.tests.builders import NETWORK
 
 DOCS = Path(persimmondock.__file__).parent.parent / "docs"
 PAGES = ("quickstart.md", "operators.md")
 SERVERS = {"standin-log": 8000, "daemon": 8101, "standin-backend": 8200}
-NETWORK = "127.0.51."
 WITHIN_S = 15.0
 POLL_S = 0.05
 
@@ -146,6 +148,20 @@
         assert shell.run_until_done(command) == 0, command
 
 
+def test_the_quickstart_lists_every_setting():
+    """The table of settings has each field of the settings."""
+    text = (DOCS / "quickstart.md").read_text(encoding="utf-8")
+    rows = "".join(re.findall(r"^\| (`.*?) \|", text, re.MULTILINE))
+    assert set(re.findall(r"`(\w+)`", rows)) == {field.name for field in attrs.fields(Settings)}
+
+
+def test_the_page_for_callers_lists_every_reason():
+    """Whatever reason a refusal has, the page says what it means."""
+    text = (DOCS / "callers.md").read_text(encoding="utf-8")
+    rows = text.partition("## Reasons")[2]
+    assert {reason.value for reason in Reason} <= set(re.findall(r"`(\w+)`", rows))
+
+
 def test_no_other_page_has_commands():
     """A page with commands is in the list of the pages that are run."""
     pages = {path.name for path in DOCS.glob("*.md") if list_commands(path.name)}
--- a/persimmondock/tests/test_metrics.py
+++ b/persimmondock/tests/test_metrics.py
@@ -7,20 +7,21 @@
 import pytest
 
 from persimmondock._adapters.metrics import MAX_SAMPLES, StatsdMetrics
+from persimmondock.tests.builders import NETWORK
 
 
 @pytest.fixture
 def server():
     """Return a UDP socket that plays a statsd server."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as bound:
-        bound.bind(("127.0.51.94", 0))
+        bound.bind((f"{NETWORK}94", 0))
         bound.settimeout(2.0)
         yield bound
 
 
 def open_metrics(server: socket.socket) -> StatsdMetrics:
     """Return a sink that sends to the server."""
-    return StatsdMetrics(f"127.0.51.94:{server.getsockname()[1]}", "vm.1")
+    return StatsdMetrics(f"{NETWORK}94:{server.getsockname()[1]}", "vm.1")
 
 
 def test_counts_are_summed_up_until_the_flush(server):
