Measure draining and leaving under load

Measured (benchmarks/gate_scenarios.py drain; 60 requests a second of 200 ms on 6 backend servers): two are drained by configuration and two daemons leave.

--- a/benchmarks/gate_scenarios.py
+++ b/benchmarks/gate_scenarios.py
@@ -272,6 +272,43 @@
         await run_on_fleet(plans, without, partial(measure, label=label))
 
 
+async def run_drains() -> None:
+    """Drain two backend servers, then let two daemons leave, under load."""
+
+    async def measure(load: Load) -> None:
+        load.numbers = [1, 3, 4, 6]
+        streams = [
+            Stream("keyed", "/painel/{key}/show", 30, 3.0),
+            Stream("plain", "/recepcao/{key}/show", 30, 3.0),
+        ]
+        await load.send_streams(streams, 4.0)
+        load.samples.clear()
+        sending = asyncio.create_task(load.send_streams(streams, 14.0))
+        await asyncio.sleep(3.0)
+        configuration = build_configuration()
+        configuration.drain("backend-1")
+        configuration.drain("backend-4")
+        drained_at = time.time()
+        await put_in_force(load.fleet, configuration)
+        await asyncio.sleep(4.0)
+        left_at = time.time()
+        for number in (2, 5):
+            load.fleet.signal_process(f"daemon-{number}", signal.SIGTERM)
+        codes = [await load.fleet.wait_for_exit(f"daemon-{n}", 6.0) for n in (2, 5)]
+        await sending
+        runs = load.fleet.read_journals()
+        starts = {"drained": (drained_at, (1, 4)), "leaving": (left_at, (2, 5))}
+        for name, (since, numbers) in starts.items():
+            names = {f"backend-{number}" for number in numbers}
+            last = max(run.started_at for run in runs if run.backend in names)
+            print(f"{name} last_new_work_after_s={last - since:.2f}", flush=True)
+        cut = sum(not run.completed for run in runs)
+        print(f"cut_runs={cut} exit_codes={codes}", flush=True)
+        show_streams(load, "drain")
+
+    await run_on_fleet(build_plans(3, slots=12, work_ms=200), [], measure)
+
+
 SCENARIOS: dict[str, Callable[[], Awaitable[None]]] = {
     "queue": compare_queues,
     "ramp": compare_ramps,
@@ -279,6 +316,7 @@
     "slowed": compare_slowed,
     "resends": run_resends,
     "poison": compare_poison,
+    "drain": run_drains,
 }
 
 
