--- /dev/null
+++ b/persimmondock/tests/scripted_server.py
@@ -0,0 +1,66 @@
+"""A server whose every byte is scripted."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+import attrs
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@attrs.define
+class Script:
+    """A server that reads each request and then plays bytes.
+
+    Parameters
+    ----------
+    plays
+        Bytes for each request in turn; the connection ends after ``None`` and after ``ends``.
+    """
+
+    plays: list[bytes | None]
+    ends: bool = False
+    resets: bool = False
+    delay_s: float = 0.0
+    requests: list[bytes] = attrs.field(factory=list)
+    closed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @contextlib.asynccontextmanager
+    async def listen(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        try:
+            yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        finally:
+            server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.requests.append(head)
+                data = self.plays[min(len(self.requests), len(self.plays)) - 1]
+                if self.delay_s and await self._is_cancelled(reader):
+                    return
+                writer.write(data or b"")
+                await writer.drain()
+                if data is None or self.ends:
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            self.closed.set()
+            if self.resets:
+                option = (1).to_bytes(4, "little") + bytes(4)
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, option
+                )
+            writer.close()
+
+    async def _is_cancelled(self, reader) -> bool:
+        try:
+            return await asyncio.wait_for(reader.read(1), self.delay_s) == b""
+        except TimeoutError:
+            return False
