Judge waiting requests on a tick and not on each completion

Cause: each completion went through the whole queue.

Change: the queue is judged every 20 ms; a request that is taken late is refused then.

--- a/persimmondock/_tasks/station.py
+++ b/persimmondock/_tasks/station.py
@@ -126,6 +126,7 @@
         """Refuse what waits, let what runs end, and close the connections."""
         self.retired = True
         for number in list(self._waiters):
+            self.queue.remove(number)
             self._refuse(number, NotRun(Reason.BACKEND_UNREACHABLE, RETIRED_RETRY_MS))
         while self.capacity.running:
             await asyncio.sleep(WATCH_EVERY_S)
@@ -150,16 +151,21 @@
             raise
 
     def _pump(self, now: float) -> None:
-        """Refuse what has become hopeless and start what has room."""
-        if self.queue:
-            for shed in self.queue.shed(self.capacity.compute_pace(now), now):
-                self._refuse(shed.number, shed.refusal)
+        """Start what has room."""
         while (first := self.queue.peek()) is not None and self._has_room(first):
             item = self.queue.take()
             assert item is not None
+            if item.deadline <= now:
+                self._refuse(item.number, NotRun(Reason.DEADLINE_PASSED))
+                continue
             waiter = self._waiters.pop(item.number)
             waiter.future.set_result(self._start(item, waiter.call, now))
 
+    def _shed(self, now: float) -> None:
+        """Refuse what has become hopeless."""
+        for shed in self.queue.shed(self.capacity.compute_pace(now), now):
+            self._refuse(shed.number, shed.refusal)
+
     def _has_room(self, item: Waiting) -> bool:
         """Return whether a request may start now."""
         if self._alone is not None or (item.alone and self.capacity.running):
@@ -175,8 +181,8 @@
         return Place(item.number)
 
     def _refuse(self, number: int, refusal: NotRun) -> None:
+        """End the waiting of a request that has left the queue."""
         waiter = self._waiters.pop(number)
-        self.queue.remove(number)
         if not waiter.future.done():
             waiter.future.set_result(refusal)
 
@@ -186,4 +192,5 @@
             await asyncio.sleep(WATCH_EVERY_S)
             now = time.monotonic()
             self.capacity.watch(now)
+            self._shed(now)
             self._pump(now)
--- a/persimmondock/tests/test_gate.py
+++ b/persimmondock/tests/test_gate.py
@@ -99,6 +99,33 @@
     assert len(script.requests) == 1
 
 
+async def test_a_caller_that_goes_away_while_it_waits_leaves_no_trace() -> None:
+    script = Script([WHOLE], delay_s=0.1)
+    async with open_gate(script) as (gate, _):
+        calls = [make_call(backend="backend-0", path=f"/{number}") for number in range(3)]
+        tasks = [asyncio.create_task(gate.submit(call)) for call in calls]
+        await asyncio.sleep(0.02)
+        tasks[1].cancel()
+        assert isinstance(await tasks[2], Answered)
+        state = gate.describe_stations()["backend-0"]
+    assert (state.running, state.waiting, len(script.requests)) == (0, 0, 2)
+
+
+@pytest.mark.parametrize("within_s", [0.05, 0.2])
+async def test_a_request_that_waits_for_a_silent_backend_server_is_refused_in_time(
+    within_s,
+) -> None:
+    script = Script([WHOLE], delay_s=1.0)
+    async with open_gate(script) as (gate, _):
+        running = asyncio.create_task(gate.submit(make_call(backend="backend-0")))
+        await asyncio.sleep(0.02)
+        deadline_ms = int((time.time() + within_s) * 1000)
+        refused = await gate.submit(make_call(backend="backend-0", deadline_ms=deadline_ms))
+        running.cancel()
+    assert isinstance(refused, NotRun)
+    assert len(script.requests) == 1
+
+
 async def test_a_new_instance_and_a_withdrawal_cut_nothing() -> None:
     old, new = Script([WHOLE], delay_s=0.2), Script([WHOLE])
     async with open_gate(old) as (gate, _), new.listen() as address:
