Admit requests that will probably be answered well before their deadlines

Cause: requests were admitted up to the last moment, so that many were refused late or answered at their deadlines, and deferrable ones did not expect the fast ones that would come before them.

Change: a request is admitted if three quarters of its time will do; deferrable requests expect the share of starts that they lately had.

--- a/persimmondock/_domain/queues.py
+++ b/persimmondock/_domain/queues.py
@@ -1,8 +1,9 @@
 """The queue of requests that wait for a slot of one backend server.
 
 Requests that must answer fast go before those that may wait, which get one start in
-``DEFERRABLE_EVERY`` while both wait. A request that cannot be answered before its deadline is shed
-when that becomes clear, not when the deadline comes. Instants are monotonic seconds.
+``DEFERRABLE_EVERY`` while both wait. A request is admitted if it will probably be answered within
+``ADMITTED_SHARE`` of the time that it has, so that few requests wait in vain; it is shed later if
+it becomes clear that its deadline will pass. Instants are monotonic seconds.
 """
 
 from __future__ import annotations
@@ -15,6 +16,8 @@
 
 MAX_WAITING = 256
 DEFERRABLE_EVERY = 8
+ADMITTED_SHARE = 0.75
+SHARE_WEIGHT = 0.05
 MIN_RETRY_MS = 50
 MAX_RETRY_MS = 10_000
 
@@ -87,6 +90,7 @@
     _fast: deque[Waiting] = attrs.field(factory=deque)
     _deferrable: deque[Waiting] = attrs.field(factory=deque)
     _fast_starts: int = 0
+    _deferrable_share: float = 1.0
 
     def __len__(self) -> int:
         return len(self._fast) + len(self._deferrable)
@@ -95,7 +99,7 @@
         """Queue a request, or return why it is refused."""
         queue = self._choose_queue(item)
         if self.enabled:
-            refusal = self._judge(item, len(queue), pace, now)
+            refusal = self._judge(item, len(queue), pace, now, ADMITTED_SHARE)
             if refusal is None and len(queue) >= self.max_waiting:
                 refusal = NotRun(Reason.OVERLOADED, _round_retry(pace.compute_wait(len(self))))
             if refusal is not None:
@@ -106,8 +110,16 @@
     def take(self) -> Waiting | None:
         """Return the request to start next, or None; `shed` comes first."""
         queue = self._choose_next()
+        if self._deferrable:
+            self._note_turn(queue is self._deferrable)
         return queue.popleft() if queue else None
 
+    def _note_turn(self, deferrable: bool) -> None:
+        """Count whether a start went to a deferrable request while one waited."""
+        share = self._deferrable_share
+        share += SHARE_WEIGHT * (deferrable - share)
+        self._deferrable_share = max(1 / DEFERRABLE_EVERY, share)
+
     def peek(self) -> Waiting | None:
         """Return the request that `take` would return."""
         starts = self._fast_starts
@@ -129,7 +141,7 @@
         for queue in (self._fast, self._deferrable):
             kept: list[Waiting] = []
             for item in queue:
-                refusal = self._judge(item, len(kept), pace, now)
+                refusal = self._judge(item, len(kept), pace, now, 1.0)
                 if refusal is None:
                     kept.append(item)
                 else:
@@ -139,15 +151,17 @@
                 queue.extend(kept)
         return dropped
 
-    def _judge(self, item: Waiting, position: int, pace: Pace, now: float) -> NotRun | None:
-        """Return a refusal if a request at a position of its queue will be late."""
+    def _judge(
+        self, item: Waiting, position: int, pace: Pace, now: float, share: float
+    ) -> NotRun | None:
+        """Return a refusal if a request needs more than a share of its time."""
         remaining = item.deadline - now
         if remaining <= 0:
             return NotRun(Reason.DEADLINE_PASSED)
         if not self.enabled:
             return None
         ahead = self._count_ahead(item, position)
-        late_by = pace.compute_end(ahead) - remaining
+        late_by = pace.compute_end(ahead) - share * remaining
         if late_by <= 0:
             return None
         return NotRun(Reason.OVERLOADED, _round_retry(late_by + pace.compute_wait(0)))
@@ -156,7 +170,7 @@
         """Return how many requests start before one at a position of its queue."""
         if not item.may_wait:
             return position + min(len(self._deferrable), position // DEFERRABLE_EVERY)
-        return position + min(len(self._fast), (position + 1) * (DEFERRABLE_EVERY - 1))
+        return int((position + 1) / self._deferrable_share) - 1
 
     def _choose_queue(self, item: Waiting) -> deque[Waiting]:
         return self._deferrable if item.may_wait and self.enabled else self._fast
--- a/persimmondock/tests/test_queues.py
+++ b/persimmondock/tests/test_queues.py
@@ -35,7 +35,7 @@
 
 @pytest.mark.parametrize(
     ("ahead", "deadline", "refused"),
-    [(0, 0.2, False), (0, 0.14, True), (10, 1.0, False), (10, 0.6, True)],
+    [(0, 0.21, False), (0, 0.19, True), (10, 0.9, False), (10, 0.8, True)],
 )
 def test_a_request_that_would_be_late_is_refused_at_once(ahead, deadline, refused) -> None:
     queue = WorkQueue()
@@ -67,6 +67,18 @@
     assert len(queue) == 3
 
 
+def test_deferrable_requests_expect_the_share_that_they_lately_had() -> None:
+    queue = WorkQueue()
+    fill(queue, 200)
+    fill(queue, 30, may_wait=True, first=500)
+    item = Waiting(999, True, 6.0)
+    assert queue.offer(item, PACE, 0.0) is None
+    queue.remove(item.number)
+    for _ in range(80):
+        queue.take()
+    assert queue.offer(item, PACE, 0.0).reason is Reason.OVERLOADED
+
+
 def test_the_queue_is_bounded() -> None:
     queue = WorkQueue(max_waiting=3)
     fill(queue, 3)
