Keep each incarnation once in a view, and find lost slices once

Cause: each member's record brought its own copies of its witnesses' references, and a loss scanned the owners of all slices twice.

--- a/benchmarks/core.py
+++ b/benchmarks/core.py
@@ -46,7 +46,7 @@
     Member,
     PlacedBackend,
     View,
-    build_indexes,
+    complete_view,
     finish_edit,
     fold,
     start_edit,
@@ -160,7 +160,7 @@
         tokens=np.full(slices, offset - 1, dtype=np.int64),
     )
     view = attrs.evolve(view, members=joined, services={SERVICE: state}, offset=offset)
-    return build_indexes(view)
+    return complete_view(view)
 
 
 def fold_all(view: View, records: Iterable[Record]) -> View:
--- a/persimmondock/_domain/placement.py
+++ b/persimmondock/_domain/placement.py
@@ -127,6 +127,8 @@
 
 def find_slices(owners: NDArray[np.int32], codes: Sequence[int]) -> NDArray[np.int64]:
     """Return the slices that some codes own, in order."""
+    if len(codes) == 1:
+        return np.flatnonzero(owners == codes[0])
     if len(codes) <= FEW_CODES:
         mask = np.zeros(len(owners), dtype=bool)
         for code in codes:
--- a/persimmondock/_domain/snapshot.py
+++ b/persimmondock/_domain/snapshot.py
@@ -18,7 +18,7 @@
 from cattrs.strategies import configure_tagged_union
 
 from persimmondock._domain.records import MemberRef, SnapshotTaken, make_record_id
-from persimmondock._domain.view import Accepted, Rejection, ServiceState, View, build_indexes
+from persimmondock._domain.view import Accepted, Rejection, ServiceState, View, complete_view
 
 PART_BYTES = 512 * 1024
 SNAPSHOT_EVERY_RECORDS = 2_000
@@ -110,7 +110,7 @@
         raise SnapshotError(f"cannot decode {len(encoded.body)} bytes: {error}") from error
     if view.offset != encoded.covers:
         raise SnapshotError(f"offset is {view.offset}, not {encoded.covers}")
-    return build_indexes(view)
+    return complete_view(view)
 
 
 def split_snapshot(encoded: EncodedView, part_bytes: int = PART_BYTES) -> tuple[SnapshotTaken, ...]:
--- a/persimmondock/_domain/view.py
+++ b/persimmondock/_domain/view.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 import attrs
 import numpy as np
@@ -21,7 +21,7 @@
     ServiceConfiguration,
     parse_subject,
 )
-from persimmondock._domain.placement import NO_OWNER, find_slices, plan_moves
+from persimmondock._domain.placement import NO_OWNER, plan_moves
 from persimmondock._domain.records import (
     Backend,
     BackendAnnounced,
@@ -255,8 +255,8 @@
         data_address=record.data_address,
         caller_address=record.caller_address,
         operator_address=record.operator_address,
-        witnesses=record.witnesses,
-        successor=record.successor,
+        witnesses=tuple(_share_ref(view, witness) for witness in record.witnesses),
+        successor=_share_ref(view, record.successor) if record.successor else None,
         witnesses_version=offset,
     )
     if any(view.find_member(witness) is None for witness in record.witnesses):
@@ -272,8 +272,8 @@
         return view
     changed = attrs.evolve(
         member,
-        witnesses=record.witnesses,
-        successor=record.successor,
+        witnesses=tuple(_share_ref(view, witness) for witness in record.witnesses),
+        successor=_share_ref(view, record.successor) if record.successor else None,
         witnesses_version=offset,
     )
     return _with_member(view, changed)
@@ -311,7 +311,7 @@
     if backend.name in _get_index(view, view.services[backend.service]).code_of:
         return view
     view, state = _edit_service(view, backend.service)
-    placed = PlacedBackend(state.next_code, record.member, backend)
+    placed = PlacedBackend(state.next_code, _share_ref(view, record.member), backend)
     state.backends[placed.code] = placed
     index = _get_index(view, state)
     index.add(placed.code, record.member, backend, is_eligible(view, placed))
@@ -343,11 +343,9 @@
 def _remove_backends(view: View, offset: int, name: str, codes: set[int], lost: bool) -> View:
     """Place the slices of removed backend servers; the rest of the service stays."""
     view, state = _edit_service(view, name)
-    if lost:
-        state.floors[find_slices(state.owners, sorted(codes))] = offset
     index = _get_index(view, state)
     index.exclude(codes)
-    view = _place_service(view, offset, name)
+    view = _place_service(view, offset, name, lost=codes if lost else set())
     for code in codes:
         placed = state.backends.pop(code)
         index.remove(code, placed.member, placed.backend)
@@ -531,13 +529,33 @@
     return index
 
 
-def build_indexes(view: View) -> View:
-    """Return a decoded view with the indexes of all services."""
-    services = {
-        name: attrs.evolve(state, index=build_index(view, state))
-        for name, state in view.services.items()
+def complete_view(view: View) -> View:
+    """Return a decoded view with the indexes of all services, and each incarnation kept once."""
+    members = {
+        name: attrs.evolve(
+            member,
+            witnesses=tuple(_share_ref(view, witness) for witness in member.witnesses),
+            successor=_share_ref(view, member.successor) if member.successor else None,
+        )
+        for name, member in view.members.items()
+    }
+    services = {name: _complete_service(view, state) for name, state in view.services.items()}
+    return attrs.evolve(view, members=members, services=services)
+
+
+def _complete_service(view: View, state: ServiceState) -> ServiceState:
+    backends = {
+        code: attrs.evolve(placed, member=_share_ref(view, placed.member))
+        for code, placed in state.backends.items()
     }
-    return attrs.evolve(view, services=services)
+    state = attrs.evolve(state, backends=backends)
+    return attrs.evolve(state, index=build_index(view, state))
+
+
+def _share_ref(view: View, ref: MemberRef) -> MemberRef:
+    """Return the equal reference that the view holds already, if there is one."""
+    member = view.find_member(ref)
+    return ref if member is None else member.ref
 
 
 def _get_index(view: View, state: ServiceState) -> BackendIndex:
@@ -569,8 +587,11 @@
     return attrs.evolve(view, members=dict(view.members), members_edit=view.edit)
 
 
-def _place_service(view: View, offset: int, name: str) -> View:
-    """Give each slice of a service an owner; owners that lose a slice become handovers."""
+def _place_service(view: View, offset: int, name: str, lost: Collection[int] = frozenset()) -> View:
+    """Give each slice of a service an owner; owners that lose a slice become handovers.
+
+    Slices of the ``lost`` backend servers, which have no share any more, get a new floor.
+    """
     state = view.services[name]
     index = _get_index(view, state)
     codes = index.codes if name in view.configurations else index.codes[:0]
@@ -581,6 +602,8 @@
     previous = state.owners[moves.slices]
     state.owners[moves.slices] = moves.targets
     state.tokens[moves.slices] = offset
+    if lost:
+        state.floors[moves.slices[np.isin(previous, list(lost))]] = offset
     _get_index(view, state).move(previous, moves.targets)
     _add_handovers(view, offset, state, moves.slices, previous)
     return view
