Encode and decode views in chunks

Cause: decoding a view of 15,000 members built one tree of plain data beside the view; a starting daemon reached 140 MB resident, above the 128 MB for all control work.

Change: mappings are packed in compressed chunks of 500 entries, equal references become one object while they are decoded, and arrays are not copied until they change.

--- a/persimmondock/_domain/snapshot.py
+++ b/persimmondock/_domain/snapshot.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import zlib
-from typing import Any, get_origin
+from collections.abc import Callable, Mapping
+from itertools import islice
+from typing import Any, get_args, get_origin
 
 import attrs
 import msgpack
 import numpy as np
 import xxhash
+from cattrs import Converter
 from cattrs.gen import make_dict_unstructure_fn, override
 from cattrs.preconf.msgpack import make_converter
 from cattrs.strategies import configure_tagged_union
@@ -25,6 +28,7 @@
 SNAPSHOT_REFRESH_S = 1_800.0
 WRITER_DELAY_S = 10.0
 COMPRESSION_LEVEL = 1
+CHUNK_ITEMS = 500
 
 
 class SnapshotError(ValueError):
@@ -48,6 +52,56 @@
     body: bytes
 
 
+def _is_mapping(kind: Any) -> bool:
+    return get_origin(kind) in (dict, Mapping)
+
+
+def _make_packer(kind: Any, converter: Converter) -> Callable[[Mapping[Any, Any]], list[bytes]]:
+    """Return a function that packs a mapping in chunks, so that no large tree is built."""
+    unstructure = converter.get_unstructure_hook(get_args(kind)[1])
+
+    def pack(mapping: Mapping[Any, Any]) -> list[bytes]:
+        items = iter(mapping.items())
+        chunks = []
+        while chunk := [[key, unstructure(value)] for key, value in islice(items, CHUNK_ITEMS)]:
+            chunks.append(zlib.compress(msgpack.packb(chunk), COMPRESSION_LEVEL))
+        return chunks
+
+    return pack
+
+
+def _make_unpacker(kind: Any, converter: Converter) -> Callable[[list[bytes], Any], dict[Any, Any]]:
+    """Return the reverse of ``_make_packer``."""
+    value_kind = get_args(kind)[1]
+    structure = converter.get_structure_hook(value_kind)
+
+    def unpack(chunks: list[bytes], _: Any) -> dict[Any, Any]:
+        return {
+            key: structure(value, value_kind)
+            for chunk in chunks
+            for key, value in msgpack.unpackb(zlib.decompress(chunk))
+        }
+
+    return unpack
+
+
+class _RefCache:
+    """Gives equal references one object while a view is decoded."""
+
+    def __init__(self) -> None:
+        self._refs: dict[tuple[str, int], MemberRef] = {}
+
+    def structure(self, data: dict[str, Any], _: Any) -> MemberRef:
+        key = (str(data["daemon"]), int(data["incarnation"]))
+        ref = self._refs.get(key)
+        if ref is None:
+            ref = self._refs[key] = MemberRef(*key)
+        return ref
+
+    def clear(self) -> None:
+        self._refs.clear()
+
+
 def _is_array(kind: Any) -> bool:
     return get_origin(kind) is np.ndarray or kind is np.ndarray
 
@@ -58,10 +112,14 @@
 
 def _structure_array(data: list[Any], _: Any) -> np.ndarray[Any, Any]:
     kind, body = data
-    return np.frombuffer(zlib.decompress(body), dtype=np.dtype(kind)).copy()
+    return np.frombuffer(zlib.decompress(body), dtype=np.dtype(kind))
 
 
+_refs = _RefCache()
 _converter = make_converter()
+_converter.register_unstructure_hook_factory(_is_mapping, _make_packer)
+_converter.register_structure_hook_factory(_is_mapping, _make_unpacker)
+_converter.register_structure_hook(MemberRef, _refs.structure)
 _converter.register_unstructure_hook_func(_is_array, _unstructure_array)
 _converter.register_structure_hook_func(_is_array, _structure_array)
 configure_tagged_union(Accepted | Rejection, _converter, tag_name="outcome")
@@ -88,7 +146,7 @@
 
 def encode_view(view: View) -> EncodedView:
     """Encode a view; equal views give equal bytes."""
-    body = zlib.compress(msgpack.packb(_converter.unstructure(view)), COMPRESSION_LEVEL)
+    body = msgpack.packb(_converter.unstructure(view))
     return EncodedView(view.offset, compute_digest(body), body)
 
 
@@ -104,10 +162,11 @@
     if digest != encoded.digest:
         raise SnapshotError(f"digest is {digest}, not {encoded.digest}")
     try:
-        data = msgpack.unpackb(zlib.decompress(encoded.body), strict_map_key=False)
-        view = _converter.structure(data, View)
+        view = _converter.structure(msgpack.unpackb(encoded.body), View)
     except Exception as error:
         raise SnapshotError(f"cannot decode {len(encoded.body)} bytes: {error}") from error
+    finally:
+        _refs.clear()
     if view.offset != encoded.covers:
         raise SnapshotError(f"offset is {view.offset}, not {encoded.covers}")
     return complete_view(view)
--- a/persimmondock/_domain/view.py
+++ b/persimmondock/_domain/view.py
@@ -538,26 +538,12 @@
 
 
 def complete_view(view: View) -> View:
-    """Return a decoded view with the indexes of all services, and each incarnation kept once."""
-    members = {
-        name: attrs.evolve(
-            member,
-            witnesses=tuple(_share_ref(view, witness) for witness in member.witnesses),
-            successor=_share_ref(view, member.successor) if member.successor else None,
-        )
-        for name, member in view.members.items()
+    """Return a decoded view with the indexes of all services."""
+    services = {
+        name: attrs.evolve(state, index=build_index(view, state))
+        for name, state in view.services.items()
     }
-    services = {name: _complete_service(view, state) for name, state in view.services.items()}
-    return attrs.evolve(view, members=members, services=services)
-
-
-def _complete_service(view: View, state: ServiceState) -> ServiceState:
-    backends = {
-        code: attrs.evolve(placed, member=_share_ref(view, placed.member))
-        for code, placed in state.backends.items()
-    }
-    state = attrs.evolve(state, backends=backends)
-    return attrs.evolve(state, index=build_index(view, state))
+    return attrs.evolve(view, services=services)
 
 
 def _share_ref(view: View, ref: MemberRef) -> MemberRef:
