--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -26,7 +26,7 @@
 from persimmondock._domain.snapshot import SnapshotSchedule, encode_view, split_snapshot
 from persimmondock._ports.log import Entry
 from persimmondock._tasks.log_follower import FollowerEvent, LogExpired, LogRead, LogSilent
-from persimmondock._tasks.recovery import ViewFound, decode_entries
+from persimmondock._tasks.recovery import ViewFound, decode_entries, drop_snapshot_body
 from persimmondock._tasks.spreader import Spreader
 from persimmondock._tasks.view_transfer import ViewTransfer
 from persimmondock._tasks.warner import Warner
@@ -190,7 +190,8 @@
         self._writer.write(split_snapshot(encoded))
 
     def _apply_entries(self, entries: tuple[Entry, ...], now: float) -> list[Effect]:
-        fresh = tuple(e for e in entries if e.offset >= self._membership.view.offset)
+        offset = self._membership.view.offset
+        fresh = tuple(drop_snapshot_body(entry) for entry in entries if entry.offset >= offset)
         if not fresh:
             return []
         self._recent.extend(fresh)
--- a/persimmondock/_tasks/recovery.py
+++ b/persimmondock/_tasks/recovery.py
@@ -14,6 +14,7 @@
     SnapshotTaken,
     UnreadableRecord,
     decode_record,
+    encode_record,
 )
 from persimmondock._domain.snapshot import SnapshotError, SnapshotSearch, decode_view
 from persimmondock._domain.view import View
@@ -23,6 +24,7 @@
     from persimmondock._ports.log import LogService
 
 READ_LIMIT = 500
+LARGE_RECORD_BYTES = 2_048
 
 
 @attrs.frozen
@@ -77,6 +79,16 @@
     return [(entry.offset, _decode_entry(entry)) for entry in entries]
 
 
+def drop_snapshot_body(entry: Entry) -> Entry:
+    """Return a snapshot's record without the encoded view, which the fold does not look at."""
+    if len(entry.payload) < LARGE_RECORD_BYTES:
+        return entry
+    record = _decode_entry(entry)
+    if not isinstance(record, SnapshotTaken):
+        return entry
+    return Entry(entry.offset, encode_record(attrs.evolve(record, body=b"")))
+
+
 def _decode_entry(entry: Entry) -> Record:
     try:
         return decode_record(entry.payload)
--- a/persimmondock/tests/test_log_client.py
+++ b/persimmondock/tests/test_log_client.py
@@ -15,7 +15,7 @@
 from persimmondock._adapters.log_client import HttpLog
 from persimmondock._domain.records import encode_record
 from persimmondock._domain.snapshot import encode_view, split_snapshot
-from persimmondock._domain.view import Accepted, Rejection, View
+from persimmondock._domain.view import Accepted, Rejection, View, fold
 from persimmondock._ports.log import (
     Appended,
     AppendRefused,
@@ -28,10 +28,17 @@
 from persimmondock._tasks import publisher
 from persimmondock._tasks.log_follower import LogExpired, LogFollower, LogRead, LogSilent
 from persimmondock._tasks.publisher import Unchanged, Unresolved, publish, read_view
-from persimmondock._tasks.recovery import NoViewFound, ViewFound, search_snapshot
+from persimmondock._tasks.recovery import (
+    LARGE_RECORD_BYTES,
+    NoViewFound,
+    ViewFound,
+    decode_entries,
+    drop_snapshot_body,
+    search_snapshot,
+)
 from persimmondock.configuration import Configuration
 from persimmondock.standins.log_service import LogStandin
-from persimmondock.tests.builders import fold_all, make_published
+from persimmondock.tests.builders import fold_all, make_published, make_view
 
 
 @attrs.define
@@ -217,3 +224,16 @@
         outcome = await publish(bench.log, make_configuration(1000), "first", 0.3)
         assert outcome == Unresolved("the log keeps records from offset 2 and no snapshot")
         assert bench.standin.end == 3
+
+
+def test_peers_get_a_snapshot_without_its_body_and_fold_the_same() -> None:
+    view = make_view(20)
+    (record,) = split_snapshot(encode_view(view))
+    whole = Entry(view.offset, encode_record(record))
+    short = drop_snapshot_body(whole)
+    assert len(whole.payload) > LARGE_RECORD_BYTES > len(short.payload)
+    folded = [fold(view, *decoded) for decoded in decode_entries((whole, short))]
+    assert encode_view(folded[0]) == encode_view(folded[1])
+    assert folded[0].snapshot_covers == view.offset
+    other = Entry(0, encode_record(make_published(timeout_ms=5)) + b"\0" * LARGE_RECORD_BYTES)
+    assert drop_snapshot_body(other) == other
