Collect losses in each failure domain into few appends

Cause: the loss of a failure domain made 556 daemons append a loss each, and 1,651 a change of witnesses; a log of 300 appends a second needed 6 s for the losses alone.

Change: in sites of more than 100 members losses and changes of witnesses go to one member of the writer's failure domain, who appends what came in ten times a second. Each record is handed over once; the next attempt is appended by its writer.

--- /dev/null
+++ b/benchmarks/appends.py
@@ -0,0 +1,161 @@
+"""Appends that the loss of a failure domain causes, direct and collected, under virtual time.
+
+``python -m benchmarks.appends`` prints the table of docs/design/spreading.md. Witnesses are chosen by
+the code in use. Each lost member's first living witness writes its loss; each member that has lost
+a witness writes a change of witnesses once it has folded that loss. The log takes a fixed number of
+appends a second, in the order of arrival.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import sys
+
+import attrs
+import numpy as np
+
+from benchmarks.detection import SEED, TERMS, Site, choose_all_witnesses, make_site
+from persimmondock._domain.records import MemberRef
+from persimmondock._domain.witnesses import WITNESSES
+from persimmondock._tasks.log_follower import APPEND_GAP_S, COLLECT_GAP_S
+
+MEMBERS = (15, 150, 1_500, 15_000)
+LOG_APPENDS_A_SECOND = 300
+SPREAD_S = 0.02
+PROMISE_S = 0.4
+
+
+@attrs.define
+class Writer:
+    """One daemon's appends: what waits, and when the next one may go."""
+
+    gap_s: float
+    free_at: float = 0.0
+    waiting: list[int] = attrs.field(factory=list)
+
+
+@attrs.define
+class Log:
+    """The log as a queue."""
+
+    free_at: float = 0.0
+    appends: int = 0
+
+    def append(self, now: float) -> float:
+        """Return when an append that arrives now stands in the log."""
+        self.free_at = max(now, self.free_at) + 1 / LOG_APPENDS_A_SECOND
+        self.appends += 1
+        return self.free_at
+
+
+@attrs.define
+class Run:
+    """One loss of a failure domain, as a series of events in time."""
+
+    site: Site
+    witnesses: dict[int, tuple[int, ...]]
+    collected: bool
+    log: Log = attrs.field(factory=Log)
+    writers: dict[int, Writer] = attrs.field(factory=dict)
+    events: list[tuple[float, str, int, int]] = attrs.field(factory=list)
+    lost_at: dict[int, float] = attrs.field(factory=dict)
+    changed_at: dict[int, float] = attrs.field(factory=dict)
+    holders: dict[int, list[int]] = attrs.field(factory=dict)
+
+    def run(self) -> None:
+        """Run until nothing is left to write."""
+        rng = random.Random(SEED)
+        for holder, chosen in self.witnesses.items():
+            for witness in chosen:
+                self.holders.setdefault(witness, []).append(holder)
+        for member in self.site.lost:
+            last_renewal = rng.uniform(0, TERMS.renew_every)
+            at = TERMS.term + TERMS.grace - last_renewal
+            writer = next((w for w in self.witnesses[member] if w not in self.site.lost), None)
+            if writer is not None:
+                heapq.heappush(self.events, (at, "write", writer, member))
+        while self.events:
+            self._take(*heapq.heappop(self.events))
+
+    def _take(self, now: float, kind: str, daemon: int, record: int) -> None:
+        match kind:
+            case "write":
+                self._write(now, daemon, record)
+            case "flush":
+                self._flush(now, daemon)
+            case "stands":
+                self._note(now, record)
+
+    def _write(self, now: float, daemon: int, record: int) -> None:
+        collector = self._find_writer(daemon)
+        gap_s = COLLECT_GAP_S if self.collected else APPEND_GAP_S
+        writer = self.writers.setdefault(collector, Writer(gap_s))
+        if not writer.waiting:
+            heapq.heappush(self.events, (max(now, writer.free_at), "flush", collector, 0))
+        writer.waiting.append(record)
+
+    def _find_writer(self, daemon: int) -> int:
+        return -1 - self.site.find_domain(daemon) if self.collected else daemon
+
+    def _flush(self, now: float, daemon: int) -> None:
+        writer = self.writers[daemon]
+        at = self.log.append(now)
+        writer.free_at = at + writer.gap_s
+        for record in writer.waiting:
+            heapq.heappush(self.events, (at, "stands", daemon, record))
+        writer.waiting = []
+
+    def _note(self, now: float, record: int) -> None:
+        """A record stands: a loss by its member, a change of witnesses by -1 - its member."""
+        if record < 0:
+            self.changed_at[-1 - record] = now
+            return
+        self.lost_at[record] = now
+        for holder in self.holders.get(record, ()):
+            if holder not in self.site.lost:
+                at = now + SPREAD_S + PROMISE_S
+                heapq.heappush(self.events, (at, "write", holder, -1 - holder))
+
+
+def measure(members: int, collected: bool) -> Run:
+    """Run one case."""
+    site = make_site(members, True, False, random.Random(SEED))
+    refs = [MemberRef(f"vm-{number}", number) for number in range(members)]
+    run = Run(site, choose_all_witnesses(site, refs), collected)
+    run.run()
+    assert len(run.lost_at) == len(site.lost)
+    return run
+
+
+class Appends:
+    """Benchmark of the appends."""
+
+    params = (MEMBERS, (False, True))
+    param_names = ("members", "collected")
+
+    def track_appends(self, members: int, collected: bool) -> int:
+        """Return the number of appends."""
+        return measure(members, collected).log.appends
+
+
+def main() -> None:
+    """Print the table."""
+    print(
+        f"log takes {LOG_APPENDS_A_SECOND} appends a second; {WITNESSES} witnesses\n"
+        "members | appended by | losses | last loss stands s | changes of witnesses | "
+        "last change stands s | appends"
+    )
+    for members in [int(size) for size in sys.argv[1:]] or MEMBERS:
+        for collected in (False, True):
+            run = measure(members, collected)
+            changed = max(run.changed_at.values(), default=float("nan"))
+            print(
+                f"{members} | {'collector' if collected else 'each writer'} | {len(run.lost_at)} | "
+                f"{np.max(list(run.lost_at.values())):.2f} | {len(run.changed_at)} | "
+                f"{changed:.2f} | {run.log.appends}"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- a/persimmondock/_domain/messages.py
+++ b/persimmondock/_domain/messages.py
@@ -107,6 +107,13 @@
     payloads: tuple[bytes, ...]
 
 
+@attrs.frozen
+class AppendAsked:
+    """A daemon asks a peer to append encoded records together with those of others."""
+
+    payloads: tuple[bytes, ...]
+
+
 @attrs.frozen
 class ViewAsked:
     """A daemon that cannot read the log asks a peer for its view.
@@ -222,6 +229,7 @@
     | Released
     | RecordsAsked
     | RecordsGiven
+    | AppendAsked
     | ViewAsked
     | ViewGiven
     | SuspectSeen
--- a/persimmondock/_domain/spreading.py
+++ b/persimmondock/_domain/spreading.py
@@ -67,10 +67,17 @@
         Whether it reads the log all the time.
     targets
         Peer addresses that it sends new records to.
+    appender
+        Peer address of the member that appends for others of its failure domain; None in a small
+        site, and for that member itself.
+    appends_for_others
+        Whether it is that member.
     """
 
     reads_log: bool
     targets: tuple[str, ...] = ()
+    appender: str | None = None
+    appends_for_others: bool = False
 
 
 def plan_spreading(
@@ -94,6 +101,8 @@
     return SpreadPlan(
         reads_log=position < trees.readers,
         targets=tuple(neighbours[target].peer_address for target in targets),
+        appender=None if position == 0 else neighbours[0].peer_address,
+        appends_for_others=position == 0,
     )
 
 
--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -14,6 +14,7 @@
 
 from persimmondock._domain.membership import Append, Effect, Send
 from persimmondock._domain.messages import (
+    AppendAsked,
     Message,
     RecordsAsked,
     RecordsGiven,
@@ -22,7 +23,7 @@
     ViewAsked,
     ViewGiven,
 )
-from persimmondock._domain.records import Backend
+from persimmondock._domain.records import Backend, RecordError, decode_record
 from persimmondock._domain.snapshot import SnapshotSchedule, encode_view, split_snapshot
 from persimmondock._ports.log import Entry
 from persimmondock._tasks.log_follower import FollowerEvent, LogExpired, LogRead, LogSilent
@@ -209,6 +210,8 @@
                 entries = tuple(Entry(start + i, data) for i, data in enumerate(payloads))
                 if start <= self._membership.view.offset:
                     self._perform(self._apply_entries(entries, now))
+            case AppendAsked(payloads=payloads):
+                self._append_for_peer(payloads)
             case ViewAsked():
                 self._transfer.give(message, address)
             case ViewGiven():
@@ -222,6 +225,13 @@
                     self._gate.table.adopt(message.kept)
                 self._perform(self._membership.receive(message, address, now))
 
+    def _append_for_peer(self, payloads: tuple[bytes, ...]) -> None:
+        self._writer.gap_s = self._spreader.find_gap_s()
+        try:
+            self._writer.write(tuple(decode_record(payload) for payload in payloads))
+        except RecordError as error:
+            logger.warning("event=peer_record_refused detail={!r}", error)
+
     def _give_records(self, start: int, address: str) -> None:
         entries = [entry for entry in self._recent if entry.offset >= start][:MAX_GIVEN_ENTRIES]
         if entries and entries[0].offset == start and self._link is not None:
@@ -246,7 +256,8 @@
                 case Send(address=address, message=message):
                     self._send(address, message)
                 case Append(records=records):
-                    self._writer.write(records)
+                    self._writer.gap_s = self._spreader.find_gap_s()
+                    self._writer.write(self._spreader.hand_over(records, time.monotonic()))
 
 
 def _raise_failure(error: Exception) -> None:
--- a/persimmondock/_tasks/log_follower.py
+++ b/persimmondock/_tasks/log_follower.py
@@ -31,6 +31,7 @@
 READ_WAIT_S = 1.0
 READ_RETRY_S = 0.25
 APPEND_GAP_S = 0.02
+COLLECT_GAP_S = 0.1
 IDLE_READ_S = 10.0
 MAX_QUEUED_APPENDS = 1_000
 MAX_APPEND_BYTES = 1024 * 1024
@@ -154,11 +155,17 @@
 
     It does not repeat an append: every record is written again by whoever needs it until the log
     shows it, and folding it twice changes nothing.
+
+    Attributes
+    ----------
+    gap_s
+        Time between two appends, in seconds.
     """
 
     def __init__(self, log: LogService) -> None:
         self._log = log
         self.appends = 0
+        self.gap_s = APPEND_GAP_S
         self._queue: asyncio.Queue[Record] = asyncio.Queue(MAX_QUEUED_APPENDS)
 
     def write(self, records: tuple[Record, ...]) -> None:
@@ -180,7 +187,7 @@
             if self._queue.empty() or sum(map(len, payloads)) >= MAX_APPEND_BYTES // 2:
                 await self._append(payloads, ",".join(kinds))
                 payloads, kinds = [], []
-                await asyncio.sleep(APPEND_GAP_S)
+                await asyncio.sleep(self.gap_s)
 
     async def _append(self, payloads: list[bytes], kinds: str) -> None:
         self.appends += 1
--- a/persimmondock/_tasks/spreader.py
+++ b/persimmondock/_tasks/spreader.py
@@ -4,8 +4,23 @@
 
 from typing import TYPE_CHECKING
 
-from persimmondock._domain.messages import Granted, Message, RecordsAsked, RecordsGiven, Renew
+from persimmondock._domain.messages import (
+    AppendAsked,
+    Granted,
+    Message,
+    RecordsAsked,
+    RecordsGiven,
+    Renew,
+)
+from persimmondock._domain.records import (
+    MemberLost,
+    MemberRef,
+    Record,
+    WitnessesChanged,
+    encode_record,
+)
 from persimmondock._domain.spreading import SpreadPlan, plan_spreading
+from persimmondock._tasks.log_follower import APPEND_GAP_S, COLLECT_GAP_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -15,6 +30,7 @@
     from persimmondock._ports.log import Entry
 
 MISSING_FOR_S = 0.5
+HANDED_S = 10.0
 
 
 class Spreader:
@@ -33,6 +49,7 @@
         self._plan = SpreadPlan(reads_log=True)
         self._known_end = 0
         self._missing_since: float | None = None
+        self._handed: dict[tuple[MemberRef, int], float] = {}
 
     def reads_log(self) -> bool:
         """Return whether this daemon reads the log all the time."""
@@ -46,6 +63,38 @@
             for target in targets:
                 self._send(target, given)
 
+    def find_gap_s(self) -> float:
+        """Return the time that this daemon leaves between two appends, in seconds."""
+        return COLLECT_GAP_S if self._find_plan().appends_for_others else APPEND_GAP_S
+
+    def hand_over(self, records: tuple[Record, ...], now: float) -> tuple[Record, ...]:
+        """Have a peer append records that many daemons write at once; return those left to append.
+
+        Handed over are records that a repeated or late append cannot harm, and each only once: if
+        the log does not show it in time, this daemon appends the next attempt itself.
+        """
+        appender = self._find_plan().appender
+        self._handed = {key: at for key, at in self._handed.items() if now - at < HANDED_S}
+        left, payloads = [], []
+        for record in records:
+            if appender is None or not self._may_hand_over(record, now):
+                left.append(record)
+            else:
+                payloads.append(encode_record(record))
+        if appender is not None and payloads:
+            self._send(appender, AppendAsked(tuple(payloads)))
+        return tuple(left)
+
+    def _may_hand_over(self, record: Record, now: float) -> bool:
+        match record:
+            case MemberLost(member=ref, version=version) | WitnessesChanged(
+                member=ref, version=version
+            ):
+                key = (ref, version)
+            case _:
+                return False
+        return self._handed.setdefault(key, now) == now
+
     def note(self, message: Message, address: str) -> None:
         """Learn from a message which records exist; ask for those before a gap."""
         match message:
--- a/persimmondock/tests/test_spreading.py
+++ b/persimmondock/tests/test_spreading.py
@@ -8,11 +8,13 @@
 
 from persimmondock._domain.leases import LeaseTerms
 from persimmondock._domain.membership import Membership
-from persimmondock._domain.messages import RecordsAsked, RecordsGiven, Renew
+from persimmondock._domain.messages import AppendAsked, RecordsAsked, RecordsGiven, Renew
+from persimmondock._domain.records import MemberLeaving, MemberLost, encode_record, make_record_id
 from persimmondock._domain.spreading import Trees, plan_spreading
 from persimmondock._ports.log import Entry
 from persimmondock._tasks import spreader
-from persimmondock._tasks.spreader import MISSING_FOR_S, Spreader
+from persimmondock._tasks.log_follower import COLLECT_GAP_S
+from persimmondock._tasks.spreader import HANDED_S, MISSING_FOR_S, Spreader
 from persimmondock.tests.builders import make_identity, make_view
 
 
@@ -62,7 +64,7 @@
         assert {domain_of[target] for target in plan.targets} <= {members[name].failure_domain}
 
 
-def make_spreader(monkeypatch) -> tuple[Spreader, list[tuple[str, object]]]:
+def make_spreader(monkeypatch, reads_log: bool = True) -> tuple[Spreader, list[tuple[str, object]]]:
     monkeypatch.setattr(
         spreader,
         "plan_spreading",
@@ -73,7 +75,7 @@
     reader = next(
         number
         for number in range(30)
-        if plan_spreading(members, f"vm-{number}", Trees(readers=1), 10).reads_log
+        if plan_spreading(members, f"vm-{number}", Trees(readers=1), 10).reads_log is reads_log
     )
     membership = Membership(make_identity(reader), LeaseTerms(), lambda _: False, lambda _: ())
     membership.view = view
@@ -88,6 +90,26 @@
     assert {message for _, message in sent} == {RecordsGiven(61, (b"a", b"b"))}
 
 
+def test_losses_are_handed_over_once_and_other_records_never(monkeypatch) -> None:
+    subject, sent = make_spreader(monkeypatch, reads_log=False)
+    member = make_view(1).members["vm-0"]
+    lost = MemberLost(make_record_id(), member.ref, 1, ())
+    leaving = MemberLeaving(make_record_id(), member.ref)
+    assert subject.hand_over((lost, leaving), 10.0) == (leaving,)
+    ((_, message),) = sent
+    assert message == AppendAsked((encode_record(lost),))
+    assert subject.hand_over((lost,), 11.0) == (lost,)
+    assert subject.hand_over((lost,), 11.0 + HANDED_S) == ()
+
+
+def test_the_member_that_appends_for_others_hands_nothing_over(monkeypatch) -> None:
+    subject, sent = make_spreader(monkeypatch)
+    lost = MemberLost(make_record_id(), make_view(1).members["vm-0"].ref, 1, ())
+    assert subject.hand_over((lost,), 10.0) == (lost,)
+    assert subject.find_gap_s() == COLLECT_GAP_S
+    assert sent == []
+
+
 def test_a_gap_is_asked_for_and_then_read_from_the_log(monkeypatch) -> None:
     subject, sent = make_spreader(monkeypatch)
     assert not subject.needs_log(10.0)
