--- a/persimmondock/_domain/leases.py
+++ b/persimmondock/_domain/leases.py
@@ -33,7 +33,7 @@
     term: float = 1.5
     renew_every: float = 0.3
     grace: float = 0.2
-    staleness: float = 1.0
+    staleness: float = 2.0
 
 
 def is_majority(count: int, size: int) -> bool:
@@ -49,16 +49,19 @@
     ----------
     deadlines
         Until when each witness has promised.
+    alone_until
+        Until when a member without witnesses may serve; the member extends it itself.
     """
 
     version: int
     witnesses: tuple[MemberRef, ...]
     deadlines: dict[MemberRef, float] = attrs.field(factory=dict)
+    alone_until: float = 0.0
 
     def compute_deadline(self) -> float:
         """Return until when a majority has promised."""
         if not self.witnesses:
-            return float("inf")
+            return self.alone_until
         ends = sorted((self.deadlines.get(w, 0.0) for w in self.witnesses), reverse=True)
         return ends[len(self.witnesses) // 2]
 
@@ -95,6 +98,13 @@
                 previous = witness_set.deadlines.get(witness, 0.0)
                 witness_set.deadlines[witness] = max(previous, sent_at + self.terms.term)
 
+    def renew_alone(self, now: float) -> None:
+        """Extend the sets that have no witnesses, so that work stays bounded by a term."""
+        sets = [*self.sets, *([self.prospective] if self.prospective else [])]
+        for witness_set in sets:
+            if not witness_set.witnesses:
+                witness_set.alone_until = now + self.terms.term
+
     def compute_deadline(self) -> float:
         """Return the instant until which the member may serve."""
         return min(witness_set.compute_deadline() for witness_set in self.sets)
@@ -117,7 +127,6 @@
     """
 
     until: float
-    applied: int = 0
     voted: bool = False
 
 
@@ -140,13 +149,12 @@
         """Stop witnessing for a holder that is no longer a member."""
         self.promises.pop(holder, None)
 
-    def renew(self, holder: MemberRef, applied: int, now: float) -> bool:
+    def renew(self, holder: MemberRef, now: float) -> bool:
         """Promise the holder another term, or refuse."""
         promise = self.promises.setdefault(holder, Promise(now))
         if promise.voted:
             return False
         promise.until = max(promise.until, now + self.terms.term)
-        promise.applied = max(promise.applied, applied)
         return True
 
     def extend(self, now: float) -> None:
@@ -161,6 +169,11 @@
             return False
         return now >= promise.until + self.terms.grace
 
+    def has_voted(self, holder: MemberRef) -> bool:
+        """Return whether a vote was given."""
+        promise = self.promises.get(holder)
+        return promise is not None and promise.voted
+
     def vote(self, holder: MemberRef) -> None:
         """Vote for a holder's loss, for good."""
         self.promises[holder].voted = True
--- a/persimmondock/_domain/membership.py
+++ b/persimmondock/_domain/membership.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
+import numpy as np
 
 from persimmondock._domain.leases import HeldLease, LeaseTerms, WitnessBook, WitnessSet, is_majority
 from persimmondock._domain.messages import (
@@ -19,14 +20,18 @@
     RecordsAsked,
     ReleaseAsked,
     Released,
+    ReleaseReceived,
     Renew,
+    RenewalRefused,
+    Settled,
+    SettlementAsked,
     Voted,
 )
-from persimmondock._domain.placement import NO_OWNER
 from persimmondock._domain.records import (
     Backend,
     BackendAnnounced,
     BackendWithdrawn,
+    HandoversSettled,
     MemberJoined,
     MemberLeaving,
     MemberLeft,
@@ -36,15 +41,33 @@
     WitnessesChanged,
     make_record_id,
 )
-from persimmondock._domain.view import Handover, Member, View, finish_edit, fold, start_edit
+from persimmondock._domain.view import (
+    Handover,
+    Member,
+    ServiceState,
+    View,
+    finish_edit,
+    fold,
+    list_settling,
+    start_edit,
+)
 from persimmondock._domain.witnesses import choose_successor, choose_witnesses
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
 APPEND_RETRY_S = 1.0
 RELEASE_RETRY_S = 0.1
+RELEASE_AGAIN_S = 0.5
 VOTE_RANK_DELAY_S = 0.15
+VOTE_RETRY_S = 0.5
+RESIGN_AFTER_S = 5.0
+PROBE_EVERY_S = 0.2
+ANSWER_VALID_S = 1.0
+NOT_JOINED = -1
+NOTHING_RECEIVED = -1
+SETTLE_EVERY_S = 5.0
+SETTLE_RETRY_S = 1.0
 LOG_FRESHNESS_S = 2.0
 PROPOSED_VERSION = -1
 MAX_LATENESS_S = 0.4
@@ -90,13 +113,35 @@
 
 @attrs.define
 class _OpenAsk:
-    """A release that a new owner asked for and this daemon has not given yet."""
+    """A release that a new owner asked for and has not confirmed yet."""
 
     asker: MemberRef
     address: str
     service: str
     slices: set[int]
     lost_at: int
+    sent: set[int] = attrs.field(factory=set)
+    send_at: float = 0.0
+
+
+@attrs.define
+class _Settlement:
+    """A round of questions to all members that have lost slices."""
+
+    before: int
+    waiting: set[MemberRef]
+    ends_at: float
+    ask_at: float
+
+
+@attrs.frozen
+class _OwnSlices:
+    """What this daemon owns in one state of a service."""
+
+    state: ServiceState
+    member: MemberRef | None
+    backends: tuple[Backend, ...]
+    slices: tuple[int, ...]
 
 
 @attrs.define
@@ -138,7 +183,23 @@
     )
     _open_asks: list[_OpenAsk] = attrs.field(factory=list)
     _released: dict[SliceRef, set[Handover]] = attrs.field(factory=dict)
-    _given: dict[SliceRef, int] = attrs.field(factory=dict)
+    _received: dict[SliceRef, dict[MemberRef, int]] = attrs.field(factory=lambda: defaultdict(dict))
+    _started_at: float | None = None
+    _log_asked_at: float = 0.0
+    _late_at: float = 0.0
+    _voted_at: float = 0.0
+    _known_at: deque[tuple[float, int]] = attrs.field(factory=deque)
+    _indexed: Mapping[str, Member] | None = None
+    _watched: dict[MemberRef, MemberRef] = attrs.field(factory=dict)
+    _wanted: tuple[MemberRef, ...] | None = None
+    _refusing: set[MemberRef] = attrs.field(factory=set)
+    _held_at: float = 0.0
+    _probe_at: float = 0.0
+    _answered_at: dict[str, float] = attrs.field(factory=dict)
+    _settler: MemberRef | None = None
+    _settlement: _Settlement | None = None
+    _settle_at: float = 0.0
+    _own: dict[str, _OwnSlices] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.book = WitnessBook(self.terms)
@@ -165,6 +226,7 @@
 
     def apply_records(self, entries: Iterable[tuple[int, Record]], now: float) -> list[Effect]:
         """Fold records read from the log or given by a peer."""
+        self._note_start(now)
         self.view = start_edit(self.view)
         try:
             for offset, record in entries:
@@ -173,27 +235,32 @@
         finally:
             self.view = finish_edit(self.view)
         self._follow_view(now)
-        return self._answer_asks() + self.advance(now)
+        return self.advance(now)
 
     def adopt_view(self, view: View, now: float) -> list[Effect]:
         """Continue from a newer view, taken from a snapshot or from peers."""
         if view.offset <= self.view.offset:
             return []
+        self._note_start(now)
         self.view = view
-        self._notice_own_state()
+        self._notice_own_state(now)
         self._follow_view(now)
-        return self._answer_asks() + self.advance(now)
+        return self.advance(now)
 
-    def note_log_read(self, now: float, caught_up: bool) -> None:
-        """Note that the log answered, and whether the view has reached its end."""
+    def note_log_read(self, now: float, caught_up: bool, asked_at: float) -> None:
+        """Note that the log answered a read, and whether the view has reached its end."""
         self.log_read_at = now
+        self._log_asked_at = asked_at
         self.caught_up = self.caught_up or caught_up
 
     def needs_log(self, now: float) -> bool:
-        """Return whether this daemon must hear from the log itself: to join, or to vote."""
-        if self.ref is None:
+        """Return whether this daemon must hear from the log itself: to join, vote or resign."""
+        if not self.holds_lease(now):
             return True
-        return any(self.book.has_lapsed(holder, now) for holder in self.book.promises)
+        return any(
+            self.book.has_lapsed(holder, now) or self.book.has_voted(holder)
+            for holder in self._watched
+        )
 
     def announce_backend(self, backend: Backend, now: float) -> list[Effect]:
         """Serve through a backend server that announced itself."""
@@ -217,19 +284,29 @@
                 return self._receive_renew(message, reply_address, now)
             case Granted():
                 return self._receive_granted(message, reply_address)
+            case RenewalRefused():
+                return self._receive_refusal(message, reply_address, now)
             case Voted():
                 self._votes[(message.holder, message.version)].setdefault(message.witness, now)
                 return self._propose_losses(now)
             case ReleaseAsked():
-                return self._receive_release_asked(message, reply_address)
+                return self._receive_release_asked(message, reply_address, now)
             case Released():
-                self._receive_released(message)
+                return self._receive_released(message, reply_address)
+            case ReleaseReceived():
+                self._receive_receipt(message)
                 return []
+            case SettlementAsked(before=before):
+                return self._answer_settlement(before, reply_address)
+            case Settled(member=member, before=before):
+                self._receive_settled(member, before)
+                return self._write_settlement(now)
             case _:
                 return []
 
     def advance(self, now: float) -> list[Effect]:
         """Do what is due at ``now``; called at least every renewal interval."""
+        self._note_start(now)
         self._excuse_own_lateness(now)
         effects = self._join_or_leave(now)
         effects += self._renew_lease(now)
@@ -238,12 +315,18 @@
         effects += self._announce_backends(now)
         effects += self._improve_witnesses(now)
         effects += self._ask_releases(now)
-        effects += self._answer_asks()
+        effects += self._answer_asks(now)
+        effects += self._settle_handovers(now)
         return effects
 
+    def _note_start(self, now: float) -> None:
+        if self._started_at is None:
+            self._started_at = now
+
     def _excuse_own_lateness(self, now: float) -> None:
         """After a pause of this daemon, give every holder a fresh term before judging it."""
         if now - self._advanced_at > MAX_LATENESS_S:
+            self._late_at = now
             self.book.extend(now)
         self._advanced_at = now
 
@@ -251,40 +334,110 @@
 
     def _join_or_leave(self, now: float) -> list[Effect]:
         if self.ref is None:
-            if self.leaving or self.left or not self.caught_up or not self._may_append("join", now):
+            if self.leaving or self.left or not self.caught_up:
                 return []
-            return [Append((self._make_joined(),))]
+            return self._join(now)
         member = self.view.find_member(self.ref)
-        if member is None or not self.leaving or self.left:
+        if member is None or self.left:
             return []
+        if not self.leaving:
+            return self._resign(now)
         if not member.leaving:
             if self._may_append("leaving", now):
                 return [Append((MemberLeaving(make_record_id(), self.ref),))]
             return []
         return self._leave(now)
 
+    def _join(self, now: float) -> list[Effect]:
+        """Join once a majority of the witnesses to be named has answered a probe.
+
+        A daemon that is cut off from its peers would only be declared lost again.
+        """
+        joined = self._make_joined()
+        answered = sum(
+            self._answered_at.get(witness.daemon, 0.0) + ANSWER_VALID_S > now
+            for witness in joined.witnesses
+        )
+        if not joined.witnesses or is_majority(answered, len(joined.witnesses)):
+            return [Append((joined,))] if self._may_join(now) else []
+        if now < self._probe_at:
+            return []
+        self._probe_at = now + PROBE_EVERY_S
+        probe = Renew(MemberRef(self.identity.daemon, NOT_JOINED), 0, self.view.offset)
+        addresses = [self.view.members[w.daemon].peer_address for w in joined.witnesses]
+        return [Send(address, probe) for address in addresses]
+
+    def _resign(self, now: float) -> list[Effect]:
+        """Give this incarnation up if it cannot get its lease back while the log answers.
+
+        All its witnesses may have gone or voted. The slices that it had get new floors.
+        """
+        if self.holds_lease(now) or now - self.log_read_at > LOG_FRESHNESS_S:
+            self._held_at = now
+        if now < self._held_at + RESIGN_AFTER_S or self._is_working():
+            return []
+        self.lease = None
+        self._proposal = None
+        assert self.ref is not None
+        if not self._may_append("left", now):
+            return []
+        return [Append((MemberLeft(make_record_id(), self.ref, NOTHING_RECEIVED),))]
+
+    def _is_working(self) -> bool:
+        return any(self.is_busy(SliceRef(name, -1)) for name in self.view.services)
+
+    def _may_join(self, now: float) -> bool:
+        """Wait until the earlier incarnation is out of the view, or can have no work left."""
+        present = self.view.members.get(self.identity.daemon)
+        if present is not None:
+            assert self._started_at is not None
+            if present.witnesses or now < self._started_at + self.terms.term + self.terms.grace:
+                return False
+        return self._may_append("join", now)
+
     def _leave(self, now: float) -> list[Effect]:
         """Write the last record once nothing is held and nothing is in flight."""
         assert self.ref is not None
-        if any(self.is_busy(SliceRef(name, -1)) for name in self.view.services):
+        if self._is_working():
             return []
         if self._has_unreleased_losses() or not self._may_append("left", now):
             return []
-        return [Append((MemberLeft(make_record_id(), self.ref),))]
+        return [Append((MemberLeft(make_record_id(), self.ref, self.view.offset),))]
 
     def _has_unreleased_losses(self) -> bool:
         """Return whether a new owner still waits for one of this daemon's slices."""
+        unsent = any(ask.slices for ask in self._open_asks)
+        return unsent or not self._has_handed_over(self.view.offset)
+
+    def _has_handed_over(self, before: int) -> bool:
+        """Return whether the owners since before an offset have what this daemon kept."""
         for name, state in self.view.services.items():
-            for index, held in state.handovers.items():
+            for index, held in list_settling(state, before):
                 mine = [h.lost_at for h in held if h.member == self.ref]
-                given = self._given.get(SliceRef(name, index), -1)
-                if mine and max(mine) > given and int(state.owners[index]) != NO_OWNER:
-                    return True
-        return bool(self._open_asks)
+                if mine and not self._is_received(SliceRef(name, index), max(mine)):
+                    return False
+        return True
+
+    def _is_received(self, ref: SliceRef, lost_at: int) -> bool:
+        """Return whether the present owner of a slice has what this daemon kept of it."""
+        owner = self._find_owner(ref.service, ref.index)
+        if owner is None or owner == self.ref:
+            return True
+        return self._received.get(ref, {}).get(owner, -1) >= lost_at
+
+    def _find_owner(self, service: str, index: int) -> MemberRef | None:
+        state = self.view.services[service]
+        placed = state.backends.get(int(state.owners[index]))
+        return None if placed is None else placed.member
 
     def _make_joined(self) -> MemberJoined:
         identity = self.identity
-        others = [m for m in self.view.members.values() if m.ref.daemon != identity.daemon]
+        others = [
+            member
+            for member in self.view.members.values()
+            if member.ref.daemon != identity.daemon and not member.leaving
+        ]
+        present = self.view.members.get(identity.daemon)
         witnesses = choose_witnesses(identity.daemon, identity.failure_domain, others)
         return MemberJoined(
             record_id=self._joining_id,
@@ -296,6 +449,7 @@
             operator_address=identity.operator_address,
             witnesses=witnesses,
             successor=choose_successor(identity.daemon, identity.failure_domain, others),
+            replaces=None if present is None else present.ref,
         )
 
     def _notice_own_record(self, offset: int, record: Record, now: float) -> None:
@@ -303,30 +457,37 @@
             case MemberJoined(record_id=record_id) if record_id == self._joining_id:
                 ref = MemberRef(self.identity.daemon, offset)
                 if self.view.find_member(ref) is not None:
-                    self._start_incarnation(ref)
-            case WitnessesChanged(member=member) if member == self.ref:
+                    self._start_incarnation(ref, now)
+            case WitnessesChanged(record_id=record_id) if (
+                self._proposal is not None and record_id == self._proposal.record_id
+            ):
                 self._adopt_witnesses(offset)
-            case MemberLeft(member=member) if member == self.ref:
+            case MemberLeft(member=member) if member == self.ref and self.leaving:
                 self.left = True
                 self.lease = None
+                self._proposal = None
 
-    def _notice_own_state(self) -> None:
+    def _notice_own_state(self, now: float) -> None:
         """Catch up with records about this daemon that an adopted view covers."""
         member = self.view.members.get(self.identity.daemon)
         if member is None:
             return
         if self.ref is None and member.record_id == self._joining_id:
-            self._start_incarnation(member.ref)
+            self._start_incarnation(member.ref, now)
         proposal = self._proposal
         if member.ref == self.ref and proposal is not None:
             if member.witnesses_version != proposal.version:
                 self._adopt_witnesses(member.witnesses_version)
 
-    def _start_incarnation(self, ref: MemberRef) -> None:
+    def _start_incarnation(self, ref: MemberRef, now: float) -> None:
         member = self.view.find_member(ref)
         assert member is not None
         self.ref = ref
         self.lease = HeldLease(ref, self.terms, [WitnessSet(ref.incarnation, member.witnesses)])
+        self._proposal = None
+        self._refusing.clear()
+        self._received.clear()
+        self._held_at = now
         self._renew_at = 0.0
 
     def _adopt_witnesses(self, offset: int) -> None:
@@ -347,6 +508,7 @@
 
     def _follow_view(self, now: float) -> None:
         """Bring the local state in line with the view."""
+        self._note_known(now)
         if self.ref is not None and self.view.find_member(self.ref) is None and not self.left:
             self._start_over()
         self._follow_witnessing(now)
@@ -360,41 +522,85 @@
         self._joining_id = make_record_id()
         self._append_at.clear()
 
+    def _note_known(self, now: float) -> None:
+        """Remember since when records have been known, for as long as staleness asks."""
+        self._known_at.append((now, self.view.offset))
+        while len(self._known_at) > 1 and self._known_at[1][0] + self.terms.staleness <= now:
+            self._known_at.popleft()
+
+    def _is_stale(self, applied: int, now: float) -> bool:
+        """Return whether a holder lacks records that this daemon has long known."""
+        known = 0
+        for at, offset in self._known_at:
+            if at + self.terms.staleness <= now:
+                known = offset
+        return applied < known
+
     def _follow_witnessing(self, now: float) -> None:
+        """Watch the holders that name this daemon, under this or an earlier incarnation."""
+        if self.view.members is self._indexed:
+            return
+        self._indexed = self.view.members
         for holder, promise in list(self.book.promises.items()):
             if self.view.find_member(holder) is None and promise.until < now:
                 self.book.forget(holder)
-        if self.ref is None:
-            return
+        self._watched = {}
         for member in self.view.members.values():
-            if self.ref in member.witnesses:
-                self.book.watch(member.ref, now)
+            for witness in member.witnesses:
+                if witness.daemon == self.identity.daemon and member.ref != self.ref:
+                    self._watched[member.ref] = witness
+                    self.book.watch(member.ref, now)
         for key in list(self._votes):
             if self.view.find_member(key[0]) is None:
                 del self._votes[key]
+        self._wanted = self._choose_new_witnesses()
+        staying = [member.ref for member in self.view.members.values() if not member.leaving]
+        self._settler = min(staying, key=lambda ref: ref.incarnation, default=None)
 
     def _follow_handovers(self) -> None:
         """Note for each slice of this daemon which earlier owners must release it first."""
         fresh: dict[SliceRef, set[Handover]] = {}
         released: dict[SliceRef, set[Handover]] = {}
         for name, state in self.view.services.items():
-            for index, held in state.handovers.items():
+            for index in self._find_own(name, state).slices:
+                held = state.handovers.get(index, ())
                 ref = SliceRef(name, index)
                 done = self._released.get(ref, set()) & set(held)
                 if done:
                     released[ref] = done
                 missing = {h for h in held if h.member != self.ref} - done
-                if missing and self.owns_slice(ref):
+                if missing:
                     fresh[ref] = missing
         self.unreleased = fresh
         self._released = released
+        for ref in list(self._received):
+            if ref.index not in self.view.services[ref.service].handovers:
+                del self._received[ref]
+
+    def _find_own(self, name: str, state: ServiceState) -> _OwnSlices:
+        """Return what this daemon owns of a service, computed once for each state of it."""
+        own = self._own.get(name)
+        if own is None or own.state is not state or own.member != self.ref:
+            placed = [item for item in state.backends.values() if item.member == self.ref]
+            owned = np.isin(state.owners, [item.code for item in placed])
+            slices = tuple(np.flatnonzero(owned).tolist())
+            own = _OwnSlices(state, self.ref, tuple(item.backend for item in placed), slices)
+            self._own[name] = own
+        return own
 
     # The holder's side of the lease.
 
     def _renew_lease(self, now: float) -> list[Effect]:
+        """Ask all witnesses for another term.
+
+        A member without witnesses that was paused may have been replaced meanwhile: it has to read
+        the log before it goes on.
+        """
         if self.lease is None or self.ref is None or now < self._renew_at:
             return []
         self._renew_at = now + self.terms.renew_every
+        if self._log_asked_at >= self._late_at:
+            self.lease.renew_alone(now)
         effects: list[Effect] = []
         for witness in self.lease.list_witnesses():
             member = self.view.find_member(witness)
@@ -416,55 +622,90 @@
         sent_at = self._sent_at.pop(message.sequence, None)
         if self.lease is not None and message.holder == self.ref and sent_at is not None:
             self.lease.record_grant(message.witness, sent_at)
-        if message.applied > self.view.offset:
-            return [Send(reply_address, RecordsAsked(self.view.offset))]
-        return []
+        return self._ask_records(message.applied, reply_address)
+
+    def _receive_refusal(self, message: RenewalRefused, address: str, now: float) -> list[Effect]:
+        self._answered_at[message.witness.daemon] = now
+        if message.voted and message.holder == self.ref and message.witness not in self._refusing:
+            self._refusing.add(message.witness)
+            self._wanted = self._choose_new_witnesses()
+        return self._ask_records(message.applied, address)
+
+    def _ask_records(self, applied: int, address: str) -> list[Effect]:
+        """Ask a peer for records if it has folded more than this daemon."""
+        if applied <= self.view.offset:
+            return []
+        return [Send(address, RecordsAsked(self.view.offset))]
 
     # The witness's side.
 
     def _receive_renew(self, message: Renew, reply_address: str, now: float) -> list[Effect]:
-        if self.ref is None or self._knows_gone(message.holder):
-            return []
-        effects: list[Effect] = []
-        if message.applied > self.view.offset:
-            effects.append(Send(reply_address, RecordsAsked(self.view.offset)))
-        if self.book.renew(message.holder, message.applied, now):
-            granted = Granted(self.ref, message.holder, message.sequence, self.view.offset)
-            effects.append(Send(reply_address, granted))
-        return effects
+        holder, offset = message.holder, self.view.offset
+        if self.ref is None:
+            if holder.incarnation != NOT_JOINED:
+                self.book.renew(holder, now)
+            own = MemberRef(self.identity.daemon, NOT_JOINED)
+            return [Send(reply_address, RenewalRefused(own, holder, offset, voted=False))]
+        effects = self._ask_records(message.applied, reply_address)
+        if self._knows_gone(holder) or self._is_stale(message.applied, now):
+            refused = RenewalRefused(self.ref, holder, offset, voted=False)
+            return [*effects, Send(reply_address, refused)]
+        if not self.book.renew(holder, now):
+            refused = RenewalRefused(self.ref, holder, offset, voted=True)
+            return [*effects, Send(reply_address, refused)]
+        granted = Granted(self.ref, holder, message.sequence, offset)
+        return [*effects, Send(reply_address, granted)]
 
     def _knows_gone(self, ref: MemberRef) -> bool:
         """Return whether the view has seen this incarnation come and go."""
         return ref.incarnation < self.view.offset and self.view.find_member(ref) is None
 
     def _vote_on_lapsed(self, now: float) -> list[Effect]:
-        """Vote for the loss of holders that stopped asking, unless the log cannot record it."""
-        if self.ref is None or now - self.log_read_at > LOG_FRESHNESS_S:
+        """Vote for the loss of holders that stopped asking, unless the log cannot record it.
+
+        A process also votes for earlier incarnations of its daemon. They are gone, messages to
+        them have reached this process since its start, and the promises that they gave have ended
+        when this process has watched the holder for a term.
+        """
+        if now - self.log_read_at > LOG_FRESHNESS_S or not self.caught_up:
+            return []
+        for holder in self._watched:
+            if self.book.has_lapsed(holder, now):
+                self.book.vote(holder)
+                self._voted_at = 0.0
+        if now < self._voted_at + VOTE_RETRY_S:
             return []
+        self._voted_at = now
         effects: list[Effect] = []
-        for member in self.view.members.values():
-            holder, version = member.ref, member.witnesses_version
-            if self.ref not in member.witnesses or not self.book.has_lapsed(holder, now):
-                continue
-            self.book.vote(holder)
-            self._votes[(holder, version)].setdefault(self.ref, now)
-            for witness in member.witnesses:
-                other = self.view.find_member(witness)
-                if other is not None and witness != self.ref:
-                    effects.append(Send(other.peer_address, Voted(self.ref, holder, version)))
+        for holder, witness in self._watched.items():
+            if self.book.has_voted(holder):
+                effects += self._send_votes(holder, witness, now)
         return effects
 
+    def _send_votes(self, holder: MemberRef, voter: MemberRef, now: float) -> list[Effect]:
+        member = self.view.find_member(holder)
+        if member is None:
+            return []
+        vote = Voted(voter, holder, member.witnesses_version)
+        self._votes[(holder, vote.version)].setdefault(voter, now)
+        return [
+            Send(other.peer_address, vote)
+            for witness in member.witnesses
+            if witness != voter and (other := self.view.members.get(witness.daemon)) is not None
+        ]
+
     def _propose_losses(self, now: float) -> list[Effect]:
         """Write the loss of members whose witnesses voted; the first witness writes first."""
         effects: list[Effect] = []
         for (holder, version), votes in self._votes.items():
             member = self.view.find_member(holder)
-            if member is None or member.witnesses_version != version or self.ref is None:
+            own = self._watched.get(holder)
+            if member is None or member.witnesses_version != version or own is None:
                 continue
             voters = tuple(w for w in member.witnesses if w in votes)
-            if not is_majority(len(voters), len(member.witnesses)) or self.ref not in voters:
+            if not is_majority(len(voters), len(member.witnesses)) or own not in voters:
                 continue
-            due = max(votes.values()) + VOTE_RANK_DELAY_S * voters.index(self.ref)
+            due = max(votes.values()) + VOTE_RANK_DELAY_S * voters.index(own)
             if now >= due and self._may_append(f"lost {holder}", now):
                 lost = MemberLost(make_record_id(), holder, version, voters)
                 effects.append(Append((lost,)))
@@ -473,13 +714,12 @@
     # Records about this daemon.
 
     def _announce_backends(self, now: float) -> list[Effect]:
-        if self.ref is None or self.leaving:
+        if self.ref is None or self.leaving or not self.holds_lease(now):
             return []
         known = {
-            placed.backend.name: placed.backend
-            for state in self.view.services.values()
-            for placed in state.backends.values()
-            if placed.member == self.ref
+            backend.name
+            for name, state in self.view.services.items()
+            for backend in self._find_own(name, state).backends
         }
         records: list[Record] = []
         for name, backend in self.backends.items():
@@ -503,7 +743,7 @@
         member = self.view.find_member(self.ref)
         if member is None:
             return []
-        wanted = self._choose_new_witnesses(member)
+        wanted = self._wanted
         if wanted is None:
             self.lease.prospective = None
             return []
@@ -511,7 +751,8 @@
         if prospective is None or prospective.witnesses != wanted:
             self.lease.prospective = WitnessSet(PROPOSED_VERSION, wanted)
             return []
-        if prospective.compute_deadline() < now + self.terms.renew_every:
+        needed = max(now + self.terms.renew_every, self.lease.compute_deadline())
+        if prospective.compute_deadline() < needed:
             return []
         self.lease.sets.append(prospective)
         self.lease.prospective = None
@@ -534,11 +775,15 @@
             return []
         return [Append((self._proposal,))]
 
-    def _choose_new_witnesses(self, member: Member) -> tuple[MemberRef, ...] | None:
+    def _choose_new_witnesses(self) -> tuple[MemberRef, ...] | None:
         """Return better witnesses, or None if the present ones will do."""
+        member = None if self.ref is None else self.view.find_member(self.ref)
+        if member is None:
+            return None
         others = self._list_others(member)
         wanted = choose_witnesses(member.ref.daemon, member.failure_domain, others)
-        present = [w for w in member.witnesses if self.view.find_member(w) is not None]
+        listed = {other.ref for other in others}
+        present = [witness for witness in member.witnesses if witness in listed]
         if len(present) == len(member.witnesses) and len(wanted) <= len(present):
             return None
         return wanted
@@ -547,7 +792,7 @@
         return [
             other
             for other in self.view.members.values()
-            if other.ref != member.ref and not other.leaving
+            if other.ref != member.ref and not other.leaving and other.ref not in self._refusing
         ]
 
     # Handover of slices.
@@ -569,7 +814,9 @@
                 effects.append(Send(member_state.peer_address, ask))
         return effects
 
-    def _receive_release_asked(self, message: ReleaseAsked, address: str) -> list[Effect]:
+    def _receive_release_asked(
+        self, message: ReleaseAsked, address: str, now: float
+    ) -> list[Effect]:
         for ask in self._open_asks:
             if (ask.asker, ask.service, ask.lost_at) == (
                 message.asker,
@@ -583,39 +830,46 @@
                 message.asker, address, message.service, set(message.slices), message.lost_at
             )
             self._open_asks.append(ask)
-        return self._answer_asks()
+        return self._answer_asks(now)
+
+    def _answer_asks(self, now: float) -> list[Effect]:
+        """Release the slices that this daemon has lost and that have no work in flight.
 
-    def _answer_asks(self) -> list[Effect]:
-        """Release the slices that this daemon has lost and that have no work in flight."""
+        What has been sent is sent again until its receiver confirms it.
+        """
         if self.ref is None:
             return []
         effects: list[Effect] = []
         for ask in list(self._open_asks):
             if self.view.offset <= ask.lost_at:
                 continue
+            if self._knows_gone(ask.asker):
+                self._open_asks.remove(ask)
+                continue
             ready = {i for i in ask.slices if not self.is_busy(SliceRef(ask.service, i))}
+            ask.slices -= ready
+            if now >= ask.send_at:
+                ready |= ask.sent
+                ask.sent = set()
             if ready:
-                kept = [
-                    entry
-                    for index in sorted(ready)
-                    for entry in self.collect_kept(SliceRef(ask.service, index))
-                ]
-                released = Released(
-                    self.ref, ask.service, tuple(sorted(ready)), ask.lost_at, tuple(kept)
-                )
-                effects.append(Send(ask.address, released))
-                ask.slices -= ready
-                for index in ready:
-                    self._note_given(SliceRef(ask.service, index), ask.lost_at)
-            if not ask.slices:
+                ask.sent |= ready
+                ask.send_at = now + RELEASE_AGAIN_S
+                effects.append(self._make_release(ask, ready))
+            if not ask.slices and not ask.sent:
                 self._open_asks.remove(ask)
         return effects
 
-    def _note_given(self, ref: SliceRef, lost_at: int) -> None:
-        """Note a release; releases of earlier losses may be asked for after later ones."""
-        self._given[ref] = max(lost_at, self._given.get(ref, -1))
+    def _make_release(self, ask: _OpenAsk, slices: set[int]) -> Send:
+        assert self.ref is not None
+        kept = tuple(
+            entry
+            for index in sorted(slices)
+            for entry in self.collect_kept(SliceRef(ask.service, index))
+        )
+        released = Released(self.ref, ask.service, tuple(sorted(slices)), ask.lost_at, kept)
+        return Send(ask.address, released)
 
-    def _receive_released(self, message: Released) -> None:
+    def _receive_released(self, message: Released, address: str) -> list[Effect]:
         for index in message.slices:
             ref = SliceRef(message.service, index)
             missing = self.unreleased.get(ref, set())
@@ -625,6 +879,76 @@
             if not missing:
                 self.unreleased.pop(ref, None)
             self._released.setdefault(ref, set()).update(done)
+        if self.ref is None:
+            return []
+        receipt = ReleaseReceived(self.ref, message.service, message.slices, message.lost_at)
+        return [Send(address, receipt)]
+
+    def _receive_receipt(self, message: ReleaseReceived) -> None:
+        for index in message.slices:
+            ref = SliceRef(message.service, index)
+            before = self._received[ref].get(message.asker, -1)
+            self._received[ref][message.asker] = max(before, message.lost_at)
+        for ask in self._open_asks:
+            if (ask.asker, ask.service) == (message.asker, message.service):
+                ask.sent -= set(message.slices) if ask.lost_at <= message.lost_at else set()
+
+    # Settlement of handovers.
+
+    def _settle_handovers(self, now: float) -> list[Effect]:
+        """Let the oldest member find out, now and then, whether handovers can be forgotten.
+
+        The whole system writes at most one record for this every ``SETTLE_EVERY_S`` seconds.
+        """
+        if self.ref is None or self.ref != self._settler:
+            self._settlement = None
+            return []
+        if self._settlement is None or now >= self._settlement.ends_at:
+            self._settlement = self._open_settlement(now)
+        if self._settlement is None or now < self._settlement.ask_at:
+            return []
+        effects: list[Effect] = []
+        self._settlement.ask_at = now + SETTLE_RETRY_S
+        if self._has_handed_over(self._settlement.before):
+            self._settlement.waiting.discard(self.ref)
+        for ref in self._settlement.waiting - {self.ref}:
+            member = self.view.find_member(ref)
+            if member is not None:
+                asked = SettlementAsked(self._settlement.before)
+                effects.append(Send(member.peer_address, asked))
+        return effects + self._write_settlement(now)
+
+    def _open_settlement(self, now: float) -> _Settlement | None:
+        if now < self._settle_at:
+            return None
+        self._settle_at = now + SETTLE_EVERY_S
+        before = self.view.offset
+        waiting = {
+            handover.member
+            for state in self.view.services.values()
+            for _, held in list_settling(state, before)
+            for handover in held
+        }
+        return _Settlement(before, waiting, self._settle_at, now) if waiting else None
+
+    def _answer_settlement(self, before: int, address: str) -> list[Effect]:
+        if self.ref is None or self.view.offset < before or not self._has_handed_over(before):
+            return []
+        return [Send(address, Settled(self.ref, before))]
+
+    def _receive_settled(self, member: MemberRef, before: int) -> None:
+        if self._settlement is not None and self._settlement.before == before:
+            self._settlement.waiting.discard(member)
+
+    def _write_settlement(self, now: float) -> list[Effect]:
+        """Write the record once all have answered; members that are gone need not."""
+        if self._settlement is None or self._settlement.before <= self.view.settled_before:
+            return []
+        if any(self.view.find_member(ref) is not None for ref in self._settlement.waiting):
+            return []
+        if not self._may_append("settled", now):
+            return []
+        return [Append((HandoversSettled(make_record_id(), self._settlement.before),))]
 
     def _may_append(self, what: str, now: float) -> bool:
         """Return whether a kind of record may be written now, and note that it was."""
--- a/persimmondock/_domain/messages.py
+++ b/persimmondock/_domain/messages.py
@@ -44,6 +44,24 @@
     applied: int
 
 
+@attrs.frozen
+class RenewalRefused:
+    """A witness promises nothing; the holder has to read on.
+
+    Parameters
+    ----------
+    applied
+        Offset before which the witness has folded all records.
+    voted
+        Whether it has voted for the holder's loss and will never promise again.
+    """
+
+    witness: MemberRef
+    holder: MemberRef
+    applied: int
+    voted: bool
+
+
 @attrs.frozen
 class Voted:
     """A witness will never renew a holder's lease again."""
@@ -92,6 +110,31 @@
     kept: tuple[KeptAnswer, ...]
 
 
+@attrs.frozen
+class ReleaseReceived:
+    """The new owner of slices has the release and the kept answers of an earlier owner."""
+
+    asker: MemberRef
+    service: str
+    slices: tuple[int, ...]
+    lost_at: int
+
+
+@attrs.frozen
+class SettlementAsked:
+    """A member asks an earlier owner whether its handovers before an offset are over."""
+
+    before: int
+
+
+@attrs.frozen
+class Settled:
+    """The present owners have all that a member kept of slices it lost before an offset."""
+
+    member: MemberRef
+    before: int
+
+
 @attrs.frozen
 class RecordsAsked:
     """A daemon asks a peer for records that it lacks."""
@@ -217,9 +260,13 @@
 Message: TypeAlias = (
     Renew
     | Granted
+    | RenewalRefused
     | Voted
     | ReleaseAsked
     | Released
+    | ReleaseReceived
+    | SettlementAsked
+    | Settled
     | RecordsAsked
     | RecordsGiven
     | ViewAsked
--- a/persimmondock/_domain/records.py
+++ b/persimmondock/_domain/records.py
@@ -61,7 +61,13 @@
 
 @attrs.frozen
 class MemberJoined:
-    """A daemon joins; the record's offset becomes its incarnation."""
+    """A daemon joins; the record's offset becomes its incarnation.
+
+    Parameters
+    ----------
+    replaces
+        Earlier incarnation of this daemon that had no witnesses and whose last term has ended.
+    """
 
     record_id: str
     daemon: str
@@ -72,6 +78,7 @@
     operator_address: str
     witnesses: tuple[MemberRef, ...]
     successor: MemberRef | None
+    replaces: MemberRef | None = None
 
 
 @attrs.frozen
@@ -103,10 +110,18 @@
 
 @attrs.frozen
 class MemberLeft:
-    """A member has ended all its work and is gone."""
+    """A member has ended all its work and is gone.
+
+    Parameters
+    ----------
+    applied
+        Offset before which the member had folded all records when it saw that the owners of its
+        former slices have what it kept.
+    """
 
     record_id: str
     member: MemberRef
+    applied: int
 
 
 @attrs.frozen
@@ -175,7 +190,10 @@
 
 @attrs.frozen
 class HandoversSettled:
-    """Every member has released what it lost before an offset."""
+    """All members have handed over what they lost before an offset.
+
+    It holds for slices whose present owner has owned them since before that offset.
+    """
 
     record_id: str
     before: int
--- a/persimmondock/_domain/view.py
+++ b/persimmondock/_domain/view.py
@@ -223,8 +223,8 @@
             return _fold_witnesses(view, offset, record)
         case MemberLeaving(member=ref):
             return _fold_leaving(view, offset, ref)
-        case MemberLeft(member=ref):
-            return _remove_member(view, offset, ref, lost=False)
+        case MemberLeft(member=ref, applied=applied):
+            return _remove_member(view, offset, ref, applied)
         case MemberLost():
             return _fold_lost(view, offset, record)
         case BackendAnnounced():
@@ -244,9 +244,9 @@
 def _fold_joined(view: View, offset: int, record: MemberJoined) -> View:
     present = view.members.get(record.daemon)
     if present is not None:
-        if present.witnesses or present.record_id == record.record_id:
+        if present.witnesses or present.ref != record.replaces:
             return view
-        view = _remove_member(view, offset, present.ref, lost=True)
+        view = _remove_member(view, offset, present.ref)
     member = Member(
         ref=MemberRef(record.daemon, offset),
         record_id=record.record_id,
@@ -299,7 +299,7 @@
     voters = set(record.voters) & set(member.witnesses)
     if 2 * len(voters) <= len(member.witnesses):
         return view
-    return _remove_member(view, offset, record.member, lost=True)
+    return _remove_member(view, offset, record.member)
 
 
 def _fold_announced(view: View, offset: int, record: BackendAnnounced) -> View:
@@ -327,16 +327,17 @@
     return view
 
 
-def _remove_member(view: View, offset: int, ref: MemberRef, lost: bool) -> View:
+def _remove_member(view: View, offset: int, ref: MemberRef, received: int = -1) -> View:
+    """Remove a member; owners since before ``received`` have the request tables that it kept."""
     if view.find_member(ref) is None:
         return view
     view = _edit_members(view)
     del view.members[ref.daemon]
     for name in list(view.services):
-        view = _drop_handovers(view, offset, name, ref, lost)
+        view = _drop_handovers(view, offset, name, ref, received)
     for name in _list_services(view, ref):
         codes = set(_get_index(view, view.services[name]).codes_of[ref])
-        view = _remove_backends(view, offset, name, codes, lost)
+        view = _remove_backends(view, offset, name, codes, lost=True)
     return view
 
 
@@ -354,10 +355,10 @@
     return view
 
 
-def _drop_handovers(view: View, offset: int, name: str, ref: MemberRef, lost: bool) -> View:
+def _drop_handovers(view: View, offset: int, name: str, ref: MemberRef, received: int) -> View:
     """Forget a removed member as one that may still serve a slice.
 
-    The request table of a lost one may not have reached the new owner: the slice gets a new floor.
+    Where its request table may not have reached the present owner, the slice gets a new floor.
     """
     state = view.services[name]
     affected = [
@@ -368,8 +369,8 @@
     if not affected:
         return view
     view, state = _edit_service(view, name)
-    if lost:
-        state.floors[affected] = offset
+    kept = (state.owners != NO_OWNER) & (state.tokens < received)
+    state.floors[[index for index in affected if not kept[index]]] = offset
     for index in affected:
         remaining = tuple(held for held in state.handovers.pop(index) if held.member != ref)
         if remaining:
@@ -381,12 +382,10 @@
     if before <= view.settled_before or before > view.offset:
         return view
     for name, state in view.services.items():
-        handovers = {}
-        for index, held in state.handovers.items():
-            remaining = tuple(handover for handover in held if handover.lost_at >= before)
-            if remaining:
-                handovers[index] = remaining
-        view = _with_service(view, name, attrs.evolve(state, handovers=handovers))
+        settled = {index for index, _ in list_settling(state, before)}
+        if settled:
+            handovers = {i: held for i, held in state.handovers.items() if i not in settled}
+            view = _with_service(view, name, attrs.evolve(state, handovers=handovers))
     return attrs.evolve(view, settled_before=before)
 
 
@@ -401,6 +400,15 @@
     return attrs.evolve(view, snapshot_parts=parts)
 
 
+def list_settling(state: ServiceState, before: int) -> list[tuple[int, tuple[Handover, ...]]]:
+    """Return the handovers of slices that have had their present owner since before an offset."""
+    return [
+        (index, held)
+        for index, held in state.handovers.items()
+        if state.tokens[index] < before and state.owners[index] != NO_OWNER
+    ]
+
+
 def _fold_published(view: View, offset: int, record: ConfigurationPublished) -> View:
     if record.record_id in view.publications:
         return view
--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -132,10 +132,10 @@
     def _handle(self, event: Event) -> None:
         now = time.monotonic()
         match event:
-            case LogRead(entries=entries, caught_up=caught_up, earliest=earliest):
+            case LogRead(entries=entries, caught_up=caught_up):
                 self._transfer.stop()
-                self._membership.note_log_read(now, caught_up)
-                self._schedule.note_earliest(earliest)
+                self._membership.note_log_read(now, caught_up, event.asked_at)
+                self._schedule.note_earliest(event.earliest)
                 self._perform(self._apply_entries(entries, now))
             case ViewFound(view=view):
                 self._transfer.stop()
--- a/persimmondock/_tasks/log_follower.py
+++ b/persimmondock/_tasks/log_follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
@@ -46,11 +47,14 @@
         Whether these are the newest records.
     earliest
         Offset of the oldest record that the log keeps.
+    asked_at
+        When the read was sent, in monotonic seconds.
     """
 
     entries: tuple[Entry, ...]
     caught_up: bool
     earliest: int
+    asked_at: float
 
 
 @attrs.frozen
@@ -114,10 +118,11 @@
         self._wanted.clear()
 
     async def _read(self) -> None:
+        asked_at = time.monotonic()
         outcome = await self._log.read(self._find_start(), READ_LIMIT, self._wait)
         match outcome:
             case Batch(entries=entries, following=following, earliest=earliest, end=end):
-                self.events.on_next(LogRead(entries, following >= end, earliest))
+                self.events.on_next(LogRead(entries, following >= end, earliest, asked_at))
                 self._wait = READ_WAIT_S
             case Expired(earliest=earliest):
                 logger.warning("event=log_expired earliest={}", earliest)
--- a/persimmondock/tests/test_leaving.py
+++ b/persimmondock/tests/test_leaving.py
@@ -5,8 +5,8 @@
 import pytest
 
 from persimmondock._domain.leases import LeaseTerms
-from persimmondock._domain.membership import Append, Identity, Membership, SliceRef
-from persimmondock._domain.messages import ReleaseAsked
+from persimmondock._domain.membership import Append, Identity, Membership
+from persimmondock._domain.messages import ReleaseAsked, ReleaseReceived
 from persimmondock._domain.records import (
     ConfigurationPublished,
     MemberLeaving,
@@ -19,7 +19,7 @@
 
 @pytest.mark.parametrize("order", [(0, 1), (1, 0)])
 def test_leaves_whatever_the_order_of_releases(order):
-    """The member leaves once it has released both losses of a slice, in either order."""
+    """The member leaves once the owners have both releases of a slice, in either order."""
     view = make_view(3, slices=6)
     member = view.members["vm-2"]
     losses = []
@@ -42,10 +42,18 @@
     assert slices
     assert not list_left(leaver, 1.0)
     for position, lost_at in enumerate([losses[0], losses[2]][step] for step in order):
-        asker = MemberRef("vm-0", view.members["vm-0"].ref.incarnation)
-        leaver.receive(ReleaseAsked(asker, "painel", slices, lost_at), "a:9", 2.0 + position)
+        for index in slices:
+            owner = state.backends[int(state.owners[index])].member
+            ask = ReleaseAsked(owner, "painel", (index,), lost_at)
+            leaver.receive(ask, "a:9", 2.0 + position)
     for index in set(state.handovers) - set(slices):
-        leaver._given.__setitem__(SliceRef("painel", index), view.offset)
+        owner = state.backends[int(state.owners[index])].member
+        leaver.receive(ReleaseReceived(owner, "painel", (index,), view.offset), "a:9", 4.0)
+    assert not list_left(leaver, 5.0)
+    for lost_at in [[losses[0], losses[2]][step] for step in order]:
+        for index in slices:
+            owner = state.backends[int(state.owners[index])].member
+            leaver.receive(ReleaseReceived(owner, "painel", (index,), lost_at), "a:9", 6.0)
     assert list_left(leaver, 10.0) == [member.ref]
 
 
--- a/persimmondock/tests/test_view.py
+++ b/persimmondock/tests/test_view.py
@@ -65,7 +65,7 @@
     state = view.services["painel"]
     assert not (state.owners == 3).any()
     assert sum(h.member == ref for held in state.handovers.values() for h in held) == 16
-    view = fold_all([MemberLeft(make_record_id(), ref)], view)
+    view = fold_all([MemberLeft(make_record_id(), ref, view.offset)], view)
     state = view.services["painel"]
     assert not any(h.member == ref for held in state.handovers.values() for h in held)
     assert state.floors.max() == -1
