Rank members for witnesses only when a witness is missing

Cause: each change of the view's members ranked all of them by hash, though the present witnesses would do.

Change: the ranking is left out while three usable witnesses are present.

--- a/persimmondock/_domain/membership.py
+++ b/persimmondock/_domain/membership.py
@@ -51,7 +51,7 @@
     list_settling,
     start_edit,
 )
-from persimmondock._domain.witnesses import choose_successor, choose_witnesses
+from persimmondock._domain.witnesses import WITNESSES, choose_successor, choose_witnesses
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
@@ -544,12 +544,15 @@
         for holder, promise in list(self.book.promises.items()):
             if self.view.find_member(holder) is None and promise.until < now:
                 self.book.forget(holder)
-        self._watched = {}
-        for member in self.view.members.values():
-            for witness in member.witnesses:
-                if witness.daemon == self.identity.daemon and member.ref != self.ref:
-                    self._watched[member.ref] = witness
-                    self.book.watch(member.ref, now)
+        name = self.identity.daemon
+        self._watched = {
+            member.ref: witness
+            for member in self.view.members.values()
+            for witness in member.witnesses
+            if witness.daemon == name and member.ref != self.ref
+        }
+        for holder in self._watched:
+            self.book.watch(holder, now)
         for key in list(self._votes):
             if self.view.find_member(key[0]) is None:
                 del self._votes[key]
@@ -780,19 +783,24 @@
         member = None if self.ref is None else self.view.find_member(self.ref)
         if member is None:
             return None
+        present = [witness for witness in member.witnesses if self._may_witness(witness)]
+        if len(present) == WITNESSES:
+            return None
         others = self._list_others(member)
         wanted = choose_witnesses(member.ref.daemon, member.failure_domain, others)
-        listed = {other.ref for other in others}
-        present = [witness for witness in member.witnesses if witness in listed]
         if len(present) == len(member.witnesses) and len(wanted) <= len(present):
             return None
         return wanted
 
+    def _may_witness(self, ref: MemberRef) -> bool:
+        member = self.view.find_member(ref)
+        return member is not None and not member.leaving and ref not in self._refusing
+
     def _list_others(self, member: Member) -> list[Member]:
         return [
             other
             for other in self.view.members.values()
-            if other.ref != member.ref and not other.leaving and other.ref not in self._refusing
+            if other.ref != member.ref and self._may_witness(other.ref)
         ]
 
     # Handover of slices.
--- a/persimmondock/bench/faults.py
+++ b/persimmondock/bench/faults.py
@@ -74,6 +74,14 @@
     for_s: float
 
 
+@attrs.frozen
+class DaemonKilled:
+    """A daemon is lost while its backend server lives."""
+
+    at_s: float
+    vm: int
+
+
 @attrs.frozen
 class DaemonRestarted:
     """A daemon is asked to stop, and started again when it has."""
@@ -136,6 +144,7 @@
     | VmLost
     | VmStarted
     | DaemonFrozen
+    | DaemonKilled
     | DaemonRestarted
     | BackendSlowed
     | BackendTurnedCold
@@ -279,6 +288,8 @@
                 fleet.signal_process(f"daemon-{vm}", signal.SIGSTOP)
                 await asyncio.sleep(for_s)
                 fleet.signal_process(f"daemon-{vm}", signal.SIGCONT)
+            case DaemonKilled(vm=vm):
+                fleet.signal_process(f"daemon-{vm}", signal.SIGKILL)
             case DaemonRestarted(vm=vm):
                 fleet.signal_process(f"daemon-{vm}", signal.SIGTERM)
                 code = await fleet.wait_for_exit(f"daemon-{vm}", 40.0)
