--- a/benchmarks/appends.py
+++ b/benchmarks/appends.py
@@ -1,9 +1,9 @@
 """Appends that the loss of a failure domain causes, direct and collected, under virtual time.
 
-``python -m benchmarks.appends`` prints the table of docs/design/spreading.md. Witnesses are chosen by
-the code in use. Each lost member's first living witness writes its loss; each member that has lost
-a witness writes a change of witnesses once it has folded that loss. The log takes a fixed number of
-appends a second, in the order of arrival.
+``python -m benchmarks.appends`` prints the table of docs/design/spreading.md. Witnesses are chosen
+by the code in use. Each lost member's first living witness writes its loss; each member that has
+lost a witness writes a change of witnesses once it has folded that loss. The log takes a fixed
+number of appends a second, in the order of arrival.
 """
 
 from __future__ import annotations
--- a/persimmondock/tests/test_gate.py
+++ b/persimmondock/tests/test_gate.py
@@ -18,6 +18,8 @@
 from persimmondock.tests.builders import make_backend, make_call, make_view
 from persimmondock.tests.scripted_server import WHOLE, Script
 
+LEASE_TERM_S = 60.0
+
 
 class OwnerMembership:
     """A membership that owns every slice of a view with one member."""
@@ -25,7 +27,8 @@
     def __init__(self) -> None:
         self.view: View = make_view(1)
         self.ref = self.view.members["vm-0"].ref
-        self.lease = HeldLease(self.ref, LeaseTerms(), [WitnessSet(0, ())])
+        self.lease = HeldLease(self.ref, LeaseTerms(term=LEASE_TERM_S), [WitnessSet(0, ())])
+        self.lease.renew_alone(time.monotonic())
         self.unreleased: dict = {}
 
     def holds_lease(self, now) -> bool:
