Name the entry of the frozen program other than its package

Cause: the frozen program said 'No module named persimmondock': its entry had the package's name and hid it from the search for modules. Change: another name, and the build runs the binary once, so that a missed import ends the build.

--- a/packaging/build.py
+++ b/packaging/build.py
@@ -36,7 +36,8 @@
 def freeze(folder: Path) -> Path:
     """Freeze the program with PyInstaller and return its folder."""
     excluded = [argument for name in EXCLUDED_MODULES for argument in ("--exclude-module", name)]
-    entry = folder / "persimmondock.py"
+    # The name of the package would hide the package from the search for modules.
+    entry = folder / "start.py"
     entry.write_text("from persimmondock.cli import main\n\nraise SystemExit(main())\n")
     command = [
         *(sys.executable, "-m", "PyInstaller", "--onedir", "--strip", "--noconfirm"),
@@ -88,6 +89,8 @@
         target.parent.mkdir(parents=True, exist_ok=True)
         target.write_bytes(join(launcher.read_bytes(), pack(frozen)))
     target.chmod(0o755)
+    # An import that freezing has missed ends the build here and not on a VM.
+    subprocess.run([str(target.resolve()), "--version"], check=True)
     print(f"{target}: {target.stat().st_size / 1e6:.1f} MB")
 
 
--- a/persimmondock/bench/runner.py
+++ b/persimmondock/bench/runner.py
@@ -8,7 +8,7 @@
 import subprocess
 import tempfile
 import time
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -96,7 +96,7 @@
             started_at = time.time()
             outcomes, _ = await asyncio.gather(callers.send_all(offers), player.play(self.scenario))
             await asyncio.sleep(SETTLE_S)
-            watching.cancel()
+            await _end_watching(watching)
         end_view, moved = await _count_moves(log, start_view)
         data = RunData(
             mix=self.mix,
@@ -124,6 +124,13 @@
         return [fleet.find_caller_address(n) for n in fleet.plans if n not in gone]
 
 
+async def _end_watching(task: asyncio.Task[None]) -> None:
+    """End a task that runs for ever; an error that ended it before is raised."""
+    task.cancel()
+    with suppress(asyncio.CancelledError):
+        await task
+
+
 @attrs.define
 class ConfigWatcher:
     """Watches that no daemon's accepted configuration goes back to an older version."""
@@ -146,7 +153,7 @@
         except (TimeoutError, aiohttp.ClientError):
             return
         incarnation = state["incarnation"] or -1
-        for subject, version in state["subjects"].items():
+        for subject, version in state.get("subjects", {}).items():
             offset = version["offset"]
             key = (number, f"{incarnation} {subject}")
             if offset < self._newest.get(key, -1):
--- a/persimmondock/standins/fleet.py
+++ b/persimmondock/standins/fleet.py
@@ -307,11 +307,14 @@
 
 
 def read_journal(backend: str, path: Path) -> list[JournalRun]:
-    """Read a journal file; a run without an end was cut when its process was lost."""
+    """Read a journal file; a run without an end was cut when its process was lost.
+
+    Journals of earlier versions do not name the process; they are read as one.
+    """
     by_instance: dict[str, list[dict[str, Any]]] = {}
     for line in path.read_text(encoding="utf-8").splitlines():
         event = json.loads(line)
-        by_instance.setdefault(event["instance"], []).append(event)
+        by_instance.setdefault(event.get("instance", ""), []).append(event)
     return [run for events in by_instance.values() for run in _read_instance(backend, events)]
 
 
