Show callers who owns which slices

Cause: a request that enters at another daemon than its owner's costs a hop.

Change: GET /_persimmondock/owners?service=NAME on the callers' listener returns the owners of all slices in runs, with an ETag that changes with the owners only. A map that is out of date does no harm: any daemon forwards.

--- /dev/null
+++ b/persimmondock/_domain/owner_map.py
@@ -0,0 +1,77 @@
+"""The map from slices to owners, as callers may read it to send straight to an owner's daemon."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import numpy as np
+import xxhash
+
+from persimmondock._domain.placement import NO_OWNER
+
+if TYPE_CHECKING:
+    from numpy.typing import NDArray
+
+    from persimmondock._domain.view import View
+
+SLICE_HASH = "xxh3_64"
+
+
+@attrs.frozen
+class OwnerMap:
+    """Owners of all slices of one service.
+
+    Parameters
+    ----------
+    offset
+        Offset of the view that it was taken from.
+    addresses
+        Where callers reach the owners' daemons.
+    runs
+        Pairs of a number of consecutive slices and the position of their owner's address, or -1
+        where there is none.
+    """
+
+    service: str
+    offset: int
+    slices: int
+    addresses: tuple[str, ...]
+    runs: tuple[tuple[int, int], ...]
+
+    def compute_tag(self) -> str:
+        """Return a value that changes with the owners, and not with the offset alone."""
+        content = json.dumps([self.service, self.slices, self.addresses, self.runs])
+        return f'"{xxhash.xxh3_64_hexdigest(content.encode())}"'
+
+    def to_plain(self) -> dict[str, Any]:
+        """Return the map as JSON takes it."""
+        return {**attrs.asdict(self), "hash": SLICE_HASH}
+
+
+def build_owner_map(view: View, service: str) -> OwnerMap | None:
+    """Return the owners of a service's slices, or None if the service has no keys."""
+    configuration, state = view.configurations.get(service), view.services.get(service)
+    if configuration is None or state is None or not configuration.keyed:
+        return None
+    addresses: list[str] = []
+    positions = np.full(len(state.owners), -1, dtype=np.int64)
+    for code in np.unique(state.owners).tolist():
+        placed = state.backends.get(code) if code != NO_OWNER else None
+        member = view.find_member(placed.member) if placed is not None else None
+        if member is None:
+            continue
+        if member.caller_address not in addresses:
+            addresses.append(member.caller_address)
+        positions[state.owners == code] = addresses.index(member.caller_address)
+    return OwnerMap(service, view.offset, state.slices, tuple(addresses), _find_runs(positions))
+
+
+def _find_runs(positions: NDArray[np.int64]) -> tuple[tuple[int, int], ...]:
+    """Return consecutive equal values with their counts."""
+    if not len(positions):
+        return ()
+    starts = np.concatenate([[0], np.flatnonzero(np.diff(positions)) + 1, [len(positions)]])
+    counts = np.diff(starts)
+    return tuple(zip(counts.tolist(), positions[starts[:-1]].tolist(), strict=True))
--- a/persimmondock/_tasks/front.py
+++ b/persimmondock/_tasks/front.py
@@ -21,6 +21,7 @@
     pass_request_fields,
 )
 from persimmondock._domain.messages import Call
+from persimmondock._domain.owner_map import OwnerMap, build_owner_map
 from persimmondock._domain.request_table import UNKNOWN_ISSUE
 from persimmondock._domain.slices import find_slice
 from persimmondock._domain.targets import Target, TargetError, parse_target
@@ -30,10 +31,12 @@
 
 if TYPE_CHECKING:
     from persimmondock._domain.membership import Membership
+    from persimmondock._domain.view import View
     from persimmondock._tasks.exchange import Exchange
     from persimmondock._tasks.gate import Gate
 
 REQUEST_ID_PATH = "/_persimmondock/request-id"
+OWNERS_PATH = "/_persimmondock/owners"
 ISSUED_ID = re.compile(r"o(\d{1,18})-[0-9a-f]{32}")
 REQUEST_ID = re.compile(r"[\x21-\x7e]{1,200}")
 DEADLINE = re.compile(r"\d{1,15}")
@@ -56,11 +59,14 @@
     def __init__(self, membership: Membership, gate: Gate, exchange: Exchange) -> None:
         self._membership = membership
         self.router = Router(membership, gate, exchange)
+        self._owner_maps_view: View | None = None
+        self._owner_maps: dict[str, OwnerMap | None] = {}
 
     def build_application(self) -> web.Application:
         """Return the HTTP application for callers."""
         application = web.Application(client_max_size=MAX_BODY_BYTES)
         application.router.add_get(REQUEST_ID_PATH, self._issue_request_id)
+        application.router.add_get(OWNERS_PATH, self._show_owners)
         application.router.add_route("*", "/{path:.*}", self._serve)
         return application
 
@@ -68,6 +74,26 @@
         """Issue an identifier that proves what the request cannot have been sent before."""
         return web.Response(text=f"o{self._membership.view.offset}-{uuid.uuid4().hex}")
 
+    async def _show_owners(self, request: web.Request) -> web.Response:
+        """Show who owns which slices; a caller that has the present map gets 304."""
+        owners = self._find_owner_map(request.query.get("service", ""))
+        if owners is None:
+            return web.Response(status=404, text="no service with keys has this name\n")
+        tag = owners.compute_tag()
+        if request.headers.get("If-None-Match") == tag:
+            return web.Response(status=304, headers={"ETag": tag})
+        return web.json_response(owners.to_plain(), headers={"ETag": tag})
+
+    def _find_owner_map(self, service: str) -> OwnerMap | None:
+        """Return the map of a service, built once for each view."""
+        view = self._membership.view
+        if self._owner_maps_view is not view:
+            self._owner_maps_view = view
+            self._owner_maps.clear()
+        if service not in self._owner_maps and service in view.configurations:
+            self._owner_maps[service] = build_owner_map(view, service)
+        return self._owner_maps.get(service)
+
     async def _serve(self, request: web.Request) -> web.Response:
         try:
             call = await self._read_call(request)
--- a/persimmondock/tests/test_front.py
+++ b/persimmondock/tests/test_front.py
@@ -301,3 +301,47 @@
             break
         await asyncio.sleep(0.01)
     assert stage.exchange.cancelled == 1
+
+
+async def test_owners_are_shown_for_callers_that_route_themselves(stage: Stage) -> None:
+    response = await stage.client.get("/_persimmondock/owners?service=painel")
+    shown = await response.json()
+    owner_of = [position for count, position in shown["runs"] for _ in range(count)]
+    assert (len(owner_of), shown["slices"], shown["hash"]) == (64, 64, "xxh3_64")
+    await stage.client.get("/painel/suite-1")
+    view, call = stage.membership.view, stage.exchange.calls[0]
+    placed = next(
+        item
+        for item in view.services["painel"].backends.values()
+        if item.backend.name == call.backend
+    )
+    address = shown["addresses"][owner_of[call.slice]]
+    assert address == view.members[placed.member.daemon].caller_address
+    headers = {"If-None-Match": response.headers["ETag"]}
+    again = await stage.client.get("/_persimmondock/owners?service=painel", headers=headers)
+    assert again.status == 304
+
+
+@pytest.mark.parametrize("query", ["", "?service=", "?service=nothing"])
+async def test_owners_of_no_service(stage: Stage, query: str) -> None:
+    response = await stage.client.get(f"/_persimmondock/owners{query}")
+    assert response.status == 404
+
+
+async def test_owners_without_any_backend_server(stage: Stage) -> None:
+    stage.membership.view = fold_all([make_published(slices=8)])
+    response = await stage.client.get("/_persimmondock/owners?service=painel")
+    assert (await response.json())["runs"] == [[8, -1]]
+
+
+async def test_issued_identifiers_tell_when_they_were_issued(stage: Stage) -> None:
+    response = await stage.client.get("/_persimmondock/request-id")
+    headers = {"Idempotency-Key": await response.text()}
+    await stage.client.post("/painel/suite-1/assign", headers=headers)
+    await stage.client.post(
+        "/painel/suite-1/assign",
+        headers={"Idempotency-Key": "own", "Persimmondock-First-Attempt": "true"},
+    )
+    await stage.client.post("/painel/suite-1/assign", headers={"Idempotency-Key": "own"})
+    offset = stage.membership.view.offset
+    assert [call.issued_at for call in stage.exchange.calls] == [offset, offset, -1]
