--- a/persimmondock/_domain/verdict.py
+++ b/persimmondock/_domain/verdict.py
@@ -38,7 +38,6 @@
     ANSWER_TOO_LARGE = "answer_too_large"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_SILENT = "peer_silent"
-    RETRY_BUDGET_SPENT = "retry_budget_spent"
     CANCELLED = "cancelled"
     INTERNAL_ERROR = "internal_error"
 
