--- a/benchmarks/rolling_restart.py
+++ b/benchmarks/rolling_restart.py
@@ -114,8 +114,12 @@
     for command in (("domain", "out", DOMAIN), ("domain", "back", DOMAIN)):
         started = time.monotonic()
         await run_checked(*command, *log, "--author", "bench")
+        accepted = time.monotonic()
         changed = await _wait_for_domain(fleet, command[1] == "out")
-        lines.append(f"{' '.join(command)}: {changed - started:.2f} s until no or all owners there")
+        lines.append(
+            f"{' '.join(command)}: command {accepted - started:.2f} s, then "
+            f"{changed - accepted:.2f} s until no or all backend servers there own slices"
+        )
         await asyncio.sleep(SETTLE_S)
     for command in (("drain", "backend-3"), ("undrain", "backend-3")):
         lines.append(f"{' '.join(command)}: {(await run_checked(*command, *log)).strip()}")
--- a/persimmondock/_tasks/reporter.py
+++ b/persimmondock/_tasks/reporter.py
@@ -64,6 +64,7 @@
         stations = self._gate.describe_stations().values()
         sink.measure("queued", sum(station.waiting for station in stations))
         sink.measure("concurrency_level", sum(station.level for station in stations))
+        sink.measure("suspects", len(self._gate.suspects.book))
         sink.count("forwards", self._exchange.calls - self._calls_seen)
         sink.count("appends", self._writer.appends - self._appends_seen)
         self._calls_seen = self._exchange.calls
--- a/persimmondock/settings.py
+++ b/persimmondock/settings.py
@@ -81,6 +81,11 @@
         _check_host_port(_, attribute, value)
 
 
+def _check_host_ports(_: Any, attribute: attrs.Attribute[Any], value: tuple[str, ...]) -> None:
+    for address in value:
+        _check_host_port(_, attribute, address)
+
+
 def _check_log_level(_: Any, attribute: attrs.Attribute[str], value: str) -> None:
     if value not in LOG_LEVELS:
         choices = ", ".join(LOG_LEVELS)
@@ -131,7 +136,7 @@
     lease_term_s: float = attrs.field(default=1.5, validator=_check_positive)
     renew_every_s: float = attrs.field(default=0.3, validator=_check_positive)
     stop_within_s: float = attrs.field(default=30.0, validator=_check_positive)
-    peers: tuple[str, ...] = ()
+    peers: tuple[str, ...] = attrs.field(default=(), validator=_check_host_ports)
     statsd: str = attrs.field(default="", validator=_check_host_port_or_empty)
     log_level: str = attrs.field(default="INFO", validator=_check_log_level)
     gate_without: tuple[Mechanism, ...] = ()
--- a/persimmondock/tests/test_settings.py
+++ b/persimmondock/tests/test_settings.py
@@ -53,6 +53,8 @@
         (FIVE_LINES + "lease_term_s: 0.1\n", "renew_every_s must be at most half"),
         (FIVE_LINES + "log_level: LOUD\n", "log_level: must be one of DEBUG"),
         (FIVE_LINES + "statsd: here\n", "statsd: must be host:port, not 'here'"),
+        (FIVE_LINES + "peers: [a:1, b]\n", "line 6: peers: must be host:port, not 'b'"),
+        (FIVE_LINES + "peers: a:1\n", "line 6: peers: expected a list, not 'a:1'"),
         (FIVE_LINES.replace("10.0.0.1", "vm"), "line 3: address: must be an IP address, not 'vm'"),
         (FIVE_LINES.replace(":7000", ""), "line 4: log: must be host:port, not '10.0.9.1'"),
         (FIVE_LINES.replace("recife-1", "''"), "line 1: daemon: must not be empty"),
