Import a command's modules when it is used

Cause: every command imported the daemon, the stand-ins and the measuring tool.

Change: the commands are listed by name and place, and loaded when they are used. A test loads each one and reads its help.

--- a/packaging/build.py
+++ b/packaging/build.py
@@ -42,6 +42,7 @@
         *(sys.executable, "-m", "PyInstaller", "--onedir", "--strip", "--noconfirm"),
         *("--log-level", "WARN", "--name", "persimmondock"),
         *("--paths", str(HERE.parent), "--collect-submodules", "persimmondock._commands"),
+        *("--collect-submodules", "persimmondock.bench"),
         *("--distpath", str(folder / "dist"), "--workpath", str(folder / "work")),
         *("--specpath", str(folder), *excluded, str(entry)),
     ]
--- a/persimmondock/_tasks/dumping.py
+++ b/persimmondock/_tasks/dumping.py
@@ -108,7 +108,6 @@
         "request_table": len(gate.table),
         "suspects": [attrs.asdict(seen) for seen in gate.suspects.book.list_seen()],
         "stations": {name: attrs.asdict(s) for name, s in gate.describe_stations().items()},
-        "suspects": [attrs.asdict(seen) for seen in gate.suspects.book.list_seen()],
         "tasks": sorted(task.get_name() for task in asyncio.all_tasks()),
     }
 
--- a/persimmondock/cli.py
+++ b/persimmondock/cli.py
@@ -14,48 +14,40 @@
 
 from __future__ import annotations
 
+import importlib
 import sys
+from typing import TYPE_CHECKING
 
 from cleo.application import Application
 from cleo.exceptions import CleoError
+from cleo.loaders.factory_command_loader import FactoryCommandLoader
 
 from persimmondock import __version__
-from persimmondock._commands.daemon import DaemonCommand
 from persimmondock._commands.exit_codes import EXIT_INPUT
-from persimmondock._commands.fleet import DumpCommand, ExplainCommand, StatusCommand
-from persimmondock._commands.log import LogTailCommand
-from persimmondock._commands.publishing import (
-    CheckCommand,
-    DomainBackCommand,
-    DomainOutCommand,
-    DrainCommand,
-    PublishCommand,
-    UndrainCommand,
-)
-from persimmondock._commands.standins import (
-    BackendStandinCommand,
-    DemoCommand,
-    LogStandinCommand,
-)
-from persimmondock.bench.command import BenchCommand
-
-COMMANDS = (
-    DaemonCommand,
-    CheckCommand,
-    PublishCommand,
-    DomainOutCommand,
-    DomainBackCommand,
-    DrainCommand,
-    UndrainCommand,
-    StatusCommand,
-    DumpCommand,
-    ExplainCommand,
-    LogTailCommand,
-    DemoCommand,
-    BenchCommand,
-    LogStandinCommand,
-    BackendStandinCommand,
-)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cleo.commands.command import Command
+
+# Modules are imported when their command is used: a daemon's imports take most of a second.
+COMMANDS = {
+    "daemon": "persimmondock._commands.daemon:DaemonCommand",
+    "check": "persimmondock._commands.publishing:CheckCommand",
+    "publish": "persimmondock._commands.publishing:PublishCommand",
+    "domain out": "persimmondock._commands.publishing:DomainOutCommand",
+    "domain back": "persimmondock._commands.publishing:DomainBackCommand",
+    "drain": "persimmondock._commands.publishing:DrainCommand",
+    "undrain": "persimmondock._commands.publishing:UndrainCommand",
+    "status": "persimmondock._commands.fleet:StatusCommand",
+    "dump": "persimmondock._commands.fleet:DumpCommand",
+    "explain": "persimmondock._commands.fleet:ExplainCommand",
+    "log tail": "persimmondock._commands.log:LogTailCommand",
+    "demo": "persimmondock._commands.standins:DemoCommand",
+    "bench": "persimmondock.bench.command:BenchCommand",
+    "standin-log": "persimmondock._commands.standins:LogStandinCommand",
+    "standin-backend": "persimmondock._commands.standins:BackendStandinCommand",
+}
 
 
 def build_application() -> Application:
@@ -63,11 +55,23 @@
     application = Application("persimmondock", __version__)
     application.auto_exits(False)
     application.catch_exceptions(False)
-    for command in COMMANDS:
-        application.add(command())
+    application.set_command_loader(
+        FactoryCommandLoader({name: _make_factory(place) for name, place in COMMANDS.items()})
+    )
     return application
 
 
+def _make_factory(place: str) -> Callable[[], Command]:
+    """Return what imports and makes a command."""
+    module, _, name = place.partition(":")
+
+    def make() -> Command:
+        command: Command = getattr(importlib.import_module(module), name)()
+        return command
+
+    return make
+
+
 def main() -> int:
     """Run the command line and return its exit code."""
     if sys.argv[1:] in (["--help"], ["-h"]):
--- a/persimmondock/tests/test_cli.py
+++ b/persimmondock/tests/test_cli.py
@@ -10,7 +10,7 @@
 import pytest
 
 from persimmondock import cli
-from persimmondock._commands.exit_codes import EXIT_INPUT, EXIT_UNUSABLE
+from persimmondock._commands.exit_codes import EXIT_DONE, EXIT_INPUT, EXIT_UNUSABLE
 from persimmondock._domain.membership import Membership
 from persimmondock._tasks.daemon import Daemon, DaemonError
 from persimmondock.settings import Settings
@@ -91,3 +91,13 @@
     asyncio.get_running_loop().call_later(0.3, break_control)
     with pytest.raises(DaemonError):
         await asyncio.wait_for(daemon.run(), 10.0)
+
+
+@pytest.mark.parametrize("name", sorted(cli.COMMANDS))
+def test_each_command_has_help(monkeypatch, capfd, name):
+    """Each command can be loaded, has the name that it is listed by, and describes itself."""
+    assert run_cli(monkeypatch, *name.split(), "--help") == EXIT_DONE
+    output = capfd.readouterr().out
+    assert f"  {name} [options]" in output
+    command = cli.build_application().find(name)
+    assert (command.name, bool(command.description)) == (name, True)
