Match refusals with runs by identifiers only

Change: only identifiers count; a test holds the case. The frozen program is not stripped: strip damages numpy's libraries (not page-aligned), so it did not start.

--- a/packaging/build.py
+++ b/packaging/build.py
@@ -40,7 +40,7 @@
     entry = folder / "start.py"
     entry.write_text("from persimmondock.cli import main\n\nraise SystemExit(main())\n")
     command = [
-        *(sys.executable, "-m", "PyInstaller", "--onedir", "--strip", "--noconfirm"),
+        *(sys.executable, "-m", "PyInstaller", "--onedir", "--noconfirm"),
         *("--log-level", "WARN", "--name", "persimmondock"),
         *("--paths", str(HERE.parent), "--collect-submodules", "persimmondock._commands"),
         *("--collect-submodules", "persimmondock.bench"),
--- a/persimmondock/bench/measures.py
+++ b/persimmondock/bench/measures.py
@@ -216,7 +216,7 @@
         runs = [run for run in data.runs if run.request_id == request_id]
         at_s = max(run.started_at for run in runs) - data.started_at
         breaches.append(Breach("at most once", at_s, f"{request_id} {runs[0].path}"))
-    ran = {run.request_id for run in data.runs}
+    ran = {run.request_id for run in data.runs if run.request_id}
     for outcome in data.outcomes:
         if outcome.wrong:
             breaches.append(Breach("own answer", outcome.ended_at_s, outcome.offer.path))
--- a/persimmondock/tests/bench/test_bench.py
+++ b/persimmondock/tests/bench/test_bench.py
@@ -89,6 +89,12 @@
     assert [breach.invariant for breach in find_breaches(make_data(**data))] == [invariant]
 
 
+def test_a_refusal_without_an_identifier_is_not_matched_with_runs_without_one() -> None:
+    offer = Offer(1.0, "painel", "/painel/key-1/show", 7, "", 0, False)
+    refused = Outcome(offer, "not_run", "", 1, 1.1, surely_not_run=True)
+    assert find_breaches(make_data(outcomes=[refused], runs=[make_run(1, 101.0, 102.0)])) == []
+
+
 def test_runs_one_after_the_other_break_nothing() -> None:
     runs = [make_run(1, 101.0, 102.0, "a"), make_run(2, 102.0, 103.0, "b")]
     assert find_breaches(make_data(runs=runs)) == []
