Let a witness that hears nobody doubt itself before it votes

Cause: when all daemons were cut from each other for longer than a term while the log answered, every witness voted for the loss of every holder. All members were lost when the network came back.

Change: a witness that has heard no peer for 0.9 s waits 5 s longer before it votes, and gives all holders a fresh term when it hears one again. Fleets of up to three members do without.

--- a/persimmondock/_domain/membership.py
+++ b/persimmondock/_domain/membership.py
@@ -61,7 +61,10 @@
 RELEASE_AGAIN_S = 0.5
 VOTE_RANK_DELAY_S = 0.15
 VOTE_RETRY_S = 0.5
-RESIGN_AFTER_S = 5.0
+RESIGN_AFTER_S = 8.0
+MEMBERS_WITHOUT_DOUBT = 3
+SILENCE_S = 0.9
+DOUBT_S = 5.0
 PROBE_EVERY_S = 0.2
 ANSWER_VALID_S = 1.0
 NOT_JOINED = -1
@@ -194,6 +197,7 @@
     _wanted: tuple[MemberRef, ...] | None = None
     _refusing: set[MemberRef] = attrs.field(factory=set)
     _held_at: float = 0.0
+    _heard_at: float = 0.0
     _probe_at: float = 0.0
     _answered_at: dict[str, float] = attrs.field(factory=dict)
     _settler: MemberRef | None = None
@@ -279,6 +283,9 @@
 
     def receive(self, message: Message, reply_address: str, now: float) -> list[Effect]:
         """Take a message of another daemon's membership."""
+        if self._compute_doubt(now):
+            self.book.extend(now)
+        self._heard_at = now
         match message:
             case Renew():
                 return self._receive_renew(message, reply_address, now)
@@ -673,7 +680,7 @@
         if now - self.log_read_at > LOG_FRESHNESS_S or not self.caught_up:
             return []
         for holder in self._watched:
-            if self.book.has_lapsed(holder, now):
+            if self.book.has_lapsed(holder, now - self._compute_doubt(now)):
                 self.book.vote(holder)
                 self._voted_at = 0.0
         if now < self._voted_at + VOTE_RETRY_S:
@@ -685,6 +692,15 @@
                 effects += self._send_votes(holder, witness, now)
         return effects
 
+    def _compute_doubt(self, now: float) -> float:
+        """Return how much longer to wait before voting, in seconds.
+
+        A daemon that hears none of its peers is more likely cut off itself.
+        """
+        if len(self.view.members) <= MEMBERS_WITHOUT_DOUBT:
+            return 0.0
+        return DOUBT_S if now > self._heard_at + SILENCE_S else 0.0
+
     def _send_votes(self, holder: MemberRef, voter: MemberRef, now: float) -> list[Effect]:
         member = self.view.find_member(holder)
         if member is None:
--- a/persimmondock/tests/test_membership.py
+++ b/persimmondock/tests/test_membership.py
@@ -52,6 +52,18 @@
     assert {n: world.list_served(process) for n, process in world.processes.items()} == served
 
 
+def test_nobody_is_declared_lost_after_all_were_cut_off_for_a_while() -> None:
+    world = make_world(5)
+    before = {n: process.core.ref for n, process in world.processes.items()}
+    world.parts = {number: number for number in range(world.daemons)}
+    world.run(4.0)
+    assert not any(world.list_served(process) for process in world.processes.values())
+    world.parts.clear()
+    world.run(1.0)
+    assert {n: process.core.ref for n, process in world.processes.items()} == before
+    world.check_all_served()
+
+
 def test_a_daemon_leaves_although_half_of_all_messages_are_lost() -> None:
     world = make_world()
     world.leave(1)
