--- a/benchmarks/detection.py
+++ b/benchmarks/detection.py
@@ -19,8 +19,8 @@
 import attrs
 import numpy as np
 
+from benchmarks.lease_messages import measure_message
 from persimmondock._domain.leases import LeaseTerms, WitnessBook, is_majority
-from persimmondock._domain.messages import Frame, Granted, Renew, encode_frame
 from persimmondock._domain.records import MemberRef
 from persimmondock._domain.witnesses import WITNESSES, choose_witnesses
 from persimmondock.tests.builders import make_member
@@ -37,14 +37,6 @@
 EXACT_MEMBERS = 1_500
 
 
-def measure_message() -> float:
-    """Return the mean size of a frame with one renewal or one promise."""
-    holder, witness = MemberRef("recife-1234", 1234567), MemberRef("salvador-1234", 1234567)
-    messages = Renew(holder, 123456, 1234567), Granted(witness, holder, 123456, 1234567)
-    frames = [Frame("recife-1234", "10.1.2.3:8102", (message,)) for message in messages]
-    return float(np.mean([len(encode_frame(frame)) for frame in frames]))
-
-
 @attrs.define
 class Site:
     """Members, who is lost, and when each is late."""
@@ -191,7 +183,7 @@
             continue
         for witness in witnesses[holder]:
             out.messages += 1
-            if not site.is_silent(witness, at) and books[witness].renew(refs[holder], 0, at):
+            if not site.is_silent(witness, at) and books[witness].renew(refs[holder], at):
                 out.messages += 1
 
 
