Gather records before they are spread in large sites

Cause: in a storm of records each batch makes every daemon copy what the fold changes and list its holders again, some 25 ms at 15,000 members, and there may be one batch for each append.

Change: members that read the log for others wait 0.1 s after each read, so that a reader sends at most ten batches a second. The cost is at most 0.1 s of delay.

--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -108,6 +108,7 @@
         self._transfer = ViewTransfer(membership, peers, self._send)
         self._spreader = Spreader(membership, self._send)
         follower.reads_log = self._spreader.reads_log
+        follower.reads_for_others = self._spreader.reads_for_others
         self._warner = Warner(membership, gate, self._send)
         self._encoding: set[asyncio.Task[None]] = set()
         self.report_failure: Callable[[Exception], None] = _raise_failure
--- a/persimmondock/_tasks/log_follower.py
+++ b/persimmondock/_tasks/log_follower.py
@@ -33,6 +33,7 @@
 READ_RETRY_S = 0.25
 APPEND_GAP_S = 0.02
 COLLECT_GAP_S = 0.1
+GATHER_S = 0.1
 IDLE_READ_S = 10.0
 MAX_QUEUED_APPENDS = 1_000
 MAX_APPEND_BYTES = 1024 * 1024
@@ -89,6 +90,9 @@
     reads_log
         Tells whether this daemon reads the log all the time, or now and then because peers send
         it the records.
+    reads_for_others
+        Tells whether peers depend on what this daemon reads; it then gathers records for a while,
+        because each batch costs every daemon a fixed amount of work.
     """
 
     def __init__(self, log: LogService, find_start: Callable[[], int]) -> None:
@@ -96,6 +100,7 @@
         self._log = log
         self._find_start = find_start
         self.reads_log: Callable[[], bool] = lambda: True
+        self.reads_for_others: Callable[[], bool] = lambda: False
         self._wanted = asyncio.Event()
         self._wait = 0.0
 
@@ -109,6 +114,8 @@
             await asyncio.sleep(READ_RETRY_S)
         while True:
             await self._read()
+            if self.reads_for_others():
+                await asyncio.sleep(GATHER_S)
             await self._wait_until_wanted()
 
     async def _wait_until_wanted(self) -> None:
--- a/persimmondock/_tasks/spreader.py
+++ b/persimmondock/_tasks/spreader.py
@@ -55,6 +55,11 @@
         """Return whether this daemon reads the log all the time."""
         return self._find_plan().reads_log
 
+    def reads_for_others(self) -> bool:
+        """Return whether this daemon reads the log and sends the records to peers."""
+        plan = self._find_plan()
+        return plan.reads_log and bool(plan.targets)
+
     def forward(self, entries: tuple[Entry, ...]) -> None:
         """Send records that are new to this daemon to its targets."""
         targets = self._find_plan().targets
--- a/persimmondock/tests/test_spreading.py
+++ b/persimmondock/tests/test_spreading.py
@@ -85,6 +85,7 @@
 
 def test_new_records_are_sent_on(monkeypatch) -> None:
     subject, sent = make_spreader(monkeypatch)
+    assert subject.reads_for_others()
     subject.forward((Entry(61, b"a"), Entry(62, b"b")))
     assert sent
     assert {message for _, message in sent} == {RecordsGiven(61, (b"a", b"b"))}
