--- a/benchmarks/gate_scenarios.py
+++ b/benchmarks/gate_scenarios.py
@@ -198,6 +198,24 @@
         await run_on_fleet(plans, without, partial(measure, label=label))
 
 
+async def compare_mixed() -> None:
+    """Mix short and long requests of one kind; nothing is wrong with the backend server."""
+
+    async def measure(load: Load, label: str) -> None:
+        stream = await warm_up(load)
+        short = attrs.evolve(stream, name="short", rate=80)
+        long = attrs.evolve(stream, name="long", rate=9, deadline_s=3.0)
+        await asyncio.gather(
+            load.send_streams([short], 10.0, {"Standin-Work-Ms": "20"}),
+            load.send_streams([long], 10.0, {"Standin-Work-Ms": "500"}),
+        )
+        show_streams(load, label)
+
+    plans = build_plans(3, slots=12, work_ms=50)
+    for label, without in (("ramp=off", [Mechanism.RAMP]), ("ramp=on", [])):
+        await run_on_fleet(plans, without, partial(measure, label=label))
+
+
 async def run_resends() -> None:
     """Send each identifier through three daemons, lose a VM, and send new identifiers."""
 
@@ -314,6 +332,7 @@
     "ramp": compare_ramps,
     "limit": compare_limits,
     "slowed": compare_slowed,
+    "mixed": compare_mixed,
     "resends": run_resends,
     "poison": compare_poison,
     "drain": run_drains,
