--- a/persimmondock/standins/fleet.py
+++ b/persimmondock/standins/fleet.py
@@ -203,6 +203,10 @@
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
             )
 
+    def list_daemon_pids(self) -> list[int]:
+        """Return the process identifiers of all daemons."""
+        return [self._processes[f"daemon-{number}"].pid for number in self.plans]
+
     def write_file(self, name: str, text: str) -> str:
         """Write a file that is removed with the fleet, and return its path."""
         path = self._folder / name
