--- a/persimmondock/_commands/base.py
+++ b/persimmondock/_commands/base.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, TypeVar
@@ -73,8 +74,11 @@
         self.show(json.dumps(data, indent=2, sort_keys=True))
 
     def run_async(self, work: Coroutine[Any, Any, _T]) -> _T:
-        """Run a coroutine to its end."""
-        return asyncio.run(work)
+        """Run a coroutine to its end; a signal to stop cancels it, so that it cleans up."""
+        try:
+            return asyncio.run(_cancel_on_signal(work))
+        except asyncio.CancelledError:
+            raise KeyboardInterrupt from None
 
     def read_text_option(self, name: str) -> str:
         """Return an option that must be given."""
@@ -121,6 +125,13 @@
             raise CommandError(f"{path}: not UTF-8 text: {error.reason}") from error
 
 
+async def _cancel_on_signal(work: Coroutine[Any, Any, _T]) -> _T:
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await work
+
+
 def check_address(name: str, text: str) -> str:
     """Return ``text`` if it is ``host:port``.
 
