Bound the kept answers of one release

Cause: a release with 30,000 kept answers took 0.57 s to encode and 1.16 s to decode, near a lease term, so that handing over a full table could cost the lease. Change: a release carries the first ready slices with at most 2,000 kept answers, or one slice; the other slices follow at the next ticks. A test hands over several slices of 1,500 answers each.

--- a/persimmondock/_domain/membership.py
+++ b/persimmondock/_domain/membership.py
@@ -59,6 +59,7 @@
 APPEND_RETRY_S = 1.0
 RELEASE_RETRY_S = 0.1
 RELEASE_AGAIN_S = 0.5
+MAX_KEPT_A_RELEASE = 2_000
 VOTE_RANK_DELAY_S = 0.15
 VOTE_RETRY_S = 0.5
 RESIGN_AFTER_S = 8.0
@@ -876,22 +877,30 @@
                 ready |= ask.sent
                 ask.sent = set()
             if ready:
-                ask.sent |= ready
+                release = self._make_release(ask, ready)
+                ask.slices |= ready - set(release.slices)
+                ask.sent |= set(release.slices)
                 ask.send_at = now + RELEASE_AGAIN_S
-                effects.append(self._make_release(ask, ready))
+                effects.append(Send(ask.address, release))
             if not ask.slices and not ask.sent:
                 self._open_asks.remove(ask)
         return effects
 
-    def _make_release(self, ask: _OpenAsk, slices: set[int]) -> Send:
+    def _make_release(self, ask: _OpenAsk, ready: set[int]) -> Released:
+        """Return a release of the first ready slices, with a bounded number of kept answers.
+
+        Encoding and decoding must not take the time of a renewal; the other slices follow later.
+        """
         assert self.ref is not None
-        kept = tuple(
-            entry
-            for index in sorted(slices)
-            for entry in self.collect_kept(SliceRef(ask.service, index))
-        )
-        released = Released(self.ref, ask.service, tuple(sorted(slices)), ask.lost_at, kept)
-        return Send(ask.address, released)
+        slices: list[int] = []
+        kept: list[KeptAnswer] = []
+        for index in sorted(ready):
+            entries = self.collect_kept(SliceRef(ask.service, index))
+            if slices and len(kept) + len(entries) > MAX_KEPT_A_RELEASE:
+                break
+            slices.append(index)
+            kept += entries
+        return Released(self.ref, ask.service, tuple(slices), ask.lost_at, tuple(kept))
 
     def _receive_released(self, message: Released, address: str) -> list[Effect]:
         for index in message.slices:
--- /dev/null
+++ b/persimmondock/tests/test_releases.py
@@ -0,0 +1,48 @@
+"""Tests of how slices are released with their kept answers."""
+
+from __future__ import annotations
+
+from persimmondock._domain.leases import LeaseTerms
+from persimmondock._domain.membership import MAX_KEPT_A_RELEASE, Membership, Send
+from persimmondock._domain.messages import KeptAnswer, Released, ReleaseAsked, ReleaseReceived
+from persimmondock._domain.records import MemberLeaving
+from persimmondock._domain.verdict import MayHaveRun, Reason
+from persimmondock.tests.builders import fold_all, make_identity, make_view
+
+KEPT_A_SLICE = MAX_KEPT_A_RELEASE * 3 // 4
+
+
+def collect_kept(ref):
+    verdict = MayHaveRun(Reason.BACKEND_LOST)
+    return tuple(
+        KeptAnswer(ref.service, ref.index, f"id-{number}", 0, verdict, 0)
+        for number in range(KEPT_A_SLICE)
+    )
+
+
+def list_released(effects) -> list[Released]:
+    return [e.message for e in effects if isinstance(e, Send) and isinstance(e.message, Released)]
+
+
+def test_many_kept_answers_travel_in_several_bounded_releases() -> None:
+    view = make_view(3, slices=9)
+    ref = view.members["vm-2"].ref
+    lost_at = view.offset
+    view = fold_all([MemberLeaving("leaving", ref)], view)
+    state = view.services["painel"]
+    owner = state.backends[int(state.owners[min(state.handovers)])].member
+    slices = tuple(
+        i for i in state.handovers if state.backends[int(state.owners[i])].member == owner
+    )
+    assert len(slices) > 1
+    leaver = Membership(make_identity(2), LeaseTerms(), lambda _: False, collect_kept)
+    leaver.view, leaver.ref = view, ref
+    ask = ReleaseAsked(owner, "painel", slices, lost_at)
+    released = list_released(leaver.receive(ask, "a:9", 1.0))
+    for step in range(1, len(slices)):
+        released += list_released(leaver.advance(1.0 + 0.1 * step))
+    assert [len(message.kept) for message in released] == [KEPT_A_SLICE] * len(slices)
+    assert sorted(i for message in released for i in message.slices) == sorted(slices)
+    confirmation = ReleaseReceived(owner, "painel", slices, lost_at)
+    leaver.receive(confirmation, "a:9", 2.0)
+    assert list_released(leaver.advance(9.0)) == []
