Give releases a module of their own

Change: Releases in _domain/releases.py, effects in _domain/effects.py, View.knows_gone; the imported function is in lease_traffic; signals are taken in the main thread only.

--- a/benchmarks/detection.py
+++ b/benchmarks/detection.py
@@ -19,7 +19,7 @@
 import attrs
 import numpy as np
 
-from benchmarks.lease_messages import measure_message
+from benchmarks.lease_traffic import measure_message
 from persimmondock._domain.leases import LeaseTerms, WitnessBook, is_majority
 from persimmondock._domain.records import MemberRef
 from persimmondock._domain.witnesses import WITNESSES, choose_witnesses
--- a/benchmarks/lease_traffic.py
+++ b/benchmarks/lease_traffic.py
@@ -39,6 +39,12 @@
     )
 
 
+def measure_message() -> float:
+    """Return the mean bytes of a frame with one renewal or one promise."""
+    sealer = Sealer("key")
+    return sum(len(sealer.seal(make_frame(message))) for message in (RENEW, GRANTED)) / 2
+
+
 def time_exchange(sealer: Sealer) -> float:
     """Return the microseconds of encoding and decoding one renewal and its promise."""
     started = time.process_time()
--- a/persimmondock/_commands/base.py
+++ b/persimmondock/_commands/base.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import threading
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -128,7 +129,9 @@
 async def _cancel_on_signal(work: Coroutine[Any, Any, _T]) -> _T:
     task = asyncio.current_task()
     assert task is not None
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    # Only the main thread may take signals; an embedding program has its own way to stop.
+    if threading.current_thread() is threading.main_thread():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     return await work
 
 
--- a/persimmondock/_domain/membership.py
+++ b/persimmondock/_domain/membership.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING
 
 import attrs
 import numpy as np
 
+from persimmondock._domain.effects import Append, Effect, Send, SliceRef
 from persimmondock._domain.leases import HeldLease, LeaseTerms, WitnessBook, WitnessSet, is_majority
 from persimmondock._domain.messages import (
     Granted,
@@ -41,6 +42,7 @@
     WitnessesChanged,
     make_record_id,
 )
+from persimmondock._domain.releases import Releases
 from persimmondock._domain.view import (
     Handover,
     Member,
@@ -58,8 +60,6 @@
 
 APPEND_RETRY_S = 1.0
 RELEASE_RETRY_S = 0.1
-RELEASE_AGAIN_S = 0.5
-MAX_KEPT_A_RELEASE = 2_000
 VOTE_RANK_DELAY_S = 0.15
 VOTE_RETRY_S = 0.5
 RESIGN_AFTER_S = 8.0
@@ -89,45 +89,6 @@
     operator_address: str
 
 
-@attrs.frozen
-class Send:
-    """Send a message to the daemon at an address."""
-
-    address: str
-    message: Message
-
-
-@attrs.frozen
-class Append:
-    """Append records to the log as one unit."""
-
-    records: tuple[Record, ...]
-
-
-Effect: TypeAlias = Send | Append
-
-
-@attrs.frozen
-class SliceRef:
-    """One slice of one service."""
-
-    service: str
-    index: int
-
-
-@attrs.define
-class _OpenAsk:
-    """A release that a new owner asked for and has not confirmed yet."""
-
-    asker: MemberRef
-    address: str
-    service: str
-    slices: set[int]
-    lost_at: int
-    sent: set[int] = attrs.field(factory=set)
-    send_at: float = 0.0
-
-
 @attrs.define
 class _Settlement:
     """A round of questions to all members that have lost slices."""
@@ -185,9 +146,16 @@
     _votes: dict[tuple[MemberRef, int], dict[MemberRef, float]] = attrs.field(
         factory=lambda: defaultdict(dict)
     )
-    _open_asks: list[_OpenAsk] = attrs.field(factory=list)
+    _releases: Releases = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda self: Releases(
+                lambda ref: self.is_busy(ref), lambda ref: self.collect_kept(ref)
+            ),
+            takes_self=True,
+        ),
+    )
     _released: dict[SliceRef, set[Handover]] = attrs.field(factory=dict)
-    _received: dict[SliceRef, dict[MemberRef, int]] = attrs.field(factory=lambda: defaultdict(dict))
     _started_at: float | None = None
     _log_asked_at: float = 0.0
     _late_at: float = 0.0
@@ -298,11 +266,12 @@
                 self._votes[(message.holder, message.version)].setdefault(message.witness, now)
                 return self._propose_losses(now)
             case ReleaseAsked():
-                return self._receive_release_asked(message, reply_address, now)
+                self._releases.take_ask(message, reply_address)
+                return self._answer_asks(now)
             case Released():
                 return self._receive_released(message, reply_address)
             case ReleaseReceived():
-                self._receive_receipt(message)
+                self._releases.take_receipt(message)
                 return []
             case SettlementAsked(before=before):
                 return self._answer_settlement(before, reply_address)
@@ -414,8 +383,7 @@
 
     def _has_unreleased_losses(self) -> bool:
         """Return whether a new owner still waits for one of this daemon's slices."""
-        unsent = any(ask.slices for ask in self._open_asks)
-        return unsent or not self._has_handed_over(self.view.offset)
+        return self._releases.has_unsent() or not self._has_handed_over(self.view.offset)
 
     def _has_handed_over(self, before: int) -> bool:
         """Return whether the owners since before an offset have what this daemon kept."""
@@ -431,7 +399,7 @@
         owner = self._find_owner(ref.service, ref.index)
         if owner is None or owner == self.ref:
             return True
-        return self._received.get(ref, {}).get(owner, -1) >= lost_at
+        return self._releases.is_received(ref, owner, lost_at)
 
     def _find_owner(self, service: str, index: int) -> MemberRef | None:
         state = self.view.services[service]
@@ -494,7 +462,7 @@
         self.lease = HeldLease(ref, self.terms, [WitnessSet(ref.incarnation, member.witnesses)])
         self._proposal = None
         self._refusing.clear()
-        self._received.clear()
+        self._releases.forget_receipts()
         self._held_at = now
         self._renew_at = 0.0
 
@@ -584,9 +552,8 @@
                     fresh[ref] = missing
         self.unreleased = fresh
         self._released = released
-        for ref in list(self._received):
-            if ref.index not in self.view.services[ref.service].handovers:
-                del self._received[ref]
+        services = self.view.services
+        self._releases.forget_receipts({name: services[name].handovers for name in services})
 
     def _find_own(self, name: str, state: ServiceState) -> _OwnSlices:
         """Return what this daemon owns of a service, computed once for each state of it."""
@@ -658,7 +625,7 @@
             own = MemberRef(self.identity.daemon, NOT_JOINED)
             return [Send(reply_address, RenewalRefused(own, holder, offset, voted=False))]
         effects = self._ask_records(message.applied, reply_address)
-        if self._knows_gone(holder) or self._is_stale(message.applied, now):
+        if self.view.knows_gone(holder) or self._is_stale(message.applied, now):
             refused = RenewalRefused(self.ref, holder, offset, voted=False)
             return [*effects, Send(reply_address, refused)]
         if not self.book.renew(holder, now):
@@ -667,10 +634,6 @@
         granted = Granted(self.ref, holder, message.sequence, offset)
         return [*effects, Send(reply_address, granted)]
 
-    def _knows_gone(self, ref: MemberRef) -> bool:
-        """Return whether the view has seen this incarnation come and go."""
-        return ref.incarnation < self.view.offset and self.view.find_member(ref) is None
-
     def _vote_on_lapsed(self, now: float) -> list[Effect]:
         """Vote for the loss of holders that stopped asking, unless the log cannot record it.
 
@@ -839,69 +802,6 @@
                 effects.append(Send(member_state.peer_address, ask))
         return effects
 
-    def _receive_release_asked(
-        self, message: ReleaseAsked, address: str, now: float
-    ) -> list[Effect]:
-        for ask in self._open_asks:
-            if (ask.asker, ask.service, ask.lost_at) == (
-                message.asker,
-                message.service,
-                message.lost_at,
-            ):
-                ask.slices |= set(message.slices)
-                break
-        else:
-            ask = _OpenAsk(
-                message.asker, address, message.service, set(message.slices), message.lost_at
-            )
-            self._open_asks.append(ask)
-        return self._answer_asks(now)
-
-    def _answer_asks(self, now: float) -> list[Effect]:
-        """Release the slices that this daemon has lost and that have no work in flight.
-
-        What has been sent is sent again until its receiver confirms it.
-        """
-        if self.ref is None:
-            return []
-        effects: list[Effect] = []
-        for ask in list(self._open_asks):
-            if self.view.offset <= ask.lost_at:
-                continue
-            if self._knows_gone(ask.asker):
-                self._open_asks.remove(ask)
-                continue
-            ready = {i for i in ask.slices if not self.is_busy(SliceRef(ask.service, i))}
-            ask.slices -= ready
-            if now >= ask.send_at:
-                ready |= ask.sent
-                ask.sent = set()
-            if ready:
-                release = self._make_release(ask, ready)
-                ask.slices |= ready - set(release.slices)
-                ask.sent |= set(release.slices)
-                ask.send_at = now + RELEASE_AGAIN_S
-                effects.append(Send(ask.address, release))
-            if not ask.slices and not ask.sent:
-                self._open_asks.remove(ask)
-        return effects
-
-    def _make_release(self, ask: _OpenAsk, ready: set[int]) -> Released:
-        """Return a release of the first ready slices, with a bounded number of kept answers.
-
-        Encoding and decoding must not take the time of a renewal; the other slices follow later.
-        """
-        assert self.ref is not None
-        slices: list[int] = []
-        kept: list[KeptAnswer] = []
-        for index in sorted(ready):
-            entries = self.collect_kept(SliceRef(ask.service, index))
-            if slices and len(kept) + len(entries) > MAX_KEPT_A_RELEASE:
-                break
-            slices.append(index)
-            kept += entries
-        return Released(self.ref, ask.service, tuple(slices), ask.lost_at, tuple(kept))
-
     def _receive_released(self, message: Released, address: str) -> list[Effect]:
         for index in message.slices:
             ref = SliceRef(message.service, index)
@@ -917,14 +817,8 @@
         receipt = ReleaseReceived(self.ref, message.service, message.slices, message.lost_at)
         return [Send(address, receipt)]
 
-    def _receive_receipt(self, message: ReleaseReceived) -> None:
-        for index in message.slices:
-            ref = SliceRef(message.service, index)
-            before = self._received[ref].get(message.asker, -1)
-            self._received[ref][message.asker] = max(before, message.lost_at)
-        for ask in self._open_asks:
-            if (ask.asker, ask.service) == (message.asker, message.service):
-                ask.sent -= set(message.slices) if ask.lost_at <= message.lost_at else set()
+    def _answer_asks(self, now: float) -> list[Effect]:
+        return [] if self.ref is None else [*self._releases.answer(self.ref, self.view, now)]
 
     # Settlement of handovers.
 
--- a/persimmondock/_domain/view.py
+++ b/persimmondock/_domain/view.py
@@ -175,6 +175,10 @@
     edit: Edit | None = None
     members_edit: Edit | None = None
 
+    def knows_gone(self, ref: MemberRef) -> bool:
+        """Return whether the view has seen this incarnation come and go."""
+        return ref.incarnation < self.offset and self.find_member(ref) is None
+
     def find_member(self, ref: MemberRef) -> Member | None:
         """Return the member of this very incarnation, or None."""
         member = self.members.get(ref.daemon)
--- a/persimmondock/_tasks/control.py
+++ b/persimmondock/_tasks/control.py
@@ -12,7 +12,7 @@
 from loguru import logger
 from reactivex.subject import Subject
 
-from persimmondock._domain.membership import Append, Effect, Send
+from persimmondock._domain.effects import Append, Effect, Send
 from persimmondock._domain.messages import (
     AppendAsked,
     Message,
--- a/persimmondock/_tasks/gate.py
+++ b/persimmondock/_tasks/gate.py
@@ -14,9 +14,10 @@
 from loguru import logger
 
 from persimmondock._adapters.backend_client import run_request
+from persimmondock._domain.effects import SliceRef
 from persimmondock._domain.floors import FloorClock
 from persimmondock._domain.mechanisms import Mechanism
-from persimmondock._domain.membership import Membership, SliceRef
+from persimmondock._domain.membership import Membership
 from persimmondock._domain.poison import Handling
 from persimmondock._domain.request_table import (
     UNKNOWN_ISSUE,
--- a/persimmondock/properties/test_ownership.py
+++ b/persimmondock/properties/test_ownership.py
@@ -7,8 +7,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule, run_state_machine_as_test
 
+from persimmondock._domain.effects import Effect, SliceRef
 from persimmondock._domain.leases import Promise, WitnessBook
-from persimmondock._domain.membership import Effect, Membership, SliceRef
+from persimmondock._domain.membership import Membership
 from persimmondock._domain.messages import Granted, Message
 from persimmondock._domain.records import MemberRef
 from persimmondock.tests.builders import DOMAINS
--- a/persimmondock/tests/test_core_benchmarks.py
+++ b/persimmondock/tests/test_core_benchmarks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from benchmarks import appends, core, detection, lease_messages, spreading
+from benchmarks import appends, core, detection, lease_traffic, spreading
 
 
 def test_benchmarks_of_the_core_run() -> None:
@@ -27,4 +27,4 @@
     site, outcome = detection.run_way("leases, 3 witnesses", 15, "failure domain lost")
     assert set(outcome.detected) == site.lost
     assert appends.measure(15, True).log.appends <= appends.measure(15, False).log.appends
-    assert lease_messages.measure_message() > 0
+    assert 64 < lease_traffic.measure_message() < 256
--- a/persimmondock/tests/test_leaving.py
+++ b/persimmondock/tests/test_leaving.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from persimmondock._domain.effects import Append
 from persimmondock._domain.leases import LeaseTerms
-from persimmondock._domain.membership import Append, Identity, Membership
+from persimmondock._domain.membership import Identity, Membership
 from persimmondock._domain.messages import ReleaseAsked, ReleaseReceived
 from persimmondock._domain.records import (
     ConfigurationPublished,
--- a/persimmondock/tests/test_membership.py
+++ b/persimmondock/tests/test_membership.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from persimmondock._domain.effects import Send
 from persimmondock._domain.leases import LeaseTerms
-from persimmondock._domain.membership import Identity, Membership, Send
+from persimmondock._domain.membership import Identity, Membership
 from persimmondock._domain.messages import Granted, Renew, RenewalRefused
 from persimmondock._domain.records import HandoversSettled, MemberLeaving, make_record_id
 from persimmondock.tests.builders import fold_all, make_published, make_view
--- a/persimmondock/tests/test_releases.py
+++ b/persimmondock/tests/test_releases.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from persimmondock._domain.effects import Send
 from persimmondock._domain.leases import LeaseTerms
-from persimmondock._domain.membership import MAX_KEPT_A_RELEASE, Membership, Send
-from persimmondock._domain.messages import KeptAnswer, Released, ReleaseAsked, ReleaseReceived
+from persimmondock._domain.membership import Membership
+from persimmondock._domain.messages import KeptAnswer, ReleaseAsked, Released, ReleaseReceived
 from persimmondock._domain.records import MemberLeaving
+from persimmondock._domain.releases import MAX_KEPT_A_RELEASE
 from persimmondock._domain.verdict import MayHaveRun, Reason
 from persimmondock.tests.builders import fold_all, make_identity, make_view
 
--- a/persimmondock/tests/world.py
+++ b/persimmondock/tests/world.py
@@ -15,8 +15,9 @@
 import attrs
 
 from persimmondock._domain.configuration import FLEET_SUBJECT, FleetConfiguration, render_subject
+from persimmondock._domain.effects import Append, Effect, Send, SliceRef
 from persimmondock._domain.leases import LeaseTerms
-from persimmondock._domain.membership import Append, Effect, Identity, Membership, Send, SliceRef
+from persimmondock._domain.membership import Identity, Membership
 from persimmondock._domain.messages import (
     KeptAnswer,
     Message,
