--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 
 # One daemon is one process, without io_uring and shared memory.
 check-process: setup
-	$(BIN)/python -m benchmarks.check_process
+	$(BIN)/python -m persimmondock.tests.process_check
 
 format: setup
 	$(BIN)/black --quiet persimmondock benchmarks packaging
--- /dev/null
+++ b/persimmondock/_adapters/http_exchange.py
@@ -0,0 +1,342 @@
+"""HTTP/1.1 towards one server, one request at a time on a connection.
+
+The connection checks what a caller's library hides: whether a request was handed to the kernel,
+whether an answer is whole, and whether bytes came that no request asked for. The parser is
+httptools'. aiohttp's client would follow redirects, decode bodies, send a request once more after
+a dropped connection, and give late bytes to the next request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+import httptools
+
+from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.sockets import tune_socket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+CONNECT_TIMEOUT_S = 1.0  # a local server accepts within milliseconds; a peer within 3 round trips
+DEFAULT_IDLE_S = 8.0  # servers without Keep-Alive close after 10 s
+IDLE_MARGIN_S = 1.0  # a request must not cross the server's close
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
+NO_BODY_STATUSES = frozenset({204, 304})
+
+
+class ExchangeError(Exception):
+    """An exchange that brought no whole answer.
+
+    Parameters
+    ----------
+    sent
+        Whether bytes of the request may have reached the server.
+    """
+
+    def __init__(self, detail: str, sent: bool) -> None:
+        super().__init__(detail)
+        self.sent = sent
+
+
+class ConnectFailedError(ExchangeError):
+    """No connection could be made; ``refused`` if nothing listens there."""
+
+    def __init__(self, detail: str, refused: bool) -> None:
+        super().__init__(detail, sent=False)
+        self.refused = refused
+
+
+class ConnectionLostError(ExchangeError):
+    """The connection ended before the answer was whole."""
+
+
+class InvalidAnswerError(ExchangeError):
+    """The server sent bytes that are no answer to this request."""
+
+
+@attrs.frozen
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def find_header(self, name: str) -> str | None:
+        """Return the first header of a lower-case name."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+class HttpConnection(asyncio.Protocol):
+    """One connection to a server."""
+
+    def __init__(self) -> None:
+        self.usable = True
+        self.idle_since = 0.0
+        self.idle_limit = DEFAULT_IDLE_S
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future[HttpAnswer] | None = None
+        self._accept: Callable[[HttpAnswer], bool] = _accept_any
+        self._parser: httptools.HttpResponseParser | None = None
+        self._answers: list[HttpAnswer] = []
+        self._begin_message()
+
+    def _begin_message(self) -> None:
+        self._headers: list[tuple[str, str]] = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._until_end = False
+        self._begun = False
+        self._keeps_alive = False
+
+    async def exchange(
+        self, data: bytes, accept: Callable[[HttpAnswer], bool] | None = None
+    ) -> HttpAnswer:
+        """Send a request and return its whole answer.
+
+        Parameters
+        ----------
+        accept
+            Tells whether an answer belongs to this request; a late one of an earlier request is
+            dropped.
+
+        Raises
+        ------
+        ExchangeError
+            If there is none.
+        """
+        if self._transport is None or not self.usable:
+            raise ConnectionLostError("the connection has ended", sent=False)
+        self._begin_message()
+        self._answers.clear()
+        self._accept = accept or _accept_any
+        self._parser = httptools.HttpResponseParser(self)
+        self._waiter = asyncio.get_running_loop().create_future()
+        self._transport.write(data)
+        try:
+            answer = await self._waiter
+        except BaseException:
+            self.abort()
+            raise
+        finally:
+            self._waiter = None
+        if self._transport.get_write_buffer_size():
+            # The server answered before it had the whole request.
+            self.abort()
+        self.idle_since = read_clock()
+        return answer
+
+    def abort(self) -> None:
+        """Close the connection without sending what is left."""
+        self.usable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    # Callbacks of asyncio.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            tune_socket(sock)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came; bytes that no request asked for end the connection."""
+        if self._waiter is None or self._waiter.done() or self._parser is None:
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(InvalidAnswerError(repr(error), sent=True))
+            return
+        self._take_answers()
+
+    def eof_received(self) -> bool:
+        """End an answer whose length is that of its connection."""
+        self.usable = False
+        if self._until_end and self._waiter is not None and not self._waiter.done():
+            self._answers.append(self._make_answer())
+            self._take_answers()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail a request that has no answer yet."""
+        self.usable = False
+        if self._waiter is not None and not self._waiter.done():
+            detail = repr(error) if error else "closed by the server"
+            self._waiter.set_exception(ConnectionLostError(detail, sent=True))
+
+    # Callbacks of httptools.
+
+    def on_message_begin(self) -> None:
+        """Begin an answer."""
+        self._begin_message()
+        self._begun = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Find out how the length of the body is told."""
+        names = {name.lower() for name, _ in self._headers}
+        self._until_end = (
+            self._status not in NO_BODY_STATUSES
+            and self._status >= 200
+            and "content-length" not in names
+            and "transfer-encoding" not in names
+        )
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self._body.append(data)
+        self._size += len(data)
+        if self._size > MAX_ANSWER_BYTES:
+            self._fail(InvalidAnswerError("the answer is too large", sent=True))
+
+    def on_message_complete(self) -> None:
+        """End an answer; interim ones are dropped."""
+        assert self._parser is not None
+        # After this callback the parser has forgotten the answer's fields.
+        self._keeps_alive = bool(self._parser.should_keep_alive())
+        if self._status >= 200:
+            self._answers.append(self._make_answer())
+        self._begun = False
+
+    @property
+    def _status(self) -> int:
+        assert self._parser is not None
+        status: int = self._parser.get_status_code()
+        return status
+
+    def _make_answer(self) -> HttpAnswer:
+        return HttpAnswer(self._status, tuple(self._headers), b"".join(self._body))
+
+    def _take_answers(self) -> None:
+        """Give the waiting request its answer; anything after it ends the connection."""
+        if self._waiter is None or self._waiter.done() or self._parser is None:
+            return
+        for number, answer in enumerate(self._answers):
+            if not self._accept(answer):
+                continue
+            if number + 1 < len(self._answers) or self._begun or not self._may_stay(answer):
+                self.usable = False
+            self._waiter.set_result(answer)
+            break
+        self._answers.clear()
+
+    def _may_stay(self, answer: HttpAnswer) -> bool:
+        """Return whether the server keeps the connection, and note for how long."""
+        if self._until_end or not self._keeps_alive:
+            return False
+        if "close" in (answer.find_header("connection") or "").lower():
+            return False
+        found = KEEP_ALIVE_TIMEOUT.search((answer.find_header("keep-alive") or "").encode())
+        if found:
+            self.idle_limit = float(found.group(1)) - IDLE_MARGIN_S
+        return True
+
+    def _fail(self, error: ExchangeError) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(error)
+        self.abort()
+
+
+def _accept_any(_: HttpAnswer) -> bool:
+    return True
+
+
+class HttpPool:
+    """Connections to one server.
+
+    Parameters
+    ----------
+    address
+        ``host:port``.
+    limit
+        Connections at the same time.
+    """
+
+    def __init__(self, address: str, limit: int) -> None:
+        host, _, port = address.rpartition(":")
+        self._host, self._port = host, int(port)
+        self._limit = limit
+        self._idle: deque[HttpConnection] = deque()
+        self._busy: set[HttpConnection] = set()
+        self.opened = 0
+
+    async def take(self, max_idle_s: float = DEFAULT_IDLE_S) -> HttpConnection:
+        """Return a connection, the one used last first, or a new one.
+
+        Raises
+        ------
+        ConnectFailedError
+            If no connection can be made.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            idle_s = read_clock() - connection.idle_since
+            if connection.usable and idle_s < min(max_idle_s, connection.idle_limit):
+                self._busy.add(connection)
+                return connection
+            connection.abort()
+        connection = await self._open()
+        self._busy.add(connection)
+        return connection
+
+    def give_back(self, connection: HttpConnection) -> None:
+        """Keep a connection for the next request if it may have one."""
+        self._busy.discard(connection)
+        if connection.usable and len(self._idle) + len(self._busy) < self._limit:
+            self._idle.append(connection)
+        else:
+            connection.abort()
+
+    def close(self) -> None:
+        """Close all connections; what runs on them ends without an answer."""
+        for connection in [*self._idle, *self._busy]:
+            connection.abort()
+        self._idle.clear()
+
+    def drop_idle(self) -> None:
+        """Close the connections without a request."""
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    async def _open(self) -> HttpConnection:
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(HttpConnection, self._host, self._port)
+        except TimeoutError as error:
+            raise ConnectFailedError("no answer to a connection", refused=False) from error
+        except OSError as error:
+            raise ConnectFailedError(
+                repr(error), refused=isinstance(error, ConnectionRefusedError)
+            ) from error
+        return connection
+
+
+def render_request(
+    method: str, target: str, headers: Iterable[tuple[str, str]], body: bytes
+) -> bytes:
+    """Return the bytes of a request; its length is set here."""
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
--- a/persimmondock/_adapters/logging.py
+++ b/persimmondock/_adapters/logging.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import os
 import re
+import stat
 import sys
 from collections import Counter
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TextIO
 
 from loguru import logger
 
@@ -60,13 +62,50 @@
         self._dropped.clear()
 
 
-def configure_logging(level: str) -> None:
-    """Write one key=value line for each event to standard error."""
+def configure_logging(level: str, stream: TextIO | None = None) -> None:
+    """Write one key=value line for each event to a stream, standard error unless named."""
     logger.remove()
-    bounded = BoundedLog(_write_error_line)
+    bounded = BoundedLog(StreamWriter(stream or sys.stderr).write)
     logger.add(bounded.take, level=level, format=LOG_FORMAT, backtrace=False, diagnose=False)
 
 
-def _write_error_line(line: str) -> None:
-    sys.stderr.write(line)
-    sys.stderr.flush()
+class StreamWriter:
+    """Writes lines to a stream without ever waiting for its reader.
+
+    Parameters
+    ----------
+    stream
+        A stream with a descriptor is written to without blocking; lines that do not fit are
+        dropped, and their number is told with the next line that does.
+    """
+
+    def __init__(self, stream: TextIO) -> None:
+        self._stream = stream
+        self._lost = 0
+        self._unsent = b""
+        try:
+            self._descriptor: int | None = stream.fileno()
+            if not stat.S_ISREG(os.fstat(self._descriptor).st_mode):
+                os.set_blocking(self._descriptor, False)
+        except (OSError, ValueError):
+            self._descriptor = None
+
+    def write(self, line: str) -> None:
+        """Write a line, or count it as lost."""
+        if self._descriptor is None:
+            self._stream.write(line)
+            self._stream.flush()
+            return
+        if self._lost:
+            line = f"level=WARNING event=log_reader_slow lines_lost={self._lost}\n{line}"
+        data = self._unsent or line.encode()
+        try:
+            written = os.write(self._descriptor, data)
+        except OSError:
+            self._lost += 1
+            return
+        if self._unsent:
+            self._lost += 1
+        elif written == len(data):
+            self._lost = 0
+        self._unsent = data[written:]
--- /dev/null
+++ b/persimmondock/_domain/arrival_limit.py
@@ -0,0 +1,51 @@
+"""A bound on the requests that a cold backend server gets in any second."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import attrs
+
+WINDOW_S = 1.0
+WINDOW_MARGIN_S = 0.05  # requests may arrive closer together than they were sent
+
+
+@attrs.define
+class ArrivalLimit:
+    """Counts what was sent in the last second.
+
+    Parameters
+    ----------
+    cold_until
+        Instant until which the backend server is taken for cold.
+    """
+
+    cold_until: float = 0.0
+    _sent: deque[float] = attrs.field(factory=deque)
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the backend server is taken for cold."""
+        return now < self.cold_until
+
+    def has_room(self, per_s: float, now: float) -> bool:
+        """Return whether one more request may be sent."""
+        if not self.is_cold(now) or per_s <= 0:
+            return True
+        self._forget(now)
+        return len(self._sent) + 1 <= per_s
+
+    def find_next(self, per_s: float, now: float) -> float:
+        """Return the instant at which one more request may be sent."""
+        if self.has_room(per_s, now):
+            return now
+        index = max(0, len(self._sent) - max(1, int(per_s)))
+        return self._sent[index] + WINDOW_S + WINDOW_MARGIN_S
+
+    def record(self, now: float) -> None:
+        """Count a request that is being sent."""
+        self._sent.append(now)
+        self._forget(now)
+
+    def _forget(self, now: float) -> None:
+        while self._sent and self._sent[0] <= now - WINDOW_S - WINDOW_MARGIN_S:
+            self._sent.popleft()
--- /dev/null
+++ b/persimmondock/_domain/backend_report.py
@@ -0,0 +1,104 @@
+"""Announcements of the backend server beside a daemon."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class ReportError(ValueError):
+    """An announcement that cannot be used; the message names the field."""
+
+
+@attrs.frozen
+class BackendReport:
+    """One announcement.
+
+    Parameters
+    ----------
+    slots
+        Requests that the backend server runs at the same time.
+    draining
+        Whether it is about to leave and wants no new work.
+    cold_s
+        Seconds that it will still be cold, by its own word.
+    sequence
+        Grows with each announcement of one life.
+    born_ms
+        Unix milliseconds of its start, or 0 if it does not say.
+    """
+
+    instance: str
+    service: str
+    address: str
+    failure_domain: str
+    slots: int
+    draining: bool
+    cold_s: float
+    sequence: int
+    born_ms: int
+
+
+class Change(enum.Enum):
+    """What an announcement changed."""
+
+    NONE = "none"
+    STALE = "stale"
+    NEW_LIFE = "new_life"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@attrs.define
+class LocalBackend:
+    """What is known of the backend server beside this daemon.
+
+    Parameters
+    ----------
+    report
+        The newest announcement, or None while none is running.
+    left
+        Lives that said that they leave; a late announcement does not bring them back.
+    """
+
+    report: BackendReport | None = None
+    left: set[tuple[str, int]] = attrs.field(factory=set)
+
+    def take(self, report: BackendReport) -> Change:
+        """Take an announcement."""
+        life = (report.instance, report.born_ms)
+        known = self.report
+        if life in self.left and not report.draining:
+            return Change.STALE
+        if known is None:
+            self.report = report
+            if report.draining:
+                self.left.add(life)
+            return Change.NEW_LIFE
+        if life != (known.instance, known.born_ms):
+            if report.born_ms < known.born_ms:
+                return Change.STALE
+            self.report = report
+            return Change.NEW_LIFE
+        if report.sequence < known.sequence:
+            return Change.STALE
+        self.report = report
+        if report.draining and life not in self.left:
+            self.left.add(life)
+            return Change.DRAINING
+        return Change.NONE
+
+    def leave(self, instance: str) -> Change:
+        """Note that an instance said goodbye."""
+        known = self.report
+        if known is None or known.instance != instance:
+            return Change.STALE
+        self.left.add((known.instance, known.born_ms))
+        return Change.GONE
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the present backend server wants no new work."""
+        known = self.report
+        return known is None or (known.instance, known.born_ms) in self.left
--- /dev/null
+++ b/persimmondock/_domain/forwarding.py
@@ -0,0 +1,115 @@
+"""A caller's request on its way to a gate, and its outcome on the way back."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from persimmondock._domain.verdict import (
+    Answer,
+    Answered,
+    Header,
+    MayHaveRun,
+    NotRun,
+    Reason,
+    Verdict,
+)
+
+NO_KEY = -1
+
+
+@attrs.frozen
+class ForwardedRequest:
+    """A request for a backend server of one service.
+
+    Parameters
+    ----------
+    attempt
+        Identifier of the caller's attempt; the backend server repeats it in its answer.
+    headers
+        Fields of the request that pass.
+    key
+        Number of the key, or ``NO_KEY``.
+    caller_service
+        Service of the VM where the request began.
+    deadline
+        Instant after which nobody waits for the answer.
+    objective_at
+        Instant at which the latency objective passes.
+    repeat
+        Whether an earlier attempt of the same request may have reached a backend server.
+    """
+
+    attempt: str
+    service: str
+    route: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    key: int
+    idempotent: bool
+    priority: int
+    caller_service: str
+    deadline: float
+    objective_at: float
+    repeat: bool = False
+
+    def pack(self, now: float) -> list[Any]:
+        """Return plain data; instants become the time that is left, since clocks differ."""
+        return [
+            self.attempt,
+            self.service,
+            self.route,
+            self.method,
+            self.target,
+            self.headers,
+            self.body,
+            self.key,
+            self.idempotent,
+            self.priority,
+            self.caller_service,
+            self.deadline - now,
+            self.objective_at - now,
+            self.repeat,
+        ]
+
+
+PACKED_FIELDS = tuple(field.name for field in attrs.fields(ForwardedRequest))[:-3]
+
+
+def unpack_request(data: list[Any], received_at: float, age_s: float) -> ForwardedRequest:
+    """Read a request that took ``age_s`` seconds longer than usual to come."""
+    *fields, left_s, objective_s, repeat = data
+    values: dict[str, Any] = dict(zip(PACKED_FIELDS, fields, strict=True))
+    values["headers"] = tuple((name, value) for name, value in values["headers"])
+    return ForwardedRequest(
+        **values,
+        deadline=received_at + left_s - age_s,
+        objective_at=received_at + objective_s - age_s,
+        repeat=repeat,
+    )
+
+
+def pack_verdict(verdict: Verdict) -> list[Any]:
+    """Return a verdict as plain data."""
+    match verdict:
+        case Answered(answer=answer):
+            headers = [(h.name, h.value) for h in answer.headers]
+            return [0, answer.status, headers, answer.body]
+        case NotRun(reason=reason, retry_after_ms=retry_after_ms):
+            return [1, reason.value, retry_after_ms]
+        case MayHaveRun(reason=reason):
+            return [2, reason.value]
+
+
+def unpack_verdict(data: list[Any]) -> Verdict:
+    """Read a verdict from plain data."""
+    kind, *rest = data
+    if kind == 0:
+        status, headers, body = rest
+        return Answered(Answer(status, tuple(Header(n, v) for n, v in headers), body))
+    if kind == 1:
+        return NotRun(Reason(rest[0]), rest[1])
+    return MayHaveRun(Reason(rest[0]))
--- /dev/null
+++ b/persimmondock/_domain/gate_choice.py
@@ -0,0 +1,48 @@
+"""Choice of a gate for requests that any backend server of a service may run."""
+
+from __future__ import annotations
+
+import attrs
+
+UNKNOWN_SERVICE_S = 0.1  # before the first answer of any gate
+NEAR_SHARE = 0.85  # the own failure domain is preferred until it is this much slower
+SHARPNESS = 4.0  # weight of a gate is its cost to this power: spreads without stampedes
+FULL_SHARE = 0.25  # growth of the time of a request when all slots are taken
+
+
+@attrs.frozen
+class Candidate:
+    """A gate that may get the request.
+
+    Parameters
+    ----------
+    load
+        Requests that run or wait there, by the newest news and what was sent since.
+    service_s
+        Mean time of a request, in seconds; 0 if it is not known.
+    near
+        Whether it is in the same failure domain.
+    """
+
+    node: str
+    slots: int
+    load: int
+    service_s: float
+    near: bool
+
+
+def compute_cost(candidate: Candidate, usual_s: float) -> float:
+    """Return the seconds that a request is expected to take at a gate."""
+    service_s = candidate.service_s or usual_s
+    slots = max(1, candidate.slots)
+    filled = candidate.load / slots
+    waiting = max(0, candidate.load + 1 - slots) / slots
+    cost = service_s * (1.0 + FULL_SHARE * min(1.0, filled) ** 2 + waiting)
+    return cost * NEAR_SHARE if candidate.near else cost
+
+
+def weigh_candidates(candidates: list[Candidate]) -> list[float]:
+    """Return the weights by which a gate is drawn."""
+    known = [c.service_s for c in candidates if c.service_s > 0]
+    usual_s = sum(known) / len(known) if known else UNKNOWN_SERVICE_S
+    return [compute_cost(candidate, usual_s) ** -SHARPNESS for candidate in candidates]
--- /dev/null
+++ b/persimmondock/_domain/gate_queue.py
@@ -0,0 +1,112 @@
+"""Requests that wait at a gate for a free slot of its backend server.
+
+Of those that wait, the one of the lowest priority number goes first, and within a priority the one
+that came first. A request is let in only if it will probably be answered within its latency
+objective, or soon where that has passed: what cannot be served in time is refused at once, while
+its caller can still go elsewhere.
+"""
+
+from __future__ import annotations
+
+import bisect
+
+import attrs
+
+FIRST_SERVICE_S = 0.1  # before the first answer; near the usual work of the sites
+SERVICE_WEIGHT = 0.1  # a new mean within some ten answers
+LATE_SHARE = 0.25  # part of the remaining time that a late request may wait
+MIN_RETRY_MS = 100
+MAX_RETRY_MS = 1_500
+
+
+@attrs.define
+class ServiceTimes:
+    """Recent mean time at the backend server, for each route and for all."""
+
+    overall_s: float = 0.0
+    _by_route: dict[str, float] = attrs.field(factory=dict)
+
+    def record(self, route: str, took_s: float) -> None:
+        """Count an answered request."""
+        self.overall_s = _blend(self.overall_s, took_s)
+        self._by_route[route] = _blend(self._by_route.get(route, 0.0), took_s)
+
+    def estimate(self, route: str) -> float:
+        """Return the time that a request of a route will take."""
+        return self._by_route.get(route) or self.overall_s or FIRST_SERVICE_S
+
+
+def _blend(mean_s: float, took_s: float) -> float:
+    return took_s if mean_s == 0.0 else mean_s + SERVICE_WEIGHT * (took_s - mean_s)
+
+
+@attrs.define(eq=False)
+class Waiter:
+    """One request in the queue."""
+
+    priority: int
+    number: int
+    work_s: float
+    deadline: float
+
+
+@attrs.define
+class GateQueue:
+    """Requests that wait, in the order in which they go."""
+
+    _waiters: list[Waiter] = attrs.field(factory=list)
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def estimate_wait(self, priority: int, busy_s: float, slots: int) -> float:
+        """Return how long a request would wait.
+
+        Parameters
+        ----------
+        busy_s
+            Work left of the requests that run, in seconds of one slot.
+        """
+        ahead = [w.work_s for w in self._waiters if w.priority <= priority]
+        return (busy_s + sum(ahead)) / max(1, slots)
+
+    def add(self, waiter: Waiter) -> None:
+        """Let a request in."""
+        bisect.insort(self._waiters, waiter, key=_sort_key)
+
+    def remove(self, waiter: Waiter) -> None:
+        """Take out a request that is given up."""
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+
+    def take(self) -> Waiter | None:
+        """Take out the next request."""
+        return self._waiters.pop(0) if self._waiters else None
+
+    def take_hopeless(self, now: float) -> list[Waiter]:
+        """Take out requests that could not be answered by their deadline any more."""
+        hopeless = [w for w in self._waiters if now + w.work_s / 2 >= w.deadline]
+        for waiter in hopeless:
+            self._waiters.remove(waiter)
+        return hopeless
+
+
+def _sort_key(waiter: Waiter) -> tuple[int, int]:
+    return waiter.priority, waiter.number
+
+
+def is_worth_waiting(
+    wait_s: float, work_s: float, now: float, objective_at: float, deadline: float
+) -> bool:
+    """Return whether a request that would wait has a good chance to be answered in time."""
+    left_s = deadline - now
+    if now + wait_s + work_s <= objective_at:
+        return True
+    if objective_at - now > work_s:
+        return False
+    return wait_s <= LATE_SHARE * left_s and wait_s + work_s <= left_s
+
+
+def choose_retry_ms(wait_s: float) -> int:
+    """Return when a refused caller should come back, in milliseconds."""
+    return int(min(MAX_RETRY_MS, max(MIN_RETRY_MS, 1000 * wait_s)))
--- /dev/null
+++ b/persimmondock/_domain/gate_status.py
@@ -0,0 +1,61 @@
+"""What a gate tells others of itself with each heartbeat and each answer."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from persimmondock._domain.assignment import BackendLife
+
+
+@attrs.frozen
+class GateStatus:
+    """State of one gate.
+
+    Parameters
+    ----------
+    service
+        Service of its backend server.
+    life
+        The backend server's present life, or None while none runs.
+    slots
+        Requests that it may run at the same time now.
+    running, waiting
+        Requests at the backend server, and in the gate's queue.
+    open
+        Whether it takes new work.
+    service_s
+        Recent mean time of a request at the backend server, in seconds; 0 before the first.
+    settled
+        Offset after the assignment of which all of its ranges are granted; -1 for none.
+    """
+
+    service: str = ""
+    life: BackendLife | None = None
+    slots: int = 0
+    running: int = 0
+    waiting: int = 0
+    open: bool = False
+    service_s: float = 0.0
+    settled: int = -1
+
+    def pack(self) -> list[Any]:
+        """Return plain data."""
+        life = None if self.life is None else [*attrs.astuple(self.life)]
+        return [
+            self.service,
+            life,
+            self.slots,
+            self.running,
+            self.waiting,
+            self.open,
+            round(self.service_s, 4),
+            self.settled,
+        ]
+
+
+def unpack_status(data: list[Any]) -> GateStatus:
+    """Read a status from plain data."""
+    service, life, *rest = data
+    return GateStatus(service, None if life is None else BackendLife(*life), *rest)
--- /dev/null
+++ b/persimmondock/_domain/replica.py
@@ -0,0 +1,74 @@
+"""A copy of one partition whose records each replace the earlier one of the same key."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@attrs.frozen
+class KeyedEntry:
+    """The newest record of a key.
+
+    Parameters
+    ----------
+    value
+        Empty when the key was dropped.
+    """
+
+    offset: int
+    key: str
+    value: bytes
+
+
+@attrs.define
+class Replica:
+    """The newest record of each key, as far as it was read.
+
+    Parameters
+    ----------
+    end
+        Offset before which all records are known.
+    from_store
+        Whether ``end`` was once confirmed by the store itself since this process started.
+    """
+
+    entries: dict[str, KeyedEntry] = attrs.field(factory=dict)
+    end: int = 0
+    from_store: bool = False
+
+    def apply(self, entries: Iterable[KeyedEntry], end: int) -> list[KeyedEntry]:
+        """Take in records; return those that are newer than what was known of their key."""
+        changed = []
+        for entry in entries:
+            known = self.entries.get(entry.key)
+            if known is None or entry.offset > known.offset:
+                self.entries[entry.key] = entry
+                changed.append(entry)
+        self.end = max(self.end, end)
+        return changed
+
+    def apply_snapshot(self, entries: Iterable[KeyedEntry], end: int) -> list[KeyedEntry]:
+        """Take in the newest record of every key; keys that are not listed were dropped."""
+        listed = list(entries)
+        present = {entry.key for entry in listed}
+        dropped = [
+            KeyedEntry(end - 1, known.key, b"")
+            for known in self.entries.values()
+            if known.value and known.key not in present and known.offset < end
+        ]
+        return self.apply([*listed, *dropped], end)
+
+    def list_since(self, offset: int) -> list[KeyedEntry]:
+        """Return the entries of which a copy that ends at ``offset`` lacks the newest record."""
+        newer = [entry for entry in self.entries.values() if entry.offset >= offset]
+        return sorted(newer, key=lambda entry: entry.offset)
+
+    def get(self, key: str) -> bytes | None:
+        """Return the value of a key, or None if it has none."""
+        entry = self.entries.get(key)
+        return entry.value if entry is not None and entry.value else None
--- /dev/null
+++ b/persimmondock/_domain/routing_table.py
@@ -0,0 +1,138 @@
+"""Routes by host and path prefix, and the services that they lead to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+DEFAULT_MAX_ATTEMPTS = 2
+DEFAULT_PRIORITY = 1
+
+
+@attrs.frozen
+class Share:
+    """One service's part of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class RoutePolicy:
+    """How requests under one path prefix are treated.
+
+    Parameters
+    ----------
+    timeout_s
+        Longest time that a request may be kept waiting, in seconds.
+    objective_s
+        Latency objective, in seconds.
+    priority
+        Rank of the requests; 0 goes first.
+    max_attempts
+        Backend servers that may run one request.
+    """
+
+    name: str
+    path_prefix: str
+    idempotent: bool
+    timeout_s: float
+    objective_s: float
+    shares: tuple[Share, ...]
+    priority: int = DEFAULT_PRIORITY
+    max_attempts: int = DEFAULT_MAX_ATTEMPTS
+
+
+@attrs.frozen
+class ServicePolicy:
+    """What operators say of one service.
+
+    Parameters
+    ----------
+    max_connections
+        Connections that each backend server accepts.
+    cold_s
+        How long a backend server stays cold after its start, in seconds.
+    cold_per_s
+        Requests a second that a cold backend server bears; 0 sets no limit.
+    keyed
+        Whether each key is owned by one backend server.
+    """
+
+    name: str
+    health_path: str = "/health"
+    max_connections: int = 64
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    keyed: bool = False
+
+
+@attrs.frozen
+class ClientLimits:
+    """What one client may send, and how long it may stay idle.
+
+    Parameters
+    ----------
+    idle_s
+        Seconds without a request after which a connection is closed.
+    header_s
+        Seconds within which a request's header must have come.
+    """
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 64 * 1024 * 1024
+    idle_s: float = 15.0
+    header_s: float = 3.0
+
+
+@attrs.frozen
+class RoutingTable:
+    """One version of the routes.
+
+    Parameters
+    ----------
+    hosts
+        Routes of each host, longest prefix first.
+    """
+
+    version: int
+    hosts: Mapping[str, tuple[RoutePolicy, ...]]
+    services: Mapping[str, ServicePolicy]
+    limits: ClientLimits = attrs.field(factory=ClientLimits)
+
+    def find_route(self, host: str, path: str) -> RoutePolicy | None:
+        """Return the route with the longest prefix of a path."""
+        for route in self.hosts.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+def order_routes(routes: list[RoutePolicy]) -> tuple[RoutePolicy, ...]:
+    """Return routes of one host so that the first match is the longest."""
+    return tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
+
+
+@attrs.define
+class ShareCounter:
+    """Deals the requests of a route to its services in proportion to their weights.
+
+    Smooth weighted round robin: any run of requests is close to the weights, not just the mean.
+    """
+
+    _credit: dict[str, float] = attrs.field(factory=dict)
+
+    def choose(self, shares: tuple[Share, ...]) -> str:
+        """Return the service of the next request."""
+        if len(shares) == 1:
+            return shares[0].service
+        total = sum(share.weight for share in shares)
+        for share in shares:
+            self._credit[share.service] = self._credit.get(share.service, 0.0) + share.weight
+        best = max(shares, key=lambda share: self._credit[share.service])
+        self._credit[best.service] -= total
+        return best.service
--- /dev/null
+++ b/persimmondock/_tasks/backend_gate.py
@@ -0,0 +1,333 @@
+"""The only way into the backend server beside this daemon."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+from loguru import logger
+
+from persimmondock._adapters.clock import read_clock
+from persimmondock._domain.arrival_limit import ArrivalLimit
+from persimmondock._domain.assignment import BackendLife
+from persimmondock._domain.backend_report import BackendReport, Change, LocalBackend
+from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
+from persimmondock._domain.gate_queue import (
+    GateQueue,
+    ServiceTimes,
+    Waiter,
+    choose_retry_ms,
+    is_worth_waiting,
+)
+from persimmondock._domain.gate_status import GateStatus
+from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
+
+if TYPE_CHECKING:
+    from persimmondock._domain.routing_table import ServicePolicy
+    from persimmondock._domain.site import SiteBounds
+    from persimmondock._ports.backend import BackendServer
+    from persimmondock._tasks.range_keeper import RangeKeeper
+
+MIN_LEFT_S = 0.01  # a request with less time left cannot be answered
+COLD_SHARE = 0.8  # of what a cold backend server bears; more would crash it when bursts add up
+DOUBT_S = 1.0  # until the next announcement tells whether it is cold
+SILENT_ANNOUNCEMENTS = 4  # missed ones after which a backend server that fails is taken for lost
+REFUSED_RETRY_MS = 300
+MIN_BUSY_S = 0.005
+TICK_S = 0.05
+
+
+@attrs.define
+class _Running:
+    route: str
+    started_at: float
+
+
+class BackendGate:
+    """Decides about each request right before it is sent."""
+
+    def __init__(
+        self,
+        node: str,
+        failure_domain: str,
+        bounds: SiteBounds,
+        server: BackendServer,
+        keeper: RangeKeeper,
+    ) -> None:
+        self.backend = LocalBackend()
+        self.policy: ServicePolicy | None = None
+        self.out = False
+        self.leaving = False
+        self.stopping = False
+        self.down = False
+        self._node = node
+        self._failure_domain = failure_domain
+        self._bounds = bounds
+        self._server = server
+        self._keeper = keeper
+        self._arrivals = ArrivalLimit()
+        self._times = ServiceTimes()
+        self._queue = GateQueue()
+        self._futures: dict[int, asyncio.Future[NotRun | None]] = {}
+        self._running: dict[int, _Running] = {}
+        self._number = 0
+        self._timer: asyncio.TimerHandle | None = None
+
+    # What others ask.
+
+    @property
+    def life(self) -> BackendLife | None:
+        """The present life of the backend server."""
+        report = self.backend.report
+        if report is None:
+            return None
+        return BackendLife(self._node, report.instance, report.born_ms)
+
+    @property
+    def slots(self) -> int:
+        """Requests that may run at the same time."""
+        return self.backend.report.slots if self.backend.report is not None else 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the gate takes new work."""
+        return not (self.leaving or self.stopping or self.down or self.backend.leaving)
+
+    def describe(self) -> GateStatus:
+        """Return the state to tell others."""
+        report = self.backend.report
+        return GateStatus(
+            service=report.service if report is not None else "",
+            life=self.life,
+            slots=self._count_usable_slots(),
+            running=len(self._running),
+            waiting=len(self._queue),
+            open=self.is_open and not self.out,
+            service_s=self._times.overall_s,
+            settled=self._keeper.find_settled(),
+        )
+
+    def count_in_flight(self) -> int:
+        """Return the number of requests that run or wait."""
+        return len(self._running) + len(self._queue)
+
+    # Events.
+
+    def take_report(self, report: BackendReport) -> Change:
+        """Take an announcement of the backend server."""
+        change = self.backend.take(report)
+        if change is Change.STALE:
+            return change
+        now = read_clock()
+        if report.cold_s > 0:
+            self._arrivals.cold_until = now + report.cold_s
+        elif change is not Change.NEW_LIFE:
+            self._arrivals.cold_until = min(self._arrivals.cold_until, now)
+        if self.down:
+            logger.info("event=backend_back instance={}", report.instance)
+        self.down = False
+        if change is Change.NEW_LIFE:
+            self._times = ServiceTimes()
+            life = self.life
+            assert life is not None
+            self._keeper.follow_life(life)
+        if change is Change.DRAINING:
+            self._refuse_waiting(Reason.DRAINING)
+        self._pump()
+        return change
+
+    def take_leave(self, instance: str) -> Change:
+        """Take a backend server's goodbye."""
+        change = self.backend.leave(instance)
+        if change is Change.GONE:
+            self._refuse_waiting(Reason.DRAINING)
+        return change
+
+    def set_out(self, out: bool) -> None:
+        """Take note that the failure domain was taken out, or is back."""
+        if out == self.out:
+            return
+        self.out = out
+        if out:
+            self._refuse_waiting(Reason.FAILURE_DOMAIN_OUT)
+        # Backend servers may have turned cold meanwhile; the next announcement tells.
+        now = read_clock()
+        self._arrivals.cold_until = max(self._arrivals.cold_until, now + DOUBT_S)
+
+    # The life of a request.
+
+    async def run(self, request: ForwardedRequest) -> Verdict:
+        """Run a request, or refuse it."""
+        now = read_clock()
+        refusal = self._find_refusal(request, now)
+        if refusal is not None:
+            return refusal
+        self._number += 1
+        number = self._number
+        if self._queue or not self._has_room(now):
+            refusal = await self._wait(request, number, now)
+            if refusal is not None:
+                return refusal
+        else:
+            self._running[number] = _Running(request.route, now)
+        try:
+            return await self._send(request, number)
+        finally:
+            self._running.pop(number, None)
+            self._pump()
+
+    async def _send(self, request: ForwardedRequest, number: int) -> Verdict:
+        life = self.life
+        if life is None:
+            return NotRun(Reason.BACKEND_DOWN, REFUSED_RETRY_MS)
+
+        def check() -> NotRun | None:
+            now = read_clock()
+            refusal = self._find_refusal(request, now)
+            if refusal is None and self.life != life:
+                refusal = NotRun(Reason.BACKEND_DOWN, REFUSED_RETRY_MS)
+            if refusal is None and not self._arrivals.has_room(self._cold_per_s, now):
+                refusal = NotRun(Reason.BACKEND_COLD, REFUSED_RETRY_MS)
+            if refusal is None:
+                self._arrivals.record(now)
+                self._running[number].started_at = now
+            return refusal
+
+        verdict = await self._server.run(request, life.instance, check)
+        self._note_outcome(request, number, verdict, life)
+        return verdict
+
+    def _note_outcome(
+        self, request: ForwardedRequest, number: int, verdict: Verdict, life: BackendLife
+    ) -> None:
+        match verdict:
+            case Answered(answer=answer):
+                if answer.status < 500:
+                    took_s = read_clock() - self._running[number].started_at
+                    self._times.record(request.route, took_s)
+            case NotRun(reason=Reason.BACKEND_DOWN | Reason.BACKEND_UNREACHABLE as reason):
+                if self.life == life and not self.down:
+                    logger.warning(
+                        "event=backend_down instance={} reason={}", life.instance, reason.value
+                    )
+                    self.down = True
+                    self._refuse_waiting(Reason.BACKEND_DOWN)
+            case MayHaveRun(reason=reason):
+                logger.info(
+                    "event=outcome_unknown attempt={} route={} instance={} reason={} idempotent={}",
+                    request.attempt,
+                    request.route,
+                    life.instance,
+                    reason.value,
+                    request.idempotent,
+                )
+            case _:
+                return
+
+    def _find_refusal(self, request: ForwardedRequest, now: float) -> NotRun | None:
+        """Return why a request may not be sent at this moment."""
+        report = self.backend.report
+        if report is None or self.down:
+            return NotRun(Reason.BACKEND_DOWN, REFUSED_RETRY_MS)
+        if self.backend.leaving or self.stopping:
+            return NotRun(Reason.DRAINING, REFUSED_RETRY_MS)
+        if self.out:
+            return NotRun(Reason.FAILURE_DOMAIN_OUT, REFUSED_RETRY_MS)
+        if report.service != request.service:
+            return NotRun(Reason.NO_SUCH_SERVICE, REFUSED_RETRY_MS)
+        if now + MIN_LEFT_S >= request.deadline:
+            return NotRun(Reason.DEADLINE_PASSED)
+        if request.key != NO_KEY:
+            return self._keeper.refuse(request.key, now)
+        return None
+
+    # The queue.
+
+    @property
+    def _cold_per_s(self) -> float:
+        if self.policy is None or self.policy.cold_per_s <= 0:
+            return 0.0
+        bound = self.policy.cold_per_s * self._bounds.cold_factor + self._bounds.cold_slack
+        return COLD_SHARE * bound
+
+    def _count_usable_slots(self) -> int:
+        """Return slots; a cold backend server counts for less."""
+        now = read_clock()
+        if self._cold_per_s > 0 and self._arrivals.is_cold(now):
+            return max(1, min(self.slots, int(self._cold_per_s * 0.1)))
+        return self.slots
+
+    def _has_room(self, now: float) -> bool:
+        return len(self._running) < self.slots and self._arrivals.has_room(self._cold_per_s, now)
+
+    def _estimate_busy(self, now: float) -> float:
+        """Return the work left at the backend server, if all slots are taken."""
+        if len(self._running) < self.slots:
+            return 0.0
+        return sum(
+            max(MIN_BUSY_S, self._times.estimate(r.route) - (now - r.started_at))
+            for r in self._running.values()
+        )
+
+    async def _wait(self, request: ForwardedRequest, number: int, now: float) -> NotRun | None:
+        """Wait for a slot; return None once the request counts as running."""
+        work_s = self._times.estimate(request.route)
+        wait_s = self._queue.estimate_wait(request.priority, self._estimate_busy(now), self.slots)
+        if self._arrivals.is_cold(now) and self._cold_per_s > 0:
+            wait_s = max(wait_s, self._arrivals.find_next(self._cold_per_s, now) - now)
+            wait_s += len(self._queue) / self._cold_per_s
+        if not is_worth_waiting(wait_s, work_s, now, request.objective_at, request.deadline):
+            return NotRun(Reason.OVERLOADED, choose_retry_ms(wait_s))
+        waiter = Waiter(request.priority, number, work_s, request.deadline)
+        future: asyncio.Future[NotRun | None] = asyncio.get_running_loop().create_future()
+        self._futures[number] = future
+        self._queue.add(waiter)
+        self._set_timer()
+        try:
+            refusal = await future
+        except asyncio.CancelledError:
+            self._queue.remove(waiter)
+            self._running.pop(number, None)
+            self._pump()
+            raise
+        finally:
+            self._futures.pop(number, None)
+        if refusal is None:
+            self._running[number].route = request.route
+        return refusal
+
+    def _pump(self) -> None:
+        """Let requests start while there is room, and refuse what has become hopeless."""
+        now = read_clock()
+        for waiter in self._queue.take_hopeless(now):
+            self._refuse(waiter, NotRun(Reason.DEADLINE_PASSED))
+        while self._queue and self._has_room(now):
+            first = self._queue.take()
+            assert first is not None
+            future = self._futures.get(first.number)
+            if future is None or future.done():
+                continue
+            self._running[first.number] = _Running("", now)
+            future.set_result(None)
+            if self._arrivals.is_cold(now):
+                break
+        if self._queue:
+            self._set_timer()
+
+    def _set_timer(self) -> None:
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._pump()
+
+    def _refuse_waiting(self, reason: Reason) -> None:
+        while (waiter := self._queue.take()) is not None:
+            self._refuse(waiter, NotRun(reason, REFUSED_RETRY_MS))
+
+    def _refuse(self, waiter: Waiter, refusal: NotRun) -> None:
+        future = self._futures.get(waiter.number)
+        if future is not None and not future.done():
+            future.set_result(refusal)
--- /dev/null
+++ b/persimmondock/_tasks/mesh.py
@@ -0,0 +1,248 @@
+"""The daemons that this one knows, and the links to them."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import msgpack
+from loguru import logger
+
+from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.peer_stream import Delivered, PeerLink, PeerLostError, PeerServer
+from persimmondock._domain.gate_status import GateStatus, unpack_status
+from persimmondock._domain.replica import KeyedEntry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from persimmondock._tasks.store_follower import PartitionFollower
+
+HEARTBEAT_S = 0.5  # four in a witness's term of 3 s may be lost but two
+SILENT_S = 1.5  # three heartbeats without an answer
+SYNC_AFTER_S = 0.2  # a copy that is behind for longer is brought up to date by a peer
+SYNC_TIMEOUT_S = 1.0
+
+
+@attrs.frozen
+class Member:
+    """A daemon, as its record in the store tells."""
+
+    node: str
+    address: str
+    failure_domain: str
+    service: str
+
+
+@attrs.define
+class Peer:
+    """What is known of another daemon.
+
+    Parameters
+    ----------
+    status
+        State of its gate, from the newest heartbeat or answer.
+    ends
+        Where its copies of the partitions end.
+    heard_at
+        Instant of the newest answer to a heartbeat.
+    store_answers
+        Whether the store answers it.
+    """
+
+    member: Member
+    link: PeerLink
+    status: GateStatus = attrs.field(factory=GateStatus)
+    ends: tuple[int, ...] = ()
+    heard_at: float = -math.inf
+    store_answers: bool = False
+    asked_at: float = math.inf
+
+    def is_alive(self, now: float) -> bool:
+        """Return whether it answered lately."""
+        return self.link.connected and now - self.heard_at < SILENT_S
+
+
+def encode_member(member: Member) -> bytes:
+    """Return the value of a daemon's record."""
+    data: bytes = msgpack.packb([member.address, member.failure_domain, member.service])
+    return data
+
+
+def decode_member(node: str, data: bytes) -> Member:
+    """Read a daemon's record.
+
+    Raises
+    ------
+    ValueError
+        If it is no such record; the message names the daemon.
+    """
+    try:
+        address, failure_domain, service = msgpack.unpackb(data)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise ValueError(f"record of daemon {node!r}: {error!r}") from error
+    return Member(node, address, failure_domain, service)
+
+
+class Mesh:
+    """Links to all daemons, with heartbeats.
+
+    Parameters
+    ----------
+    followers
+        Copies that daemons carry to each other.
+    describe
+        Returns the state of this daemon's own gate.
+    note_confirmed
+        Called with a daemon, where its copies end, whether it may witness, and the instants at
+        which the heartbeat was sent and answered.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        followers: Sequence[PartitionFollower],
+        describe: Callable[[], GateStatus],
+        note_confirmed: Callable[[str, tuple[int, ...], bool, float, float], None],
+    ) -> None:
+        self.own = own
+        self.server = PeerServer()
+        self.server.handlers["ping"] = self._answer_ping
+        self.server.handlers["sync"] = self._answer_sync
+        self.peers: dict[str, Peer] = {}
+        self._followers = followers
+        self._describe = describe
+        self._note_confirmed = note_confirmed
+        self._behind_since: dict[int, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def take_members(self, changed: list[KeyedEntry]) -> None:
+        """Connect to daemons that are new or have moved."""
+        for entry in changed:
+            if entry.key == self.own.node:
+                continue
+            known = self.peers.get(entry.key)
+            if not entry.value:
+                self._forget(entry.key)
+                continue
+            try:
+                member = decode_member(entry.key, entry.value)
+            except ValueError as error:
+                logger.warning("event=member_refused detail={!r}", str(error))
+                continue
+            if known is not None and known.member == member:
+                continue
+            self._forget(entry.key)
+            link = PeerLink(self.own.node, member.node, member.address)
+            self.peers[entry.key] = Peer(member, link)
+            logger.info("event=peer_known peer={} address={}", member.node, member.address)
+
+    def list_alive(self, now: float) -> list[Peer]:
+        """Return the daemons that answered lately."""
+        return [peer for peer in self.peers.values() if peer.is_alive(now)]
+
+    def list_of_service(self, service: str) -> list[Peer]:
+        """Return the daemons beside backend servers of a service."""
+        return [peer for peer in self.peers.values() if peer.member.service == service]
+
+    async def run(self) -> None:
+        """Send heartbeats for ever."""
+        while True:
+            started = read_clock()
+            for peer in list(self.peers.values()):
+                self._check(peer, started)
+            self.server.drop_silent(2 * SILENT_S)
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def close(self) -> None:
+        """End all links."""
+        for peer in self.peers.values():
+            peer.link.close()
+        self.server.close()
+
+    def _forget(self, node: str) -> None:
+        peer = self.peers.pop(node, None)
+        if peer is not None:
+            logger.info("event=peer_forgotten peer={}", node)
+            peer.link.close()
+
+    def _check(self, peer: Peer, now: float) -> None:
+        if not peer.link.connected:
+            peer.asked_at = math.inf
+            return
+        if now - peer.asked_at > SILENT_S:
+            peer.link.drop("no answer to heartbeats")
+            peer.asked_at = math.inf
+            return
+        if peer.asked_at is math.inf:
+            peer.asked_at = now
+            self._start(self._ping(peer, now))
+
+    def _start(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ping(self, peer: Peer, sent_at: float) -> None:
+        ends = [follower.replica.end for follower in self._followers]
+        try:
+            reply = await peer.link.request("ping", [self.own.node, ends])
+        except PeerLostError:
+            return
+        finally:
+            peer.asked_at = math.inf
+        now = read_clock()
+        was_alive = peer.is_alive(now)
+        ends, sure, store_answers, status = reply
+        peer.heard_at = now
+        peer.ends = tuple(ends)
+        peer.store_answers = store_answers
+        peer.status = unpack_status(status)
+        if not was_alive:
+            logger.info("event=peer_alive peer={}", peer.member.node)
+        self._note_confirmed(peer.member.node, peer.ends, sure, sent_at, now)
+        for index, end in enumerate(peer.ends):
+            if end > self._followers[index].replica.end:
+                self._catch_up(peer, index, now)
+            else:
+                self._behind_since.pop(index, None)
+
+    def _catch_up(self, peer: Peer, index: int, now: float) -> None:
+        since = self._behind_since.setdefault(index, now)
+        if now - since >= SYNC_AFTER_S:
+            self._behind_since[index] = now
+            self._start(self._sync(peer, index))
+
+    async def _sync(self, peer: Peer, index: int) -> None:
+        follower = self._followers[index]
+        try:
+            async with asyncio.timeout(SYNC_TIMEOUT_S):
+                reply = await peer.link.request("sync", [index, follower.replica.end])
+        except (PeerLostError, TimeoutError) as error:
+            logger.debug("event=sync_failed peer={} error={!r}", peer.member.node, error)
+            return
+        entries, end = reply
+        logger.info("event=synced peer={} part={} offset={}", peer.member.node, index, end)
+        follower.take_from_peer((KeyedEntry(*entry) for entry in entries), end)
+        follower.read_again()
+
+    async def _answer_ping(self, payload: Any, _: Delivered) -> Any:
+        _, ends = payload
+        for index, end in enumerate(ends):
+            # The asker knows more: the next heartbeat to it brings the difference.
+            if end > self._followers[index].replica.end:
+                self._behind_since.setdefault(index, read_clock())
+        return [
+            [follower.replica.end for follower in self._followers],
+            all(follower.replica.from_store for follower in self._followers),
+            any(follower.store_answers for follower in self._followers),
+            self._describe().pack(),
+        ]
+
+    async def _answer_sync(self, payload: Any, _: Delivered) -> Any:
+        index, offset = payload
+        replica = self._followers[index].replica
+        entries = [[e.offset, e.key, e.value] for e in replica.list_since(offset)]
+        return [entries, replica.end]
--- /dev/null
+++ b/persimmondock/_tasks/sidecar.py
@@ -0,0 +1,252 @@
+"""One daemon on a site whose platform announces backend servers and enforces grants."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING, Any
+
+import attrs
+from loguru import logger
+
+from persimmondock._adapters.clock import read_clock
+from persimmondock._domain.backend_report import BackendReport, Change
+from persimmondock._domain.range_lease import RangeLease
+from persimmondock._ports.keyed_log import Written
+from persimmondock._tasks.backend_gate import BackendGate
+from persimmondock._tasks.dispatcher import Dispatcher
+from persimmondock._tasks.key_control import KeyControl
+from persimmondock._tasks.mesh import Member, Mesh, encode_member
+from persimmondock._tasks.range_keeper import RangeKeeper
+from persimmondock._tasks.site_state import SiteState
+from persimmondock._tasks.store_follower import PartitionFollower
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from persimmondock._domain.routing_table import RoutingTable
+    from persimmondock._domain.site import NodeSettings
+    from persimmondock._ports.backend import BackendServer
+    from persimmondock._ports.keyed_log import KeyedLog, Partition
+
+MEMBER_RETRY_S = 0.5
+MEMBER_BATCH_S = 0.3  # all daemons of a site start within 0.3 s and write their records
+STOP_POLL_S = 0.05
+STOP_MARGIN_S = 0.7  # before the process is killed
+LINGER_S = 2.3  # callers are sent elsewhere after two failed readiness checks, a second apart
+HANDOVER_WITHIN_S = 1.5
+ASSIGNMENTS = 2  # place among the followers
+
+
+@attrs.frozen
+class SitePartitions:
+    """Where things lie in the store."""
+
+    operator: Partition
+    members: Partition
+    assignments: Partition
+
+
+@attrs.frozen
+class OperatorWords:
+    """How the operators' records are read."""
+
+    config_key: str
+    decode: Callable[[bytes], RoutingTable]
+    find_evacuated: Callable[[str], str | None]
+
+
+class Sidecar:
+    """All tasks of one daemon."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        log: KeyedLog,
+        server: BackendServer,
+        partitions: SitePartitions,
+        words: OperatorWords,
+    ) -> None:
+        self.settings = settings
+        self.stopping = asyncio.Event()
+        self._log = log
+        self._tasks: list[asyncio.Task[None]] = []
+        lease = RangeLease()
+        self.keeper = RangeKeeper(server, lease, settings.node)
+        self.gate = BackendGate(
+            settings.node, settings.failure_domain, settings.bounds, server, self.keeper
+        )
+        self.site = SiteState(
+            words.config_key, words.decode, words.find_evacuated, self._apply_site
+        )
+        self._followers = (
+            PartitionFollower(log, partitions.operator, self.site.take),
+            PartitionFollower(log, partitions.members, self._take_members, None, MEMBER_BATCH_S),
+            PartitionFollower(
+                log, partitions.assignments, self._take_assignments, self._note_store
+            ),
+        )
+        own = Member(
+            settings.node, settings.peer_address, settings.failure_domain, settings.service
+        )
+        self.mesh = Mesh(own, self._followers, self.gate.describe, self._note_peer)
+        self.mesh.server.handlers["release"] = self.keeper.answer_release
+        self.keeper.mesh = self.mesh
+        self.control = KeyControl(
+            settings.node,
+            settings.service,
+            log,
+            self._followers[ASSIGNMENTS],
+            self.mesh,
+            self.keeper,
+            self.gate.describe,
+            self.site.is_out,
+            self.site.is_keyed,
+        )
+        self.dispatcher = Dispatcher(
+            settings.service, settings.bounds, self.mesh, self.gate, self.control
+        )
+        self.dispatcher.is_out = self.site.is_out
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.site.table is not None and not self.stopping.is_set()
+
+    async def start(self) -> None:
+        """Listen to peers and start all tasks.
+
+        Raises
+        ------
+        OSError
+            If an address cannot be listened on.
+        """
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
+        loop.set_exception_handler(_log_stray_error)
+        await self.mesh.server.start(self.settings.peer_address)
+        work = [follower.run() for follower in self._followers]
+        work += [
+            self.mesh.run(),
+            self.keeper.run(),
+            self.control.run(),
+            self._announce_member(),
+        ]
+        for item in work:
+            task = asyncio.create_task(item)
+            task.add_done_callback(self._watch)
+            self._tasks.append(task)
+        logger.info("event=daemon_started daemon={}", self.settings.node)
+
+    async def finish(self) -> None:
+        """Hand over, and end when nothing is in flight; called when asked to stop."""
+        started = read_clock()
+        stop_by = started + self.settings.bounds.stop_s - STOP_MARGIN_S
+        logger.info("event=leaving daemon={}", self.settings.node)
+        self.gate.leaving = True
+        while read_clock() < started + HANDOVER_WITHIN_S and self.keeper.holds_any():
+            await asyncio.sleep(STOP_POLL_S)
+        while read_clock() < stop_by:
+            quiet = not self.gate.count_in_flight() and not self.dispatcher.in_flight
+            if quiet and read_clock() >= started + LINGER_S:
+                break
+            await asyncio.sleep(STOP_POLL_S)
+        self.gate.stopping = True
+        logger.info(
+            "event=daemon_stopped daemon={} in_flight={} after_s={:.2f}",
+            self.settings.node,
+            self.gate.count_in_flight() + self.dispatcher.in_flight,
+            read_clock() - started,
+        )
+
+    def close(self) -> None:
+        """End all tasks and links."""
+        for task in self._tasks:
+            task.cancel()
+        self.mesh.close()
+
+    # Events.
+
+    def take_report(self, report: BackendReport) -> bool:
+        """Take an announcement of the backend server; return whether it is acknowledged."""
+        settings = self.settings
+        if report.service != settings.service or report.address != settings.backend_address:
+            logger.warning(
+                "event=report_refused instance={} service={} address={}",
+                report.instance,
+                report.service,
+                report.address,
+            )
+            return False
+        change = self.gate.take_report(report)
+        if change not in (Change.NONE, Change.STALE):
+            logger.info(
+                "event=backend_{} instance={} born_ms={} slots={} cold_s={}",
+                change.value,
+                report.instance,
+                report.born_ms,
+                report.slots,
+                report.cold_s,
+            )
+        return True
+
+    def take_leave(self, instance: str) -> None:
+        """Take the backend server's goodbye."""
+        change = self.gate.take_leave(instance)
+        logger.info("event=backend_{} instance={}", change.value, instance)
+
+    def _apply_site(self) -> None:
+        self.gate.policy = self.site.find_policy(self.settings.service)
+        self.gate.set_out(self.site.is_out(self.settings.failure_domain))
+
+    def _take_members(self, changed: list[Any]) -> None:
+        self.mesh.take_members(changed)
+
+    def _take_assignments(self, changed: list[Any]) -> None:
+        self.control.take(changed)
+
+    def _note_store(self, end: int, asked_at: float) -> None:
+        self.control.note_store(end, asked_at)
+
+    def _note_peer(
+        self, node: str, ends: tuple[int, ...], sure: bool, sent_at: float, now: float
+    ) -> None:
+        self.dispatcher.note_status(node)
+        if len(ends) > ASSIGNMENTS:
+            self.keeper.note_peer(node, ends[ASSIGNMENTS], sure, sent_at, now)
+
+    def _note_hangup(self) -> None:
+        logger.info("event=reload daemon={} changed=nothing", self.settings.node)
+
+    async def _announce_member(self) -> None:
+        """Write this daemon's record unless the store has it already."""
+        follower = self._followers[1]
+        value = encode_member(self.mesh.own)
+        while True:
+            if follower.replica.from_store and follower.replica.get(self.mesh.own.node) != value:
+                outcome = await self._log.write(
+                    follower.partition, [(self.mesh.own.node, value)], None
+                )
+                if isinstance(outcome, Written):
+                    logger.info("event=member_written offset={}", outcome.offset)
+                    return
+                logger.info("event=member_not_written outcome={!r}", outcome)
+            elif follower.replica.from_store:
+                return
+            await asyncio.sleep(MEMBER_RETRY_S if follower.replica.from_store else STOP_POLL_S)
+
+    def _watch(self, task: asyncio.Task[None]) -> None:
+        """Stop when a task ended by an error that nobody expects."""
+        if not task.cancelled() and (error := task.exception()) is not None:
+            logger.opt(exception=error).error("event=task_failed error={!r}", error)
+            self.stopping.set()
+
+
+def _log_stray_error(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    logger.error(
+        "event=stray_error message={!r} error={!r}",
+        context.get("message"),
+        context.get("exception"),
+    )
--- /dev/null
+++ b/persimmondock/_tasks/store_follower.py
@@ -0,0 +1,137 @@
+"""Keeps copies of the store's partitions up to date, from the store or from peers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from persimmondock._adapters.clock import read_clock
+from persimmondock._domain.replica import KeyedEntry, Replica
+from persimmondock._ports.keyed_log import KeyedLog, Partition, Records, RecordsGone
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+WAIT_S = 20.0  # each return of a waiting read is a priced call
+RETRY_S = 0.25
+MAX_RETRY_S = 1.0
+BATCH_S = 0.05  # records that come close together are read by one call
+
+
+class PartitionFollower:
+    """Follows one partition.
+
+    Parameters
+    ----------
+    take
+        Called with the entries that changed.
+    confirm
+        Called with an offset and the instant at which a read was sent that found the partition to
+        end there.
+    """
+
+    def __init__(
+        self,
+        log: KeyedLog,
+        partition: Partition,
+        take: Callable[[list[KeyedEntry]], None],
+        confirm: Callable[[int, float], None] | None = None,
+        batch_s: float = BATCH_S,
+    ) -> None:
+        self.partition = partition
+        self.replica = Replica()
+        self.store_answers = False
+        self._log = log
+        self._take = take
+        self._confirm = confirm
+        self._batch_s = batch_s
+        self._read: asyncio.Task[bool] | None = None
+
+    async def run(self) -> None:
+        """Read for ever."""
+        pause = RETRY_S
+        while True:
+            self._read = asyncio.create_task(self._read_once())
+            try:
+                answered = await self._read
+            except asyncio.CancelledError:
+                if not self._read.cancelled():
+                    raise
+                continue
+            if answered != self.store_answers:
+                event = "store_regained" if answered else "store_lost"
+                logger.info(
+                    "event={} topic={} part={} offset={}",
+                    event,
+                    self.partition.topic,
+                    self.partition.number,
+                    self.replica.end,
+                )
+            self.store_answers = answered
+            if answered:
+                pause = RETRY_S
+                await asyncio.sleep(self._batch_s)
+            else:
+                await asyncio.sleep(pause)
+                pause = min(MAX_RETRY_S, 2 * pause)
+
+    def read_again(self) -> None:
+        """Give up a waiting read whose connection may be dead."""
+        if self._read is not None:
+            self._read.cancel()
+
+    async def confirm_now(self) -> bool:
+        """Ask the store at once whether this copy is the newest."""
+        asked_at = read_clock()
+        outcome = await self._log.read_from(self.partition, self.replica.end, 0.0)
+        if not isinstance(outcome, Records):
+            return False
+        self._apply(outcome.entries, outcome.end, outcome.whole, asked_at)
+        return True
+
+    def take_from_peer(self, entries: Iterable[KeyedEntry], end: int) -> None:
+        """Take in what a peer knows."""
+        changed = self.replica.apply(entries, end)
+        if changed:
+            self._take(changed)
+
+    async def _read_once(self) -> bool:
+        asked_at = read_clock()
+        if not self.replica.from_store:
+            newest = await self._log.read_newest(self.partition)
+            if not isinstance(newest, Records):
+                logger.debug("event=store_read_failed detail={!r}", newest)
+                return False
+            changed = self.replica.apply_snapshot(newest.entries, newest.end)
+            self.replica.from_store = True
+            if changed:
+                self._take(changed)
+            self._note_end(newest.end, asked_at)
+            return True
+        outcome = await self._log.read_from(self.partition, self.replica.end, WAIT_S)
+        if isinstance(outcome, RecordsGone):
+            logger.info(
+                "event=history_gone topic={} offset={}", self.partition.topic, self.replica.end
+            )
+            self.replica.from_store = False
+            return True
+        if not isinstance(outcome, Records):
+            logger.debug("event=store_read_failed detail={!r}", outcome)
+            return False
+        self._apply(outcome.entries, outcome.end, outcome.whole, asked_at)
+        return True
+
+    def _apply(
+        self, entries: tuple[KeyedEntry, ...], end: int, whole: bool, asked_at: float
+    ) -> None:
+        changed = self.replica.apply(entries, end)
+        if changed:
+            self._take(changed)
+        if whole:
+            self._note_end(end, asked_at)
+
+    def _note_end(self, end: int, asked_at: float) -> None:
+        if self._confirm is not None and end == self.replica.end:
+            self._confirm(end, asked_at)
--- /dev/null
+++ b/persimmondock/platform/_backend.py
@@ -0,0 +1,187 @@
+"""The backend server beside this daemon, as the platform lets it be spoken to."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.http_exchange import (
+    ConnectFailedError,
+    ConnectionLostError,
+    ExchangeError,
+    HttpAnswer,
+    HttpConnection,
+    HttpPool,
+    render_request,
+)
+from persimmondock._domain.verdict import (
+    Answer,
+    Answered,
+    Header,
+    MayHaveRun,
+    NotRun,
+    Reason,
+    Verdict,
+)
+from persimmondock._ports.backend import (
+    GrantFenced,
+    GrantNotSent,
+    GrantOutcome,
+    GrantTaken,
+    GrantUnknown,
+    ReleaseDone,
+    ReleaseFailed,
+)
+from persimmondock.platform import _headers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from persimmondock._domain.forwarding import ForwardedRequest
+
+GRANT_PATH = "/-/grant"
+RELEASE_PATH = "/-/release"
+CONNECTIONS = 60  # the smallest site allows 62 for each backend server
+UNSAFE_IDLE_S = 2.0  # a request that cannot be sent again goes on a connection used just now
+SAFE_IDLE_S = 8.0
+GRANT_TIMEOUT_S = 0.5  # a grant is answered within milliseconds, or seconds late
+RELEASE_TIMEOUT_S = 2.5  # longest usual work on a key
+ANSWER_GRACE_S = 0.1  # the backend server answers by itself at the time limit
+REFUSED_RETRY_MS = 200
+NOT_SENT = NotRun(Reason.BACKEND_UNREACHABLE, REFUSED_RETRY_MS)
+
+
+class PlatformBackend:
+    """Client of one backend server."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._pool = HttpPool(address, CONNECTIONS)
+        self._orders = HttpPool(address, 2)
+
+    @property
+    def opened(self) -> int:
+        """Connections opened so far."""
+        return self._pool.opened + self._orders.opened
+
+    async def run(
+        self,
+        request: ForwardedRequest,
+        instance: str,
+        check: Callable[[], NotRun | None],
+    ) -> Verdict:
+        """Let it run a request; a kept connection that has just ended is replaced once."""
+        verdict: Verdict = NotRun(Reason.BACKEND_UNREACHABLE, REFUSED_RETRY_MS)
+        for max_idle_s in (SAFE_IDLE_S if request.idempotent else UNSAFE_IDLE_S, 0.0):
+            try:
+                connection = await self._pool.take(max_idle_s)
+            except ConnectFailedError as error:
+                reason = Reason.BACKEND_DOWN if error.refused else Reason.BACKEND_UNREACHABLE
+                return NotRun(reason, REFUSED_RETRY_MS)
+            try:
+                verdict = await self._exchange(connection, request, instance, check)
+            finally:
+                self._pool.give_back(connection)
+            if verdict != NOT_SENT:
+                return verdict
+        return verdict
+
+    async def _exchange(
+        self,
+        connection: HttpConnection,
+        request: ForwardedRequest,
+        instance: str,
+        check: Callable[[], NotRun | None],
+    ) -> Verdict:
+        refusal = check()
+        if refusal is not None:
+            return refusal
+        left_s = request.deadline - read_clock()
+        fields = _headers.build_backend_fields(request, instance, left_s)
+        data = render_request(request.method, request.target, fields, request.body)
+        try:
+            async with asyncio.timeout(left_s + ANSWER_GRACE_S):
+                answer = await connection.exchange(
+                    data, lambda answer: _headers.belongs_to(answer, request.attempt)
+                )
+        except TimeoutError:
+            return MayHaveRun(Reason.DEADLINE_PASSED)
+        except ConnectionLostError as error:
+            if not error.sent:
+                return NOT_SENT
+            return MayHaveRun(Reason.BACKEND_LOST)
+        except ExchangeError:
+            return MayHaveRun(Reason.ANSWER_INVALID)
+        return _judge_answer(answer, request.attempt, instance)
+
+    async def grant(
+        self, first: int, last: int, fence: int, hold_s: float, handover: str
+    ) -> GrantOutcome:
+        """Grant keys for a time that counts from the arrival of the call."""
+        body: dict[str, object] = {"from": first, "target": last, "fence": fence}
+        body["hold_s"] = round(hold_s, 3)
+        if handover:
+            body["handover"] = handover
+        try:
+            answer = await self._order(GRANT_PATH, body, GRANT_TIMEOUT_S)
+        except ExchangeError as error:
+            if error.sent:
+                return GrantUnknown(str(error))
+            return GrantNotSent(str(error))
+        except TimeoutError:
+            return GrantUnknown("no answer in time")
+        if answer.status == 200:
+            return GrantTaken()
+        if answer.status == 409:
+            return GrantFenced()
+        return GrantUnknown(f"status {answer.status}")
+
+    async def release(self, first: int, last: int, fence: int) -> ReleaseDone | ReleaseFailed:
+        """Take keys back; ends when no work on them runs any more."""
+        body: dict[str, object] = {"from": first, "target": last, "fence": fence}
+        try:
+            answer = await self._order(RELEASE_PATH, body, RELEASE_TIMEOUT_S)
+        except (ExchangeError, TimeoutError) as error:
+            refused = isinstance(error, ConnectFailedError) and error.refused
+            return ReleaseFailed(repr(error), refused)
+        if answer.status != 200:
+            return ReleaseFailed(f"status {answer.status}")
+        return ReleaseDone(answer.find_header(_headers.HANDOVER) or "")
+
+    def reset(self) -> None:
+        """End all connections: another life of the backend server has begun."""
+        self._pool.drop_idle()
+        self._orders.drop_idle()
+
+    def close(self) -> None:
+        """End all connections."""
+        self._pool.close()
+        self._orders.close()
+
+    async def _order(self, path: str, body: dict[str, object], timeout_s: float) -> HttpAnswer:
+        fields = [("Host", self._address), ("Content-Type", "application/json")]
+        data = render_request("POST", path, fields, json.dumps(body).encode())
+        connection = await self._orders.take()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await connection.exchange(data)
+        finally:
+            self._orders.give_back(connection)
+
+
+def _judge_answer(answer: HttpAnswer, attempt: str, instance: str) -> Verdict:
+    """Tell a backend server's answer from its refusal to run the request."""
+    if answer.status == 421:
+        if answer.find_header(_headers.INSTANCE) in (None, instance):
+            return NotRun(Reason.NOT_OWNER, REFUSED_RETRY_MS)
+        return NotRun(Reason.BACKEND_DOWN, REFUSED_RETRY_MS)
+    if answer.find_header(_headers.NOT_EXECUTED) is not None:
+        return NotRun(Reason.BACKEND_REFUSED, REFUSED_RETRY_MS)
+    if answer.find_header(_headers.ATTEMPT.lower()) != attempt:
+        return MayHaveRun(Reason.ANSWER_INVALID)
+    if answer.status < 300 and answer.find_header(_headers.SIGNATURE) is None:
+        return MayHaveRun(Reason.ANSWER_INVALID)
+    headers = tuple(Header(name, value) for name, value in _headers.pass_answer_fields(answer))
+    return Answered(Answer(answer.status, headers, answer.body))
--- /dev/null
+++ b/persimmondock/platform/_headers.py
@@ -0,0 +1,113 @@
+"""Header fields between clients, daemons and backend servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
+from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from persimmondock._adapters.http_exchange import HttpAnswer
+
+ATTEMPT = "X-Attempt-Id"
+TIMEOUT_MS = "X-Timeout-Ms"
+KEY = "X-Shard-Key"
+CALLER_SERVICE = "X-Caller-Service"
+EXPECTED_INSTANCE = "X-Expected-Instance"
+NOT_EXECUTED = "x-not-executed"
+LOAD = "x-server-load"
+SIGNATURE = "x-server-signature"
+HANDOVER = "x-handover"
+INSTANCE = "x-instance-id"
+MAX_KEY = 65_535
+
+HOP_FIELDS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+SET_HERE = frozenset({TIMEOUT_MS.lower(), CALLER_SERVICE.lower(), EXPECTED_INSTANCE.lower()})
+
+
+@attrs.frozen
+class ClientFields:
+    """What a client says in the header of a request.
+
+    Parameters
+    ----------
+    timeout_s
+        Seconds that the client will wait, or None if it does not say.
+    """
+
+    attempt: str
+    key: int
+    timeout_s: float | None
+    passed: tuple[tuple[str, str], ...]
+
+
+def read_client_fields(fields: Iterable[tuple[str, str]]) -> ClientFields:
+    """Read a request's header; malformed numbers count as absent."""
+    listed = list(fields)
+    named = {name.lower(): value for name, value in listed}
+    dropped = HOP_FIELDS | SET_HERE
+    if "connection" in named:
+        dropped |= {part.strip().lower() for part in named["connection"].split(",")}
+    timeout = named.get(TIMEOUT_MS.lower(), "")
+    key = named.get(KEY.lower(), "")
+    return ClientFields(
+        attempt=named.get(ATTEMPT.lower(), ""),
+        key=int(key) if key.isdecimal() and int(key) <= MAX_KEY else NO_KEY,
+        timeout_s=int(timeout) / 1000 if timeout.isdecimal() else None,
+        passed=tuple((name, value) for name, value in listed if name.lower() not in dropped),
+    )
+
+
+def build_backend_fields(
+    request: ForwardedRequest, instance: str, left_s: float
+) -> list[tuple[str, str]]:
+    """Return the header of a request for a backend server."""
+    return [
+        *request.headers,
+        (TIMEOUT_MS, str(max(1, int(left_s * 1000)))),
+        (EXPECTED_INSTANCE, instance),
+        (CALLER_SERVICE, request.caller_service),
+    ]
+
+
+def pass_answer_fields(answer: HttpAnswer) -> tuple[tuple[str, str], ...]:
+    """Return the fields of an answer that the client gets."""
+    return tuple(item for item in answer.headers if item[0].lower() not in HOP_FIELDS)
+
+
+def belongs_to(answer: HttpAnswer, attempt: str) -> bool:
+    """Return whether an answer may be that to an attempt; refusals bear no identifier."""
+    return answer.find_header(ATTEMPT.lower()) in (None, attempt)
+
+
+def choose_status(verdict: Verdict, late: bool) -> int:
+    """Return the status for a request that ended without a backend server's answer.
+
+    Only 503 promises that the request has not run and never will.
+    """
+    match verdict:
+        case NotRun():
+            return 503
+        case MayHaveRun():
+            return 504 if late else 502
+        case Answered(answer=answer):
+            return answer.status
--- /dev/null
+++ b/persimmondock/platform/_operator.py
@@ -0,0 +1,101 @@
+"""What the operator writes into the store."""
+
+from __future__ import annotations
+
+import json
+from collections import defaultdict
+from typing import Any
+
+from persimmondock._domain.routing_table import (
+    ClientLimits,
+    RoutePolicy,
+    RoutingTable,
+    ServicePolicy,
+    Share,
+    order_routes,
+)
+
+CONFIG_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+SAFE = "safe"
+
+
+class ConfigurationUnreadableError(ValueError):
+    """A configuration that cannot be read; the message names the place."""
+
+
+def decode_configuration(data: bytes) -> RoutingTable:
+    """Read a configuration.
+
+    Raises
+    ------
+    ConfigurationUnreadableError
+        Naming the first field that is missing or of another type.
+    """
+    place = "body"
+    try:
+        config = json.loads(data)
+        place = "version"
+        version = int(config["version"])
+        services = {}
+        for number, item in enumerate(config.get("services", ())):
+            place = f"services[{number}]"
+            services[item["name"]] = _read_service(item)
+        hosts: dict[str, list[RoutePolicy]] = defaultdict(list)
+        for number, host in enumerate(config.get("virtual_hosts", ())):
+            for index, item in enumerate(host["paths"]):
+                place = f"virtual_hosts[{number}].paths[{index}]"
+                hosts[host["host"].lower()].append(_read_route(item))
+        place = "limits"
+        limits = _read_limits(config.get("limits") or {})
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise ConfigurationUnreadableError(f"{place}: {error!r}") from error
+    ordered = {host: order_routes(routes) for host, routes in hosts.items()}
+    return RoutingTable(version, ordered, services, limits)
+
+
+def _read_service(item: dict[str, Any]) -> ServicePolicy:
+    usual = ServicePolicy("")
+    return ServicePolicy(
+        name=item["name"],
+        health_path=item.get("health_path", usual.health_path),
+        max_connections=int(item.get("max_connections", usual.max_connections)),
+        cold_s=float(item.get("warmup_s", usual.cold_s)),
+        cold_per_s=float(item.get("cold_per_s", usual.cold_per_s)),
+        keyed=bool(item.get("sharded", usual.keyed)),
+    )
+
+
+def _read_route(item: dict[str, Any]) -> RoutePolicy:
+    split = item.get("traffic_split")
+    if split:
+        shares = tuple(Share(part["service"], float(part["weight"])) for part in split)
+    else:
+        shares = (Share(item["service"], 1.0),)
+    return RoutePolicy(
+        name=item.get("name", item["path_prefix"]),
+        path_prefix=item["path_prefix"],
+        idempotent=item["route_type"] == SAFE,
+        timeout_s=float(item.get("timeout_s", 30.0)),
+        objective_s=float(item.get("target_latency_s", item.get("timeout_s", 30.0))),
+        shares=shares,
+        priority=int(item.get("priority", 1)),
+        max_attempts=int(item.get("max_attempts", 1)),
+    )
+
+
+def _read_limits(item: dict[str, Any]) -> ClientLimits:
+    usual = ClientLimits()
+    return ClientLimits(
+        header_bytes=int(item.get("max_header_bytes", usual.header_bytes)),
+        body_bytes=int(item.get("max_body_bytes", usual.body_bytes)),
+        idle_s=float(item.get("idle_timeout_s", usual.idle_s)),
+        header_s=float(item.get("header_timeout_s", usual.header_s)),
+    )
+
+
+def find_evacuated(key: str) -> str | None:
+    """Return the failure domain that a key of the operator takes out, if it is such a key."""
+    if key.startswith(EVACUATION_PREFIX):
+        return key[len(EVACUATION_PREFIX) :]
+    return None
--- /dev/null
+++ b/persimmondock/platform/_store.py
@@ -0,0 +1,203 @@
+"""The platform's store over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import binascii
+import json
+import struct
+import time
+from typing import TYPE_CHECKING
+from urllib.parse import urlencode
+
+from persimmondock._adapters.http_exchange import (
+    ExchangeError,
+    HttpAnswer,
+    HttpPool,
+    render_request,
+)
+from persimmondock._domain.replica import KeyedEntry
+from persimmondock._ports.keyed_log import (
+    Conflict,
+    Partition,
+    ReadOutcome,
+    Records,
+    RecordsGone,
+    StoreFailed,
+    WriteOutcome,
+    Written,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+CALL_TIMEOUT_S = 1.5  # slow days answer in about 0.25 s; a silent connection shows only so
+READ_KB = 1024
+CONNECTIONS = 8
+IDLE_S = 4.0  # the store's own idle time is not told
+EPOCH_STEP = 10_000  # milliseconds; passes over a time of day that was stepped back
+
+OPERATOR = Partition("keyed.op")
+MEMBERS = Partition("keyed.fleet", 0)
+ASSIGNMENTS = Partition("keyed.fleet", 1)
+
+
+class PlatformStore:
+    """Client of the store; one for each daemon.
+
+    Parameters
+    ----------
+    writer
+        Name under which unconditional records are written. A later write fences the earlier ones
+        of the same name, so that one whose answer was lost cannot come after it.
+    """
+
+    def __init__(self, address: str, writer: str) -> None:
+        self._address = address
+        self._writer = writer
+        self._pool = HttpPool(address, CONNECTIONS)
+        self._epoch = int(time.time() * 1000)
+        self.calls = 0
+
+    async def read_newest(self, partition: Partition) -> Records | StoreFailed:
+        """Read the newest record of each key, page by page."""
+        entries: list[KeyedEntry] = []
+        after, end = "", -1
+        while True:
+            query = {"topic": partition.topic, "part": str(partition.number)}
+            if after:
+                query["after"] = after
+            answer = await self._call("GET", "/-/log-newest", query)
+            if isinstance(answer, StoreFailed):
+                return answer
+            if answer.status == 404:
+                return Records((), 0)
+            if answer.status != 200:
+                return _describe(answer)
+            try:
+                data = json.loads(answer.body)
+                page = [
+                    KeyedEntry(int(i["offset"]), i["key"], base64.b64decode(i["value"]))
+                    for i in data["items"]
+                ]
+                # Pages are no snapshot: what changed after the first one is read again later.
+                end = int(data["end"]) if end < 0 else end
+                more = bool(data["has_more"])
+            except (ValueError, KeyError, TypeError, binascii.Error) as error:
+                return StoreFailed(f"unreadable page: {error!r}")
+            entries += page
+            if not more or not page:
+                return Records(tuple(entries), end)
+            after = page[-1].key
+
+    async def read_from(self, partition: Partition, offset: int, wait_s: float) -> ReadOutcome:
+        """Read records from an offset, waiting for the first one."""
+        query = {
+            "topic": partition.topic,
+            "part": str(partition.number),
+            "from": str(offset),
+            "max_kb": str(READ_KB),
+        }
+        if wait_s:
+            query["wait_ms"] = str(int(wait_s * 1000))
+        answer = await self._call("GET", "/-/log-read", query, wait_s)
+        if isinstance(answer, StoreFailed):
+            return answer
+        if answer.status == 410:
+            return RecordsGone()
+        if answer.status == 404:
+            return Records((), 0)
+        if answer.status != 200:
+            return _describe(answer)
+        return decode_records(answer.body, offset)
+
+    async def write(
+        self, partition: Partition, entries: Sequence[tuple[str, bytes]], expected_end: int | None
+    ) -> WriteOutcome:
+        """Append records; with ``expected_end`` only if the partition ends there."""
+        query = {"topic": partition.topic, "part": str(partition.number)}
+        if expected_end is not None:
+            query["at"] = str(expected_end)
+        else:
+            self._epoch = max(self._epoch + 1, int(time.time() * 1000))
+            query |= {"producer": self._writer, "epoch": str(self._epoch), "sequence": "0"}
+        answer = await self._call("POST", "/-/log-append", query, body=encode_records(entries))
+        if isinstance(answer, StoreFailed):
+            return answer
+        if answer.status == 412:
+            return Conflict()
+        if answer.status == 409:
+            self._epoch += EPOCH_STEP
+            return StoreFailed(f"fenced: {answer.body[:80]!r}")
+        if answer.status != 200:
+            return _describe(answer)
+        try:
+            return Written(int(json.loads(answer.body)["offset"]))
+        except (ValueError, KeyError, TypeError) as error:
+            return StoreFailed(f"unreadable answer to an append: {error!r}")
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.close()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        wait_s: float = 0.0,
+        body: bytes = b"",
+    ) -> HttpAnswer | StoreFailed:
+        """Make one call; a connection that brought no answer is not used again."""
+        self.calls += 1
+        headers = [("Host", self._address)]
+        if body:
+            headers.append(("Content-Type", "application/octet-stream"))
+        data = render_request(method, f"{path}?{urlencode(query)}", headers, body)
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
+                connection = await self._pool.take(IDLE_S)
+                try:
+                    return await connection.exchange(data)
+                finally:
+                    self._pool.give_back(connection)
+        except TimeoutError:
+            return StoreFailed("no answer in time")
+        except ExchangeError as error:
+            return StoreFailed(str(error))
+
+
+def _describe(answer: HttpAnswer) -> StoreFailed:
+    return StoreFailed(f"status {answer.status}: {answer.body[:80]!r}")
+
+
+def encode_records(entries: Sequence[tuple[str, bytes]]) -> bytes:
+    """Return the body of an append."""
+    parts = []
+    for key, value in entries:
+        name = key.encode()
+        content = bytes([len(name)]) + name + value
+        parts.append(struct.pack(">I", len(content)) + content)
+    return b"".join(parts)
+
+
+def decode_records(body: bytes, offset: int) -> ReadOutcome:
+    """Read the body of the answer to a read that began at an offset."""
+    try:
+        end, _ = struct.unpack_from(">QQ", body)
+        entries: list[KeyedEntry] = []
+        position = 16
+        while position < len(body):
+            (length,) = struct.unpack_from(">I", body, position)
+            content = body[position + 4 : position + 4 + length]
+            if len(content) < length or not content:
+                return StoreFailed(f"a record of {length} bytes is cut")
+            name_end = 1 + content[0]
+            key = content[1:name_end].decode("utf-8", "replace")
+            entries.append(KeyedEntry(offset + len(entries), key, content[name_end:]))
+            position += 4 + length
+    except struct.error as error:
+        return StoreFailed(f"unreadable records: {error}")
+    following = offset + len(entries)
+    return Records(tuple(entries), following, following >= end)
--- a/benchmarks/check_process.py
+++ b/persimmondock/tests/process_check.py
@@ -2,7 +2,7 @@
 
 A daemon runs beside the log stand-in for a few seconds and is then asked to stop. With strace, its
 system calls are traced; without it, only what /proc shows is checked. The output says which. Run
-with ``python -m benchmarks.check_process [--program dist/persimmondock]``.
+with ``python -m persimmondock.tests.process_check [--program dist/persimmondock]``.
 """
 
 from __future__ import annotations
--- a/persimmondock/tests/test_check_process.py
+++ b/persimmondock/tests/test_check_process.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from benchmarks.check_process import find_proc_faults, find_trace_faults
+from persimmondock.tests.process_check import find_proc_faults, find_trace_faults
 
 
 @pytest.mark.parametrize(
