--- a/persimmondock/_adapters/peer_stream.py
+++ b/persimmondock/_adapters/peer_stream.py
@@ -88,7 +88,9 @@
                 end = position + LENGTH.size + length
                 if len(buffer) < end:
                     break
-                frame = msgpack.unpackb(bytes(buffer[position + LENGTH.size : end]))
+                frame = msgpack.unpackb(
+                    bytes(buffer[position + LENGTH.size : end]), strict_map_key=False
+                )
                 position = end
                 self.take_frame(frame)
         except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
--- a/persimmondock/_domain/assignment.py
+++ b/persimmondock/_domain/assignment.py
@@ -59,6 +59,11 @@
     fence: int
     former: tuple[BackendLife, ...] = ()
 
+    @property
+    def grant_key(self) -> tuple[int, int, int]:
+        """What tells one grant from another; former owners are no part of it."""
+        return self.first, self.last, self.fence
+
 
 @attrs.frozen
 class Assignment:
@@ -155,23 +160,10 @@
     weight: float = 1.0
 
 
-@attrs.frozen
-class Load:
-    """Measured load of one range, in requests a second."""
-
-    first: int
-    last: int
-    per_s: float
-
-
 def plan_assignment(
-    present: Assignment,
-    owners: Iterable[Owner],
-    gone: frozenset[BackendLife],
-    balance: bool,
-    loads: Mapping[int, float] | None = None,
+    present: Assignment, owners: Iterable[Owner], gone: frozenset[BackendLife]
 ) -> tuple[KeyRange, ...] | None:
-    """Return better ranges, or None if the present ones will do.
+    """Give each range whose owner cannot serve it to another one; None if there is none.
 
     Parameters
     ----------
@@ -179,41 +171,32 @@
         Backend servers that may own keys now.
     gone
         Lives that have certainly ended; nothing has to be waited for.
-    balance
-        Whether keys may move between owners that are both fit.
-    loads
-        Requests a second for the first key of each present range.
     """
     fit = {owner.life: owner for owner in owners}
     if not fit:
         return None
     if not present.ranges:
-        return _deal_slices(present.service, sorted(fit.values(), key=lambda o: o.life))
+        return _deal_slices(sorted(fit.values(), key=lambda owner: owner.life))
     by_node = {life.node: life for life in fit}
     held: dict[BackendLife, float] = defaultdict(float)
-    weights = _weigh_ranges(present, loads)
-    for item, weight in zip(present.ranges, weights, strict=True):
+    for item in present.ranges:
         if item.owner in fit:
-            held[item.owner] += weight
-    moved: dict[int, BackendLife] = {}
-    for number, item in enumerate(present.ranges):
+            held[item.owner] += item.last - item.first + 1
+    result = []
+    for item in present.ranges:
         if item.owner in fit:
+            result.append(item)
             continue
-        reborn = by_node.get(item.owner.node)
-        target = reborn or min(fit, key=lambda life: _fill(life, held, fit, weights[number]))
-        moved[number] = target
-        held[target] += weights[number]
-    if balance and not moved:
-        moved = _balance(present, fit, held, weights)
-    if not moved:
-        return None
-    return tuple(
-        _move(item, moved[number], gone) if number in moved else item
-        for number, item in enumerate(present.ranges)
-    )
+        size = item.last - item.first + 1
+        target = by_node.get(item.owner.node) or min(
+            sorted(fit), key=lambda life: (held[life] + size) / fit[life].weight
+        )
+        held[target] += size
+        result.append(_move(item, target, gone))
+    return None if result == list(present.ranges) else tuple(result)
 
 
-def _deal_slices(service: str, owners: list[Owner]) -> tuple[KeyRange, ...]:
+def _deal_slices(owners: list[Owner]) -> tuple[KeyRange, ...]:
     """Deal slices in turn, so that neighbours have different owners."""
     credit = {owner.life: 0.0 for owner in owners}
     total = sum(owner.weight for owner in owners)
@@ -227,64 +210,6 @@
     return tuple(ranges)
 
 
-def _weigh_ranges(present: Assignment, loads: Mapping[int, float] | None) -> list[float]:
-    """Return the load of each range: half measured, half by its number of keys."""
-    total = sum(loads.values()) if loads else 0.0
-    weights = []
-    for item in present.ranges:
-        share = (item.last - item.first + 1) / KEYS
-        if total > 0 and loads is not None:
-            share = 0.25 * share + 0.75 * loads.get(item.first, 0.0) / total
-        weights.append(share)
-    return weights
-
-
-def _fill(
-    life: BackendLife,
-    held: Mapping[BackendLife, float],
-    fit: Mapping[BackendLife, Owner],
-    added: float = 0.0,
-) -> float:
-    """Return how full an owner is, relative to its weight."""
-    return (held.get(life, 0.0) + added) / max(fit[life].weight, 1e-6)
-
-
-MAX_IMBALANCE = 1.25  # each move makes keys unready for a moment; smaller differences do not pay
-
-
-def _balance(
-    present: Assignment,
-    fit: Mapping[BackendLife, Owner],
-    held: dict[BackendLife, float],
-    weights: list[float],
-) -> dict[int, BackendLife]:
-    """Return which ranges move from the fullest owners to the emptiest."""
-    moved: dict[int, BackendLife] = {}
-    mean = sum(held.values()) / max(sum(owner.weight for owner in fit.values()), 1e-6)
-    for _ in present.ranges:
-        fullest = max(fit, key=lambda life: _fill(life, held, fit))
-        emptiest = min(fit, key=lambda life: _fill(life, held, fit))
-        gap = _fill(fullest, held, fit) - _fill(emptiest, held, fit)
-        if gap <= (MAX_IMBALANCE - 1) * mean or fullest == emptiest:
-            break
-        best, best_gap = None, gap
-        for number, item in enumerate(present.ranges):
-            if item.owner != fullest or number in moved or weights[number] <= 0:
-                continue
-            after = abs(
-                (held[fullest] - weights[number]) / fit[fullest].weight
-                - (held[emptiest] + weights[number]) / fit[emptiest].weight
-            )
-            if after < best_gap:
-                best, best_gap = number, after
-        if best is None:
-            break
-        moved[best] = emptiest
-        held[fullest] -= weights[best]
-        held[emptiest] += weights[best]
-    return moved
-
-
 def _move(item: KeyRange, owner: BackendLife, gone: frozenset[BackendLife]) -> KeyRange:
     """Return a range with a new owner; its fencing token is set when it is written."""
     former = [life for life in (*item.former, item.owner) if life not in gone and life != owner]
--- /dev/null
+++ b/persimmondock/_domain/balance.py
@@ -0,0 +1,158 @@
+"""Moves busy keys from backend servers that are too full to others.
+
+Only what is busy moves: a few neighbouring keys can carry most of a range's requests, and each key
+that changes hands costs a moment without service.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from persimmondock._domain.assignment import KeyRange
+from persimmondock._domain.key_loads import GROUP_KEYS, sum_rates
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from persimmondock._domain.assignment import BackendLife
+
+BUSY = 0.6  # utilization below which hardly anybody waits, so that nothing needs to move
+MIN_GAP = 0.2  # difference of utilization that pays for a move, above the noise of both figures
+HOT_PER_S = 4.0  # a group with more is moved by itself; others move with their range
+MAX_PIECES = 12  # ranges that move at a time; each asks its former owner
+MAX_RANGES = 256  # each is a grant to be renewed every second
+
+
+@attrs.frozen
+class Room:
+    """What one owner can serve.
+
+    Parameters
+    ----------
+    per_s
+        Requests a second that its backend server can answer.
+    """
+
+    per_s: float
+
+
+@attrs.frozen
+class _Piece:
+    first: int
+    last: int
+    rate: float
+
+
+def balance_ranges(
+    ranges: tuple[KeyRange, ...],
+    rooms: Mapping[BackendLife, Room],
+    rates: Mapping[int, float],
+) -> tuple[KeyRange, ...] | None:
+    """Return ranges with busy keys moved, or None if nothing has to move.
+
+    Parameters
+    ----------
+    rates
+        Requests a second of each group of keys.
+    """
+    if len(rooms) < 2:
+        return None
+    loads = dict.fromkeys(rooms, 0.0)
+    for item in ranges:
+        if item.owner in loads:
+            loads[item.owner] += sum_rates(rates, item.first, item.last)
+    result = ranges
+    for _ in range(len(rooms)):
+        step = _move_once(result, rooms, loads, rates)
+        if step is None:
+            break
+        result = step
+    return result if result is not ranges else None
+
+
+def _move_once(
+    ranges: tuple[KeyRange, ...],
+    rooms: Mapping[BackendLife, Room],
+    loads: dict[BackendLife, float],
+    rates: Mapping[int, float],
+) -> tuple[KeyRange, ...] | None:
+    """Move keys from the fullest owner to the emptiest."""
+
+    def fill(life: BackendLife) -> float:
+        return loads[life] / max(rooms[life].per_s, 1e-6)
+
+    full = max(sorted(rooms), key=fill)
+    empty = min(sorted(rooms), key=fill)
+    unused = not any(item.owner == empty for item in ranges)
+    if full == empty or (not unused and (fill(full) < BUSY or fill(full) - fill(empty) < MIN_GAP)):
+        return None
+    room_full, room_empty = rooms[full].per_s, rooms[empty].per_s
+    wanted = (loads[full] * room_empty - loads[empty] * room_full) / (room_full + room_empty)
+    pieces = _choose_pieces(ranges, full, wanted, rates)
+    if not pieces and unused:
+        item = next(item for item in ranges if item.owner == full)
+        pieces = [_Piece(item.first, item.last, 0.0)]
+    if not pieces or len(ranges) + 2 * len(pieces) > MAX_RANGES:
+        return None
+    moved = sum(piece.rate for piece in pieces)
+    loads[full] -= moved
+    loads[empty] += moved
+    return _cut(ranges, pieces, empty)
+
+
+def _choose_pieces(
+    ranges: tuple[KeyRange, ...], owner: BackendLife, wanted: float, rates: Mapping[int, float]
+) -> list[_Piece]:
+    """Return hot groups and whole ranges of an owner that together have the wanted rate."""
+    offered = [
+        _Piece(item.first, item.last, sum_rates(rates, item.first, item.last))
+        for item in ranges
+        if item.owner == owner
+    ]
+    for group, rate in rates.items():
+        first = group * GROUP_KEYS
+        item = _find(ranges, first)
+        if rate >= HOT_PER_S and item is not None and item.owner == owner:
+            offered.append(_Piece(first, min(item.last, first + GROUP_KEYS - 1), rate))
+    chosen: list[_Piece] = []
+    taken = 0.0
+    for piece in sorted(offered, key=lambda piece: (-piece.rate, piece.last - piece.first)):
+        apart = all(p.last < piece.first or piece.last < p.first for p in chosen)
+        if piece.rate > 0 and apart and taken + piece.rate <= wanted * 1.1:
+            chosen.append(piece)
+            taken += piece.rate
+        if len(chosen) >= MAX_PIECES or taken >= 0.9 * wanted:
+            break
+    return sorted(chosen, key=lambda piece: piece.first)
+
+
+def _find(ranges: tuple[KeyRange, ...], key: int) -> KeyRange | None:
+    low, high = 0, len(ranges)
+    while low < high:
+        middle = (low + high) // 2
+        if ranges[middle].last < key:
+            low = middle + 1
+        else:
+            high = middle
+    return ranges[low] if low < len(ranges) else None
+
+
+def _cut(
+    ranges: tuple[KeyRange, ...], pieces: list[_Piece], owner: BackendLife
+) -> tuple[KeyRange, ...]:
+    """Cut pieces out of ranges and give them to another owner."""
+    result: list[KeyRange] = []
+    for item in ranges:
+        inside = [p for p in pieces if item.first <= p.first and p.last <= item.last]
+        position = item.first
+        for piece in inside:
+            if position < piece.first:
+                result.append(attrs.evolve(item, first=position, last=piece.first - 1))
+            former = tuple(life for life in (*item.former, item.owner) if life != owner)
+            result.append(KeyRange(piece.first, piece.last, owner, 0, former))
+            position = piece.last + 1
+        if position <= item.last:
+            result.append(attrs.evolve(item, first=position))
+    return tuple(result)
--- a/persimmondock/_domain/gate_queue.py
+++ b/persimmondock/_domain/gate_queue.py
@@ -14,6 +14,7 @@
 
 FIRST_SERVICE_S = 0.1  # before the first answer; near the usual work of the sites
 SERVICE_WEIGHT = 0.1  # a new mean within some ten answers
+STEADY_WEIGHT = 0.03  # for decisions that are dear to take back
 LATE_SHARE = 0.25  # part of the remaining time that a late request may wait
 MIN_RETRY_MS = 100
 MAX_RETRY_MS = 1_500
@@ -21,14 +22,22 @@
 
 @attrs.define
 class ServiceTimes:
-    """Recent mean time at the backend server, for each route and for all."""
+    """Recent mean time at the backend server, for each route and for all.
+
+    Parameters
+    ----------
+    overall_s, steady_s
+        Means over some ten and some thirty answers, in seconds; 0 before the first.
+    """
 
     overall_s: float = 0.0
+    steady_s: float = 0.0
     _by_route: dict[str, float] = attrs.field(factory=dict)
 
     def record(self, route: str, took_s: float) -> None:
         """Count an answered request."""
         self.overall_s = _blend(self.overall_s, took_s)
+        self.steady_s = _blend(self.steady_s, took_s, STEADY_WEIGHT)
         self._by_route[route] = _blend(self._by_route.get(route, 0.0), took_s)
 
     def estimate(self, route: str) -> float:
@@ -36,8 +45,8 @@
         return self._by_route.get(route) or self.overall_s or FIRST_SERVICE_S
 
 
-def _blend(mean_s: float, took_s: float) -> float:
-    return took_s if mean_s == 0.0 else mean_s + SERVICE_WEIGHT * (took_s - mean_s)
+def _blend(mean_s: float, took_s: float, weight: float = SERVICE_WEIGHT) -> float:
+    return took_s if mean_s == 0.0 else mean_s + weight * (took_s - mean_s)
 
 
 @attrs.define(eq=False)
--- a/persimmondock/_domain/gate_status.py
+++ b/persimmondock/_domain/gate_status.py
@@ -29,6 +29,8 @@
         Recent mean time of a request at the backend server, in seconds; 0 before the first.
     settled
         Offset after the assignment of which all of its ranges are granted; -1 for none.
+    per_s
+        Requests a second that the backend server can answer now; 0 if it is not known.
     """
 
     service: str = ""
@@ -39,6 +41,7 @@
     open: bool = False
     service_s: float = 0.0
     settled: int = -1
+    per_s: float = 0.0
 
     def pack(self) -> list[Any]:
         """Return plain data."""
@@ -52,6 +55,7 @@
             self.open,
             round(self.service_s, 4),
             self.settled,
+            round(self.per_s, 1),
         ]
 
 
--- /dev/null
+++ b/persimmondock/_domain/key_loads.py
@@ -0,0 +1,61 @@
+"""How often keys are asked for, in small groups of neighbours."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+GROUP_KEYS = 16  # a few busy neighbours can be told apart, and a gate tells a few hundred groups
+FADE_S = 1.5  # a key turns busy within a second, and stays so for some
+MIN_PER_S = 0.2  # quieter groups are left out of what is told
+
+
+@attrs.define
+class KeyLoads:
+    """Recent requests a second for each group of keys; what is older fades."""
+
+    _counts: dict[int, float] = attrs.field(factory=dict)
+    _faded_at: float = -math.inf
+
+    def count(self, key: int, now: float) -> None:
+        """Count a request for a key."""
+        self._fade(now)
+        group = key // GROUP_KEYS
+        self._counts[group] = self._counts.get(group, 0.0) + 1.0
+
+    def list_rates(self, now: float) -> dict[int, float]:
+        """Return the requests a second of each group that is asked for."""
+        self._fade(now)
+        rates = {group: count / FADE_S for group, count in self._counts.items()}
+        return {group: round(rate, 2) for group, rate in rates.items() if rate >= MIN_PER_S}
+
+    def _fade(self, now: float) -> None:
+        """Let counts decay; done in steps, so that counting stays cheap."""
+        passed = now - self._faded_at
+        if passed < 0.1:
+            return
+        self._faded_at = now
+        kept = math.exp(-passed / FADE_S)
+        self._counts = {g: c * kept for g, c in self._counts.items() if c * kept > 0.05}
+
+
+def sum_rates(rates: Mapping[int, float], first: int, last: int) -> float:
+    """Return the requests a second for a range of keys."""
+    low, high = first // GROUP_KEYS, last // GROUP_KEYS
+    if high - low + 1 < len(rates):
+        return sum(rates.get(group, 0.0) for group in range(low, high + 1))
+    return sum(rate for group, rate in rates.items() if low <= group <= high)
+
+
+def merge_rates(parts: Iterable[Mapping[int, float]]) -> dict[int, float]:
+    """Add up the rates that several gates tell."""
+    total: dict[int, float] = {}
+    for part in parts:
+        for group, rate in part.items():
+            total[group] = total.get(group, 0.0) + rate
+    return total
--- a/persimmondock/_ports/backend.py
+++ b/persimmondock/_ports/backend.py
@@ -82,9 +82,16 @@
         ...
 
     async def grant(
-        self, first: int, last: int, fence: int, hold_s: float, handover: str
+        self, first: int, last: int, fence: int, find_hold_s: Callable[[], float], handover: str
     ) -> GrantOutcome:
-        """Grant keys for a time that counts from the arrival of the call."""
+        """Grant keys for a time that counts from the arrival of the call.
+
+        Parameters
+        ----------
+        find_hold_s
+            Called with nothing awaited between it and the send; returns the time in seconds, or 0
+            if the keys may not be granted any more.
+        """
         ...
 
     async def release(self, first: int, last: int, fence: int) -> ReleaseDone | ReleaseFailed:
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 from loguru import logger
@@ -21,9 +21,11 @@
     is_worth_waiting,
 )
 from persimmondock._domain.gate_status import GateStatus
+from persimmondock._domain.key_loads import KeyLoads
 from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
 
 if TYPE_CHECKING:
+    from persimmondock._adapters.peer_stream import Delivered
     from persimmondock._domain.routing_table import ServicePolicy
     from persimmondock._domain.site import SiteBounds
     from persimmondock._ports.backend import BackendServer
@@ -72,6 +74,7 @@
         self._futures: dict[int, asyncio.Future[NotRun | None]] = {}
         self._running: dict[int, _Running] = {}
         self._number = 0
+        self.loads = KeyLoads()
         self._timer: asyncio.TimerHandle | None = None
 
     # What others ask.
@@ -106,6 +109,7 @@
             open=self.is_open and not self.out,
             service_s=self._times.overall_s,
             settled=self._keeper.find_settled(),
+            per_s=self._estimate_rate(),
         )
 
     def count_in_flight(self) -> int:
@@ -157,9 +161,15 @@
 
     # The life of a request.
 
+    async def answer_loads(self, _: Any, __: Delivered) -> Any:
+        """Tell how often keys are asked for here."""
+        return self.loads.list_rates(read_clock())
+
     async def run(self, request: ForwardedRequest) -> Verdict:
         """Run a request, or refuse it."""
         now = read_clock()
+        if request.key != NO_KEY:
+            self.loads.count(request.key, now)
         refusal = self._find_refusal(request, now)
         if refusal is not None:
             return refusal
@@ -258,6 +268,15 @@
             return max(1, min(self.slots, int(self._cold_per_s * 0.1)))
         return self.slots
 
+    def _estimate_rate(self) -> float:
+        """Return how many requests a second the backend server can answer, or 0."""
+        if self._times.steady_s == 0.0:
+            return 0.0
+        per_s = self.slots / self._times.steady_s
+        if self._cold_per_s > 0 and self._arrivals.is_cold(read_clock()):
+            return min(per_s, self._cold_per_s)
+        return per_s
+
     def _has_room(self, now: float) -> bool:
         return len(self._running) < self.slots and self._arrivals.has_room(self._cold_per_s, now)
 
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.peer_stream import PeerLostError
 from persimmondock._domain.assignment import (
     Assignment,
     BackendLife,
@@ -21,6 +22,8 @@
     number_assignment,
     plan_assignment,
 )
+from persimmondock._domain.balance import Room, balance_ranges
+from persimmondock._domain.key_loads import KeyLoads, merge_rates
 from persimmondock._domain.range_lease import TERM_S
 from persimmondock._ports.keyed_log import Conflict, Written
 
@@ -37,7 +40,8 @@
 STEP_S = 0.25
 FIRST_WAIT_S = 2.0  # backend servers announce themselves within 1.5 s of their start
 LOST_AFTER_S = 2.5  # a process that was killed is back within about 2 s
-BALANCE_EVERY_S = 3.0  # a handover settles within a second; load figures need a second more
+BALANCE_EVERY_S = 1.0  # a handover settles within a few tenths; load figures fade in 1.5 s
+LOADS_TIMEOUT_S = 0.3  # a peer that tells later is too busy to be given more
 PROVE_EVERY_S = 5.0  # while witnesses confirm; each proof is a priced call
 PROVE_SOON_S = 0.7  # while they do not
 WITNESSES_KEPT_S = 25.0  # longer than a lease without the store may last
@@ -58,6 +62,7 @@
         describe: Callable[[], GateStatus],
         is_out: Callable[[str], bool],
         is_keyed: Callable[[str], bool],
+        loads: KeyLoads,
     ) -> None:
         self.assignments: dict[str, Assignment] = {}
         self._node = node
@@ -69,6 +74,7 @@
         self._describe = describe
         self._is_out = is_out
         self._is_keyed = is_keyed
+        self._loads = loads
         self._started_at = read_clock()
         self._fit_since: dict[BackendLife, float] = {}
         self._unfit_since: dict[str, float] = {}
@@ -136,9 +142,9 @@
         if not present.ranges and now - self._started_at < FIRST_WAIT_S:
             return
         owners = self._list_owners(statuses, present, now)
-        settled = self._are_settled(present, statuses)
-        balance = settled and now - self._written_at >= BALANCE_EVERY_S
-        ranges = plan_assignment(present, owners, self._list_gone(present, statuses), balance)
+        ranges = plan_assignment(present, owners, self._list_gone(present, statuses))
+        if ranges is None and self._may_balance(present, statuses, now):
+            ranges = await self._balance(present, owners, statuses)
         witnesses = self._choose_witnesses(present, now)
         if ranges is None and witnesses == present.witnesses:
             return
@@ -146,6 +152,46 @@
             ranges = present.ranges
         await self._write(present, self._drop_settled(present, ranges, statuses), witnesses, now)
 
+    def _may_balance(
+        self, present: Assignment, statuses: dict[str, tuple[GateStatus, str]], now: float
+    ) -> bool:
+        settled = bool(present.ranges) and self._are_settled(present, statuses)
+        return settled and now - self._written_at >= BALANCE_EVERY_S
+
+    async def _balance(
+        self,
+        present: Assignment,
+        owners: list[Owner],
+        statuses: dict[str, tuple[GateStatus, str]],
+    ) -> tuple[KeyRange, ...] | None:
+        """Return ranges with busy keys moved to where there is room."""
+        fit = [owner.life for owner in owners if owner.life.node in statuses]
+        known = [statuses[life.node][0].per_s for life in fit if statuses[life.node][0].per_s > 0]
+        if not known:
+            return None
+        usual = sum(known) / len(known)
+        rooms = {life: Room(statuses[life.node][0].per_s or usual) for life in fit}
+        rates = merge_rates(await self._collect_loads(fit))
+        if self.assignments.get(self._service, present) != present:
+            return None
+        return balance_ranges(present.ranges, rooms, rates)
+
+    async def _collect_loads(self, owners: list[BackendLife]) -> list[dict[int, float]]:
+        """Ask all owners how often their keys are asked for."""
+
+        async def ask(node: str) -> dict[int, float]:
+            if node == self._node:
+                return self._loads.list_rates(read_clock())
+            peer = self._mesh.peers.get(node)
+            try:
+                async with asyncio.timeout(LOADS_TIMEOUT_S):
+                    return dict(await peer.link.request("loads", None)) if peer is not None else {}
+            except (PeerLostError, TimeoutError) as error:
+                logger.info("event=loads_unknown peer={} error={!r}", node, error)
+                return {}
+
+        return list(await asyncio.gather(*(ask(life.node) for life in owners)))
+
     async def _write(
         self,
         present: Assignment,
--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -94,7 +94,7 @@
         if item is None or item.owner != self.life:
             return NotRun(Reason.NOT_OWNER, HANDOVER_RETRY_MS)
         held = self._held.get(item.first)
-        if held is None or held.item.fence != item.fence or held.item.last != item.last:
+        if held is None or held.item.grant_key != item.grant_key:
             return NotRun(Reason.HANDOVER_PENDING, HANDOVER_RETRY_MS)
         if now >= held.until:
             return NotRun(Reason.LEASE_LAPSED, HANDOVER_RETRY_MS)
@@ -179,16 +179,16 @@
             owned = {item.first: item for item in self.assignment.list_owned(self.life)}
         for first, held in list(self._held.items()):
             item = owned.get(first)
-            if item is not None and item.fence == held.item.fence and item.last == held.item.last:
+            if item is not None and item.grant_key == held.item.grant_key:
                 continue
             del self._held[first]
             self._give_up(held, owned)
         for key in list(self._starting):
             item = owned.get(key[0])
-            if item is None or (item.first, item.last, item.fence) != key:
+            if item is None or item.grant_key != key:
                 self._starting.pop(key).cancel()
         for item in owned.values():
-            key = (item.first, item.last, item.fence)
+            key = item.grant_key
             if item.first not in self._held and key not in self._starting:
                 task = asyncio.create_task(self._start(item))
                 self._starting[key] = task
@@ -280,7 +280,7 @@
             return False
         if now < self._started_at + GRANT_S * (1 + CLOCK_TOLERANCE):
             # An earlier process of this daemon may have granted the keys.
-            if self.life is None or self._find_handover(first, last):
+            if self._find_handover(first, last):
                 return True
             outcome = await self._backend.release(first, last, fence)
             if isinstance(outcome, ReleaseDone) and outcome.handover:
@@ -311,26 +311,28 @@
             await asyncio.sleep(STEP_S / 2)
 
     async def _grant(self, item: KeyRange, handover: str = "") -> bool:
-        """Send one grant; nothing is awaited between the look at the lease and the send."""
-        now = read_clock()
-        hold_s = min(GRANT_S, self.lease.compute_end() - now)
-        if hold_s < MIN_GRANT_S or self.life is None or item.owner != self.life:
+        """Send one grant; the lease is looked at right before the send."""
+        key, life = item.grant_key, self.life
+        sent_at = hold_s = 0.0
+
+        def find_hold_s() -> float:
+            nonlocal sent_at, hold_s
+            sent_at = read_clock()
+            hold_s = self._find_hold_s(item, sent_at)
+            if hold_s > 0:
+                self._note_sent(item, sent_at + hold_s * (1 + CLOCK_TOLERANCE))
+            return hold_s
+
+        if self._find_hold_s(item, read_clock()) <= 0:
             return False
-        if self.assignment.find_range(item.first) != item:
-            return False
-        key = (item.first, item.last, item.fence)
-        life = self.life
-        perhaps_until = now + hold_s * (1 + CLOCK_TOLERANCE)
-        held = self._held.get(item.first)
-        if held is not None:
-            held.perhaps_until = max(held.perhaps_until, perhaps_until)
-        # Until its answer is here a grant may be under way.
-        self._perhaps_until[key] = max(self._perhaps_until.get(key, 0.0), perhaps_until)
-        outcome = await self._backend.grant(item.first, item.last, item.fence, hold_s, handover)
+        outcome = await self._backend.grant(
+            item.first, item.last, item.fence, find_hold_s, handover
+        )
+        perhaps_until = sent_at + hold_s * (1 + CLOCK_TOLERANCE)
         match outcome:
             case GrantTaken():
                 if self.life == life:
-                    self._note_taken(item, now + hold_s, perhaps_until, key)
+                    self._note_taken(item, sent_at + hold_s, perhaps_until, key)
                 return True
             case GrantNotSent():
                 self._forget_unanswered(key, perhaps_until)
@@ -347,15 +349,31 @@
                 )
         return False
 
+    def _find_hold_s(self, item: KeyRange, now: float) -> float:
+        """Return for how long keys may be granted now, or 0."""
+        present = self.assignment.find_range(item.first)
+        if present is None or present.grant_key != item.grant_key or item.owner != self.life:
+            return 0.0
+        hold_s = min(GRANT_S, self.lease.compute_end() - now)
+        return hold_s if hold_s >= MIN_GRANT_S else 0.0
+
+    def _note_sent(self, item: KeyRange, perhaps_until: float) -> None:
+        """Remember a grant until it is answered, since it may be under way."""
+        key = item.grant_key
+        self._perhaps_until[key] = max(self._perhaps_until.get(key, 0.0), perhaps_until)
+        held = self._held.get(item.first)
+        if held is not None and held.item.grant_key == key:
+            held.perhaps_until = max(held.perhaps_until, perhaps_until)
+
     def _note_taken(
         self, item: KeyRange, until: float, perhaps_until: float, key: tuple[int, int, int]
     ) -> None:
         self._forget_unanswered(key, perhaps_until)
         present = self.assignment.find_range(item.first)
         held = HeldRange(item, until, perhaps_until)
-        if present == item:
+        if present is not None and present.grant_key == key:
             known = self._held.get(item.first)
-            if known is not None and known.item == item:
+            if known is not None and known.item.grant_key == key:
                 held.until = max(held.until, known.until)
                 held.perhaps_until = max(held.perhaps_until, known.perhaps_until)
             self._held[item.first] = held
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -91,6 +91,7 @@
         )
         self.mesh = Mesh(own, self._followers, self.gate.describe, self._note_peer)
         self.mesh.server.handlers["release"] = self.keeper.answer_release
+        self.mesh.server.handlers["loads"] = self.gate.answer_loads
         self.keeper.mesh = self.mesh
         self.control = KeyControl(
             settings.node,
@@ -102,6 +103,7 @@
             self.gate.describe,
             self.site.is_out,
             self.site.is_keyed,
+            self.gate.loads,
         )
         self.dispatcher = Dispatcher(
             settings.service, settings.bounds, self.mesh, self.gate, self.control
--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -46,6 +46,8 @@
 CONNECTIONS = 60  # the smallest site allows 62 for each backend server
 UNSAFE_IDLE_S = 2.0  # a request that cannot be sent again goes on a connection used just now
 SAFE_IDLE_S = 8.0
+GRANTS_AT_ONCE = 2  # each takes about a millisecond, and new connections are priced
+RELEASES_AT_ONCE = 6
 GRANT_TIMEOUT_S = 0.5  # a grant is answered within milliseconds, or seconds late
 RELEASE_TIMEOUT_S = 2.5  # longest usual work on a key
 ANSWER_GRACE_S = 0.1  # the backend server answers by itself at the time limit
@@ -59,12 +61,14 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._pool = HttpPool(address, CONNECTIONS)
-        self._orders = HttpPool(address, 2)
+        # Releases wait for running work and must not hold up renewals.
+        self._grants = _Orders(address, GRANTS_AT_ONCE)
+        self._releases = _Orders(address, RELEASES_AT_ONCE)
 
     @property
     def opened(self) -> int:
         """Connections opened so far."""
-        return self._pool.opened + self._orders.opened
+        return self._pool.opened + self._grants.pool.opened + self._releases.pool.opened
 
     async def run(
         self,
@@ -117,21 +121,27 @@
         return _judge_answer(answer, request.attempt, instance)
 
     async def grant(
-        self, first: int, last: int, fence: int, hold_s: float, handover: str
+        self, first: int, last: int, fence: int, find_hold_s: Callable[[], float], handover: str
     ) -> GrantOutcome:
         """Grant keys for a time that counts from the arrival of the call."""
         body: dict[str, object] = {"from": first, "target": last, "fence": fence}
-        body["hold_s"] = round(hold_s, 3)
         if handover:
             body["handover"] = handover
+
+        def render() -> bytes | None:
+            hold_s = find_hold_s()
+            if hold_s <= 0:
+                return None
+            return _render_order(self._address, GRANT_PATH, body | {"hold_s": round(hold_s, 3)})
+
         try:
-            answer = await self._order(GRANT_PATH, body, GRANT_TIMEOUT_S)
+            answer = await self._grants.order(render, GRANT_TIMEOUT_S)
         except ExchangeError as error:
-            if error.sent:
-                return GrantUnknown(str(error))
-            return GrantNotSent(str(error))
+            return GrantUnknown(str(error)) if error.sent else GrantNotSent(str(error))
         except TimeoutError:
             return GrantUnknown("no answer in time")
+        if answer is None:
+            return GrantNotSent("no longer allowed")
         if answer.status == 200:
             return GrantTaken()
         if answer.status == 409:
@@ -140,12 +150,16 @@
 
     async def release(self, first: int, last: int, fence: int) -> ReleaseDone | ReleaseFailed:
         """Take keys back; ends when no work on them runs any more."""
-        body: dict[str, object] = {"from": first, "target": last, "fence": fence}
+        data = _render_order(
+            self._address, RELEASE_PATH, {"from": first, "target": last, "fence": fence}
+        )
         try:
-            answer = await self._order(RELEASE_PATH, body, RELEASE_TIMEOUT_S)
+            answer = await self._releases.order(lambda: data, RELEASE_TIMEOUT_S)
         except (ExchangeError, TimeoutError) as error:
             refused = isinstance(error, ConnectFailedError) and error.refused
             return ReleaseFailed(repr(error), refused)
+        if answer is None:
+            return ReleaseFailed("not sent")
         if answer.status != 200:
             return ReleaseFailed(f"status {answer.status}")
         return ReleaseDone(answer.find_header(_headers.HANDOVER) or "")
@@ -153,22 +167,42 @@
     def reset(self) -> None:
         """End all connections: another life of the backend server has begun."""
         self._pool.drop_idle()
-        self._orders.drop_idle()
+        self._grants.pool.drop_idle()
+        self._releases.pool.drop_idle()
 
     def close(self) -> None:
         """End all connections."""
         self._pool.close()
-        self._orders.close()
+        self._grants.pool.close()
+        self._releases.pool.close()
 
-    async def _order(self, path: str, body: dict[str, object], timeout_s: float) -> HttpAnswer:
-        fields = [("Host", self._address), ("Content-Type", "application/json")]
-        data = render_request("POST", path, fields, json.dumps(body).encode())
-        connection = await self._orders.take()
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await connection.exchange(data)
-        finally:
-            self._orders.give_back(connection)
+
+class _Orders:
+    """Orders to the backend server, a few at a time on kept connections."""
+
+    def __init__(self, address: str, at_once: int) -> None:
+        self.pool = HttpPool(address, at_once)
+        self._places = asyncio.Semaphore(at_once)
+
+    async def order(
+        self, render: Callable[[], bytes | None], timeout_s: float
+    ) -> HttpAnswer | None:
+        """Send what is rendered right before the send; None if nothing is to be sent then."""
+        async with self._places:
+            connection = await self.pool.take()
+            try:
+                data = render()
+                if data is None:
+                    return None
+                async with asyncio.timeout(timeout_s):
+                    return await connection.exchange(data)
+            finally:
+                self.pool.give_back(connection)
+
+
+def _render_order(address: str, path: str, body: dict[str, object]) -> bytes:
+    fields = [("Host", address), ("Content-Type", "application/json")]
+    return render_request("POST", path, fields, json.dumps(body).encode())
 
 
 def _judge_answer(answer: HttpAnswer, attempt: str, instance: str) -> Verdict:
--- /dev/null
+++ b/persimmondock/tests/fake_backend.py
@@ -0,0 +1,93 @@
+"""A backend server in memory that takes grants and checks fencing tokens."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from persimmondock._adapters.clock import read_clock
+from persimmondock._domain.forwarding import ForwardedRequest
+from persimmondock._domain.verdict import Answer, Answered, NotRun, Verdict
+from persimmondock._ports.backend import (
+    GrantFenced,
+    GrantNotSent,
+    GrantOutcome,
+    GrantTaken,
+    GrantUnknown,
+    ReleaseDone,
+    ReleaseFailed,
+)
+
+
+@attrs.define
+class FakeBackend:
+    """What the backend server beside one daemon does.
+
+    Parameters
+    ----------
+    silent_grants
+        Number of grants to come that are taken and not answered.
+    work_s
+        Seconds that a request takes.
+    outcomes
+        Verdicts of the requests to come, in place of an answer.
+    """
+
+    holds: dict[tuple[int, int], tuple[int, float]] = attrs.field(factory=dict)
+    grants: list[tuple[int, int, int, str]] = attrs.field(factory=list)
+    runs: list[ForwardedRequest] = attrs.field(factory=list)
+    run_at: list[float] = attrs.field(factory=list)
+    silent_grants: int = 0
+    refused: bool = False
+    work_s: float = 0.0
+    outcomes: list[Verdict] = attrs.field(factory=list)
+    releases: list[tuple[int, int]] = attrs.field(factory=list)
+    cancelled: int = 0
+
+    async def run(
+        self, request: ForwardedRequest, instance: str, check: Callable[[], NotRun | None]
+    ) -> Verdict:
+        """Run a request."""
+        await asyncio.sleep(0)
+        refusal = check()
+        if refusal is not None:
+            return refusal
+        self.runs.append(request)
+        self.run_at.append(read_clock())
+        try:
+            await asyncio.sleep(self.work_s)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        if self.outcomes:
+            return self.outcomes.pop(0)
+        return Answered(Answer(200, (), b"done"))
+
+    async def grant(
+        self, first: int, last: int, fence: int, find_hold_s: Callable[[], float], handover: str
+    ) -> GrantOutcome:
+        """Hold keys."""
+        await asyncio.sleep(0)
+        hold_s = find_hold_s()
+        if hold_s <= 0:
+            return GrantNotSent("no longer allowed")
+        known = self.holds.get((first, last), (0, 0.0))
+        if known[0] > fence:
+            return GrantFenced()
+        self.holds[(first, last)] = (fence, read_clock() + hold_s)
+        self.grants.append((first, last, fence, handover))
+        if self.silent_grants > 0:
+            self.silent_grants -= 1
+            return GrantUnknown("no answer in time")
+        return GrantTaken()
+
+    async def release(self, first: int, last: int, fence: int) -> ReleaseDone | ReleaseFailed:
+        """Give keys up."""
+        await asyncio.sleep(0)
+        self.releases.append((first, last))
+        if self.refused:
+            return ReleaseFailed("refused", refused=True)
+        held = self.holds.pop((first, last), None)
+        return ReleaseDone(f"handover-{first}" if held is not None else "")
--- /dev/null
+++ b/persimmondock/tests/test_assignment.py
@@ -0,0 +1,211 @@
+"""Which backend server owns which keys."""
+
+from __future__ import annotations
+
+import itertools
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from persimmondock._domain.assignment import (
+    KEYS,
+    Assignment,
+    Owner,
+    choose_witnesses,
+    decode_assignment,
+    encode_assignment,
+    number_assignment,
+    plan_assignment,
+)
+from persimmondock._domain.balance import BUSY, Room, balance_ranges
+from persimmondock._domain.key_loads import GROUP_KEYS, KeyLoads, merge_rates, sum_rates
+from persimmondock.tests.sites import SERVICE, make_assignment, make_life, make_range
+
+NOBODY = frozenset()
+
+
+def deal(count: int) -> Assignment:
+    """Return the first assignment of a site with a number of backend servers."""
+    owners = [Owner(make_life(number)) for number in range(count)]
+    ranges = plan_assignment(Assignment(SERVICE), owners, NOBODY)
+    assert ranges is not None
+    return number_assignment(Assignment(SERVICE), ranges, frozenset("abc"), 0)
+
+
+def test_the_first_assignment_covers_all_keys_once() -> None:
+    assignment = deal(3)
+    position = 0
+    for item in assignment.ranges:
+        assert item.first == position
+        position = item.last + 1
+    assert position == KEYS
+
+
+def test_neighbouring_slices_have_different_owners() -> None:
+    owners = [item.owner for item in deal(4).ranges]
+    assert all(a != b for a, b in itertools.pairwise(owners))
+
+
+def test_an_assignment_survives_its_record() -> None:
+    assignment = attrs.evolve(deal(3), former_witnesses=frozenset("xy"))
+    assert decode_assignment(SERVICE, 1, encode_assignment(assignment)) == assignment
+
+
+@pytest.mark.parametrize("data", [b"", b"\xc1", b"\x93\x01\x02\x03"])
+def test_a_broken_record_names_service_and_offset(data: bytes) -> None:
+    with pytest.raises(ValueError, match=r"'painel' at offset 9"):
+        decode_assignment(SERVICE, 9, data)
+
+
+def test_keys_of_a_lost_owner_go_to_the_others_and_name_it_as_former() -> None:
+    before = deal(3)
+    owners = [Owner(make_life(number)) for number in (0, 1)]
+    after = plan_assignment(before, owners, NOBODY)
+    assert after is not None
+    for old, new in zip(before.ranges, after, strict=True):
+        if old.owner == make_life(2):
+            assert new.owner != make_life(2)
+            assert new.former == (make_life(2),)
+            assert new.fence == 0
+        else:
+            assert new == old
+
+
+def test_a_new_life_beside_the_same_daemon_takes_over_without_a_former_owner() -> None:
+    before = deal(2)
+    owners = [Owner(make_life(0)), Owner(make_life(1, born_ms=2))]
+    after = plan_assignment(before, owners, frozenset({make_life(1)}))
+    assert after is not None
+    assert all(item.former == () for item in after)
+    assert {item.owner for item in after} == {make_life(0), make_life(1, born_ms=2)}
+
+
+def test_new_fencing_tokens_are_above_all_earlier_ones() -> None:
+    before = deal(3)
+    after = plan_assignment(before, [Owner(make_life(0))], NOBODY)
+    assert after is not None
+    numbered = number_assignment(before, after, frozenset("abc"), 41)
+    moved = [r for r, old in zip(numbered.ranges, before.ranges, strict=True) if r != old]
+    assert moved and all(item.fence == 42 for item in moved)
+
+
+def test_former_witnesses_are_kept_when_they_change() -> None:
+    numbered = number_assignment(deal(2), deal(2).ranges, frozenset("xyz"), 5)
+    assert numbered.former_witnesses == frozenset("abc")
+
+
+def test_witnesses_are_an_odd_number_spread_over_failure_domains() -> None:
+    zones = {f"{zone}{n}": zone for zone in "abc" for n in range(5)}
+    chosen = choose_witnesses(zones)
+    assert len(chosen) % 2 == 1
+    assert {zones[name] for name in chosen} == set("abc")
+
+
+# Loads: a hot key, busy neighbours, an owner that is new.
+
+
+def make_rooms(*per_s: float) -> dict:
+    return {make_life(number): Room(rate) for number, rate in enumerate(per_s)}
+
+
+def load_of(ranges: tuple, rates: dict[int, float], owner: int) -> float:
+    return sum(
+        sum_rates(rates, item.first, item.last) for item in ranges if item.owner == make_life(owner)
+    )
+
+
+def test_hot_neighbours_are_spread_over_the_owners() -> None:
+    """Pattern: two hundred neighbouring keys get four tenths of all requests."""
+    before = deal(4)
+    rates = {group: 6.0 for group in range(13)} | {g: 0.05 for g in range(64, 4096, 8)}
+    after = before.ranges
+    for _ in range(4):
+        after = balance_ranges(after, make_rooms(60, 60, 60, 60), rates) or after
+    worst = max(load_of(after, rates, owner) for owner in range(4))
+    assert max(load_of(before.ranges, rates, owner) for owner in range(4)) >= 78
+    assert worst < 45
+
+
+def test_only_busy_keys_move() -> None:
+    before = deal(4)
+    rates = {group: 6.0 for group in range(13)}
+    after = balance_ranges(before.ranges, make_rooms(60, 60, 60, 60), rates)
+    assert after is not None
+    moved = sum(item.last - item.first + 1 for item in after if item.fence == 0)
+    assert moved <= 13 * GROUP_KEYS
+
+
+def test_one_hot_key_keeps_its_owner_and_the_rest_leaves() -> None:
+    """Pattern: one key has more requests than fit beside others."""
+    before = deal(2)
+    rates = {0: 50.0, 1: 10.0, 2: 10.0}
+    after = balance_ranges(before.ranges, make_rooms(60, 60), rates)
+    assert after is not None
+    found = {item.first: item.owner for item in after}
+    assert found[0] == before.ranges[0].owner
+    assert load_of(after, rates, 0) in (50.0, 20.0, 60.0, 10.0)
+
+
+def test_a_quiet_site_does_not_move_keys() -> None:
+    rates = {0: 100 * BUSY * 0.9}
+    assert balance_ranges(deal(3).ranges, make_rooms(100, 100, 100), rates) is None
+
+
+def test_a_backend_server_that_joins_gets_keys_at_once() -> None:
+    before = deal(3)
+    rates = {group: 1.0 for group in range(0, 4096, 64)}
+    after = balance_ranges(before.ranges, make_rooms(100, 100, 100, 100), rates)
+    assert after is not None
+    assert load_of(after, rates, 3) > 0
+
+
+def test_a_slow_backend_server_gives_keys_away() -> None:
+    """Pattern: one of four backend servers takes five times as long."""
+    before = deal(4)
+    rates = {group: 1.5 for group in range(0, 4096, 64)}
+    after = balance_ranges(before.ranges, make_rooms(20, 100, 100, 100), rates)
+    assert after is not None
+    assert load_of(after, rates, 0) < load_of(before.ranges, rates, 0)
+
+
+@given(
+    st.dictionaries(st.integers(0, 4095), st.floats(0.2, 200), max_size=60),
+    st.lists(st.floats(5, 200), min_size=2, max_size=6),
+)
+def test_balancing_keeps_all_keys_and_never_fills_the_fullest_more(
+    rates: dict[int, float], per_s: list[float]
+) -> None:
+    before = deal(len(per_s))
+    rooms = make_rooms(*per_s)
+    after = balance_ranges(before.ranges, rooms, rates)
+    if after is None:
+        return
+    position = 0
+    for item in after:
+        assert item.first == position and item.last >= item.first
+        position = item.last + 1
+    assert position == KEYS
+    worst = max(load_of(before.ranges, rates, n) / room for n, room in enumerate(per_s))
+    assert max(load_of(after, rates, n) / room for n, room in enumerate(per_s)) <= worst * 1.01
+
+
+def test_rates_fade() -> None:
+    loads = KeyLoads()
+    for _ in range(30):
+        loads.count(17, 100.0)
+    assert loads.list_rates(100.0)[1] == pytest.approx(20.0)
+    assert loads.list_rates(103.0)[1] < 3.0
+    assert loads.list_rates(120.0) == {}
+
+
+def test_rates_of_several_gates_add_up() -> None:
+    assert merge_rates([{1: 2.0}, {1: 3.0, 4: 1.0}]) == {1: 5.0, 4: 1.0}
+
+
+def test_ranges_know_their_keys() -> None:
+    assignment = make_assignment(make_range(0, 9, 1), make_range(10, 99, 2))
+    found = assignment.find_range(10)
+    assert found is not None and found.owner == make_life(2)
+    assert assignment.find_range(100) is None
--- /dev/null
+++ b/persimmondock/tests/test_http_exchange.py
@@ -0,0 +1,222 @@
+"""One request at a time on a connection, against servers that misbehave."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from persimmondock._adapters.http_exchange import (
+    ConnectFailedError,
+    ConnectionLostError,
+    HttpAnswer,
+    HttpPool,
+    InvalidAnswerError,
+    render_request,
+)
+from persimmondock.tests.builders import NETWORK
+
+REQUEST = render_request("GET", "/x", [("Host", "h")], b"")
+WHOLE = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nContent-Length: 2\r\n\r\nok"
+LATE = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: old\r\nContent-Length: 4\r\n\r\nlate"
+HOST = f"{NETWORK}7"
+
+Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+@asynccontextmanager
+async def serve(handler: Handler) -> AsyncIterator[HttpPool]:
+    """Run a server and return a pool for it."""
+    server = await asyncio.start_server(handler, HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    pool = HttpPool(f"{HOST}:{port}", 8)
+    try:
+        yield pool
+    finally:
+        pool.close()
+        server.close()
+
+
+def answer_each(*answers: bytes, close: bool = False) -> Handler:
+    """Return a handler that answers the requests of a connection in turn."""
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for answer in answers:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            await writer.drain()
+        if close:
+            writer.close()
+
+    return handle
+
+
+def is_for_a(answer: HttpAnswer) -> bool:
+    return answer.find_header("x-attempt-id") == "a"
+
+
+async def exchange(pool: HttpPool) -> HttpAnswer:
+    connection = await pool.take()
+    try:
+        async with asyncio.timeout(2.0):
+            return await connection.exchange(REQUEST, is_for_a)
+    finally:
+        pool.give_back(connection)
+
+
+async def test_a_connection_is_used_again() -> None:
+    async with serve(answer_each(WHOLE, WHOLE)) as pool:
+        assert (await exchange(pool)).body == b"ok"
+        assert (await exchange(pool)).body == b"ok"
+        assert pool.opened == 1
+
+
+async def test_an_answer_to_an_earlier_request_is_dropped() -> None:
+    async with serve(answer_each(LATE + WHOLE)) as pool:
+        assert (await exchange(pool)).body == b"ok"
+
+
+async def test_a_second_answer_ends_the_connection() -> None:
+    async with serve(answer_each(WHOLE + LATE)) as pool:
+        assert (await exchange(pool)).body == b"ok"
+        assert (await exchange(pool)).body == b"ok"
+        assert pool.opened == 2
+
+
+async def test_bytes_that_no_request_asked_for_end_the_connection() -> None:
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(WHOLE)
+        await asyncio.sleep(0.02)
+        writer.write(LATE)
+
+    async with serve(handle) as pool:
+        await exchange(pool)
+        await asyncio.sleep(0.1)
+        await exchange(pool)
+        assert pool.opened == 2
+
+
+async def test_an_answer_without_length_ends_with_its_connection() -> None:
+    unframed = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n\r\nall of it"
+    async with serve(answer_each(unframed, close=True)) as pool:
+        assert (await exchange(pool)).body == b"all of it"
+        assert (await exchange(pool)).body == b"all of it"
+        assert pool.opened == 2
+
+
+async def test_an_answer_without_length_that_is_reset_is_not_whole() -> None:
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n\r\npart")
+        await asyncio.sleep(0.05)
+        linger = (1).to_bytes(4, "little") + bytes(4)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+    async with serve(handle) as pool:
+        with pytest.raises(ConnectionLostError) as caught:
+            await exchange(pool)
+        assert caught.value.sent
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        (WHOLE[:-1], ConnectionLostError),
+        (b"", ConnectionLostError),
+        (b"not an answer at all\r\n\r\n", InvalidAnswerError),
+    ],
+    ids=["truncated", "nothing", "garbage"],
+)
+async def test_what_is_no_whole_answer_is_an_error(answer: bytes, error: type[Exception]) -> None:
+    async with serve(answer_each(answer, close=True)) as pool:
+        with pytest.raises(error):
+            await exchange(pool)
+
+
+async def test_a_request_is_never_sent_twice() -> None:
+    """A kept connection that ends under a request is not replaced behind the caller's back."""
+    requests: list[bytes] = []
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        requests.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(WHOLE)
+        requests.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.transport.abort()
+
+    async with serve(handle) as pool:
+        await exchange(pool)
+        with pytest.raises(ConnectionLostError):
+            await exchange(pool)
+        await asyncio.sleep(0.05)
+        assert len(requests) == 2
+
+
+async def test_redirects_and_encodings_pass_as_they_are() -> None:
+    moved = (
+        b"HTTP/1.1 302 Found\r\nX-Attempt-Id: a\r\nLocation: /y\r\n"
+        b"Content-Encoding: gzip\r\nContent-Length: 3\r\n\r\nraw"
+    )
+    async with serve(answer_each(moved)) as pool:
+        answer = await exchange(pool)
+    assert (answer.status, answer.body) == (302, b"raw")
+    assert answer.find_header("content-encoding") == "gzip"
+
+
+async def test_only_what_is_given_is_sent() -> None:
+    seen: list[bytes] = []
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        seen.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(WHOLE)
+
+    async with serve(handle) as pool:
+        await exchange(pool)
+    assert seen == [b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"]
+
+
+async def test_chunked_answers_and_interim_answers_are_read() -> None:
+    chunked = (
+        b"HTTP/1.1 103 Early Hints\r\nLink: </s>\r\n\r\n"
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    async with serve(answer_each(chunked, WHOLE)) as pool:
+        assert (await exchange(pool)).body == b"abcde"
+        assert (await exchange(pool)).body == b"ok"
+        assert pool.opened == 1
+
+
+async def test_a_closing_server_is_not_used_again() -> None:
+    closing = WHOLE.replace(b"\r\nContent", b"\r\nConnection: close\r\nContent")
+    async with serve(answer_each(closing, WHOLE)) as pool:
+        await exchange(pool)
+        await exchange(pool)
+        assert pool.opened == 2
+
+
+async def test_a_refused_connection_is_told_from_silence() -> None:
+    with pytest.raises(ConnectFailedError) as caught:
+        await HttpPool(f"{HOST}:1", 1).take()
+    assert caught.value.refused
+    assert not caught.value.sent
+
+
+async def test_giving_up_closes_the_connection() -> None:
+    ended = asyncio.Event()
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.read()
+        ended.set()
+
+    async with serve(handle) as pool:
+        task = asyncio.create_task(exchange(pool))
+        await asyncio.sleep(0.05)
+        task.cancel()
+        async with asyncio.timeout(1.0):
+            await ended.wait()
--- /dev/null
+++ b/persimmondock/tests/test_range_lease.py
@@ -0,0 +1,118 @@
+"""The lease of a gate, and the wait of whoever takes its keys."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from persimmondock._domain.range_lease import (
+    CLOCK_TOLERANCE,
+    TERM_S,
+    WITHOUT_STORE_S,
+    RangeLease,
+    Takeover,
+)
+
+WITNESSES = frozenset("abcde")
+
+
+def make_lease() -> RangeLease:
+    lease = RangeLease()
+    lease.follow(7, WITNESSES)
+    return lease
+
+
+def test_a_new_lease_grants_nothing() -> None:
+    assert make_lease().compute_end() == float("-inf")
+
+
+def test_the_store_counts_from_the_question() -> None:
+    lease = make_lease()
+    lease.confirm_by_store(7, 100.0)
+    assert lease.compute_end() == 100.0 + TERM_S
+
+
+def test_the_store_says_nothing_for_another_offset() -> None:
+    lease = make_lease()
+    lease.confirm_by_store(8, 100.0)
+    assert lease.compute_end() == float("-inf")
+
+
+def test_a_majority_of_witnesses_extends_what_the_store_confirmed() -> None:
+    lease = make_lease()
+    lease.confirm_by_store(7, 100.0)
+    for number, name in enumerate("abc"):
+        lease.confirm_by_witness(name, 7, 105.0 + number)
+    assert lease.compute_end() == 105.0 + TERM_S
+
+
+@pytest.mark.parametrize(
+    ("names", "offset"),
+    [("ab", 7), ("abc", 6), ("xyz", 7)],
+    ids=["no majority", "another offset", "no witnesses"],
+)
+def test_these_do_not_extend(names: str, offset: int) -> None:
+    lease = make_lease()
+    lease.confirm_by_store(7, 100.0)
+    for name in names:
+        lease.confirm_by_witness(name, offset, 110.0)
+    assert lease.compute_end() == 100.0 + TERM_S
+
+
+def test_witnesses_alone_do_not_last_for_ever() -> None:
+    lease = make_lease()
+    lease.confirm_by_store(7, 100.0)
+    for name in WITNESSES:
+        lease.confirm_by_witness(name, 7, 500.0)
+    assert lease.compute_end() == 100.0 + WITHOUT_STORE_S + TERM_S
+
+
+def test_a_newer_assignment_voids_all_evidence() -> None:
+    lease = make_lease()
+    lease.confirm_by_store(7, 100.0)
+    lease.follow(8, WITNESSES)
+    assert lease.compute_end() == float("-inf")
+
+
+def test_a_takeover_without_witnesses_waits_for_the_longest_lease() -> None:
+    takeover = Takeover(8, (WITNESSES,), 100.0)
+    assert takeover.compute_ready() > 100.0 + WITHOUT_STORE_S + TERM_S
+
+
+def test_each_set_of_witnesses_has_to_be_informed() -> None:
+    takeover = Takeover(8, (WITNESSES, frozenset("vwx")), 100.0)
+    for name in "abc":
+        takeover.note_witness(name, 8, 101.0)
+    assert takeover.compute_ready() > 100.0 + WITHOUT_STORE_S
+    for name in "vw":
+        takeover.note_witness(name, 9, 102.0)
+    assert 102.0 + TERM_S < takeover.compute_ready() < 103.0 + TERM_S
+
+
+@given(
+    asked=st.lists(
+        st.tuples(st.sampled_from("abcde"), st.floats(0, 40), st.floats(0, 0.5)), max_size=40
+    ),
+    informed=st.dictionaries(st.sampled_from("abcde"), st.floats(20, 60)),
+    store=st.lists(st.floats(0, 20), max_size=5),
+    learnt=st.floats(20, 25),
+)
+def test_no_grant_of_a_stale_holder_outlasts_the_wait(
+    asked: list[tuple[str, float, float]],
+    informed: dict[str, float],
+    store: list[float],
+    learnt: float,
+) -> None:
+    """The record was written at 20 s; a witness that is informed never confirms the older one."""
+    holder = make_lease()
+    for at in store:
+        holder.confirm_by_store(7, at)
+    for name, sent, delay in asked:
+        if sent + delay < informed.get(name, 1000.0):
+            holder.confirm_by_witness(name, 7, sent)
+    takeover = Takeover(8, (WITNESSES,), learnt)
+    for name, at in informed.items():
+        takeover.note_witness(name, 8, at)
+    end = holder.compute_end()
+    assert end + CLOCK_TOLERANCE * TERM_S < takeover.compute_ready()
