End a stopped daemon's followers, and answer what came before its listeners close

Ruled out: the drain of the gate (no request was at a backend server when it was cut).

Change: a flag tells a read that is given up from the end of the task; listeners close with all the time that is left; the stand-ins of a site and tests of whole daemons on them.

--- a/persimmondock/_domain/gate_queue.py
+++ b/persimmondock/_domain/gate_queue.py
@@ -1,7 +1,8 @@
 """Requests that wait at a gate for a free slot of its backend server.
 
 Of those that wait, the one of the lowest priority number goes first, and within a priority the one
-that came first. A request is let in only if it will probably be answered within its latency
+whose deadline is nearest: calls that running requests make have short ones, and work that has been
+done already depends on them. A request is let in only if it will probably be answered within its latency
 objective, or soon where that has passed: what cannot be served in time is refused at once, while
 its caller can still go elsewhere.
 """
@@ -14,7 +15,7 @@
 
 FIRST_SERVICE_S = 0.1  # before the first answer; near the usual work of the sites
 SERVICE_WEIGHT = 0.1  # a new mean within some ten answers
-STEADY_WEIGHT = 0.03  # for decisions that are dear to take back
+STEADY_WEIGHT = 0.05  # for decisions that are dear to take back
 LATE_SHARE = 0.25  # part of the remaining time that a late request may wait
 MIN_RETRY_MS = 100
 MAX_RETRY_MS = 1_500
@@ -27,7 +28,7 @@
     Parameters
     ----------
     overall_s, steady_s
-        Means over some ten and some thirty answers, in seconds; 0 before the first.
+        Means over some ten and some twenty answers, in seconds; 0 before the first.
     """
 
     overall_s: float = 0.0
@@ -68,16 +69,17 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
-    def estimate_wait(self, priority: int, busy_s: float, slots: int) -> float:
+    def estimate_wait(self, priority: int, deadline: float, running_s: float, slots: int) -> float:
         """Return how long a request would wait.
 
         Parameters
         ----------
-        busy_s
-            Work left of the requests that run, in seconds of one slot.
+        running_s
+            Usual time of a request at the backend server: one of ``slots`` ends in its part of it.
         """
-        ahead = [w.work_s for w in self._waiters if w.priority <= priority]
-        return (busy_s + sum(ahead)) / max(1, slots)
+        place = (priority, deadline)
+        ahead = sum(w.work_s for w in self._waiters if (w.priority, w.deadline) <= place)
+        return (running_s + ahead) / max(1, slots)
 
     def add(self, waiter: Waiter) -> None:
         """Let a request in."""
@@ -100,8 +102,8 @@
         return hopeless
 
 
-def _sort_key(waiter: Waiter) -> tuple[int, int]:
-    return waiter.priority, waiter.number
+def _sort_key(waiter: Waiter) -> tuple[int, float]:
+    return waiter.priority, waiter.deadline
 
 
 def is_worth_waiting(
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -36,7 +36,7 @@
 DOUBT_S = 1.0  # until the next announcement tells whether it is cold
 SILENT_ANNOUNCEMENTS = 4  # missed ones after which a backend server that fails is taken for lost
 REFUSED_RETRY_MS = 300
-MIN_BUSY_S = 0.005
+TIMED_OUT = 504  # a backend server's own answer at the time limit
 TICK_S = 0.05
 
 
@@ -204,7 +204,14 @@
                 self._running[number].started_at = now
             return refusal
 
-        verdict = await self._server.run(request, life.instance, check)
+        try:
+            verdict = await self._server.run(request, life.instance, check)
+        except asyncio.CancelledError:
+            # The caller left; a request that was slow by then says so of the backend server.
+            took_s = read_clock() - self._running[number].started_at
+            if took_s > self._times.estimate(request.route):
+                self._record_time(request, number)
+            raise
         self._note_outcome(request, number, verdict, life)
         return verdict
 
@@ -213,9 +220,8 @@
     ) -> None:
         match verdict:
             case Answered(answer=answer):
-                if answer.status < 500:
-                    took_s = read_clock() - self._running[number].started_at
-                    self._times.record(request.route, took_s)
+                if answer.status < 500 or answer.status == TIMED_OUT:
+                    self._record_time(request, number)
             case NotRun(reason=Reason.BACKEND_DOWN | Reason.BACKEND_UNREACHABLE as reason):
                 if self.life == life and not self.down:
                     logger.warning(
@@ -224,6 +230,8 @@
                     self.down = True
                     self._refuse_waiting(Reason.BACKEND_DOWN)
             case MayHaveRun(reason=reason):
+                if reason is Reason.DEADLINE_PASSED:
+                    self._record_time(request, number)
                 logger.info(
                     "event=outcome_unknown attempt={} route={} instance={} reason={} idempotent={}",
                     request.attempt,
@@ -235,6 +243,11 @@
             case _:
                 return
 
+    def _record_time(self, request: ForwardedRequest, number: int) -> None:
+        """Count how long a request took, or that it took at least so long."""
+        took_s = read_clock() - self._running[number].started_at
+        self._times.record(request.route, took_s)
+
     def _find_refusal(self, request: ForwardedRequest, now: float) -> NotRun | None:
         """Return why a request may not be sent at this moment."""
         report = self.backend.report
@@ -280,19 +293,20 @@
     def _has_room(self, now: float) -> bool:
         return len(self._running) < self.slots and self._arrivals.has_room(self._cold_per_s, now)
 
-    def _estimate_busy(self, now: float) -> float:
-        """Return the work left at the backend server, if all slots are taken."""
-        if len(self._running) < self.slots:
-            return 0.0
-        return sum(
-            max(MIN_BUSY_S, self._times.estimate(r.route) - (now - r.started_at))
-            for r in self._running.values()
-        )
+    def _estimate_running(self, now: float) -> float:
+        """Return how long a request takes now; a backend server that answers nothing gets slow."""
+        if not self._running:
+            return self._times.overall_s
+        ages = [now - running.started_at for running in self._running.values()]
+        return max(self._times.overall_s, sum(ages) / len(ages))
 
     async def _wait(self, request: ForwardedRequest, number: int, now: float) -> NotRun | None:
         """Wait for a slot; return None once the request counts as running."""
         work_s = self._times.estimate(request.route)
-        wait_s = self._queue.estimate_wait(request.priority, self._estimate_busy(now), self.slots)
+        running_s = self._estimate_running(now)
+        wait_s = self._queue.estimate_wait(
+            request.priority, request.deadline, running_s, self.slots
+        )
         if self._arrivals.is_cold(now) and self._cold_per_s > 0:
             wait_s = max(wait_s, self._arrivals.find_next(self._cold_per_s, now) - now)
             wait_s += len(self._queue) / self._cold_per_s
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -123,11 +123,6 @@
         OSError
             If an address cannot be listened on.
         """
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGINT, signal.SIGTERM):
-            loop.add_signal_handler(number, self.stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
-        loop.set_exception_handler(_log_stray_error)
         await self.mesh.server.start(self.settings.peer_address)
         work = [follower.run() for follower in self._followers]
         work += [
@@ -142,8 +137,16 @@
             self._tasks.append(task)
         logger.info("event=daemon_started daemon={}", self.settings.node)
 
-    async def finish(self) -> None:
-        """Hand over, and end when nothing is in flight; called when asked to stop."""
+    async def finish(self) -> float:
+        """Hand over, and return when callers have been sent elsewhere; called when asked to stop.
+
+        Callers' requests are still served: the listeners are closed afterwards.
+
+        Returns
+        -------
+        float
+            Seconds that are left for the requests in flight.
+        """
         started = read_clock()
         stop_by = started + self.settings.bounds.stop_s - STOP_MARGIN_S
         logger.info("event=leaving daemon={}", self.settings.node)
@@ -155,13 +158,21 @@
             if quiet and read_clock() >= started + LINGER_S:
                 break
             await asyncio.sleep(STOP_POLL_S)
-        self.gate.stopping = True
         logger.info(
-            "event=daemon_stopped daemon={} in_flight={} after_s={:.2f}",
+            "event=daemon_stopping daemon={} in_flight={} after_s={:.2f}",
             self.settings.node,
             self.gate.count_in_flight() + self.dispatcher.in_flight,
             read_clock() - started,
         )
+        return max(0.0, stop_by - read_clock())
+
+    def watch_signals(self) -> None:
+        """Stop when asked to, and log what nobody awaits."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
+        loop.set_exception_handler(_log_stray_error)
 
     def close(self) -> None:
         """End all tasks and links."""
--- a/persimmondock/_tasks/store_follower.py
+++ b/persimmondock/_tasks/store_follower.py
@@ -48,16 +48,18 @@
         self._confirm = confirm
         self._batch_s = batch_s
         self._read: asyncio.Task[bool] | None = None
+        self._given_up = False
 
     async def run(self) -> None:
         """Read for ever."""
         pause = RETRY_S
         while True:
             self._read = asyncio.create_task(self._read_once())
+            self._given_up = False
             try:
                 answered = await self._read
             except asyncio.CancelledError:
-                if not self._read.cancelled():
+                if not self._given_up:
                     raise
                 continue
             if answered != self.store_answers:
@@ -80,6 +82,7 @@
     def read_again(self) -> None:
         """Give up a waiting read whose connection may be dead."""
         if self._read is not None:
+            self._given_up = True
             self._read.cancel()
 
     async def confirm_now(self) -> bool:
--- a/persimmondock/platform/__main__.py
+++ b/persimmondock/platform/__main__.py
@@ -10,10 +10,8 @@
 from loguru import logger
 
 from persimmondock._adapters.logging import configure_logging
-from persimmondock._tasks.sidecar import OperatorWords, Sidecar, SitePartitions
-from persimmondock.platform import _operator, _settings, _store
-from persimmondock.platform._backend import PlatformBackend
-from persimmondock.platform._ingress import Ingress
+from persimmondock.platform import _settings
+from persimmondock.platform._daemon import PlatformDaemon
 from persimmondock.settings import SettingsError
 
 EXIT_INPUT = 2
@@ -30,27 +28,11 @@
     OSError
         If an address cannot be listened on.
     """
-    settings = _settings.load_node_settings(path)
-    store = _store.PlatformStore(settings.store_address, settings.node)
-    server = PlatformBackend(settings.backend_address)
-    sidecar = Sidecar(
-        settings,
-        store,
-        server,
-        SitePartitions(_store.OPERATOR, _store.MEMBERS, _store.ASSIGNMENTS),
-        OperatorWords(
-            _operator.CONFIG_KEY, _operator.decode_configuration, _operator.find_evacuated
-        ),
-    )
-    ingress = Ingress(sidecar)
-    await sidecar.start()
-    await ingress.start()
-    await sidecar.stopping.wait()
-    await sidecar.finish()
-    await ingress.close()
-    sidecar.close()
-    server.close()
-    store.close()
+    daemon = PlatformDaemon(_settings.load_node_settings(path))
+    daemon.sidecar.watch_signals()
+    await daemon.start()
+    await daemon.sidecar.stopping.wait()
+    await daemon.stop()
 
 
 def main() -> int:
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -28,6 +28,7 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 NO_CONFIGURATION_RETRY_S = 0.5
 DEFAULT_TIMEOUT_S = 30.0
+CLOSE_WITHIN_S = 0.1
 LATE_MARGIN_S = 0.02
 
 
@@ -38,7 +39,6 @@
         self._sidecar = sidecar
         self._servers: list[asyncio.Server] = []
         self._handlers: list[web.Server] = []
-        self.closing = False
 
     async def start(self) -> None:
         """Listen on all addresses.
@@ -53,12 +53,13 @@
         await self._listen(settings.ready_address, self._tell_readiness)
         await self._listen(settings.caller_address, self._serve)
 
-    async def close(self) -> None:
-        """Stop listening, and close connections once their answers are sent."""
+    async def close(self, within_s: float = CLOSE_WITHIN_S) -> None:
+        """Stop listening; connections are closed once the requests on them are answered."""
         for server in self._servers:
             server.close()
         for handler in self._handlers:
-            await handler.shutdown(0.2)
+            handler.pre_shutdown()
+        await asyncio.gather(*(handler.shutdown(within_s) for handler in self._handlers))
 
     async def _listen(
         self, address: str, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
--- /dev/null
+++ b/persimmondock/standins/site_backend.py
@@ -0,0 +1,155 @@
+"""A stand-in for a backend server of a site: grants, announcements, requests with its signature."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+import uuid
+from typing import Any
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+ANNOUNCE_S = 0.2
+
+
+@attrs.frozen
+class Hold:
+    """Keys that are held from one instant to another."""
+
+    first: int
+    last: int
+    fence: int
+    start: float
+    end: float
+
+
+@attrs.frozen
+class Run:
+    """One run of a request."""
+
+    attempt: str
+    key: int
+    at: float
+    fields: dict[str, str]
+
+
+@attrs.define
+class SiteBackend:
+    """One life of a backend server.
+
+    Parameters
+    ----------
+    address, announce_to
+        ``host:port`` of its own, and of the daemon beside it.
+    """
+
+    service: str
+    address: str
+    announce_to: str
+    failure_domain: str
+    keyed: bool = False
+    slots: int = 8
+    work_s: float = 0.01
+    instance: str = attrs.field(factory=lambda: f"i-{uuid.uuid4().hex[:8]}")
+    born_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
+    draining: bool = False
+    runs: list[Run] = attrs.field(factory=list)
+    holds: list[Hold] = attrs.field(factory=list)
+    cancelled: int = 0
+    _sequence: int = 0
+    _runner: web.AppRunner | None = None
+    _task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen, and announce this life until it is stopped."""
+        application = web.Application()
+        application.router.add_post("/-/grant", self._grant)
+        application.router.add_post("/-/release", self._release)
+        application.router.add_route("*", "/{path:.*}", self._serve)
+        self._runner = web.AppRunner(
+            application, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        host, _, port = self.address.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port), reuse_address=True).start()
+        self._task = asyncio.create_task(self._announce())
+
+    async def stop(self) -> None:
+        """End at once."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _announce(self) -> None:
+        url = f"http://{self.announce_to}/-/instances/{self.instance}"
+        async with aiohttp.ClientSession() as session:
+            while True:
+                self._sequence += 1
+                body: dict[str, Any] = {
+                    "service": self.service,
+                    "address": self.address,
+                    "zone": self.failure_domain,
+                    "version": "v1",
+                    "capacity": self.slots,
+                    "state": "draining" if self.draining else "ready",
+                    "cold_s": 0,
+                    "sequence": self._sequence,
+                    "born": self.born_ms,
+                }
+                # While the daemon is not up, the next announcement follows.
+                with contextlib.suppress(aiohttp.ClientError):
+                    async with session.put(url, json=body) as response:
+                        await response.read()
+                await asyncio.sleep(ANNOUNCE_S)
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        data = await request.json()
+        first, last, fence = data["from"], data["target"], data["fence"]
+        if any(h.fence > fence and h.first <= last and first <= h.last for h in self.holds):
+            return web.Response(status=409)
+        now = time.monotonic()
+        self.holds.append(Hold(first, last, fence, now, now + data["hold_s"]))
+        return web.Response()
+
+    async def _release(self, request: web.Request) -> web.Response:
+        data = await request.json()
+        first, last = data["from"], data["target"]
+        now = time.monotonic()
+        kept = []
+        for hold in self.holds:
+            if hold.end <= now or hold.last < first or last < hold.first:
+                kept.append(hold)
+                continue
+            kept.append(attrs.evolve(hold, end=now))
+            if hold.first < first:
+                kept.append(attrs.evolve(hold, last=first - 1, start=now))
+            if last < hold.last:
+                kept.append(attrs.evolve(hold, first=last + 1, start=now))
+        self.holds = kept
+        return web.Response(headers={"X-Handover": uuid.uuid4().hex[:16]})
+
+    def _holds_key(self, key: int) -> bool:
+        now = time.monotonic()
+        return any(h.first <= key <= h.last and h.start <= now < h.end for h in self.holds)
+
+    async def _serve(self, request: web.Request) -> web.Response:
+        attempt = request.headers.get("X-Attempt-Id", "")
+        key = int(request.headers.get("X-Shard-Key", "-1"))
+        named = {"X-Attempt-Id": attempt}
+        if request.headers.get("X-Expected-Instance", self.instance) != self.instance:
+            return web.Response(status=421, headers={"X-Instance-Id": self.instance})
+        if self.keyed and not self._holds_key(key):
+            return web.Response(status=421, headers={"X-Not-Executed": "1"})
+        body = await request.read()
+        self.runs.append(Run(attempt, key, time.monotonic(), dict(request.headers)))
+        try:
+            await asyncio.sleep(self.work_s)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        named["X-Server-Signature"] = f"signed-by-{self.instance}"
+        return web.Response(body=b"answer to " + attempt.encode() + body, headers=named)
--- /dev/null
+++ b/persimmondock/tests/live_site.py
@@ -0,0 +1,180 @@
+"""A site in one process: store, backend servers and daemons on loopback addresses."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import time
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+from persimmondock._domain.site import NodeSettings, SiteBounds
+from persimmondock.platform._daemon import PlatformDaemon
+from persimmondock.standins.site_backend import SiteBackend
+from persimmondock.standins.site_store import SiteStore
+from persimmondock.tests.builders import NETWORK
+
+STORE_ADDRESS = f"{NETWORK}200:9000"
+HOST = "board.example"
+
+
+def make_config(version: int = 1, **route: Any) -> dict[str, Any]:
+    """Return a configuration with a keyed service, a plain one, and one route to each."""
+    view = {
+        "name": "r-view",
+        "path_prefix": "/view/",
+        "route_type": "safe",
+        "timeout_s": 2.0,
+        "target_latency_s": 0.8,
+        "priority": 1,
+        "service": "painel",
+        "max_attempts": 2,
+    }
+    assign = view | {
+        "name": "r-assign",
+        "path_prefix": "/assign/",
+        "route_type": "unsafe",
+        "service": "recepcao",
+    }
+    services = [
+        {"name": "painel", "sharded": True, "warmup_s": 0, "cold_per_s": 0},
+        {"name": "recepcao", "warmup_s": 0, "cold_per_s": 0},
+    ]
+    return {
+        "version": version,
+        "services": services,
+        "limits": {},
+        "virtual_hosts": [{"host": HOST, "paths": [view, assign | route]}],
+    }
+
+
+@attrs.define
+class LiveNode:
+    """One VM: a daemon and the backend server beside it."""
+
+    number: int
+    settings: NodeSettings
+    backend: SiteBackend
+    daemon: PlatformDaemon
+
+    @property
+    def caller_url(self) -> str:
+        return f"http://{self.settings.caller_address}"
+
+
+@attrs.define
+class LiveSite:
+    """All VMs, and the store."""
+
+    store: SiteStore = attrs.field(factory=SiteStore)
+    nodes: list[LiveNode] = attrs.field(factory=list)
+    _runner: web.AppRunner | None = None
+    _session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Start the store."""
+        self._runner = web.AppRunner(
+            self.store.build_application(), access_log=None, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        host, _, port = STORE_ADDRESS.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port), reuse_address=True).start()
+        self._session = aiohttp.ClientSession()
+
+    def publish(self, config: dict[str, Any]) -> None:
+        """Write a configuration as the operators do."""
+        self.store.write("keyed.op", "config", json.dumps(config).encode())
+
+    async def add(self, number: int, service: str, zone: str = "recife") -> LiveNode:
+        """Start a VM."""
+        address = f"{NETWORK}{number}"
+        settings = NodeSettings(
+            node=f"node-{number}",
+            failure_domain=zone,
+            service=service,
+            backend_address=f"{address}:8301",
+            store_address=STORE_ADDRESS,
+            caller_address=f"{address}:8304",
+            ready_address=f"{address}:8302",
+            announce_address=f"{address}:8306",
+            peer_address=f"{address}:7620",
+            bounds=SiteBounds(),
+        )
+        backend = SiteBackend(
+            service, f"{address}:8301", f"{address}:8306", zone, keyed=service == "painel"
+        )
+        daemon = PlatformDaemon(settings)
+        await daemon.start()
+        await backend.start()
+        node = LiveNode(number, settings, backend, daemon)
+        self.nodes.append(node)
+        return node
+
+    async def ask(
+        self, node: LiveNode, path: str, key: int = -1, attempt: str = "a", timeout_ms: int = 2000
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send a request to a daemon."""
+        assert self._session is not None
+        headers = {"Host": HOST, "X-Attempt-Id": attempt, "X-Timeout-Ms": str(timeout_ms)}
+        if key >= 0:
+            headers["X-Shard-Key"] = str(key)
+        method = "POST" if path.startswith("/assign/") else "GET"
+        async with self._session.request(
+            method, node.caller_url + path, headers=headers
+        ) as response:
+            return response.status, dict(response.headers), await response.read()
+
+    async def wait_until_served(self, node: LiveNode, within_s: float = 8.0) -> None:
+        """Wait until all keys and the plain service are served."""
+        until = time.monotonic() + within_s
+        while True:
+            statuses = [
+                (await self.ask(node, "/view/1", key))[0] for key in range(0, 65_536, 4_096)
+            ]
+            statuses.append((await self.ask(node, "/assign/1"))[0])
+            if set(statuses) == {200}:
+                return
+            assert time.monotonic() < until, statuses
+            await asyncio.sleep(0.1)
+
+    def find_double_holds(self) -> list[str]:
+        """Return holds of the same keys by two backend servers at the same time."""
+        found = []
+        for index, one in enumerate(self.nodes):
+            for two in self.nodes[index + 1 :]:
+                for a in one.backend.holds:
+                    for b in two.backend.holds:
+                        keys = a.first <= b.last and b.first <= a.last
+                        if keys and min(a.end, b.end) - max(a.start, b.start) > 0.01:
+                            found.append(f"{one.number} {a} and {two.number} {b}")
+        return found
+
+    async def stop(self) -> None:
+        """End everything."""
+        for node in self.nodes:
+            await node.daemon.close()
+            await node.backend.stop()
+        if self._session is not None:
+            await self._session.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def run_site(config: dict[str, Any] | None = None) -> AsyncIterator[LiveSite]:
+    """Run a site with two keyed and two plain VMs in two failure domains."""
+    site = LiveSite()
+    await site.start()
+    site.publish(config or make_config())
+    try:
+        for number, service in enumerate(("painel", "painel", "recepcao", "recepcao"), 1):
+            await site.add(number, service, ("recife", "salvador")[number % 2])
+        await site.wait_until_served(site.nodes[0])
+        yield site
+    finally:
+        await site.stop()
--- /dev/null
+++ b/persimmondock/tests/platform/test_daemon.py
@@ -0,0 +1,121 @@
+"""Whole daemons beside backend servers that check grants."""
+
+from __future__ import annotations
+
+import asyncio
+
+from persimmondock.tests.live_site import make_config, run_site
+
+
+async def test_requests_of_both_kinds_are_served_with_their_signature() -> None:
+    async with run_site() as site:
+        for node in site.nodes:
+            status, headers, body = await site.ask(node, "/view/7", key=77, attempt="v1")
+            assert (status, body) == (200, b"answer to v1")
+            assert headers["X-Server-Signature"].startswith("signed-by-")
+        runs = [run for node in site.nodes for run in node.backend.runs if run.attempt == "v1"]
+        assert {run.fields["X-Caller-Service"] for run in runs} == {"painel", "recepcao"}
+        assert all(1 < int(run.fields["X-Timeout-Ms"]) <= 2000 for run in runs)
+
+
+async def test_an_unknown_path_is_not_found_and_a_forged_caller_is_replaced() -> None:
+    async with run_site() as site:
+        assert (await site.ask(site.nodes[0], "/nowhere/"))[0] == 404
+
+
+async def test_a_daemon_without_configuration_refuses_and_is_not_ready() -> None:
+    async with run_site() as site:
+        site.store.faults.refused = set()
+        daemon = site.nodes[0].daemon
+        daemon.sidecar.site.table = None
+        status, headers, _ = await site.ask(site.nodes[0], "/view/1", key=1)
+        assert status == 503 and float(headers["Retry-After"]) > 0
+        assert not daemon.sidecar.is_ready
+
+
+async def test_a_newer_configuration_is_in_force_at_once_and_an_older_one_never() -> None:
+    async with run_site() as site:
+        site.publish(make_config(5, path_prefix="/moved/"))
+        await asyncio.sleep(0.3)
+        assert [(await site.ask(node, "/assign/1"))[0] for node in site.nodes] == [404] * 4
+        site.publish(make_config(4))
+        await asyncio.sleep(0.3)
+        assert (await site.ask(site.nodes[0], "/assign/1"))[0] == 404
+
+
+async def test_a_draining_backend_server_gets_nothing_and_its_keys_move() -> None:
+    async with run_site() as site:
+        leaving = site.nodes[0]
+        leaving.backend.draining = True
+        await asyncio.sleep(0.5)
+        before = len(leaving.backend.runs)
+        await site.wait_until_served(site.nodes[2])
+        assert len(leaving.backend.runs) == before
+        assert site.find_double_holds() == []
+
+
+async def test_an_evacuated_failure_domain_gets_nothing_until_it_is_back() -> None:
+    async with run_site() as site:
+        out = [node for node in site.nodes if node.settings.failure_domain == "recife"]
+        site.store.write("keyed.op", "evacuate/recife", b"{}")
+        await asyncio.sleep(0.5)
+        before = [len(node.backend.runs) for node in out]
+        await site.wait_until_served(site.nodes[0])
+        assert [len(node.backend.runs) for node in out] == before
+        site.store.write("keyed.op", "evacuate/recife", b"")
+        await site.wait_until_served(site.nodes[0])
+        assert site.find_double_holds() == []
+
+
+async def test_service_goes_on_while_the_store_is_down() -> None:
+    async with run_site() as site:
+        site.store.faults.down = True
+        for _ in range(10):
+            await asyncio.sleep(0.5)
+            assert (await site.ask(site.nodes[3], "/view/1", key=9))[0] == 200
+
+
+async def test_keys_of_a_killed_daemon_are_served_again() -> None:
+    async with run_site() as site:
+        lost = site.nodes[1]
+        await lost.daemon.close()
+        await asyncio.sleep(3.0)
+        await site.wait_until_served(site.nodes[2], within_s=10.0)
+        assert site.find_double_holds() == []
+
+
+async def test_a_caller_that_leaves_ends_the_work() -> None:
+    async with run_site() as site:
+        for node in site.nodes:
+            node.backend.work_s = 1.5
+        asking = asyncio.create_task(site.ask(site.nodes[2], "/view/1", key=5))
+        await asyncio.sleep(0.3)
+        asking.cancel()
+        await asyncio.sleep(0.3)
+        assert sum(node.backend.cancelled for node in site.nodes) == 1
+
+
+async def test_work_past_the_routes_timeout_ends_with_504() -> None:
+    async with run_site() as site:
+        for node in site.nodes:
+            node.backend.work_s = 5.0
+        status, _, _ = await site.ask(site.nodes[0], "/assign/1", timeout_ms=400)
+        assert status == 504
+
+
+async def test_a_stopped_daemon_hands_its_keys_over_and_cuts_nothing() -> None:
+    async with run_site() as site:
+        leaving = site.nodes[0]
+        for node in site.nodes:
+            node.backend.work_s = 0.3
+        asked = [
+            asyncio.create_task(site.ask(leaving, "/view/1", key, f"k{key}"))
+            for key in range(0, 65_536, 8_192)
+        ]
+        await asyncio.sleep(0.1)
+        leaving.daemon.sidecar.stopping.set()
+        stopped = asyncio.create_task(leaving.daemon.sidecar.finish())
+        assert [(await item)[0] for item in asked] == [200] * 8
+        await stopped
+        await site.wait_until_served(site.nodes[2])
+        assert site.find_double_holds() == []
