--- a/persimmondock/_domain/gate_queue.py
+++ b/persimmondock/_domain/gate_queue.py
@@ -2,9 +2,9 @@
 
 Of those that wait, the one of the lowest priority number goes first, and within a priority the one
 whose deadline is nearest: calls that running requests make have short ones, and work that has been
-done already depends on them. A request is let in only if it will probably be answered within its latency
-objective, or soon where that has passed: what cannot be served in time is refused at once, while
-its caller can still go elsewhere.
+done already depends on them. A request is let in only if it will probably be answered within its
+latency objective, or soon where that has passed: what cannot be served in time is refused at once,
+while its caller can still go elsewhere.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/persimmondock/tests/test_gate_queue.py
@@ -0,0 +1,89 @@
+"""Who waits at a gate, who is refused, and who goes first.
+
+Patterns: a burst on a backend server whose slots are taken; calls of running requests behind new
+ones; a backend server that has turned slow.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from persimmondock._domain.gate_queue import (
+    GateQueue,
+    ServiceTimes,
+    Waiter,
+    choose_retry_ms,
+    is_worth_waiting,
+)
+
+
+def fill(*waiters: tuple[int, float]) -> GateQueue:
+    """Return a queue of waiters given by priority and deadline, each of 0.1 s of work."""
+    queue = GateQueue()
+    for number, (priority, deadline) in enumerate(waiters):
+        queue.add(Waiter(priority, number, 0.1, deadline))
+    return queue
+
+
+def drain(queue: GateQueue) -> list[int]:
+    numbers = []
+    while (waiter := queue.take()) is not None:
+        numbers.append(waiter.number)
+    return numbers
+
+
+def test_lower_priority_numbers_and_nearer_deadlines_go_first() -> None:
+    assert drain(fill((2, 1.0), (1, 9.0), (1, 0.4), (0, 5.0))) == [3, 2, 1, 0]
+
+
+def test_a_call_waits_only_behind_what_is_more_urgent() -> None:
+    """Pattern: bookings queue at a backend server that running previews call."""
+    queue = fill(*[(1, 1.5)] * 10)
+    booking = queue.estimate_wait(1, 1.5, 0.16, 4)
+    call = queue.estimate_wait(1, 0.4, 0.16, 4)
+    assert call == pytest.approx(0.04)
+    assert booking > 6 * call
+
+
+def test_the_first_in_the_queue_waits_for_the_next_of_all_slots() -> None:
+    assert GateQueue().estimate_wait(1, 1.0, 0.12, 12) == pytest.approx(0.01)
+
+
+@pytest.mark.parametrize(
+    ("wait_s", "now", "accepted"),
+    [(0.25, 0.0, True), (0.35, 0.0, False), (0.2, 0.5, True), (0.6, 0.5, False)],
+    ids=["within", "beyond", "late but soon", "late and long"],
+)
+def test_only_what_can_be_answered_in_time_is_let_in(
+    wait_s: float, now: float, accepted: bool
+) -> None:
+    """The objective is at 0.4 s and the deadline at 2.5 s; the work takes 0.1 s."""
+    assert is_worth_waiting(wait_s, 0.1, now, 0.4, 2.5) is accepted
+
+
+def test_work_longer_than_its_objective_may_still_wait_a_little() -> None:
+    """Pattern: a slow backend server with all requests beyond the objective, and some room."""
+    assert is_worth_waiting(0.1, 0.6, 0.0, 0.4, 2.5)
+
+
+def test_what_has_become_hopeless_is_taken_out() -> None:
+    queue = fill((1, 0.03), (1, 5.0))
+    assert [waiter.number for waiter in queue.take_hopeless(0.0)] == [0]
+    assert drain(queue) == [1]
+
+
+def test_times_follow_a_change_within_a_few_dozen_answers() -> None:
+    times = ServiceTimes()
+    for _ in range(50):
+        times.record("view", 0.1)
+    for _ in range(40):
+        times.record("view", 1.2)
+    assert times.steady_s > 1.0
+    assert times.estimate("view") > 1.1
+    assert times.estimate("other") == times.overall_s
+
+
+def test_a_refused_caller_is_told_when_to_come_back() -> None:
+    assert choose_retry_ms(0.4) == 400
+    assert choose_retry_ms(0.0) >= 50
+    assert choose_retry_ms(60.0) <= 2_000
