Pass on the store's word about assignments, and judge other daemons by fresh news

(2) A follower that had failed began a read of 20 s and counted as cut off until it returned, so that nobody wrote assignments from 23 s to 31 s. (3) A daemon that had just started and did not know its backend server lost its keys at once; old news of a daemon could end a newer life. (4) Ranges kept former owners that had left long ago, and whoever started again waited 3 s for them.

Change: heartbeats pass on how long ago the store confirmed a copy; the store has to answer at once after a failure; failed proofs and writes count; births are compared; settled ranges drop their former owners.

--- a/persimmondock/_domain/assignment.py
+++ b/persimmondock/_domain/assignment.py
@@ -212,13 +212,19 @@
 
 def _move(item: KeyRange, owner: BackendLife, gone: frozenset[BackendLife]) -> KeyRange:
     """Return a range with a new owner; its fencing token is set when it is written."""
-    former = [life for life in (*item.former, item.owner) if life not in gone and life != owner]
-    if owner.node in {life.node for life in former}:
-        # A new life beside the same daemon: the earlier one has ended.
-        former = [life for life in former if life.node != owner.node]
+    former = [
+        life
+        for life in (*item.former, item.owner)
+        if life not in gone and life != owner and not _is_earlier(life, owner)
+    ]
     return attrs.evolve(item, owner=owner, fence=0, former=tuple(dict.fromkeys(former)))
 
 
+def _is_earlier(life: BackendLife, than: BackendLife) -> bool:
+    """Return whether a life beside the same daemon has ended when the other one began."""
+    return life.node == than.node and life.born_ms < than.born_ms
+
+
 def number_assignment(
     present: Assignment, ranges: Iterable[KeyRange], witnesses: frozenset[str], end: int
 ) -> Assignment:
--- a/persimmondock/_domain/range_lease.py
+++ b/persimmondock/_domain/range_lease.py
@@ -3,7 +3,8 @@
 A gate may grant what the newest assignment gives it, as long as it can show that no newer one is in
 force. Two things show it, each counted from the instant at which the question was *sent*:
 
-* the store answered a read, and the partition ended where this gate's copy ends;
+* the store answered a read, of this daemon or of one that passes it on, and the partition ended
+  where this gate's copy ends;
 * a majority of the witnesses that the assignment names, each with a copy that ends at the same
   offset, answered a heartbeat. A witness that has a newer assignment never again confirms an
   older one. Without an answer of the store this counts for ``WITHOUT_STORE_S`` only.
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -42,7 +42,7 @@
 LOST_AFTER_S = 2.5  # a process that was killed is back within about 2 s
 BALANCE_EVERY_S = 1.0  # a handover settles within a few tenths; load figures fade in 1.5 s
 LOADS_TIMEOUT_S = 0.3  # a peer that tells later is too busy to be given more
-PROVE_EVERY_S = 5.0  # while witnesses confirm; each proof is a priced call
+PROVE_EVERY_S = 3.0  # while witnesses confirm; each proof is a priced call
 PROVE_SOON_S = 0.7  # while they do not
 WITNESSES_KEPT_S = 25.0  # longer than a lease without the store may last
 ASSIGN_PREFIX = "assign/"
@@ -142,15 +142,20 @@
         if not present.ranges and now - self._started_at < FIRST_WAIT_S:
             return
         owners = self._list_owners(statuses, present, now)
-        ranges = plan_assignment(present, owners, self._list_gone(present, statuses))
+        gone = self._list_gone(present, statuses)
+        ranges = plan_assignment(present, owners, gone)
         if ranges is None and self._may_balance(present, statuses, now):
             ranges = await self._balance(present, owners, statuses)
+            if ranges is None and any(item.former for item in present.ranges):
+                # A daemon that starts again must not wait for owners of long ago.
+                ranges = present.ranges
         witnesses = self._choose_witnesses(present, now)
         if ranges is None and witnesses == present.witnesses:
             return
         if ranges is None:
             ranges = present.ranges
-        await self._write(present, self._drop_settled(present, ranges, statuses), witnesses, now)
+        ranges = self._drop_settled(present, ranges, statuses, gone)
+        await self._write(present, ranges, witnesses, now)
 
     def _may_balance(
         self, present: Assignment, statuses: dict[str, tuple[GateStatus, str]], now: float
@@ -215,6 +220,8 @@
         self._written_at = now
         if isinstance(outcome, (Written, Conflict)):
             await self._follower.confirm_now()
+        else:
+            self._follower.note_failed_write()
 
     def _list_statuses(self, now: float) -> dict[str, tuple[GateStatus, str]]:
         """Return the state and failure domain of each live daemon of the service."""
@@ -227,11 +234,13 @@
         return statuses
 
     def _note_fit(self, statuses: dict[str, tuple[GateStatus, str]], now: float) -> None:
-        for node in statuses:
-            self._unfit_since.pop(node, None)
         present = self.assignments.get(self._service)
         for item in present.ranges if present is not None else ():
-            if item.owner.node not in statuses:
+            known = statuses.get(item.owner.node)
+            # A daemon that has just started does not know its backend server yet.
+            if known is not None and known[0].life is not None:
+                self._unfit_since.pop(item.owner.node, None)
+            else:
                 self._unfit_since.setdefault(item.owner.node, now)
 
     def _is_leader(self, now: float) -> bool:
@@ -247,10 +256,17 @@
         self, statuses: dict[str, tuple[GateStatus, str]], present: Assignment, now: float
     ) -> list[Owner]:
         """Return who may own keys: live ones, and silent ones for a moment longer."""
+        newest: dict[str, int] = {}
+        for item in present.ranges:
+            born_ms = newest.get(item.owner.node, 0)
+            newest[item.owner.node] = max(born_ms, item.owner.born_ms)
         owners = [
             Owner(status.life)
             for status, failure_domain in statuses.values()
-            if status.life is not None and status.open and not self._is_out(failure_domain)
+            if status.life is not None
+            and status.life.born_ms >= newest.get(status.life.node, 0)
+            and status.open
+            and not self._is_out(failure_domain)
         ]
         waiting = {node for node, since in self._unfit_since.items() if now - since < LOST_AFTER_S}
         waited = {item.owner for item in present.ranges if item.owner.node in waiting}
@@ -264,9 +280,9 @@
         return frozenset(
             life
             for life in lives
-            if life.node in statuses
-            and (newer := statuses[life.node][0].life) is not None
-            and newer != life
+            if life.node in statuses and (present_life := statuses[life.node][0].life) is not None
+            # What is known of a daemon may be older than the assignment.
+            and present_life.born_ms > life.born_ms
         )
 
     def _are_settled(
@@ -282,18 +298,21 @@
         present: Assignment,
         ranges: tuple[KeyRange, ...],
         statuses: dict[str, tuple[GateStatus, str]],
+        gone: frozenset[BackendLife],
     ) -> tuple[KeyRange, ...]:
         """Drop the owners before one that has been granted its keys: they hold nothing."""
-        before = {item.first: item for item in present.ranges}
         result = []
         for item in ranges:
-            old = before.get(item.first)
+            old = present.find_range(item.first)
             if old is not None:
                 state = statuses.get(old.owner.node)
                 settled = state is not None and state[0].life == old.owner
                 if settled and state is not None and state[0].settled >= present.offset:
                     keep = (old.owner,) if old.owner in item.former else ()
                     item = attrs.evolve(item, former=keep)
+            if gone.intersection(item.former):
+                left = tuple(life for life in item.former if life not in gone)
+                item = attrs.evolve(item, former=left)
             result.append(item)
         return tuple(result)
 
--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -49,7 +49,7 @@
     heard_at
         Instant of the newest answer to a heartbeat.
     store_answers
-        Whether the store answers it.
+        Whether the store answered its last question about assignments.
     """
 
     member: Member
@@ -96,8 +96,9 @@
     describe
         Returns the state of this daemon's own gate.
     note_confirmed
-        Called with a daemon, where its copies end, whether it may witness, and the instants at
-        which the heartbeat was sent and answered.
+        Called with a daemon, where its copies end, whether it may witness, the instants at which
+        the heartbeat was sent and answered, and for each copy how long ago the store confirmed it
+        to that daemon, or None.
     """
 
     def __init__(
@@ -105,7 +106,9 @@
         own: Member,
         followers: Sequence[PartitionFollower],
         describe: Callable[[], GateStatus],
-        note_confirmed: Callable[[str, tuple[int, ...], bool, float, float], None],
+        note_confirmed: Callable[
+            [str, tuple[int, ...], bool, float, float, list[float | None]], None
+        ],
     ) -> None:
         self.own = own
         self.server = PeerServer()
@@ -195,14 +198,14 @@
             peer.asked_at = math.inf
         now = read_clock()
         was_alive = peer.is_alive(now)
-        ends, sure, store_answers, status = reply
+        ends, sure, store_answers, status, proof_ages = reply
         peer.heard_at = now
         peer.ends = tuple(ends)
         peer.store_answers = store_answers
         peer.status = unpack_status(status)
         if not was_alive:
             logger.info("event=peer_alive peer={}", peer.member.node)
-        self._note_confirmed(peer.member.node, peer.ends, sure, sent_at, now)
+        self._note_confirmed(peer.member.node, peer.ends, sure, sent_at, now, proof_ages)
         for index, end in enumerate(peer.ends):
             if end > self._followers[index].replica.end:
                 self._catch_up(peer, index, now)
@@ -234,11 +237,13 @@
             # The asker knows more: the next heartbeat to it brings the difference.
             if end > self._followers[index].replica.end:
                 self._behind_since.setdefault(index, read_clock())
+        now = read_clock()
         return [
             [follower.replica.end for follower in self._followers],
             all(follower.replica.from_store for follower in self._followers),
-            any(follower.store_answers for follower in self._followers),
+            self._followers[-1].store_answers,
             self._describe().pack(),
+            [follower.find_proof_age(now) for follower in self._followers],
         ]
 
     async def _answer_sync(self, payload: Any, _: Delivered) -> Any:
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -224,11 +224,22 @@
         self.control.note_store(end, asked_at)
 
     def _note_peer(
-        self, node: str, ends: tuple[int, ...], sure: bool, sent_at: float, now: float
+        self,
+        node: str,
+        ends: tuple[int, ...],
+        sure: bool,
+        sent_at: float,
+        now: float,
+        proof_ages: list[float | None],
     ) -> None:
         self.dispatcher.note_status(node)
-        if len(ends) > ASSIGNMENTS:
-            self.keeper.note_peer(node, ends[ASSIGNMENTS], sure, sent_at, now)
+        if len(ends) <= ASSIGNMENTS:
+            return
+        end, age = ends[ASSIGNMENTS], proof_ages[ASSIGNMENTS]
+        if age is not None:
+            # The store told the peer at least this long before the heartbeat was sent.
+            self.keeper.lease.confirm_by_store(end, sent_at - age)
+        self.keeper.note_peer(node, end, sure, sent_at, now)
 
     def _note_hangup(self) -> None:
         logger.info("event=reload daemon={} changed=nothing", self.settings.node)
--- a/persimmondock/_tasks/store_follower.py
+++ b/persimmondock/_tasks/store_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -43,6 +44,8 @@
         self.partition = partition
         self.replica = Replica()
         self.store_answers = False
+        self.confirmed_at = -math.inf
+        self._confirmed_end = -1
         self._log = log
         self._take = take
         self._confirm = confirm
@@ -62,16 +65,7 @@
                 if not self._given_up:
                     raise
                 continue
-            if answered != self.store_answers:
-                event = "store_regained" if answered else "store_lost"
-                logger.info(
-                    "event={} topic={} part={} offset={}",
-                    event,
-                    self.partition.topic,
-                    self.partition.number,
-                    self.replica.end,
-                )
-            self.store_answers = answered
+            self._note_answer(answered)
             if answered:
                 pause = RETRY_S
                 await asyncio.sleep(self._batch_s)
@@ -79,6 +73,21 @@
                 await asyncio.sleep(pause)
                 pause = min(MAX_RETRY_S, 2 * pause)
 
+    def note_failed_write(self) -> None:
+        """Take a write that failed as a sign that the store does not answer."""
+        self._note_answer(False)
+
+    def _note_answer(self, answered: bool) -> None:
+        if answered != self.store_answers:
+            logger.info(
+                "event={} topic={} part={} offset={}",
+                "store_regained" if answered else "store_lost",
+                self.partition.topic,
+                self.partition.number,
+                self.replica.end,
+            )
+        self.store_answers = answered
+
     def read_again(self) -> None:
         """Give up a waiting read whose connection may be dead."""
         if self._read is not None:
@@ -89,6 +98,7 @@
         """Ask the store at once whether this copy is the newest."""
         asked_at = read_clock()
         outcome = await self._log.read_from(self.partition, self.replica.end, 0.0)
+        self._note_answer(isinstance(outcome, Records))
         if not isinstance(outcome, Records):
             return False
         self._apply(outcome.entries, outcome.end, outcome.whole, asked_at)
@@ -113,7 +123,9 @@
                 self._take(changed)
             self._note_end(newest.end, asked_at)
             return True
-        outcome = await self._log.read_from(self.partition, self.replica.end, WAIT_S)
+        # After a failure the store has to answer at once before a read waits again.
+        wait_s = WAIT_S if self.store_answers else 0.0
+        outcome = await self._log.read_from(self.partition, self.replica.end, wait_s)
         if isinstance(outcome, RecordsGone):
             logger.info(
                 "event=history_gone topic={} offset={}", self.partition.topic, self.replica.end
@@ -136,5 +148,15 @@
             self._note_end(end, asked_at)
 
     def _note_end(self, end: int, asked_at: float) -> None:
-        if self._confirm is not None and end == self.replica.end:
+        if end != self.replica.end:
+            return
+        self._confirmed_end = end
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+        if self._confirm is not None:
             self._confirm(end, asked_at)
+
+    def find_proof_age(self, now: float) -> float | None:
+        """Return how long ago the store was asked and showed this copy to be the newest."""
+        if self._confirmed_end != self.replica.end:
+            return None
+        return now - self.confirmed_at
--- a/persimmondock/standins/site_store.py
+++ b/persimmondock/standins/site_store.py
@@ -77,6 +77,12 @@
         """Write a record as the operators do."""
         return self._partitions[(topic, part)].append([_encode(key, value)])
 
+    def cut_waiting(self) -> None:
+        """Answer all waiting reads with what there is, so that new faults reach their callers."""
+        for partition in self._partitions.values():
+            partition.grown.set()
+            partition.grown = asyncio.Event()
+
     @web.middleware
     async def _refuse(self, request: web.Request, handler) -> web.StreamResponse:  # type: ignore[no-untyped-def]
         self.calls += 1
--- a/persimmondock/tests/platform/test_daemon.py
+++ b/persimmondock/tests/platform/test_daemon.py
@@ -75,6 +75,23 @@
             assert (await site.ask(site.nodes[3], "/view/1", key=9))[0] == 200
 
 
+async def test_a_daemon_that_the_store_refuses_keeps_its_keys_when_others_are_moved() -> None:
+    """Pattern: the store turns a third of the daemons away for 9 s, and an owner leaves meanwhile.
+
+    Evidence for the newer assignment comes from daemons that the store answers.
+    """
+    async with run_site() as site:
+        extra = await site.add(5, "painel", "natal")
+        cut, leaving = site.nodes[1], site.nodes[0]
+        site.store.faults.refused = {cut.settings.peer_address.rpartition(":")[0]}
+        site.store.cut_waiting()
+        leaving.backend.draining = True
+        await asyncio.sleep(4.0)
+        await site.wait_until_served(extra)
+        assert cut.daemon.sidecar.keeper.find_settled() > 1
+        assert site.find_double_holds() == []
+
+
 async def test_keys_of_a_killed_daemon_are_served_again() -> None:
     async with run_site() as site:
         lost = site.nodes[1]
