Refuse requests that crash backend servers, and know daemons that dial while the store is away

Cause: nothing told a request that crashes its backend server from one that a crash took along; a daemon that starts while the store refuses it knew nobody and could not learn the configuration. A cold start that comes with a failure domain's return was forgotten after 1 s, before the next announcement.

Change: suspects by caller, path and body, cleared by any answer, told to all daemons; a greeting names the daemon that dials; the doubt about a cold start lasts until an announcement.

--- a/persimmondock/_adapters/peer_stream.py
+++ b/persimmondock/_adapters/peer_stream.py
@@ -135,13 +135,19 @@
 
 
 class PeerLink:
-    """The dialled connection to one peer."""
+    """The dialled connection to one peer.
 
-    def __init__(self, name: str, node: str, address: str) -> None:
+    Parameters
+    ----------
+    greeting
+        What this daemon tells of itself first; its name comes first.
+    """
+
+    def __init__(self, greeting: list[str], node: str, address: str) -> None:
         self.node = node
         self.address = address
         self.pending: dict[int, asyncio.Future[Any]] = {}
-        self._name = name
+        self._greeting = greeting
         self._number = 0
         self._protocol: _ClientProtocol | None = None
         self._task = asyncio.create_task(self._stay_connected())
@@ -221,7 +227,7 @@
                 continue
             pause = RECONNECT_S
             self._lost.clear()
-            protocol.send([REQUEST, 0, "hello", self._name, read_clock()])
+            protocol.send([REQUEST, 0, "hello", self._greeting, read_clock()])
             self._protocol = protocol
             await self._lost.wait()
 
@@ -248,7 +254,8 @@
                 task.cancel()
             return
         if name == "hello":
-            self._peer = payload
+            self._peer = payload[0]
+            self._server.greeted(payload)
             return
         delivered = Delivered(self._peer, delay - self._delay)
         task = asyncio.create_task(self._answer(number, name, payload, delivered))
@@ -273,9 +280,16 @@
 
 
 class PeerServer:
-    """Answers the requests of other daemons."""
+    """Answers the requests of other daemons.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    greeted
+        Called with what a daemon that dialled tells of itself.
+    """
+
+    def __init__(self, greeted: Callable[[list[str]], None]) -> None:
+        self.greeted = greeted
         self.handlers: dict[str, Callable[[Any, Delivered], Awaitable[Any]]] = {}
         self.connections: set[_ServerProtocol] = set()
         self._server: asyncio.Server | None = None
--- /dev/null
+++ b/persimmondock/_domain/crash_suspects.py
@@ -0,0 +1,80 @@
+"""Requests that may crash the backend servers that run them.
+
+Whatever a backend server ran when it crashed is a suspect. A suspect that is answered once is
+cleared, everywhere: a request that crashes backend servers never is. One that was there at several
+crashes and was never answered in between is refused.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+import attrs
+
+CRASHES_TO_REFUSE = 2  # the third crash has to be the last one
+KEPT_S = 120.0  # callers send such requests again within a day's minutes
+MAX_SUSPECTS = 1_024
+
+
+def compute_fingerprint(caller_service: str, method: str, target: str, body: bytes) -> int:
+    """Return what identifies a request whatever the identifier of its attempt is."""
+    digest = hashlib.blake2b(digest_size=8)
+    for part in (caller_service, method, target):
+        digest.update(part.encode() + b"\0")
+    digest.update(body)
+    return int.from_bytes(digest.digest(), "big")
+
+
+@attrs.frozen
+class _Suspect:
+    crashes: int
+    until: float
+
+
+@attrs.define
+class CrashSuspects:
+    """The suspects that one daemon knows."""
+
+    _suspects: dict[int, _Suspect] = attrs.field(factory=dict)
+
+    def __bool__(self) -> bool:
+        return bool(self._suspects)
+
+    def note_crash(self, fingerprints: Iterable[int], now: float) -> dict[int, int]:
+        """Suspect what ran; return the number of crashes of each to tell others."""
+        return {number: self._count(number, now) for number in set(fingerprints)}
+
+    def note_answered(self, fingerprint: int) -> bool:
+        """Clear a suspect that was answered; return whether it was one."""
+        return self._suspects.pop(fingerprint, None) is not None
+
+    def learn(self, crashes: dict[int, int], now: float) -> None:
+        """Take over what another daemon saw; no crashes clear a suspect."""
+        for fingerprint, count in crashes.items():
+            if count == 0:
+                self._suspects.pop(fingerprint, None)
+                continue
+            known = self._suspects.get(fingerprint)
+            self._put(fingerprint, max(count, known.crashes if known else 0), now)
+
+    def is_refused(self, fingerprint: int, now: float) -> bool:
+        """Return whether a request must not reach a backend server."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return False
+        if now >= suspect.until:
+            del self._suspects[fingerprint]
+            return False
+        return suspect.crashes >= CRASHES_TO_REFUSE
+
+    def _count(self, fingerprint: int, now: float) -> int:
+        known = self._suspects.get(fingerprint)
+        crashes = 1 + (known.crashes if known is not None and now < known.until else 0)
+        self._put(fingerprint, crashes, now)
+        return crashes
+
+    def _put(self, fingerprint: int, crashes: int, now: float) -> None:
+        self._suspects[fingerprint] = _Suspect(crashes, now + KEPT_S)
+        if len(self._suspects) > MAX_SUSPECTS:
+            del self._suspects[min(self._suspects, key=lambda key: self._suspects[key].until)]
--- a/persimmondock/_domain/forwarding.py
+++ b/persimmondock/_domain/forwarding.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from persimmondock._domain.crash_suspects import compute_fingerprint
 from persimmondock._domain.verdict import (
     Answer,
     Answered,
@@ -56,6 +57,11 @@
     objective_at: float
     repeat: bool = False
 
+    @property
+    def fingerprint(self) -> int:
+        """What identifies the request whatever its attempt is."""
+        return compute_fingerprint(self.caller_service, self.method, self.target, self.body)
+
     def pack(self, now: float) -> list[Any]:
         """Return plain data; instants become the time that is left, since clocks differ."""
         return [
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -12,6 +12,7 @@
 from persimmondock._domain.arrival_limit import ArrivalLimit
 from persimmondock._domain.assignment import BackendLife
 from persimmondock._domain.backend_report import BackendReport, Change, LocalBackend
+from persimmondock._domain.crash_suspects import CrashSuspects
 from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
 from persimmondock._domain.gate_queue import (
     GateQueue,
@@ -25,6 +26,8 @@
 from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from persimmondock._adapters.peer_stream import Delivered
     from persimmondock._domain.routing_table import ServicePolicy
     from persimmondock._domain.site import SiteBounds
@@ -33,19 +36,30 @@
 
 MIN_LEFT_S = 0.01  # a request with less time left cannot be answered
 COLD_SHARE = 0.8  # of what a cold backend server bears; more would crash it when bursts add up
-DOUBT_S = 1.0  # until the next announcement tells whether it is cold
+DOUBT_S = 5.0  # announcements come every 1.5 s at most, and may be seconds late
 SILENT_ANNOUNCEMENTS = 4  # missed ones after which a backend server that fails is taken for lost
 REFUSED_RETRY_MS = 300
+CRASH_WINDOW_S = 6.0  # a crash is certain when the next life announces itself, seconds later
 TIMED_OUT = 504  # a backend server's own answer at the time limit
 TICK_S = 0.05
 
 
 @attrs.define
 class _Running:
+    """A request that runs, or is about to."""
+
     route: str
     started_at: float
 
 
+@attrs.define
+class _LostWork:
+    """Requests whose connection ended without an answer, and the life that had them."""
+
+    life: BackendLife | None = None
+    fingerprints: list[tuple[float, int]] = attrs.field(factory=list)
+
+
 class BackendGate:
     """Decides about each request right before it is sent."""
 
@@ -75,6 +89,9 @@
         self._running: dict[int, _Running] = {}
         self._number = 0
         self.loads = KeyLoads()
+        self.suspects = CrashSuspects()
+        self.tell_suspects: Callable[[dict[int, int]], None] = lambda _: None
+        self._lost = _LostWork()
         self._timer: asyncio.TimerHandle | None = None
 
     # What others ask.
@@ -132,6 +149,7 @@
             logger.info("event=backend_back instance={}", report.instance)
         self.down = False
         if change is Change.NEW_LIFE:
+            self._judge_crash(now)
             self._times = ServiceTimes()
             life = self.life
             assert life is not None
@@ -222,16 +240,24 @@
             case Answered(answer=answer):
                 if answer.status < 500 or answer.status == TIMED_OUT:
                     self._record_time(request, number)
+                if self.suspects and self.suspects.note_answered(request.fingerprint):
+                    self.tell_suspects({request.fingerprint: 0})
             case NotRun(reason=Reason.BACKEND_DOWN | Reason.BACKEND_UNREACHABLE as reason):
                 if self.life == life and not self.down:
                     logger.warning(
                         "event=backend_down instance={} reason={}", life.instance, reason.value
                     )
                     self.down = True
+                    if reason is Reason.BACKEND_DOWN:
+                        self._judge_crash(read_clock())
                     self._refuse_waiting(Reason.BACKEND_DOWN)
             case MayHaveRun(reason=reason):
                 if reason is Reason.DEADLINE_PASSED:
                     self._record_time(request, number)
+                if reason is Reason.BACKEND_LOST:
+                    if self._lost.life != life:
+                        self._lost = _LostWork(life)
+                    self._lost.fingerprints.append((read_clock(), request.fingerprint))
                 logger.info(
                     "event=outcome_unknown attempt={} route={} instance={} reason={} idempotent={}",
                     request.attempt,
@@ -243,6 +269,16 @@
             case _:
                 return
 
+    def _judge_crash(self, now: float) -> None:
+        """Suspect what the life that has ended had when it was lost."""
+        lost, self._lost = self._lost, _LostWork()
+        recent = [number for at, number in lost.fingerprints if now - at < CRASH_WINDOW_S]
+        if not recent:
+            return
+        crashes = self.suspects.note_crash(recent, now)
+        logger.warning("event=backend_crashed suspects={}", len(crashes))
+        self.tell_suspects(crashes)
+
     def _record_time(self, request: ForwardedRequest, number: int) -> None:
         """Count how long a request took, or that it took at least so long."""
         took_s = read_clock() - self._running[number].started_at
@@ -261,6 +297,8 @@
             return NotRun(Reason.NO_SUCH_SERVICE, REFUSED_RETRY_MS)
         if now + MIN_LEFT_S >= request.deadline:
             return NotRun(Reason.DEADLINE_PASSED)
+        if self.suspects and self.suspects.is_refused(request.fingerprint, now):
+            return NotRun(Reason.SUSPECTED_POISON)
         if request.key != NO_KEY:
             return self._keeper.refuse(request.key, now)
         return None
--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -111,7 +111,7 @@
         ],
     ) -> None:
         self.own = own
-        self.server = PeerServer()
+        self.server = PeerServer(self._take_greeting)
         self.server.handlers["ping"] = self._answer_ping
         self.server.handlers["sync"] = self._answer_sync
         self.peers: dict[str, Peer] = {}
@@ -137,10 +137,20 @@
                 continue
             if known is not None and known.member == member:
                 continue
-            self._forget(entry.key)
-            link = PeerLink(self.own.node, member.node, member.address)
-            self.peers[entry.key] = Peer(member, link)
-            logger.info("event=peer_known peer={} address={}", member.node, member.address)
+            self._connect(member)
+
+    def _connect(self, member: Member) -> None:
+        self._forget(member.node)
+        own = self.own
+        greeting = [own.node, own.address, own.failure_domain, own.service]
+        self.peers[member.node] = Peer(member, PeerLink(greeting, member.node, member.address))
+        logger.info("event=peer_known peer={} address={}", member.node, member.address)
+
+    def _take_greeting(self, greeting: list[str]) -> None:
+        """Get to know a daemon that dialled: the store may be out of reach when this one starts."""
+        member = Member(*greeting)
+        if member.node not in self.peers and member.node != self.own.node:
+            self._connect(member)
 
     def list_alive(self, now: float) -> list[Peer]:
         """Return the daemons that answered lately."""
@@ -150,6 +160,18 @@
         """Return the daemons beside backend servers of a service."""
         return [peer for peer in self.peers.values() if peer.member.service == service]
 
+    def tell_all(self, kind: str, payload: Any) -> None:
+        """Send a message to all daemons that are alive; nobody waits for the replies."""
+        for peer in self.list_alive(read_clock()):
+            self._start(self._tell(peer, kind, payload))
+
+    async def _tell(self, peer: Peer, kind: str, payload: Any) -> None:
+        try:
+            async with asyncio.timeout(SYNC_TIMEOUT_S):
+                await peer.link.request(kind, payload)
+        except (PeerLostError, TimeoutError) as error:
+            logger.info("event=not_told peer={} kind={} error={!r}", peer.member.node, kind, error)
+
     async def run(self) -> None:
         """Send heartbeats for ever."""
         while True:
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmondock._adapters.peer_stream import Delivered
     from persimmondock._domain.routing_table import RoutingTable
     from persimmondock._domain.site import NodeSettings
     from persimmondock._ports.backend import BackendServer
@@ -92,6 +93,8 @@
         self.mesh = Mesh(own, self._followers, self.gate.describe, self._note_peer)
         self.mesh.server.handlers["release"] = self.keeper.answer_release
         self.mesh.server.handlers["loads"] = self.gate.answer_loads
+        self.mesh.server.handlers["suspects"] = self._learn_suspects
+        self.gate.tell_suspects = lambda crashes: self.mesh.tell_all("suspects", crashes)
         self.keeper.mesh = self.mesh
         self.control = KeyControl(
             settings.node,
@@ -241,6 +244,9 @@
             self.keeper.lease.confirm_by_store(end, sent_at - age)
         self.keeper.note_peer(node, end, sure, sent_at, now)
 
+    async def _learn_suspects(self, crashes: Any, _: Delivered) -> None:
+        self.gate.suspects.learn(crashes, read_clock())
+
     def _note_hangup(self) -> None:
         logger.info("event=reload daemon={} changed=nothing", self.settings.node)
 
--- /dev/null
+++ b/persimmondock/tests/test_crash_suspects.py
@@ -0,0 +1,54 @@
+"""Requests that crash backend servers are refused; what ran beside them is not.
+
+Pattern: a request crashes each backend server that runs it, and comes again at any daemon.
+"""
+
+from __future__ import annotations
+
+from persimmondock._domain.crash_suspects import (
+    KEPT_S,
+    CrashSuspects,
+    compute_fingerprint,
+)
+
+POISON, INNOCENT = 1, 2
+
+
+def test_two_crashes_without_an_answer_between_refuse_a_request() -> None:
+    suspects = CrashSuspects()
+    suspects.note_crash([POISON], 0.0)
+    assert not suspects.is_refused(POISON, 1.0)
+    assert suspects.note_crash([POISON], 2.0) == {POISON: 2}
+    assert suspects.is_refused(POISON, 3.0)
+
+
+def test_what_is_answered_between_two_crashes_is_cleared() -> None:
+    """Pattern: a hot key's requests run beside the poison both times."""
+    suspects = CrashSuspects()
+    suspects.note_crash([POISON, INNOCENT], 0.0)
+    assert suspects.note_answered(INNOCENT)
+    suspects.note_crash([POISON, INNOCENT], 2.0)
+    assert suspects.is_refused(POISON, 3.0)
+    assert not suspects.is_refused(INNOCENT, 3.0)
+
+
+def test_other_daemons_crashes_and_answers_count() -> None:
+    suspects = CrashSuspects()
+    suspects.learn({POISON: 2, INNOCENT: 2}, 0.0)
+    suspects.learn({INNOCENT: 0}, 1.0)
+    assert suspects.is_refused(POISON, 2.0)
+    assert not suspects.is_refused(INNOCENT, 2.0)
+
+
+def test_a_suspicion_ends() -> None:
+    suspects = CrashSuspects()
+    suspects.learn({POISON: 2}, 0.0)
+    assert not suspects.is_refused(POISON, KEPT_S + 1)
+
+
+def test_a_fingerprint_is_that_of_caller_path_and_body() -> None:
+    same = compute_fingerprint("a", "GET", "/x", b"1")
+    assert same == compute_fingerprint("a", "GET", "/x", b"1")
+    assert same != compute_fingerprint("b", "GET", "/x", b"1")
+    assert same != compute_fingerprint("a", "GET", "/x", b"2")
+    assert compute_fingerprint("ab", "c", "/", b"") != compute_fingerprint("a", "bc", "/", b"")
