--- /dev/null
+++ b/persimmondock/tests/platform/test_settings.py
@@ -0,0 +1,89 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+import yaml
+
+from persimmondock.platform._settings import load_node_settings
+from persimmondock.settings import SettingsError
+
+FULL = {
+    "self": {
+        "node": "sidecar-a-1",
+        "ip": "10.1.0.8",
+        "zone": "recife",
+        "local_app": "10.1.0.8:8301",
+        "service": "huvo11a",
+    },
+    "network": {
+        "bind": {
+            "outbound": "10.1.0.8:8304",
+            "inbound": "10.1.0.8:8300",
+            "ready": "10.1.0.8:8302",
+            "control": "10.1.0.8:8306",
+        },
+        "internal_ports": [7620, 7635],
+        "zones": {"recife": "nordeste", "salvador": "nordeste"},
+    },
+    "platform": {"heartbeat_s": 0.87, "platform": {"address": "10.200.1.7:8309"}},
+    "timing": {"bounds": {"drain_s": 2.5, "cold_over": 1.5}},
+    "something_new": {"ignored": True},
+}
+
+
+def write(path: Path, data: object) -> Path:
+    file = path / "settings.yaml"
+    file.write_text(data if isinstance(data, str) else yaml.safe_dump(data))
+    return file
+
+
+def change(place: str, value: object) -> dict:
+    """Return the full settings with one field changed."""
+    data = yaml.safe_load(yaml.safe_dump(FULL))
+    *path, last = place.split(".")
+    table = data
+    for name in path:
+        table = table[name]
+    table[last] = value
+    return data
+
+
+def test_all_fields_are_read(tmp_path: Path) -> None:
+    settings = load_node_settings(write(tmp_path, FULL))
+    assert settings.peer_address == "10.1.0.8:7620"
+    assert settings.store_address == "10.200.1.7:8309"
+    assert settings.zones == ("recife", "salvador")
+    assert settings.bounds.drain_s == 2.5
+    assert settings.bounds.stop_s == 6.0
+
+
+@pytest.mark.parametrize(
+    ("place", "value"),
+    [
+        ("self.node", None),
+        ("self.local_app", "no port"),
+        ("network.bind.outbound", 7),
+        ("network.internal_ports", []),
+        ("platform.platform.address", ""),
+        ("timing.bounds.drain_s", "soon"),
+        ("timing.bounds.drain_s", -1),
+    ],
+)
+def test_a_wrong_field_is_named_with_its_value(tmp_path: Path, place: str, value: object) -> None:
+    with pytest.raises(SettingsError, match=place.replace(".", r"\.")) as caught:
+        load_node_settings(write(tmp_path, change(place, value)))
+    assert repr(value) in str(caught.value)
+
+
+@pytest.mark.parametrize("text", ["a: [", "\x00", "just text"])
+def test_a_broken_file_is_named(tmp_path: Path, text: str) -> None:
+    with pytest.raises(SettingsError, match=r"settings\.yaml"):
+        load_node_settings(write(tmp_path, text))
+
+
+def test_a_missing_file_is_named(tmp_path: Path) -> None:
+    with pytest.raises(SettingsError, match="No such file"):
+        load_node_settings(tmp_path / "settings.yaml")
--- /dev/null
+++ b/persimmondock/tests/platform/test_words.py
@@ -0,0 +1,251 @@
+"""The platform's words: records, reports, headers, and that they stay in the adapter."""
+
+from __future__ import annotations
+
+import json
+import re
+import struct
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+import persimmondock
+from persimmondock._adapters.http_exchange import HttpAnswer
+from persimmondock._domain.backend_report import ReportError
+from persimmondock._domain.replica import KeyedEntry
+from persimmondock._domain.routing_table import Share
+from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Reason
+from persimmondock._ports.keyed_log import Records, StoreFailed
+from persimmondock.platform import _backend, _discovery, _headers, _operator, _store
+from persimmondock.tests.live_site import make_config
+from persimmondock.tests.sites import make_forwarded
+
+SOURCES = Path(persimmondock.__file__).parent
+PLATFORM_WORDS = re.compile(
+    r"/-/|X-Shard-Key|X-Attempt-Id|X-Timeout-Ms|X-Caller-Service|X-Not-Executed|X-Server-|"
+    r"virtual_hosts|traffic_split|target_latency_s|keyed\.op|local_app|heartbeat_url"
+)
+REPORT = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "recife",
+    "capacity": 6,
+    "state": "ready",
+    "cold_s": 0.5,
+    "sequence": 4,
+    "born": 1000,
+}
+
+
+def test_no_other_module_knows_the_platforms_words() -> None:
+    outside = [
+        path
+        for path in SOURCES.rglob("*.py")
+        if not {"platform", "tests", "standins"} & set(path.relative_to(SOURCES).parts)
+    ]
+    found = [str(path) for path in outside if PLATFORM_WORDS.search(path.read_text())]
+    assert found == []
+
+
+def test_the_standard_librarys_module_of_the_folders_name_stays_importable() -> None:
+    """The start command puts the repository's root on the path."""
+    code = "import platform, persimmondock.platform._daemon; print(platform.python_version())"
+    shown = subprocess.run(
+        [sys.executable, "-c", code], cwd=SOURCES.parent, capture_output=True, text=True, check=True
+    )
+    assert shown.stdout.count(".") == 2
+
+
+def test_a_daemon_without_settings_says_so_and_ends() -> None:
+    shown = subprocess.run(
+        [sys.executable, "-m", "persimmondock.platform"],
+        cwd=SOURCES.parent,
+        capture_output=True,
+        text=True,
+        env={"PATH": "/usr/bin"},
+        check=False,
+    )
+    assert shown.returncode == 2
+    assert "event=settings_refused" in shown.stdout
+    assert "PERSIMMONDOCK_NODE_FILE" in shown.stdout
+
+
+# Configurations.
+
+
+def test_a_configuration_becomes_a_routing_table() -> None:
+    config = make_config(
+        7, traffic_split=[{"service": "a", "weight": 9}, {"service": "b", "weight": 1}]
+    )
+    table = _operator.decode_configuration(json.dumps(config).encode())
+    route = table.find_route("board.example", "/assign/x")
+    assert table.version == 7
+    assert route is not None and not route.idempotent
+    assert route.shares == (Share("a", 9.0), Share("b", 1.0))
+    assert table.services["painel"].keyed and not table.services["recepcao"].keyed
+
+
+def test_the_longest_prefix_wins() -> None:
+    config = make_config(1, path_prefix="/view/deep/")
+    table = _operator.decode_configuration(json.dumps(config).encode())
+    found = [table.find_route("board.example", p) for p in ("/view/deep/x", "/view/x", "/no")]
+    assert [route and route.path_prefix for route in found] == ["/view/deep/", "/view/", None]
+
+
+@pytest.mark.parametrize(
+    ("data", "place"),
+    [
+        (b"{", "body"),
+        (b"[]", "version"),
+        (json.dumps(make_config(1, target_latency_s="x")).encode(), r"paths\[1\]"),
+        (json.dumps(make_config(1, service=None) | {"services": [{}]}).encode(), r"services\[0\]"),
+    ],
+)
+def test_an_unreadable_configuration_names_the_place(data: bytes, place: str) -> None:
+    with pytest.raises(_operator.ConfigurationUnreadableError, match=place):
+        _operator.decode_configuration(data)
+
+
+# Announcements.
+
+
+def test_an_announcement_is_read() -> None:
+    report = _discovery.decode_report("/-/instances/i-1", json.dumps(REPORT).encode())
+    assert (report.instance, report.slots, report.cold_s, report.draining) == ("i-1", 6, 0.5, False)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("service", None),
+        ("state", "dancing"),
+        ("capacity", "6"),
+        ("capacity", 0),
+        ("sequence", 1.5),
+        ("sequence", None),
+        ("cold_s", "long"),
+        ("born", "yesterday"),
+        ("address", 7),
+    ],
+)
+def test_a_wrong_announcement_names_the_field_and_value(field: str, value: object) -> None:
+    with pytest.raises(ReportError, match=field) as caught:
+        _discovery.decode_report("/-/instances/i-1", json.dumps(REPORT | {field: value}).encode())
+    assert repr(value) in str(caught.value)
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff", b"[]", b"7"])
+def test_bytes_that_are_no_announcement_are_refused(body: bytes) -> None:
+    with pytest.raises(ReportError):
+        _discovery.decode_report("/-/instances/i-1", body)
+
+
+# Records.
+
+
+def test_records_survive_their_encoding() -> None:
+    body = struct.pack(">QQ", 9, 2) + _store.encode_records([("a", b"1"), ("b", b"")])
+    assert _store.decode_records(body, 7) == Records(
+        (KeyedEntry(7, "a", b"1"), KeyedEntry(8, "b", b"")), 9, True
+    )
+
+
+@pytest.mark.parametrize("cut", [1, 5, 17, 20])
+def test_cut_records_are_no_records(cut: int) -> None:
+    body = struct.pack(">QQ", 9, 2) + _store.encode_records([("a", b"1")])
+    assert isinstance(_store.decode_records(body[:cut], 7), StoreFailed)
+
+
+# Headers.
+
+
+def test_a_callers_fields_pass_but_for_those_that_are_set_here() -> None:
+    fields = _headers.read_client_fields(
+        [
+            ("Host", "h"),
+            ("X-Attempt-Id", "a"),
+            ("X-Timeout-Ms", "800"),
+            ("X-Caller-Service", "forged"),
+            ("X-Expected-Instance", "forged"),
+            ("X-Shard-Key", "77"),
+            ("Connection", "keep-alive, x-hop"),
+            ("X-Hop", "1"),
+            ("Accept", "*/*"),
+        ]
+    )
+    assert fields.passed == (
+        ("Host", "h"),
+        ("X-Attempt-Id", "a"),
+        ("X-Shard-Key", "77"),
+        ("Accept", "*/*"),
+    )
+    assert (fields.attempt, fields.key, fields.timeout_s) == ("a", 77, 0.8)
+
+
+@pytest.mark.parametrize("key", ["-1", "65536", "x", "1.5", ""])
+def test_a_malformed_key_is_no_key(key: str) -> None:
+    assert _headers.read_client_fields([("X-Shard-Key", key)]).key == -1
+
+
+def make_answer(status: int, **headers: str) -> HttpAnswer:
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return HttpAnswer(status, tuple(named.items()), b"body")
+
+
+@pytest.mark.parametrize(
+    ("answer", "reason"),
+    [
+        (make_answer(503, X_Not_Executed="1"), Reason.BACKEND_REFUSED),
+        (make_answer(429, X_Not_Executed="1"), Reason.BACKEND_REFUSED),
+        (make_answer(421), Reason.NOT_OWNER),
+        (make_answer(421, X_Instance_Id="i-1"), Reason.NOT_OWNER),
+        (make_answer(421, X_Instance_Id="i-other"), Reason.BACKEND_DOWN),
+    ],
+)
+def test_only_these_answers_say_that_a_request_has_not_run(
+    answer: HttpAnswer, reason: Reason
+) -> None:
+    verdict = _backend._judge_answer(answer, "a", "i-1")
+    assert isinstance(verdict, NotRun) and verdict.reason is reason
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        make_answer(200, X_Attempt_Id="a"),
+        make_answer(200, X_Attempt_Id="b", X_Server_Signature="s"),
+        make_answer(503),
+    ],
+    ids=["no signature", "another attempt", "no attempt"],
+)
+def test_what_may_be_another_requests_answer_is_none(answer: HttpAnswer) -> None:
+    assert _backend._judge_answer(answer, "a", "i-1") == MayHaveRun(Reason.ANSWER_INVALID)
+
+
+def test_a_backend_servers_failure_is_its_answer() -> None:
+    answer = make_answer(500, X_Attempt_Id="a", X_Server_Signature="s")
+    verdict = _backend._judge_answer(answer, "a", "i-1")
+    assert isinstance(verdict, Answered) and verdict.answer.status == 500
+
+
+@pytest.mark.parametrize(
+    ("verdict", "late", "status"),
+    [
+        (NotRun(Reason.OVERLOADED, 100), True, 503),
+        (MayHaveRun(Reason.DEADLINE_PASSED), True, 504),
+        (MayHaveRun(Reason.BACKEND_LOST), False, 502),
+    ],
+)
+def test_only_a_refusal_promises_that_nothing_ran(
+    verdict: NotRun | MayHaveRun, late: bool, status: int
+) -> None:
+    assert _headers.choose_status(verdict, late) == status
+
+
+def test_the_time_that_is_left_is_what_the_backend_server_gets() -> None:
+    fields = dict(_headers.build_backend_fields(make_forwarded(0.0), "i-1", 0.7))
+    assert fields["X-Timeout-Ms"] == "700"
+    assert fields["X-Expected-Instance"] == "i-1"
+    assert fields["X-Caller-Service"] == "recepcao"
