--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -199,7 +199,7 @@
         change = self.gate.take_report(report)
         if change not in (Change.NONE, Change.STALE):
             logger.info(
-                "event=backend_{} instance={} born_ms={} slots={} cold_s={}",
+                "event=backend_changed change={} instance={} born_ms={} slots={} cold_s={}",
                 change.value,
                 report.instance,
                 report.born_ms,
@@ -211,7 +211,7 @@
     def take_leave(self, instance: str) -> None:
         """Take the backend server's goodbye."""
         change = self.gate.take_leave(instance)
-        logger.info("event=backend_{} instance={}", change.value, instance)
+        logger.info("event=backend_left change={} instance={}", change.value, instance)
 
     def _apply_site(self) -> None:
         self.gate.policy = self.site.find_policy(self.settings.service)
--- a/persimmondock/_tasks/store_follower.py
+++ b/persimmondock/_tasks/store_follower.py
@@ -79,13 +79,10 @@
 
     def _note_answer(self, answered: bool) -> None:
         if answered != self.store_answers:
-            logger.info(
-                "event={} topic={} part={} offset={}",
-                "store_regained" if answered else "store_lost",
-                self.partition.topic,
-                self.partition.number,
-                self.replica.end,
-            )
+            text = "event=store_regained topic={} part={} offset={}"
+            if not answered:
+                text = "event=store_lost topic={} part={} offset={}"
+            logger.info(text, self.partition.topic, self.partition.number, self.replica.end)
         self.store_answers = answered
 
     def read_again(self) -> None:
