Let few daemons read the store, and send fewer heartbeats in large sites

Change: two daemons of each failure domain wait for records and push them to their neighbours; a gap is filled from the pusher, a silent or refused reader is followed by the next name; heartbeats to daemons that are not close become rarer with their number; groups of 4 keys, slices by the number of owners.

Tests: test_mesh at 14 to 1,000 daemons.

--- a/persimmondock/_domain/assignment.py
+++ b/persimmondock/_domain/assignment.py
@@ -16,7 +16,9 @@
     from collections.abc import Iterable, Mapping
 
 KEYS = 65_536
-SLICE_KEYS = 1_024  # busy keys lie close together: 64 interleaved slices spread them
+MAX_SLICE_KEYS = 1_024  # busy keys lie close together: 64 interleaved slices spread them
+SLICES_EACH = 8  # per owner, so that shares differ by less than an eighth
+MIN_SLICE_KEYS = 128
 MAX_WITNESSES = 7  # a majority of four survives a failure domain with three of them
 
 
@@ -201,12 +203,15 @@
     credit = {owner.life: 0.0 for owner in owners}
     total = sum(owner.weight for owner in owners)
     ranges = []
-    for first in range(0, KEYS, SLICE_KEYS):
+    size = MAX_SLICE_KEYS
+    while size > MIN_SLICE_KEYS and size * SLICES_EACH * len(owners) > KEYS:
+        size //= 2
+    for first in range(0, KEYS, size):
         for owner in owners:
             credit[owner.life] += owner.weight
         best = max(owners, key=lambda owner: credit[owner.life])
         credit[best.life] -= total
-        ranges.append(KeyRange(first, first + SLICE_KEYS - 1, best.life, 0))
+        ranges.append(KeyRange(first, first + size - 1, best.life, 0))
     return tuple(ranges)
 
 
--- a/persimmondock/_domain/balance.py
+++ b/persimmondock/_domain/balance.py
@@ -20,9 +20,9 @@
 
 BUSY = 0.6  # utilization below which hardly anybody waits, so that nothing needs to move
 MIN_GAP = 0.2  # difference of utilization that pays for a move, above the noise of both figures
-HOT_PER_S = 4.0  # a group with more is moved by itself; others move with their range
+HOT_SHARE = 0.03  # of an owner's room: a group with more moves by itself, others with their range
 MAX_PIECES = 12  # ranges that move at a time; each asks its former owner
-MAX_RANGES = 256  # each is a grant to be renewed every second
+MAX_RANGES = 640  # each is a grant to be renewed every second
 
 
 @attrs.frozen
@@ -90,7 +90,7 @@
         return None
     room_full, room_empty = rooms[full].per_s, rooms[empty].per_s
     wanted = (loads[full] * room_empty - loads[empty] * room_full) / (room_full + room_empty)
-    pieces = _choose_pieces(ranges, full, wanted, rates)
+    pieces = _choose_pieces(ranges, full, wanted, rates, HOT_SHARE * room_full)
     if not pieces and unused:
         item = next(item for item in ranges if item.owner == full)
         pieces = [_Piece(item.first, item.last, 0.0)]
@@ -103,7 +103,11 @@
 
 
 def _choose_pieces(
-    ranges: tuple[KeyRange, ...], owner: BackendLife, wanted: float, rates: Mapping[int, float]
+    ranges: tuple[KeyRange, ...],
+    owner: BackendLife,
+    wanted: float,
+    rates: Mapping[int, float],
+    hot_per_s: float,
 ) -> list[_Piece]:
     """Return hot groups and whole ranges of an owner that together have the wanted rate."""
     offered = [
@@ -114,7 +118,7 @@
     for group, rate in rates.items():
         first = group * GROUP_KEYS
         item = _find(ranges, first)
-        if rate >= HOT_PER_S and item is not None and item.owner == owner:
+        if rate >= hot_per_s and item is not None and item.owner == owner:
             offered.append(_Piece(first, min(item.last, first + GROUP_KEYS - 1), rate))
     chosen: list[_Piece] = []
     taken = 0.0
--- a/persimmondock/_domain/key_loads.py
+++ b/persimmondock/_domain/key_loads.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-GROUP_KEYS = 16  # a few busy neighbours can be told apart, and a gate tells a few hundred groups
+GROUP_KEYS = 4  # small backend servers bear no more than a few busy keys each
 FADE_S = 1.5  # a key turns busy within a second, and stays so for some
 MIN_PER_S = 0.2  # quieter groups are left out of what is told
 
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -231,6 +231,10 @@
         """Note that a peer's status is new: what was sent before is counted in it."""
         self._sent_before[node] = self._sent[node]
 
+    def is_waiting_for(self, node: str) -> bool:
+        """Return whether requests are under way at a daemon."""
+        return self._sent[node] > 0
+
     # Sending.
 
     async def _send(self, node: str, request: ForwardedRequest, attempts: _Attempts) -> Verdict:
@@ -253,6 +257,7 @@
             self._sent[node] -= 1
         verdict, status = reply
         peer.status = unpack_status(status)
+        peer.heard_at = read_clock()
         self.note_status(node)
         return unpack_verdict(verdict)
 
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -118,9 +118,18 @@
             await asyncio.sleep(STEP_S)
             if not self._is_keyed(self._service):
                 continue
+            self._choose_close_peers()
             await self._prove_lease()
             await self._plan()
 
+    def _choose_close_peers(self) -> None:
+        """Keep close to the witnesses of the lease, and as the writer to all owners."""
+        present = self.assignments.get(self._service)
+        close = set(present.witnesses) if present is not None else set()
+        if self._is_leader(read_clock()):
+            close |= {peer.member.node for peer in self._mesh.list_of_service(self._service)}
+        self._mesh.close_peers = frozenset(close)
+
     async def _prove_lease(self) -> None:
         """Ask the store when neither it nor the witnesses have confirmed for a while."""
         now = read_clock()
--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -21,7 +21,11 @@
     from persimmondock._tasks.store_follower import PartitionFollower
 
 HEARTBEAT_S = 0.5  # four in a witness's term of 3 s may be lost but two
+FREQUENT_PEERS = 20  # with more, heartbeats to those that are not close become rarer
+MAX_HEARTBEAT_S = 2.5  # a daemon that is silent for longer has been noticed by those that call it
 SILENT_S = 1.5  # three heartbeats without an answer
+SILENT_INTERVALS = 2.5
+READERS = 2  # daemons of each failure domain that wait for the store's records
 SYNC_AFTER_S = 0.2  # a copy that is behind for longer is brought up to date by a peer
 SYNC_TIMEOUT_S = 1.0
 
@@ -59,10 +63,17 @@
     heard_at: float = -math.inf
     store_answers: bool = False
     asked_at: float = math.inf
+    pinged_at: float = -math.inf
+    interval_s: float = HEARTBEAT_S
+
+    @property
+    def silent_s(self) -> float:
+        """How long it may be silent before it is taken for lost."""
+        return max(SILENT_S, SILENT_INTERVALS * self.interval_s)
 
     def is_alive(self, now: float) -> bool:
         """Return whether it answered lately."""
-        return self.link.connected and now - self.heard_at < SILENT_S
+        return self.link.connected and now - self.heard_at < self.silent_s
 
 
 def encode_member(member: Member) -> bytes:
@@ -114,6 +125,9 @@
         self.server = PeerServer(self._take_greeting)
         self.server.handlers["ping"] = self._answer_ping
         self.server.handlers["sync"] = self._answer_sync
+        self.server.handlers["push"] = self._take_push
+        self.close_peers: frozenset[str] = frozenset()
+        self.is_busy: Callable[[str], bool] = lambda _: False
         self.peers: dict[str, Peer] = {}
         self._followers = followers
         self._describe = describe
@@ -160,6 +174,30 @@
         """Return the daemons beside backend servers of a service."""
         return [peer for peer in self.peers.values() if peer.member.service == service]
 
+    def is_reader(self) -> bool:
+        """Return whether this daemon waits for the store's records, and brings them to others."""
+        return self._find_place() < READERS
+
+    def spread(self, index: int, start: int, changed: list[KeyedEntry], end: int) -> None:
+        """Bring records that the store gave to the daemons of the own failure domain."""
+        if self._find_place() > 0:
+            return
+        payload = [index, start, [[e.offset, e.key, e.value] for e in changed], end]
+        for peer in self.list_alive(read_clock()):
+            if peer.member.failure_domain == self.own.failure_domain:
+                self._start(self._tell(peer, "push", payload))
+
+    def _find_place(self) -> int:
+        """Return how many daemons of the own failure domain come before this one as readers."""
+        now = read_clock()
+        return sum(
+            peer.member.failure_domain == self.own.failure_domain
+            and peer.member.node < self.own.node
+            and peer.store_answers
+            and peer.is_alive(now)
+            for peer in self.peers.values()
+        )
+
     def tell_all(self, kind: str, payload: Any) -> None:
         """Send a message to all daemons that are alive; nobody waits for the replies."""
         for peer in self.list_alive(read_clock()):
@@ -178,8 +216,9 @@
             started = read_clock()
             for peer in list(self.peers.values()):
                 self._check(peer, started)
-            self.server.drop_silent(2 * SILENT_S)
-            await asyncio.sleep(HEARTBEAT_S)
+            usual_s = min(MAX_HEARTBEAT_S, HEARTBEAT_S * len(self.peers) / FREQUENT_PEERS)
+            self.server.drop_silent(2 * max(SILENT_S, SILENT_INTERVALS * usual_s))
+            await asyncio.sleep(HEARTBEAT_S / 2)
 
     def close(self) -> None:
         """End all links."""
@@ -201,10 +240,19 @@
             peer.link.drop("no answer to heartbeats")
             peer.asked_at = math.inf
             return
-        if peer.asked_at is math.inf:
-            peer.asked_at = now
+        peer.interval_s = self._choose_interval(peer)
+        if peer.asked_at is math.inf and now - peer.pinged_at >= 0.9 * peer.interval_s:
+            peer.asked_at = peer.pinged_at = now
             self._start(self._ping(peer, now))
 
+    def _choose_interval(self, peer: Peer) -> float:
+        """Return the seconds between heartbeats: few for those that this daemon depends on."""
+        node = peer.member.node
+        if node in self.close_peers or self.is_busy(node):
+            return HEARTBEAT_S
+        usual_s = HEARTBEAT_S * len(self.peers) / FREQUENT_PEERS
+        return min(MAX_HEARTBEAT_S, max(HEARTBEAT_S, usual_s))
+
     def _start(self, work: Any) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
@@ -268,6 +316,17 @@
             [follower.find_proof_age(now) for follower in self._followers],
         ]
 
+    async def _take_push(self, payload: Any, delivered: Delivered) -> None:
+        """Take records that a reader brings, unless some before them are missing here."""
+        index, start, entries, end = payload
+        follower = self._followers[index]
+        if follower.replica.end < start:
+            peer = self.peers.get(delivered.peer)
+            if peer is not None:
+                await self._sync(peer, index)
+            return
+        follower.take_from_peer((KeyedEntry(*entry) for entry in entries), end)
+
     async def _answer_sync(self, payload: Any, _: Delivered) -> Any:
         index, offset = payload
         replica = self._followers[index].replica
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import signal
 from typing import TYPE_CHECKING, Any
 
@@ -91,6 +92,9 @@
             settings.node, settings.peer_address, settings.failure_domain, settings.service
         )
         self.mesh = Mesh(own, self._followers, self.gate.describe, self._note_peer)
+        for index, follower in enumerate(self._followers):
+            follower.is_reader = self.mesh.is_reader
+            follower.spread = functools.partial(self.mesh.spread, index)
         self.mesh.server.handlers["release"] = self.keeper.answer_release
         self.mesh.server.handlers["loads"] = self.gate.answer_loads
         self.mesh.server.handlers["suspects"] = self._learn_suspects
@@ -112,6 +116,7 @@
             settings.service, settings.bounds, self.mesh, self.gate, self.control
         )
         self.dispatcher.is_out = self.site.is_out
+        self.mesh.is_busy = self.dispatcher.is_waiting_for
 
     @property
     def is_ready(self) -> bool:
--- a/persimmondock/_tasks/store_follower.py
+++ b/persimmondock/_tasks/store_follower.py
@@ -18,6 +18,7 @@
 WAIT_S = 20.0  # each return of a waiting read is a priced call
 RETRY_S = 0.25
 MAX_RETRY_S = 1.0
+IDLE_S = 0.25  # a daemon that becomes a reader begins within this time
 BATCH_S = 0.05  # records that come close together are read by one call
 
 
@@ -45,6 +46,8 @@
         self.replica = Replica()
         self.store_answers = False
         self.confirmed_at = -math.inf
+        self.is_reader: Callable[[], bool] = lambda: True
+        self.spread: Callable[[int, list[KeyedEntry], int], None] = lambda *_: None
         self._confirmed_end = -1
         self._log = log
         self._take = take
@@ -57,6 +60,10 @@
         """Read for ever."""
         pause = RETRY_S
         while True:
+            if self.replica.from_store and self.store_answers and not self.is_reader():
+                # Peers bring what is new; heartbeats tell if something is missing.
+                await asyncio.sleep(IDLE_S)
+                continue
             self._read = asyncio.create_task(self._read_once())
             self._given_up = False
             try:
@@ -138,9 +145,11 @@
     def _apply(
         self, entries: tuple[KeyedEntry, ...], end: int, whole: bool, asked_at: float
     ) -> None:
+        start = self.replica.end
         changed = self.replica.apply(entries, end)
         if changed:
             self._take(changed)
+            self.spread(start, changed, end)
         if whole:
             self._note_end(end, asked_at)
 
--- a/persimmondock/tests/test_assignment.py
+++ b/persimmondock/tests/test_assignment.py
@@ -195,8 +195,9 @@
     loads = KeyLoads()
     for _ in range(30):
         loads.count(17, 100.0)
-    assert loads.list_rates(100.0)[1] == pytest.approx(20.0)
-    assert loads.list_rates(103.0)[1] < 3.0
+    group = 17 // GROUP_KEYS
+    assert loads.list_rates(100.0)[group] == pytest.approx(20.0)
+    assert loads.list_rates(103.0)[group] < 3.0
     assert loads.list_rates(120.0) == {}
 
 
--- /dev/null
+++ b/persimmondock/tests/test_mesh.py
@@ -0,0 +1,142 @@
+"""Which daemons read the store, who brings records to whom, and how often heartbeats go.
+
+Pattern: sites of 14, 59, 88 and 1,000 daemons, where one call of each to the store is dear.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import attrs
+import pytest
+
+from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.peer_stream import Delivered
+from persimmondock._domain.gate_status import GateStatus
+from persimmondock._domain.replica import KeyedEntry
+from persimmondock._ports.keyed_log import Partition
+from persimmondock._tasks.mesh import (
+    HEARTBEAT_S,
+    MAX_HEARTBEAT_S,
+    READERS,
+    Member,
+    Mesh,
+    Peer,
+    decode_member,
+    encode_member,
+)
+from persimmondock._tasks.store_follower import PartitionFollower
+from persimmondock.tests.test_store_follower import ScriptedLog
+
+ZONES = ("recife", "salvador", "natal")
+
+
+@attrs.define
+class FakeLink:
+    """A link that keeps what is sent."""
+
+    sent: list[tuple[str, Any]] = attrs.field(factory=list)
+    reply: Any = None
+    connected: bool = True
+
+    async def request(self, kind: str, payload: Any) -> Any:
+        self.sent.append((kind, payload))
+        return self.reply
+
+
+def name(number: int) -> str:
+    return f"node-{number:04d}"
+
+
+def make_member(number: int) -> Member:
+    return Member(name(number), f"10.0.0.{number}:1", ZONES[number % 3], "painel")
+
+
+def make_mesh(number: int, count: int) -> Mesh:
+    """Return the mesh of one of a number of daemons, all of them alive."""
+    follower = PartitionFollower(ScriptedLog(), Partition("t"), lambda _: None)
+    mesh = Mesh(make_member(number), [follower], GateStatus, lambda *_: None)
+    for other in range(count):
+        if other != number:
+            peer = Peer(make_member(other), FakeLink(), heard_at=read_clock())  # type: ignore[arg-type]
+            peer.store_answers = True
+            mesh.peers[name(other)] = peer
+    return mesh
+
+
+@pytest.mark.parametrize("count", [14, 59, 88, 1000])
+def test_a_fixed_number_of_daemons_read_the_store(count: int) -> None:
+    readers = [n for n in range(count) if make_mesh(n, count).is_reader()] if count < 100 else None
+    if readers is None:
+        readers = [n for n in range(0, count, 37) if make_mesh(n, count).is_reader()]
+        assert len(readers) <= READERS * len(ZONES)
+    else:
+        assert len(readers) == READERS * len(ZONES)
+
+
+def test_the_next_daemon_reads_when_the_store_refuses_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    mesh = make_mesh(6, 14)
+    assert not mesh.is_reader()
+    mesh.peers[name(0)].store_answers = False
+    assert mesh.is_reader()
+
+
+async def test_records_go_to_the_own_failure_domain_only() -> None:
+    mesh = make_mesh(0, 14)
+    mesh.spread(0, 4, [KeyedEntry(4, "a", b"v")], 5)
+    await asyncio.sleep(0)
+    told = [peer.member for peer in mesh.peers.values() if peer.link.sent]
+    assert told and all(member.failure_domain == "recife" for member in told)
+    second = make_mesh(3, 14)
+    second.spread(0, 4, [KeyedEntry(4, "a", b"v")], 5)
+    await asyncio.sleep(0)
+    assert not any(peer.link.sent for peer in second.peers.values())
+
+
+async def test_records_that_follow_on_are_taken() -> None:
+    mesh = make_mesh(3, 6)
+    follower = mesh._followers[0]
+    follower.replica.end = 4
+    await mesh._take_push([0, 4, [[4, "a", b"v"]], 5], Delivered(name(0), 0.0))
+    assert follower.replica.get("a") == b"v"
+    assert follower.replica.end == 5
+
+
+async def test_records_after_a_gap_make_a_daemon_ask_for_all_that_is_missing() -> None:
+    """Pattern: a push is lost, and the next one arrives."""
+    mesh = make_mesh(3, 6)
+    follower = mesh._followers[0]
+    link = mesh.peers[name(0)].link
+    link.reply = [[[2, "b", b"w"], [4, "a", b"v"]], 5]  # type: ignore[attr-defined]
+    await mesh._take_push([0, 4, [[4, "a", b"v"]], 5], Delivered(name(0), 0.0))
+    assert link.sent == [("sync", [0, 0])]  # type: ignore[attr-defined]
+    assert follower.replica.get("b") == b"w"
+    assert follower.replica.end == 5
+
+
+@pytest.mark.parametrize(("count", "interval_s"), [(14, HEARTBEAT_S), (61, 1.5), (1000, 2.5)])
+def test_heartbeats_to_distant_daemons_become_rare_in_large_sites(
+    count: int, interval_s: float
+) -> None:
+    mesh = make_mesh(0, count)
+    assert mesh._choose_interval(mesh.peers[name(5)]) == pytest.approx(interval_s)
+    assert interval_s <= MAX_HEARTBEAT_S
+
+
+def test_witnesses_and_daemons_with_requests_under_way_are_heard_often() -> None:
+    mesh = make_mesh(0, 88)
+    mesh.close_peers = frozenset({name(5)})
+    mesh.is_busy = lambda node: node == name(6)
+    assert [mesh._choose_interval(mesh.peers[name(n)]) for n in (5, 6)] == [HEARTBEAT_S] * 2
+
+
+def test_a_members_record_survives_its_encoding() -> None:
+    member = make_member(7)
+    assert decode_member(member.node, encode_member(member)) == member
+
+
+@pytest.mark.parametrize("data", [b"", b"\x01", b"\xc1", b"\x92\xa1a\xa1b"])
+def test_a_broken_members_record_names_the_daemon(data: bytes) -> None:
+    with pytest.raises(ValueError, match="'node-9'"):
+        decode_member("node-9", data)
