--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -79,7 +79,7 @@
         self.down = False
         self._node = node
         self._failure_domain = failure_domain
-        self._bounds = bounds
+        self.bounds = bounds
         self._server = server
         self._keeper = keeper
         self._arrivals = ArrivalLimit()
@@ -309,7 +309,7 @@
     def _cold_per_s(self) -> float:
         if self.policy is None or self.policy.cold_per_s <= 0:
             return 0.0
-        bound = self.policy.cold_per_s * self._bounds.cold_factor + self._bounds.cold_slack
+        bound = self.policy.cold_per_s * self.bounds.cold_factor + self.bounds.cold_slack
         return COLD_SHARE * bound
 
     def _count_usable_slots(self) -> int:
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -84,7 +84,7 @@
         control: KeyControl,
     ) -> None:
         self._own_service = own_service
-        self._bounds = bounds
+        self.bounds = bounds
         self._mesh = mesh
         self._gate = gate
         self._control = control
@@ -180,7 +180,7 @@
     def _find_budget(self, service: str) -> SharedBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            bounds = self._bounds
+            bounds = self.bounds
             budget = SharedBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
             self._budgets[service] = budget
         return budget
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -37,6 +37,7 @@
 STOP_MARGIN_S = 0.7  # before the process is killed
 LINGER_S = 2.3  # callers are sent elsewhere after two failed readiness checks, a second apart
 HANDOVER_WITHIN_S = 1.5
+RELOADED_FIELDS = ("bounds", "zones", "announce_every_s")
 ASSIGNMENTS = 2  # place among the followers
 
 
@@ -179,7 +180,6 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGINT, signal.SIGTERM):
             loop.add_signal_handler(number, self.stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
         loop.set_exception_handler(_log_stray_error)
 
     def close(self) -> None:
@@ -252,8 +252,22 @@
     async def _learn_suspects(self, crashes: Any, _: Delivered) -> None:
         self.gate.suspects.learn(crashes, read_clock())
 
-    def _note_hangup(self) -> None:
-        logger.info("event=reload daemon={} changed=nothing", self.settings.node)
+    def reload(self, settings: NodeSettings) -> None:
+        """Apply settings that changed; what needs a new process is logged and left as it is."""
+        fields = [field.name for field in attrs.fields(type(settings))]
+        changed = [n for n in fields if getattr(settings, n) != getattr(self.settings, n)]
+        fixed = [name for name in changed if name not in RELOADED_FIELDS]
+        logger.info(
+            "event=reload daemon={} changed={} needs_restart={}",
+            self.settings.node,
+            ",".join(changed) or "-",
+            ",".join(fixed) or "-",
+        )
+        self.settings = attrs.evolve(
+            self.settings, **{name: getattr(settings, name) for name in RELOADED_FIELDS}
+        )
+        self.gate.bounds = settings.bounds
+        self.dispatcher.bounds = settings.bounds
 
     async def _announce_member(self) -> None:
         """Write this daemon's record unless the store has it already."""
--- a/persimmondock/platform/__main__.py
+++ b/persimmondock/platform/__main__.py
@@ -31,7 +31,9 @@
     daemon = PlatformDaemon(_settings.load_node_settings(path))
     daemon.sidecar.watch_signals()
     await daemon.start()
+    watching = asyncio.create_task(daemon.watch_settings(path))
     await daemon.sidecar.stopping.wait()
+    watching.cancel()
     await daemon.stop()
 
 
--- a/persimmondock/platform/_daemon.py
+++ b/persimmondock/platform/_daemon.py
@@ -2,16 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import signal
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from persimmondock._tasks.sidecar import OperatorWords, Sidecar, SitePartitions
-from persimmondock.platform import _operator, _store
+from persimmondock.platform import _operator, _settings, _store
 from persimmondock.platform._backend import PlatformBackend
 from persimmondock.platform._ingress import Ingress
+from persimmondock.settings import SettingsError
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from persimmondock._domain.site import NodeSettings
 
+SETTINGS_POLL_S = 1.0  # the file may also change without a signal
+
 
 class PlatformDaemon:
     """One daemon on the platform."""
@@ -41,6 +51,25 @@
         await self.sidecar.start()
         await self._ingress.start()
 
+    async def watch_settings(self, path: Path) -> None:
+        """Read the settings file again when a signal asks to, or when the file has changed."""
+        asked = asyncio.Event()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, asked.set)
+        known = _find_version(path)
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SETTINGS_POLL_S):
+                    await asked.wait()
+            version = _find_version(path)
+            if not asked.is_set() and version == known:
+                continue
+            asked.clear()
+            known = version
+            try:
+                self.sidecar.reload(_settings.load_node_settings(path))
+            except SettingsError as error:
+                logger.error("event=settings_refused detail={!r}", str(error))
+
     async def stop(self) -> None:
         """Hand over, finish what is in flight, and end."""
         left_s = await self.sidecar.finish()
@@ -53,3 +82,12 @@
         self.sidecar.close()
         self._server.close()
         self._store.close()
+
+
+def _find_version(path: Path) -> tuple[int, int] | None:
+    """Return what changes with a file, or None if it cannot be looked at."""
+    try:
+        found = path.stat()
+    except OSError:
+        return None
+    return found.st_mtime_ns, found.st_size
--- a/persimmondock/tests/platform/test_daemon.py
+++ b/persimmondock/tests/platform/test_daemon.py
@@ -4,9 +4,20 @@
 
 import asyncio
 
+import attrs
+
 from persimmondock.tests.live_site import make_config, run_site
 
 
+async def test_changed_bounds_are_in_force_and_other_fields_wait_for_a_restart() -> None:
+    async with run_site() as site:
+        node = site.nodes[0]
+        bounds = attrs.evolve(node.settings.bounds, cold_factor=9.0)
+        node.daemon.sidecar.reload(attrs.evolve(node.settings, bounds=bounds, service="x"))
+        assert node.daemon.sidecar.gate.bounds.cold_factor == 9.0
+        assert node.daemon.sidecar.settings.service == "painel"
+
+
 async def test_requests_of_both_kinds_are_served_with_their_signature() -> None:
     async with run_site() as site:
         for node in site.nodes:
