--- a/persimmondock/properties/test_ownership.py
+++ b/persimmondock/properties/test_ownership.py
@@ -19,7 +19,7 @@
 RECOVERY_S = 14.0
 NUMBERS = st.integers(0, 5)
 # Hypothesis also draws constants of the modules that are loaded, so which examples come first
-# depends on the package's sources; 200 were too few for one of the broken cores after some were added.
+# depends on the package's sources; with some of them 200 were too few for one broken core.
 BROKEN_EXAMPLES = 1_000
 SETTINGS = settings(
     max_examples=40,
