Spare a cold backend server before the configuration is known

Ruled out: the announcement (known 0.7 s before), the window's arithmetic (36 sent at once).

Change: without a configuration a cold backend server gets what any may get, the fixed allowance.

Test: test_backend_gate (failed before).

--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -315,7 +315,10 @@
 
     @property
     def _cold_per_s(self) -> float:
-        if self.policy is None or self.policy.cold_per_s <= 0:
+        if self.policy is None:
+            # No configuration is known yet: this much any cold backend server may get.
+            return COLD_SHARE * self.bounds.cold_slack
+        if self.policy.cold_per_s <= 0:
             return 0.0
         bound = self.policy.cold_per_s * self.bounds.cold_factor + self.bounds.cold_slack
         return COLD_SHARE * bound
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -89,6 +89,22 @@
         assert sum(first <= at < first + 1.0 for at in sent) <= bound
 
 
+async def test_a_cold_backend_server_is_spared_before_the_configuration_is_known(
+    gating: Gating,
+) -> None:
+    """Pattern: a machine returns while the store is away; others send to it at once.
+
+    It had announced its cold start 0.7 s before, but no configuration told what it bears.
+    """
+    gating.gate.policy = None
+    gating.gate.take_report(make_report(instance="i-2", born_ms=2000, cold_s=2.0))
+    asked = asyncio.create_task(gating.ask_many(40))
+    await asyncio.sleep(0.9)
+    assert 0 < len(gating.server.runs) <= SiteBounds().cold_slack
+    asked.cancel()
+    await asyncio.gather(asked, return_exceptions=True)
+
+
 async def test_a_failure_domain_that_returns_is_taken_for_cold_until_it_tells(
     gating: Gating,
 ) -> None:
