Make up a lag though other daemons lag too, and let each reader push

The first reader of its failure domain was cut off and pushed nothing, the second did not push, and the lag that one peer's heartbeat showed was forgotten with the next answer of a peer that lagged too.

Ruled out: the store's waiting read (the daemon was no reader), the decoder (version 16 was taken at once when it came at 16.50 s).

Change: a lag lasts until the own copy has reached the end that was heard of; heartbeats that come in show lags as well; both readers of a failure domain push.

Tests: test_mesh, three of which failed before.

--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -76,6 +76,22 @@
         return self.link.connected and now - self.heard_at < self.silent_s
 
 
+@attrs.define
+class _Lag:
+    """What others know more of one partition.
+
+    Parameters
+    ----------
+    end
+        Where the most advanced copy ends that was heard of.
+    since
+        Instant at which the lag was noticed, or last acted on.
+    """
+
+    end: int
+    since: float
+
+
 def encode_member(member: Member) -> bytes:
     """Return the value of a daemon's record."""
     data: bytes = msgpack.packb([member.address, member.failure_domain, member.service])
@@ -132,7 +148,7 @@
         self._followers = followers
         self._describe = describe
         self._note_confirmed = note_confirmed
-        self._behind_since: dict[int, float] = {}
+        self._lags: dict[int, _Lag] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def take_members(self, changed: list[KeyedEntry]) -> None:
@@ -179,8 +195,11 @@
         return self._find_place() < READERS
 
     def spread(self, index: int, start: int, changed: list[KeyedEntry], end: int) -> None:
-        """Bring records that the store gave to the daemons of the own failure domain."""
-        if self._find_place() > 0:
+        """Bring records that the store gave to the daemons of the own failure domain.
+
+        Each reader does, since another one may be cut off; who has the records already drops them.
+        """
+        if not self.is_reader():
             return
         payload = [index, start, [[e.offset, e.key, e.value] for e in changed], end]
         for peer in self.list_alive(read_clock()):
@@ -278,14 +297,19 @@
         self._note_confirmed(peer.member.node, peer.ends, sure, sent_at, now, proof_ages)
         for index, end in enumerate(peer.ends):
             if end > self._followers[index].replica.end:
-                self._catch_up(peer, index, now)
-            else:
-                self._behind_since.pop(index, None)
-
-    def _catch_up(self, peer: Peer, index: int, now: float) -> None:
-        since = self._behind_since.setdefault(index, now)
-        if now - since >= SYNC_AFTER_S:
-            self._behind_since[index] = now
+                self._catch_up(peer, index, end, now)
+
+    def _catch_up(self, peer: Peer, index: int, end: int, now: float) -> None:
+        """Ask a peer for what it knows more, unless the store or a reader brings it at once.
+
+        Other peers that lag too say nothing about whether this copy does.
+        """
+        lag = self._lags.get(index)
+        if lag is None or self._followers[index].replica.end >= lag.end:
+            lag = self._lags[index] = _Lag(end, now)
+        lag.end = max(lag.end, end)
+        if now - lag.since >= SYNC_AFTER_S:
+            lag.since = now
             self._start(self._sync(peer, index))
 
     async def _sync(self, peer: Peer, index: int) -> None:
@@ -302,12 +326,12 @@
         follower.read_again()
 
     async def _answer_ping(self, payload: Any, _: Delivered) -> Any:
-        _, ends = payload
-        for index, end in enumerate(ends):
-            # The asker knows more: the next heartbeat to it brings the difference.
-            if end > self._followers[index].replica.end:
-                self._behind_since.setdefault(index, read_clock())
+        name, ends = payload
         now = read_clock()
+        peer = self.peers.get(name)
+        for index, end in enumerate(ends):
+            if peer is not None and end > self._followers[index].replica.end:
+                self._catch_up(peer, index, end, now)
         return [
             [follower.replica.end for follower in self._followers],
             all(follower.replica.from_store for follower in self._followers),
--- a/persimmondock/tests/test_mesh.py
+++ b/persimmondock/tests/test_mesh.py
@@ -16,6 +16,7 @@
 from persimmondock._domain.gate_status import GateStatus
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._ports.keyed_log import Partition
+from persimmondock._tasks import mesh as mesh_module
 from persimmondock._tasks.mesh import (
     HEARTBEAT_S,
     MAX_HEARTBEAT_S,
@@ -88,10 +89,51 @@
     await asyncio.sleep(0)
     told = [peer.member for peer in mesh.peers.values() if peer.link.sent]
     assert told and all(member.failure_domain == "recife" for member in told)
-    second = make_mesh(3, 14)
-    second.spread(0, 4, [KeyedEntry(4, "a", b"v")], 5)
+    other = make_mesh(9, 14)
+    other.spread(0, 4, [KeyedEntry(4, "a", b"v")], 5)
     await asyncio.sleep(0)
-    assert not any(peer.link.sent for peer in second.peers.values())
+    assert not any(peer.link.sent for peer in other.peers.values())
+
+
+async def test_the_second_reader_brings_records_too() -> None:
+    """Pattern: the first reader of a failure domain is cut off from the store without a word."""
+    mesh = make_mesh(3, 14)
+    mesh.spread(0, 4, [KeyedEntry(4, "a", b"v")], 5)
+    await asyncio.sleep(0)
+    told = [peer.member.node for peer in mesh.peers.values() if peer.link.sent]
+    assert name(6) in told
+
+
+def make_reply(end: int) -> list[Any]:
+    return [[end], True, True, GateStatus().pack(), [None]]
+
+
+async def test_a_lag_is_made_up_for_though_other_peers_lag_too(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Pattern: a reader is cut off; one peer has the new configuration, the others do not.
+
+    The heartbeats' answers of the others came between and each time ended the lag.
+    """
+    monkeypatch.setattr(mesh_module, "SYNC_AFTER_S", 0.05)
+    mesh = make_mesh(3, 6)
+    ahead, behind = mesh.peers[name(0)], mesh.peers[name(1)]
+    for _ in range(3):
+        ahead.link.reply = make_reply(5)  # type: ignore[attr-defined]
+        await mesh._ping(ahead, read_clock())
+        behind.link.reply = make_reply(0)  # type: ignore[attr-defined]
+        await mesh._ping(behind, read_clock())
+        await asyncio.sleep(0.03)
+    await asyncio.sleep(0)
+    assert ("sync", [0, 0]) in ahead.link.sent  # type: ignore[attr-defined]
+
+
+async def test_a_heartbeat_that_comes_in_shows_a_lag_as_well() -> None:
+    mesh = make_mesh(3, 6)
+    mesh._lags[0] = mesh_module._Lag(5, read_clock() - 1.0)
+    await mesh._answer_ping([name(0), [5]], Delivered(name(0), 0.0))
+    await asyncio.sleep(0)
+    assert mesh.peers[name(0)].link.sent == [("sync", [0, 0])]  # type: ignore[attr-defined]
 
 
 async def test_records_that_follow_on_are_taken() -> None:
