Prove refusals by the attempt's identifier, keep older connections, drop dead state

Found by reading the change line by line: - A refusal without the attempt's identifier on a connection that had other requests before was taken for ours; a late one of an earlier request would have made a false "not run".

Ruled out: an await between the lease's check and the send of a grant or request (both checks are called with nothing awaited before the write).

Tests: test_words, test_http_exchange, test_range_keeper, test_key_control; three tests that could hardly fail are sharper.

--- a/persimmondock/_adapters/http_exchange.py
+++ b/persimmondock/_adapters/http_exchange.py
@@ -81,6 +81,7 @@
 
     def __init__(self) -> None:
         self.usable = True
+        self.exchanges = 0
         self.idle_since = 0.0
         self.idle_limit = DEFAULT_IDLE_S
         self._transport: asyncio.Transport | None = None
@@ -117,6 +118,7 @@
         if self._transport is None or not self.usable:
             raise ConnectionLostError("the connection has ended", sent=False)
         self._begin_message()
+        self.exchanges += 1
         self._answers.clear()
         self._accept = accept or _accept_any
         self._parser = httptools.HttpResponseParser(self)
@@ -280,22 +282,33 @@
     async def take(self, max_idle_s: float = DEFAULT_IDLE_S) -> HttpConnection:
         """Return a connection, the one used last first, or a new one.
 
+        Parameters
+        ----------
+        max_idle_s
+            Seconds for which the connection may have been idle; 0 asks for a new one. Older ones
+            are kept for requests that may go on them.
+
         Raises
         ------
         ConnectFailedError
             If no connection can be made.
         """
-        while self._idle:
+        now = read_clock()
+        self._drop_ended(now)
+        if self._idle and now - self._idle[-1].idle_since < max_idle_s:
             connection = self._idle.pop()
-            idle_s = read_clock() - connection.idle_since
-            if connection.usable and idle_s < min(max_idle_s, connection.idle_limit):
-                self._busy.add(connection)
-                return connection
-            connection.abort()
-        connection = await self._open()
+        else:
+            connection = await self._open()
         self._busy.add(connection)
         return connection
 
+    def _drop_ended(self, now: float) -> None:
+        """Close idle connections that the server has closed, or is about to."""
+        for connection in list(self._idle):
+            if not connection.usable or now - connection.idle_since >= connection.idle_limit:
+                self._idle.remove(connection)
+                connection.abort()
+
     def give_back(self, connection: HttpConnection) -> None:
         """Keep a connection for the next request if it may have one."""
         self._busy.discard(connection)
@@ -310,12 +323,6 @@
             connection.abort()
         self._idle.clear()
 
-    def drop_idle(self) -> None:
-        """Close the connections without a request."""
-        for connection in self._idle:
-            connection.abort()
-        self._idle.clear()
-
     async def _open(self) -> HttpConnection:
         loop = asyncio.get_running_loop()
         self.opened += 1
--- a/persimmondock/_adapters/peer_stream.py
+++ b/persimmondock/_adapters/peer_stream.py
@@ -158,11 +158,6 @@
         """Whether there is a connection."""
         return self._protocol is not None
 
-    @property
-    def heard_at(self) -> float:
-        """Instant of the last byte from the peer."""
-        return self._protocol.heard_at if self._protocol else -math.inf
-
     async def request(self, kind: str, payload: Any) -> Any:
         """Send a request and return its reply.
 
--- a/persimmondock/_domain/site.py
+++ b/persimmondock/_domain/site.py
@@ -55,10 +55,6 @@
         callers, for readiness checks and for the backend server's announcements.
     peer_address
         ``host:port`` that other daemons reach this one by.
-    zones
-        All failure domains of the site.
-    announce_every_s
-        Seconds between two announcements of a backend server.
     """
 
     node: str
@@ -70,6 +66,4 @@
     ready_address: str
     announce_address: str
     peer_address: str
-    zones: tuple[str, ...] = ()
-    announce_every_s: float = 1.0
     bounds: SiteBounds = attrs.field(factory=SiteBounds)
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -37,7 +37,6 @@
 MIN_LEFT_S = 0.01  # a request with less time left cannot be answered
 COLD_SHARE = 0.8  # of what a cold backend server bears; more would crash it when bursts add up
 DOUBT_S = 5.0  # announcements come every 1.5 s at most, and may be seconds late
-SILENT_ANNOUNCEMENTS = 4  # missed ones after which a backend server that fails is taken for lost
 REFUSED_RETRY_MS = 300
 CRASH_WINDOW_S = 6.0  # a crash is certain when the next life announces itself, seconds later
 TIMED_OUT = 504  # a backend server's own answer at the time limit
@@ -67,7 +66,6 @@
     def __init__(
         self,
         node: str,
-        failure_domain: str,
         bounds: SiteBounds,
         server: BackendServer,
         keeper: RangeKeeper,
@@ -76,10 +74,8 @@
         self.policy: ServicePolicy | None = None
         self.out = False
         self.leaving = False
-        self.stopping = False
         self.down = False
         self._node = node
-        self._failure_domain = failure_domain
         self.bounds = bounds
         self._server = server
         self._keeper = keeper
@@ -113,7 +109,7 @@
     @property
     def is_open(self) -> bool:
         """Whether the gate takes new work."""
-        return not (self.leaving or self.stopping or self.down or self.backend.leaving)
+        return not (self.leaving or self.down or self.backend.leaving)
 
     def describe(self) -> GateStatus:
         """Return the state to tell others."""
@@ -297,7 +293,7 @@
         report = self.backend.report
         if report is None or self.down:
             return NotRun(Reason.BACKEND_DOWN, REFUSED_RETRY_MS)
-        if self.backend.leaving or self.stopping:
+        if self.backend.leaving:
             return NotRun(Reason.DRAINING, REFUSED_RETRY_MS)
         if self.out:
             return NotRun(Reason.FAILURE_DOMAIN_OUT, REFUSED_RETRY_MS)
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -99,17 +99,22 @@
     async def dispatch(self, request: ForwardedRequest, route: RoutePolicy) -> Verdict:
         """Get a request answered, or refuse it."""
         self.in_flight += 1
+        attempts = _Attempts()
         try:
-            return await self._dispatch(request, route)
+            verdict = await self._dispatch(request, route, attempts)
         finally:
             self.in_flight -= 1
+        if not isinstance(verdict, Answered):
+            _log_refusal(request, verdict, attempts)
+        return verdict
 
-    async def _dispatch(self, request: ForwardedRequest, route: RoutePolicy) -> Verdict:
+    async def _dispatch(
+        self, request: ForwardedRequest, route: RoutePolicy, attempts: _Attempts
+    ) -> Verdict:
         now = read_clock()
         # What comes in while repeats run here may be calls of theirs.
         repeated = self._gate.find_repeated_share()
         self._find_budget(request.service).record_request(now, repeated)
-        attempts = _Attempts()
         hold_until = now + HOLD_SHARE * route.objective_s
         while True:
             node = self._choose(request, attempts)
@@ -126,20 +131,7 @@
                     break
                 attempts.tried.clear()
                 await asyncio.sleep(HOLD_STEP_S)
-        return self._log_refusal(request, attempts)
-
-    def _log_refusal(self, request: ForwardedRequest, attempts: _Attempts) -> Verdict:
-        verdict = attempts.conclude()
-        logger.info(
-            "event=not_answered attempt={} route={} key={} verdict={} reason={} tried={}",
-            request.attempt,
-            request.route,
-            request.key,
-            name_verdict(verdict),
-            getattr(verdict, "reason", "-"),
-            ",".join(sorted(attempts.tried)),
-        )
-        return verdict
+        return attempts.conclude()
 
     def _goes_on(
         self,
@@ -276,6 +268,20 @@
         return [pack_verdict(verdict), status.pack()]
 
 
+def _log_refusal(
+    request: ForwardedRequest, verdict: NotRun | MayHaveRun, attempts: _Attempts
+) -> None:
+    logger.info(
+        "event=not_answered attempt={} route={} key={} verdict={} reason={} tried={}",
+        request.attempt,
+        request.route,
+        request.key,
+        name_verdict(verdict),
+        verdict.reason.value,
+        ",".join(sorted(attempts.tried)) or "-",
+    )
+
+
 def _keep_sooner(known: NotRun | None, new: NotRun) -> NotRun:
     """Return the refusal with which the caller may come back sooner."""
     if known is None or 0 < new.retry_after_ms < known.retry_after_ms:
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -76,12 +76,10 @@
         self._is_keyed = is_keyed
         self._loads = loads
         self._started_at = read_clock()
-        self._fit_since: dict[BackendLife, float] = {}
         self._unfit_since: dict[str, float] = {}
         self._written_at = -math.inf
         self._witnesses_at = read_clock()
         self._proved_at = -math.inf
-        self._fresh_offset = -1
 
     def take(self, changed: list[KeyedEntry]) -> None:
         """Take in assignments that changed."""
@@ -110,6 +108,10 @@
     def note_store(self, end: int, asked_at: float) -> None:
         """Take a read of the store as proof of the lease."""
         self._proved_at = max(self._proved_at, asked_at)
+        own = self.assignments.get(self._service)
+        if own is not None and end > self._keeper.lease.offset:
+            # Records of other services moved the end; this assignment is still the newest.
+            self._keeper.follow(own, end)
         self._keeper.lease.confirm_by_store(end, asked_at)
 
     async def run(self) -> None:
--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -34,6 +34,7 @@
 RENEW_AFTER_S = 1.0  # two renewals may be lost
 STEP_S = 0.1
 RELEASE_RETRY_S = 0.1
+PREDECESSOR_RETRY_S = 0.5  # each try is one order for each range that is asked for
 POLL_S = 0.02  # a handover takes a few ms when nothing runs
 ASK_RETRY_S = 0.2
 ASK_TIMEOUT_S = 4.0  # work on the keys may take its time to end
@@ -84,7 +85,6 @@
         self._released: list[ReleasedRange] = []
         self._takeovers: dict[int, Takeover] = {}
         self._started_at = read_clock()
-        self._wake = asyncio.Event()
         self._renewing: set[asyncio.Task[None]] = set()
 
     # Questions of the gate.
@@ -107,7 +107,7 @@
             return -1
         for item in self.assignment.list_owned(self.life):
             held = self._held.get(item.first)
-            if held is None or held.item.fence != item.fence:
+            if held is None or held.item.grant_key != item.grant_key:
                 return -1
         return self.assignment.offset
 
@@ -148,12 +148,7 @@
         while True:
             self._reconcile()
             self._renew()
-            self._wake.clear()
-            try:
-                async with asyncio.timeout(STEP_S):
-                    await self._wake.wait()
-            except TimeoutError:
-                continue
+            await asyncio.sleep(STEP_S)
 
     async def answer_release(self, payload: Any, _: Delivered) -> Any:
         """Tell a new owner when this daemon's backend server has given keys up.
@@ -281,14 +276,23 @@
         if now < self._find_perhaps_until(first, last):
             return False
         if now < self._started_at + GRANT_S * (1 + CLOCK_TOLERANCE):
-            # An earlier process of this daemon may have granted the keys, and a grant of its own
-            # whose answer it never got may still be carried out.
-            outcome = await self._backend.release(first, last, fence)
-            if isinstance(outcome, ReleaseDone) and outcome.handover:
-                self._released.append(ReleasedRange(first, last, outcome.handover))
-            return isinstance(outcome, ReleaseFailed) and outcome.refused
+            return await self._release_for_predecessor(first, last, fence)
         return True
 
+    async def _release_for_predecessor(self, first: int, last: int, fence: int) -> bool:
+        """Release what an earlier process may have granted; return whether nothing can hold it.
+
+        A grant whose answer that process never got may still be carried out, so that only a
+        refused connection is proof before the longest grant has run out.
+        """
+        outcome = await self._backend.release(first, last, fence)
+        if isinstance(outcome, ReleaseFailed) and outcome.refused:
+            return True
+        if isinstance(outcome, ReleaseDone) and outcome.handover:
+            self._released.append(ReleasedRange(first, last, outcome.handover))
+        await asyncio.sleep(PREDECESSOR_RETRY_S)
+        return False
+
     async def _start(self, item: KeyRange) -> None:
         """Take keys from their former owners and grant them."""
         handover = ""
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -37,7 +37,7 @@
 STOP_MARGIN_S = 0.7  # before the process is killed
 LINGER_S = 2.3  # callers are sent elsewhere after two failed readiness checks, a second apart
 HANDOVER_WITHIN_S = 1.5
-RELOADED_FIELDS = ("bounds", "zones", "announce_every_s")
+RELOADED_FIELDS = ("bounds",)
 ASSIGNMENTS = 2  # place among the followers
 
 
@@ -76,9 +76,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         lease = RangeLease()
         self.keeper = RangeKeeper(server, lease, settings.node)
-        self.gate = BackendGate(
-            settings.node, settings.failure_domain, settings.bounds, server, self.keeper
-        )
+        self.gate = BackendGate(settings.node, settings.bounds, server, self.keeper)
         self.site = SiteState(
             words.config_key, words.decode, words.find_evacuated, self._apply_site
         )
--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -65,11 +65,6 @@
         self._grants = _Orders(address, GRANTS_AT_ONCE)
         self._releases = _Orders(address, RELEASES_AT_ONCE)
 
-    @property
-    def opened(self) -> int:
-        """Connections opened so far."""
-        return self._pool.opened + self._grants.pool.opened + self._releases.pool.opened
-
     async def run(
         self,
         request: ForwardedRequest,
@@ -118,7 +113,9 @@
             return MayHaveRun(Reason.BACKEND_LOST)
         except ExchangeError:
             return MayHaveRun(Reason.ANSWER_INVALID)
-        return _judge_answer(answer, request.attempt, instance)
+        # Nothing late can come on a connection that had no request before.
+        first = connection.exchanges == 1
+        return _judge_answer(answer, request.attempt, instance, first)
 
     async def grant(
         self, first: int, last: int, fence: int, find_hold_s: Callable[[], float], handover: str
@@ -164,12 +161,6 @@
             return ReleaseFailed(f"status {answer.status}")
         return ReleaseDone(answer.find_header(_headers.HANDOVER) or "")
 
-    def reset(self) -> None:
-        """End all connections: another life of the backend server has begun."""
-        self._pool.drop_idle()
-        self._grants.pool.drop_idle()
-        self._releases.pool.drop_idle()
-
     def close(self) -> None:
         """End all connections."""
         self._pool.close()
@@ -205,15 +196,24 @@
     return render_request("POST", path, fields, json.dumps(body).encode())
 
 
-def _judge_answer(answer: HttpAnswer, attempt: str, instance: str) -> Verdict:
-    """Tell a backend server's answer from its refusal to run the request."""
-    if answer.status == 421:
+def _judge_answer(answer: HttpAnswer, attempt: str, instance: str, first: bool) -> Verdict:
+    """Tell a backend server's answer from its refusal to run the request.
+
+    Parameters
+    ----------
+    first
+        Whether the connection had no request before this one. On others a refusal without
+        identifier may be a late one of an earlier request, and proves nothing.
+    """
+    answered = answer.find_header(_headers.ATTEMPT.lower())
+    is_ours = answered == attempt or (answered is None and first)
+    if answer.status == 421 and is_ours:
         if answer.find_header(_headers.INSTANCE) in (None, instance):
             return NotRun(Reason.NOT_OWNER, REFUSED_RETRY_MS)
         return NotRun(Reason.BACKEND_DOWN, REFUSED_RETRY_MS)
-    if answer.find_header(_headers.NOT_EXECUTED) is not None:
+    if answer.find_header(_headers.NOT_EXECUTED) is not None and is_ours:
         return NotRun(Reason.BACKEND_REFUSED, REFUSED_RETRY_MS)
-    if answer.find_header(_headers.ATTEMPT.lower()) != attempt:
+    if answered != attempt:
         return MayHaveRun(Reason.ANSWER_INVALID)
     if answer.status < 300 and answer.find_header(_headers.SIGNATURE) is None:
         return MayHaveRun(Reason.ANSWER_INVALID)
--- a/persimmondock/platform/_settings.py
+++ b/persimmondock/platform/_settings.py
@@ -57,8 +57,6 @@
             ready_address=self._address("network.bind.ready"),
             announce_address=self._address("network.bind.control"),
             peer_address=f"{address}:{inner}",
-            zones=tuple(self._find("network.zones") or ()),
-            announce_every_s=self._number("platform.heartbeat_s", 1.0),
             bounds=self._read_bounds(),
         )
 
--- a/persimmondock/tests/platform/test_daemon.py
+++ b/persimmondock/tests/platform/test_daemon.py
@@ -29,14 +29,13 @@
         assert all(1 < int(run.fields["X-Timeout-Ms"]) <= 2000 for run in runs)
 
 
-async def test_an_unknown_path_is_not_found_and_a_forged_caller_is_replaced() -> None:
+async def test_an_unknown_path_is_not_found() -> None:
     async with run_site() as site:
         assert (await site.ask(site.nodes[0], "/nowhere/"))[0] == 404
 
 
 async def test_a_daemon_without_configuration_refuses_and_is_not_ready() -> None:
     async with run_site() as site:
-        site.store.faults.refused = set()
         daemon = site.nodes[0].daemon
         daemon.sidecar.site.table = None
         status, headers, _ = await site.ask(site.nodes[0], "/view/1", key=1)
--- a/persimmondock/tests/platform/test_settings.py
+++ b/persimmondock/tests/platform/test_settings.py
@@ -55,7 +55,6 @@
     settings = load_node_settings(write(tmp_path, FULL))
     assert settings.peer_address == "10.1.0.8:7620"
     assert settings.store_address == "10.200.1.7:8309"
-    assert settings.zones == ("recife", "salvador")
     assert settings.bounds.drain_s == 2.5
     assert settings.bounds.stop_s == 6.0
 
--- a/persimmondock/tests/platform/test_words.py
+++ b/persimmondock/tests/platform/test_words.py
@@ -207,10 +207,30 @@
 def test_only_these_answers_say_that_a_request_has_not_run(
     answer: HttpAnswer, reason: Reason
 ) -> None:
-    verdict = _backend._judge_answer(answer, "a", "i-1")
+    verdict = _backend._judge_answer(answer, "a", "i-1", first=True)
     assert isinstance(verdict, NotRun) and verdict.reason is reason
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [
+        make_answer(503, X_Not_Executed="1"),
+        make_answer(421),
+        make_answer(503, X_Not_Executed="1", X_Attempt_Id="b"),
+    ],
+)
+def test_a_refusal_that_may_be_a_late_one_proves_nothing(answer: HttpAnswer) -> None:
+    """Pattern: a second, late answer stands on a kept connection where ours is expected."""
+    verdict = _backend._judge_answer(answer, "a", "i-1", first=False)
+    assert verdict == MayHaveRun(Reason.ANSWER_INVALID)
+
+
+def test_a_refusal_with_the_attempts_identifier_is_proof_on_any_connection() -> None:
+    answer = make_answer(503, X_Not_Executed="1", X_Attempt_Id="a")
+    verdict = _backend._judge_answer(answer, "a", "i-1", first=False)
+    assert isinstance(verdict, NotRun)
+
+
 @pytest.mark.parametrize(
     "answer",
     [
@@ -221,12 +241,14 @@
     ids=["no signature", "another attempt", "no attempt"],
 )
 def test_what_may_be_another_requests_answer_is_none(answer: HttpAnswer) -> None:
-    assert _backend._judge_answer(answer, "a", "i-1") == MayHaveRun(Reason.ANSWER_INVALID)
+    assert _backend._judge_answer(answer, "a", "i-1", first=True) == MayHaveRun(
+        Reason.ANSWER_INVALID
+    )
 
 
 def test_a_backend_servers_failure_is_its_answer() -> None:
     answer = make_answer(500, X_Attempt_Id="a", X_Server_Signature="s")
-    verdict = _backend._judge_answer(answer, "a", "i-1")
+    verdict = _backend._judge_answer(answer, "a", "i-1", first=True)
     assert isinstance(verdict, Answered) and verdict.answer.status == 500
 
 
--- a/persimmondock/tests/test_assignment.py
+++ b/persimmondock/tests/test_assignment.py
@@ -145,7 +145,8 @@
     assert after is not None
     found = {item.first: item.owner for item in after}
     assert found[0] == before.ranges[0].owner
-    assert load_of(after, rates, 0) in (50.0, 20.0, 60.0, 10.0)
+    assert sorted(load_of(after, rates, owner) for owner in range(2)) in ([10, 60], [20, 50])
+    assert max(load_of(after, rates, owner) for owner in range(2)) < 70.0
 
 
 def test_a_quiet_site_does_not_move_keys() -> None:
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -27,7 +27,7 @@
     def __init__(self) -> None:
         self.server = FakeBackend()
         keeper = RangeKeeper(self.server, RangeLease(), "node-1")
-        self.gate = BackendGate("node-1", "recife", SiteBounds(), self.server, keeper)
+        self.gate = BackendGate("node-1", SiteBounds(), self.server, keeper)
         self.gate.policy = ServicePolicy(SERVICE, cold_per_s=10.0)
         self.gate.take_report(make_report())
 
--- a/persimmondock/tests/test_dispatcher.py
+++ b/persimmondock/tests/test_dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import Any
 
 import attrs
@@ -75,7 +76,7 @@
         own = Member("node-0", "127.0.0.1:1", "recife", "recepcao")
         self.mesh = Mesh(own, [follower], GateStatus, lambda *_: None)
         keeper = RangeKeeper(FakeBackend(), RangeLease(), "node-0")
-        gate = BackendGate("node-0", "recife", SiteBounds(), FakeBackend(), keeper)
+        gate = BackendGate("node-0", SiteBounds(), FakeBackend(), keeper)
         self.control = FakeControl()
         self.dispatcher = Dispatcher(
             "recepcao",
@@ -145,10 +146,11 @@
 async def test_an_idempotent_request_is_tried_on_a_second_backend_server(
     dispatching: Dispatching, outcome: Verdict
 ) -> None:
-    first = dispatching.add(1, outcome, service_s=0.01)
+    dispatching.dispatcher._random = random.Random(1)
+    first = dispatching.add(1, outcome, service_s=0.001)
     second = dispatching.add(2, DONE, service_s=0.5)
     assert await dispatching.ask() == DONE
-    assert (first.calls, second.calls) in [(1, 1), (0, 1)]
+    assert (first.calls, second.calls) == (1, 1)
 
 
 async def test_no_more_backend_servers_run_it_than_the_route_allows(
--- a/persimmondock/tests/test_http_exchange.py
+++ b/persimmondock/tests/test_http_exchange.py
@@ -199,6 +199,18 @@
         assert pool.opened == 2
 
 
+async def test_a_connection_too_old_for_one_request_is_kept_for_others() -> None:
+    """Requests that may run once only go on young connections; others may use the older ones."""
+    async with serve(answer_each(WHOLE, WHOLE, WHOLE)) as pool:
+        await exchange(pool)
+        await asyncio.sleep(0.05)
+        young = await pool.take(max_idle_s=0.01)
+        assert pool.opened == 2
+        assert (await exchange(pool)).body == b"ok"
+        assert pool.opened == 2
+        pool.give_back(young)
+
+
 async def test_a_refused_connection_is_told_from_silence() -> None:
     with pytest.raises(ConnectFailedError) as caught:
         await HttpPool(f"{HOST}:1", 1).take()
--- a/persimmondock/tests/test_key_control.py
+++ b/persimmondock/tests/test_key_control.py
@@ -133,3 +133,13 @@
     part = attrs.evolve(item, first=10, owner=make_life(1), former=(make_life(7), make_life(2)))
     ranges = controlling.control._drop_settled(present, (item, part), statuses, frozenset())
     assert [entry.former for entry in ranges] == [(), (make_life(2),)]
+
+
+def test_a_lease_is_proved_also_when_only_other_services_wrote(controlling: Controlling) -> None:
+    present = make_assignment(make_range(0, 9, 1), offset=1, witnesses="abc")
+    controlling.control.assignments[SERVICE] = present
+    lease = controlling.control._keeper.lease
+    controlling.control._keeper.assignment = present
+    lease.follow(1, present.witnesses)
+    controlling.control.note_store(4, 100.0)
+    assert lease.compute_end() > 100.0
--- a/persimmondock/tests/test_range_keeper.py
+++ b/persimmondock/tests/test_range_keeper.py
@@ -146,6 +146,7 @@
     asked = asyncio.create_task(kept.keeper.answer_release([0, 9, 2, 2], PEER))
     await asyncio.sleep(0.2)
     assert not asked.done()
+    assert len(kept.backend.releases) == 1
     assert (await asked)[0]
     kept.task.cancel()
 
