Close the listeners of a stopped daemon in time, whatever is in flight

Cause: a stopped daemon listened until nothing was in flight.

Ruled out: a request cut by the peer or by the backend server (it never left the front); a slow handover (leaving stood in the log in time; daemon_stopping came after 5.30 s instead of 2.30 s).

Change: listeners close 2.3 s after SIGTERM; what was read is answered within the rest of the grace time; work from other daemons is refused as not run meanwhile. The new test failed on the old code (5.3 s, then killed) and passes.

--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -74,6 +74,7 @@
         self.policy: ServicePolicy | None = None
         self.out = False
         self.leaving = False
+        self.closed = False
         self.down = False
         self._node = node
         self.bounds = bounds
@@ -109,7 +110,7 @@
     @property
     def is_open(self) -> bool:
         """Whether the gate takes new work."""
-        return not (self.leaving or self.down or self.backend.leaving)
+        return not (self.leaving or self.closed or self.down or self.backend.leaving)
 
     def describe(self) -> GateStatus:
         """Return the state to tell others."""
@@ -293,7 +294,7 @@
         report = self.backend.report
         if report is None or self.down:
             return NotRun(Reason.BACKEND_DOWN, REFUSED_RETRY_MS)
-        if self.backend.leaving:
+        if self.backend.leaving or self.closed:
             return NotRun(Reason.DRAINING, REFUSED_RETRY_MS)
         if self.out:
             return NotRun(Reason.FAILURE_DOMAIN_OUT, REFUSED_RETRY_MS)
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -36,7 +36,6 @@
 STOP_POLL_S = 0.05
 STOP_MARGIN_S = 0.7  # before the process is killed
 LINGER_S = 2.3  # callers are sent elsewhere after two failed readiness checks, a second apart
-HANDOVER_WITHIN_S = 1.5
 RELOADED_FIELDS = ("bounds",)
 ASSIGNMENTS = 2  # place among the followers
 
@@ -144,34 +143,31 @@
             self._tasks.append(task)
         logger.info("event=daemon_started daemon={}", self.settings.node)
 
-    async def finish(self) -> float:
-        """Hand over, and return when callers have been sent elsewhere; called when asked to stop.
-
-        Callers' requests are still served: the listeners are closed afterwards.
+    async def hand_over(self) -> float:
+        """Give up keys and send callers elsewhere; they are still served meanwhile.
 
         Returns
         -------
         float
-            Seconds that are left for the requests in flight.
+            Instant by which this daemon has to be gone.
         """
         started = read_clock()
-        stop_by = started + self.settings.bounds.stop_s - STOP_MARGIN_S
         logger.info("event=leaving daemon={}", self.settings.node)
         self.gate.leaving = True
-        while read_clock() < started + HANDOVER_WITHIN_S and self.keeper.holds_any():
-            await asyncio.sleep(STOP_POLL_S)
-        while read_clock() < stop_by:
-            quiet = not self.gate.count_in_flight() and not self.dispatcher.in_flight
-            if quiet and read_clock() >= started + LINGER_S:
-                break
-            await asyncio.sleep(STOP_POLL_S)
+        await asyncio.sleep(LINGER_S)
         logger.info(
-            "event=daemon_stopping daemon={} in_flight={} after_s={:.2f}",
+            "event=daemon_stopping daemon={} in_flight={} keys_held={}",
             self.settings.node,
             self.gate.count_in_flight() + self.dispatcher.in_flight,
-            read_clock() - started,
+            self.keeper.holds_any(),
         )
-        return max(0.0, stop_by - read_clock())
+        return started + self.settings.bounds.stop_s - STOP_MARGIN_S
+
+    async def drain(self, stop_by: float) -> None:
+        """Let nothing new in, and wait for what other daemons have sent here."""
+        self.gate.closed = True
+        while self.gate.count_in_flight() and read_clock() < stop_by:
+            await asyncio.sleep(STOP_POLL_S)
 
     def watch_signals(self) -> None:
         """Stop when asked to, and log what nobody awaits."""
--- a/persimmondock/platform/_daemon.py
+++ b/persimmondock/platform/_daemon.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from persimmondock._adapters.clock import read_clock
 from persimmondock._tasks.sidecar import OperatorWords, Sidecar, SitePartitions
 from persimmondock.platform import _operator, _settings, _store
 from persimmondock.platform._backend import PlatformBackend
@@ -71,9 +72,11 @@
                 logger.error("event=settings_refused detail={!r}", str(error))
 
     async def stop(self) -> None:
-        """Hand over, finish what is in flight, and end."""
-        left_s = await self.sidecar.finish()
-        await self._ingress.close(left_s)
+        """Hand over, answer what has been read, and end in time."""
+        stop_by = await self.sidecar.hand_over()
+        await asyncio.gather(
+            self._ingress.close(stop_by - read_clock()), self.sidecar.drain(stop_by)
+        )
         await self.close()
 
     async def close(self) -> None:
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -39,6 +39,7 @@
         self._sidecar = sidecar
         self._servers: list[asyncio.Server] = []
         self._handlers: list[web.Server] = []
+        self._closed = False
 
     async def start(self) -> None:
         """Listen on all addresses.
@@ -55,11 +56,16 @@
 
     async def close(self, within_s: float = CLOSE_WITHIN_S) -> None:
         """Stop listening; connections are closed once the requests on them are answered."""
+        if self._closed:
+            return
+        self._closed = True
         for server in self._servers:
             server.close()
         for handler in self._handlers:
             handler.pre_shutdown()
-        await asyncio.gather(*(handler.shutdown(within_s) for handler in self._handlers))
+        # aiohttp takes a timeout of 0 for none.
+        timeout_s = max(CLOSE_WITHIN_S, within_s)
+        await asyncio.gather(*(handler.shutdown(timeout_s) for handler in self._handlers))
 
     async def _listen(
         self, address: str, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
--- a/persimmondock/tests/platform/test_daemon.py
+++ b/persimmondock/tests/platform/test_daemon.py
@@ -4,8 +4,10 @@
 
 import asyncio
 
+import aiohttp
 import attrs
 
+from persimmondock._adapters.clock import read_clock
 from persimmondock.tests.live_site import make_config, run_site
 
 
@@ -141,8 +143,41 @@
         ]
         await asyncio.sleep(0.1)
         leaving.daemon.sidecar.stopping.set()
-        stopped = asyncio.create_task(leaving.daemon.sidecar.finish())
+        stopped = asyncio.create_task(leaving.daemon.stop())
         assert [(await item)[0] for item in asked] == [200] * 8
         await stopped
         await site.wait_until_served(site.nodes[2])
         assert site.find_double_holds() == []
+
+
+async def test_a_stopped_daemon_ends_in_time_while_callers_go_on() -> None:
+    """Pattern: callers are not sent elsewhere, since too few daemons of the domain are ready.
+
+    With requests in flight at every moment the daemon kept listening until it was killed.
+    """
+    async with run_site() as site:
+        leaving = site.nodes[0]
+        for node in site.nodes:
+            node.backend.work_s = 0.9
+        outcomes: list[object] = []
+        stopping = asyncio.Event()
+
+        async def call_on(number: int) -> None:
+            while not stopping.is_set():
+                try:
+                    outcomes.append((await site.ask(leaving, "/assign/1", -1, f"c{number}"))[0])
+                except aiohttp.ClientConnectorError:
+                    return  # nothing listens any more
+                except aiohttp.ClientError as error:
+                    outcomes.append(error)
+
+        callers = [asyncio.create_task(call_on(number)) for number in range(6)]
+        await asyncio.sleep(0.2)
+        leaving.daemon.sidecar.stopping.set()
+        begun = read_clock()
+        await leaving.daemon.stop()
+        took_s = read_clock() - begun
+        stopping.set()
+        await asyncio.gather(*callers)
+        assert took_s < leaving.settings.bounds.stop_s - 0.5
+        assert set(outcomes) <= {200, 503}
