Serve counters and latency histograms as text on the metrics address

Change: an adapter of prometheus-client behind the port that statsd has; requests by verdict and reason, latency, time at the backend server, refusals of the gate, and gauges of the gate, the copies of the store's partitions, leases and peers. `--metrics PORT/PATH` in the deploy file.

--- /dev/null
+++ b/persimmondock/_adapters/prometheus.py
@@ -0,0 +1,106 @@
+"""Metrics as text that a collector fetches.
+
+Tasks name a metric and the values of its labels with dots in between, as
+``requests.not_run.overloaded``: the same names go to statsd.
+"""
+
+from __future__ import annotations
+
+from typing import Any, TypeAlias
+
+import attrs
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+PREFIX = "persimmondock_"
+CONTENT_TYPE = CONTENT_TYPE_LATEST
+# Latency objectives of the sites lie between 0.1 s and 0.9 s, time limits below 6 s.
+BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 0.8, 1.0, 1.5, 2.5, 5.0)
+
+Kind: TypeAlias = type[Counter] | type[Gauge] | type[Histogram]
+
+
+@attrs.frozen
+class MetricSpec:
+    """What one name means, and the labels that follow it."""
+
+    kind: Kind
+    meaning: str
+    labels: tuple[str, ...] = ()
+
+
+METRICS = {
+    "requests": MetricSpec(
+        Counter, "Callers' requests that ended at this daemon", ("verdict", "reason")
+    ),
+    "request_ms": MetricSpec(
+        Histogram, "Seconds from a caller's whole request to its end", ("verdict",)
+    ),
+    "forwards": MetricSpec(Counter, "Requests sent to gates of other daemons"),
+    "refusals": MetricSpec(Counter, "Requests that the gate here refused", ("reason",)),
+    "backend_ms": MetricSpec(
+        Histogram, "Seconds that requests took at the backend server here", ("verdict",)
+    ),
+    "ready": MetricSpec(Gauge, "1 while callers may be sent here"),
+    "configuration_version": MetricSpec(Gauge, "Version of the routes in force, or -1"),
+    "in_flight": MetricSpec(Gauge, "Requests that the backend server here works on"),
+    "queued": MetricSpec(Gauge, "Requests that wait for a slot here"),
+    "slots": MetricSpec(Gauge, "Requests that may run here at the same time now"),
+    "gate_open": MetricSpec(Gauge, "1 while the gate takes new work"),
+    "peers_known": MetricSpec(Gauge, "Other daemons on record"),
+    "peers_alive": MetricSpec(Gauge, "Other daemons that answered heartbeats lately"),
+    "copy_end": MetricSpec(Gauge, "Offset at which the copy of a partition ends", ("partition",)),
+    "store_answers": MetricSpec(Gauge, "1 while the store answers", ("partition",)),
+    "ranges_held": MetricSpec(Gauge, "Ranges of keys granted to the backend server here"),
+    "lease_left_s": MetricSpec(Gauge, "Seconds until the lease on them ends"),
+}
+
+
+class PrometheusMetrics:
+    """Keeps all metrics of one daemon."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._families: dict[str, Any] = {}
+        self._series: dict[str, Any] = {}
+        for name, spec in METRICS.items():
+            self._families[name] = self._make_family(name, spec)
+
+    def _make_family(self, name: str, spec: MetricSpec) -> Any:
+        if spec.kind is Histogram:
+            full_name = PREFIX + name.removesuffix("_ms") + "_seconds"
+            return Histogram(
+                full_name, spec.meaning, spec.labels, registry=self._registry, buckets=BUCKETS_S
+            )
+        return spec.kind(PREFIX + name, spec.meaning, spec.labels, registry=self._registry)
+
+    def _find(self, name: str) -> Any:
+        """Return the series of a name with its labels' values; missing ones are empty."""
+        series = self._series.get(name)
+        if series is None:
+            first, *values = name.split(".")
+            labels = METRICS[first].labels
+            series = self._families[first]
+            if labels:
+                series = series.labels(*values, *[""] * (len(labels) - len(values)))
+            self._series[name] = series
+        return series
+
+    def count(self, name: str, value: int = 1) -> None:
+        """Add to a counter."""
+        self._find(name).inc(value)
+
+    def measure(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._find(name).set(value)
+
+    def time(self, name: str, milliseconds: float) -> None:
+        """Note one duration."""
+        self._find(name).observe(milliseconds / 1000)
+
+    def flush(self) -> None:
+        """Nothing is held back: the collector fetches what there is."""
+
+    def render(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self._registry)
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -23,7 +23,14 @@
 )
 from persimmondock._domain.gate_status import GateStatus
 from persimmondock._domain.key_loads import KeyLoads
-from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
+from persimmondock._domain.verdict import (
+    Answered,
+    MayHaveRun,
+    NotRun,
+    Reason,
+    Verdict,
+    name_verdict,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,6 +39,7 @@
     from persimmondock._domain.routing_table import ServicePolicy
     from persimmondock._domain.site import SiteBounds
     from persimmondock._ports.backend import BackendServer
+    from persimmondock._ports.metrics import MetricSink
     from persimmondock._tasks.range_keeper import RangeKeeper
 
 MIN_LEFT_S = 0.01  # a request with less time left cannot be answered
@@ -69,6 +77,7 @@
         bounds: SiteBounds,
         server: BackendServer,
         keeper: RangeKeeper,
+        metrics: MetricSink,
     ) -> None:
         self.backend = LocalBackend()
         self.policy: ServicePolicy | None = None
@@ -80,6 +89,7 @@
         self.bounds = bounds
         self._server = server
         self._keeper = keeper
+        self._metrics = metrics
         self._arrivals = ArrivalLimit()
         self._times = ServiceTimes()
         self._queue = GateQueue()
@@ -189,6 +199,12 @@
 
     async def run(self, request: ForwardedRequest) -> Verdict:
         """Run a request, or refuse it."""
+        verdict = await self._run(request)
+        if isinstance(verdict, NotRun):
+            self._metrics.count(f"refusals.{verdict.reason.value}")
+        return verdict
+
+    async def _run(self, request: ForwardedRequest) -> Verdict:
         now = read_clock()
         if request.key != NO_KEY:
             self.loads.count(request.key, now)
@@ -235,6 +251,8 @@
             if took_s > self._times.estimate(request.route):
                 self._record_time(request, number)
             raise
+        took_s = read_clock() - self._running[number].started_at
+        self._metrics.time(f"backend_ms.{name_verdict(verdict)}", 1000 * took_s)
         self._note_outcome(request, number, verdict, life)
         return verdict
 
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -36,6 +36,7 @@
 
     from persimmondock._domain.routing_table import RoutePolicy
     from persimmondock._domain.site import SiteBounds
+    from persimmondock._ports.metrics import MetricSink
     from persimmondock._tasks.backend_gate import BackendGate
     from persimmondock._tasks.key_control import KeyControl
     from persimmondock._tasks.mesh import Mesh, Peer
@@ -82,12 +83,14 @@
         mesh: Mesh,
         gate: BackendGate,
         control: KeyControl,
+        metrics: MetricSink,
     ) -> None:
         self._own_service = own_service
         self.bounds = bounds
         self._mesh = mesh
         self._gate = gate
         self._control = control
+        self._metrics = metrics
         self._sent: Counter[str] = Counter()
         self._sent_before: Counter[str] = Counter()
         self._budgets: dict[str, SharedBudget] = {}
@@ -99,15 +102,26 @@
     async def dispatch(self, request: ForwardedRequest, route: RoutePolicy) -> Verdict:
         """Get a request answered, or refuse it."""
         self.in_flight += 1
+        started = read_clock()
         attempts = _Attempts()
         try:
             verdict = await self._dispatch(request, route, attempts)
+        except asyncio.CancelledError:
+            self._note_end("caller_left", "", started)
+            raise
         finally:
             self.in_flight -= 1
-        if not isinstance(verdict, Answered):
+        if isinstance(verdict, Answered):
+            self._note_end(name_verdict(verdict), "", started)
+        else:
+            self._note_end(name_verdict(verdict), verdict.reason.value, started)
             _log_refusal(request, verdict, attempts)
         return verdict
 
+    def _note_end(self, verdict: str, reason: str, started: float) -> None:
+        self._metrics.count(f"requests.{verdict}.{reason}")
+        self._metrics.time(f"request_ms.{verdict}", 1000 * (read_clock() - started))
+
     async def _dispatch(
         self, request: ForwardedRequest, route: RoutePolicy, attempts: _Attempts
     ) -> Verdict:
@@ -238,6 +252,7 @@
             return await self._gate.run(request)
         peer = self._mesh.peers[node]
         self._sent[node] += 1
+        self._metrics.count("forwards")
         try:
             async with asyncio.timeout(request.deadline - read_clock() + REPLY_GRACE_S):
                 reply = await peer.link.request("call", request.pack(read_clock()))
--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -162,6 +162,10 @@
             await asyncio.sleep(POLL_S)
         return [True, self._find_handover(first, last)]
 
+    def count_held(self) -> int:
+        """Return the number of ranges that the backend server holds."""
+        return len(self._held)
+
     def holds_any(self) -> bool:
         """Return whether keys are held, or still being released."""
         return bool(self._held or self._releasing)
--- a/persimmondock/platform/__main__.py
+++ b/persimmondock/platform/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import os
 import sys
@@ -18,7 +19,7 @@
 LOG_LEVEL = "INFO"
 
 
-async def run_daemon(path: Path) -> None:
+async def run_daemon(path: Path, metrics_place: _settings.MetricsPlace | None) -> None:
     """Run until a signal asks to stop.
 
     Raises
@@ -28,7 +29,7 @@
     OSError
         If an address cannot be listened on.
     """
-    daemon = PlatformDaemon(_settings.load_node_settings(path))
+    daemon = PlatformDaemon(_settings.load_node_settings(path), metrics_place)
     daemon.sidecar.watch_signals()
     await daemon.start()
     watching = asyncio.create_task(daemon.watch_settings(path))
@@ -39,12 +40,17 @@
 
 def main() -> int:
     """Run the daemon and return its exit code."""
+    # cleo would cost memory on each VM; the commands of the product use it.
+    parser = argparse.ArgumentParser("persimmondock.platform", description=__doc__)
+    parser.add_argument("--metrics", metavar="PORT/PATH", help="serve metrics on this VM's address")
+    arguments = parser.parse_args()
     configure_logging(LOG_LEVEL, sys.stdout)
     path = os.environ.get(_settings.FILE_VARIABLE, "")
     try:
         if not path:
             raise SettingsError(f"environment variable {_settings.FILE_VARIABLE} is not set")
-        asyncio.run(run_daemon(Path(path)))
+        place = _settings.parse_metrics_place(arguments.metrics) if arguments.metrics else None
+        asyncio.run(run_daemon(Path(path), place))
     except SettingsError as error:
         logger.error("event=settings_refused detail={!r}", str(error))
         return EXIT_INPUT
--- a/persimmondock/platform/_daemon.py
+++ b/persimmondock/platform/_daemon.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.prometheus import PrometheusMetrics
 from persimmondock._tasks.sidecar import OperatorWords, Sidecar, SitePartitions
 from persimmondock.platform import _operator, _settings, _store
 from persimmondock.platform._backend import PlatformBackend
@@ -20,6 +21,7 @@
     from pathlib import Path
 
     from persimmondock._domain.site import NodeSettings
+    from persimmondock.platform._settings import MetricsPlace
 
 SETTINGS_POLL_S = 1.0  # the file may also change without a signal
 
@@ -27,9 +29,10 @@
 class PlatformDaemon:
     """One daemon on the platform."""
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(self, settings: NodeSettings, metrics_place: MetricsPlace | None = None) -> None:
         self._store = _store.PlatformStore(settings.store_address, settings.node)
         self._server = PlatformBackend(settings.backend_address)
+        self._metrics = PrometheusMetrics() if metrics_place is not None else None
         self.sidecar = Sidecar(
             settings,
             self._store,
@@ -38,8 +41,9 @@
             OperatorWords(
                 _operator.CONFIG_KEY, _operator.decode_configuration, _operator.find_evacuated
             ),
+            self._metrics,
         )
-        self._ingress = Ingress(self.sidecar)
+        self._ingress = Ingress(self.sidecar, metrics_place, self._metrics)
 
     async def start(self) -> None:
         """Start all tasks and listen.
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -10,6 +10,7 @@
 from multidict import CIMultiDict
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.prometheus import CONTENT_TYPE, PrometheusMetrics
 from persimmondock._adapters.sockets import tune_socket
 from persimmondock._domain.backend_report import ReportError
 from persimmondock._domain.forwarding import ForwardedRequest
@@ -21,6 +22,7 @@
 
     from persimmondock._domain.routing_table import RoutePolicy, RoutingTable
     from persimmondock._tasks.sidecar import Sidecar
+    from persimmondock.platform._settings import MetricsPlace
 
 READY_PATH = "/-/readiness"
 IDLE_S = 15.0  # clients reuse connections for four fifths of the configured idle time
@@ -35,8 +37,15 @@
 class Ingress:
     """All HTTP listeners of one daemon."""
 
-    def __init__(self, sidecar: Sidecar) -> None:
+    def __init__(
+        self,
+        sidecar: Sidecar,
+        metrics_place: MetricsPlace | None = None,
+        metrics: PrometheusMetrics | None = None,
+    ) -> None:
         self._sidecar = sidecar
+        self._metrics_place = metrics_place
+        self._metrics = metrics
         self._servers: list[asyncio.Server] = []
         self._handlers: list[web.Server] = []
         self._closed = False
@@ -53,6 +62,18 @@
         await self._listen(settings.announce_address, self._take_report)
         await self._listen(settings.ready_address, self._tell_readiness)
         await self._listen(settings.caller_address, self._serve)
+        await self._listen_for_collectors()
+
+    async def _listen_for_collectors(self) -> None:
+        """Serve metrics; a daemon without them is better than none."""
+        if self._metrics_place is None:
+            return
+        host = self._sidecar.settings.caller_address.rpartition(":")[0]
+        address = f"{host}:{self._metrics_place.port}"
+        try:
+            await self._listen(address, self._tell_metrics)
+        except OSError as error:
+            logger.error("event=metrics_unavailable address={} error={!r}", address, error)
 
     async def close(self, within_s: float = CLOSE_WITHIN_S) -> None:
         """Stop listening; connections are closed once the requests on them are answered."""
@@ -99,6 +120,13 @@
         ready = request.path == READY_PATH and self._sidecar.is_ready
         return web.Response(status=200 if ready else 503)
 
+    async def _tell_metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        place = self._metrics_place
+        if self._metrics is None or place is None or request.path != place.path:
+            return web.Response(status=404)
+        self._sidecar.measure()
+        return web.Response(body=self._metrics.render(), headers={"Content-Type": CONTENT_TYPE})
+
     async def _take_report(self, request: web.BaseRequest) -> web.StreamResponse:
         """Acknowledge what the backend server says of itself, or tell what is wrong with it."""
         body = await request.read()
--- a/persimmondock/platform/_settings.py
+++ b/persimmondock/platform/_settings.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+import attrs
 import yaml
 
 from persimmondock._domain.site import NodeSettings, SiteBounds
@@ -14,6 +15,29 @@
 
 FILE_VARIABLE = "PERSIMMONDOCK_NODE_FILE"
 MAX_FILE_BYTES = 1024 * 1024
+MAX_PORT = 65_535
+
+
+@attrs.frozen
+class MetricsPlace:
+    """Where metrics are served: a port of the VM's own address, and a path."""
+
+    port: int
+    path: str
+
+
+def parse_metrics_place(text: str) -> MetricsPlace:
+    """Read ``PORT/PATH``, as the deploy file has it.
+
+    Raises
+    ------
+    SettingsError
+        If it has another form.
+    """
+    port, slash, path = text.partition("/")
+    if not slash or not path or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        raise SettingsError(f"metrics must be PORT/PATH with a port up to {MAX_PORT}, not {text!r}")
+    return MetricsPlace(int(port), f"/{path}")
 
 
 def load_node_settings(path: Path) -> NodeSettings:
--- a/persimmondock/tests/platform/test_settings.py
+++ b/persimmondock/tests/platform/test_settings.py
@@ -7,7 +7,11 @@
 import pytest
 import yaml
 
-from persimmondock.platform._settings import load_node_settings
+from persimmondock.platform._settings import (
+    MetricsPlace,
+    load_node_settings,
+    parse_metrics_place,
+)
 from persimmondock.settings import SettingsError
 
 FULL = {
@@ -51,6 +55,17 @@
     return data
 
 
+def test_the_place_of_metrics_is_a_port_and_a_path() -> None:
+    assert parse_metrics_place("9464/metrics") == MetricsPlace(9464, "/metrics")
+
+
+@pytest.mark.parametrize("text", ["9464", "/metrics", "9464/", "x/metrics", "0/metrics", "70000/m"])
+def test_a_wrong_place_of_metrics_is_named(text: str) -> None:
+    with pytest.raises(SettingsError, match="PORT/PATH") as caught:
+        parse_metrics_place(text)
+    assert repr(text) in str(caught.value)
+
+
 def test_all_fields_are_read(tmp_path: Path) -> None:
     settings = load_node_settings(write(tmp_path, FULL))
     assert settings.peer_address == "10.1.0.8:7620"
