Explain a request from collected log files; gates log what decided a refusal

Change: `persimmondock trace ATTEMPT FILE...` orders the lines of an attempt across daemons, shows lines of the daemons concerned that may tell the cause, by reason and key, and which lines were left out by the limit. Gates write `event=refused` with the requests that run and wait, slots, mean time, cold time, time left and offset.

--- /dev/null
+++ b/persimmondock/_commands/tracing.py
@@ -0,0 +1,66 @@
+"""The command that explains a request from collected log files."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+from cleo.helpers import argument
+
+from persimmondock._commands.base import BaseCommand, CommandError
+from persimmondock._commands.exit_codes import EXIT_DONE, EXIT_FAILED
+from persimmondock._domain.request_trace import LogLine, RequestTrace, parse_line, trace_request
+
+
+class TraceCommand(BaseCommand):
+    """Explains how one request ended."""
+
+    name = "trace"
+    description = "Show a request's way across daemons, and what decided its end, from log files"
+    help = (
+        "Each file has one daemon's lines and its name, unless a name stands before the lines. "
+        "Exit code 1 if no line names the attempt."
+    )
+    arguments = [
+        argument("attempt", "Identifier of the attempt"),
+        argument("files", "Log files of all daemons", multiple=True),
+    ]
+
+    def perform(self) -> int:
+        """Read the files and show what they say."""
+        trace = trace_request(self._read_lines(), self.argument("attempt"))
+        for line in render_trace(self.argument("attempt"), trace):
+            self.show(line)
+        return EXIT_DONE if trace.own else EXIT_FAILED
+
+    def _read_lines(self) -> Iterator[LogLine]:
+        for name in self.argument("files"):
+            path = Path(name)
+            try:
+                with path.open(encoding="utf-8", errors="replace") as file:
+                    for text in file:
+                        line = parse_line(text, path.stem)
+                        if line is not None:
+                            yield line
+            except OSError as error:
+                raise CommandError(f"{name}: {error.strerror}") from error
+
+
+def render_trace(attempt: str, trace: RequestTrace) -> list[str]:
+    """Return the lines that explain a request."""
+    lines = []
+    if trace.own:
+        lines += [f"attempt {attempt}", *map(_show_line, trace.own), "", "what may have caused it"]
+        if trace.left_out:
+            lines.append(f"  {trace.left_out} earlier lines left out")
+        lines += [_show_line(line) for line in trace.context] or ["  nothing in the lines given"]
+    else:
+        lines.append(f"no line names attempt {attempt}: it was answered, or its lines were dropped")
+    if trace.dropped:
+        counts = ", ".join(f"{count} of {name}" for name, count in sorted(trace.dropped.items()))
+        lines += ["", f"lines that daemons left out in that time: {counts}"]
+    return lines
+
+
+def _show_line(line: LogLine) -> str:
+    return f"  {line.time} {line.daemon} {line.text}"
--- /dev/null
+++ b/persimmondock/_domain/request_trace.py
@@ -0,0 +1,169 @@
+"""Finds in collected log lines why one request ended as it did."""
+
+from __future__ import annotations
+
+import re
+from datetime import datetime
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Collectors put a name, and perhaps an instant of their own, in front of a daemon's line.
+LINE = re.compile(r"^(?P<before>.*?)\btime=(?P<time>\S+) level=(?P<level>\w+) (?P<text>event=.*)$")
+FIELD = re.compile(r"(\w+)=('[^']*'|\"[^\"]*\"|\S*)")
+BEFORE_S = 5.0  # configurations, takeovers and drains have settled after this time
+AFTER_S = 0.5  # the line of a lost backend server follows the requests that it took along
+MAX_CONTEXT = 40  # lines; the nearest ones say most
+
+_MOVES = frozenset(
+    {
+        "assignment_known",
+        "assignment_written",
+        "range_taken",
+        "range_released",
+        "takeover",
+        "grant_unanswered",
+        "grant_fenced",
+        "store_lost",
+        "store_regained",
+        "peer_dropped",
+        "leaving",
+    }
+)
+_LOSSES = frozenset(
+    {
+        "peer_dropped",
+        "backend_down",
+        "backend_back",
+        "backend_crashed",
+        "backend_changed",
+        "backend_left",
+        "leaving",
+        "daemon_stopping",
+        "daemon_started",
+    }
+)
+_LOAD = frozenset(
+    {
+        "backend_changed",
+        "backend_down",
+        "backend_left",
+        "assignment_written",
+        "failure_domains_out",
+        "leaving",
+    }
+)
+# What may have caused an end, by the reason that the front gave.
+CAUSES = {
+    "overloaded": _LOAD,
+    "backend_cold": _LOAD,
+    "backend_refused": _LOAD,
+    "not_owner": _MOVES,
+    "no_owner": _MOVES | _LOSSES,
+    "handover_pending": _MOVES,
+    "lease_lapsed": _MOVES,
+    "failure_domain_out": frozenset({"failure_domains_out"}),
+    "suspected_poison": frozenset({"backend_crashed"}),
+    "draining": _LOAD,
+    "no_configuration": frozenset({"configuration", "configuration_refused", "store_lost"}),
+}
+
+
+@attrs.frozen
+class LogLine:
+    """One line of one daemon.
+
+    Parameters
+    ----------
+    at
+        Seconds since the epoch by the daemon's clock, as ``time`` shows them.
+    """
+
+    daemon: str
+    time: str
+    at: float
+    event: str
+    fields: dict[str, str]
+    text: str
+
+
+@attrs.frozen
+class RequestTrace:
+    """What the lines say of one request.
+
+    Parameters
+    ----------
+    own
+        Lines that name the attempt, in order.
+    context
+        Lines of the daemons concerned that may tell the cause, in order.
+    left_out
+        Number of such lines that were left out, farthest from the end first.
+    dropped
+        Lines that daemons did not write, by event, within the same time.
+    """
+
+    own: list[LogLine]
+    context: list[LogLine]
+    left_out: int
+    dropped: dict[str, int]
+
+
+def parse_line(line: str, daemon: str) -> LogLine | None:
+    """Read a line; ``daemon`` is its writer unless a name stands in front of the line."""
+    found = LINE.match(line.rstrip("\n"))
+    if found is None:
+        return None
+    before = found["before"].split()
+    fields = {name: value.strip("'\"") for name, value in FIELD.findall(found["text"])}
+    writer = before[-1] if before else daemon
+    at = datetime.fromisoformat(found["time"]).timestamp()
+    return LogLine(writer, found["time"], at, fields["event"], fields, found["text"])
+
+
+def trace_request(lines: Iterable[LogLine], attempt: str) -> RequestTrace:
+    """Return the lines of an attempt, and those that may tell why it ended so.
+
+    Clocks of VMs may differ: lines of different daemons are ordered by what their clocks said.
+    """
+    known = sorted(lines, key=lambda line: line.at)
+    own = [line for line in known if line.fields.get("attempt") == attempt]
+    if not own:
+        return RequestTrace([], [], 0, _count_dropped(known))
+    end = _find_end(own)
+    near = [line for line in known if end.at - BEFORE_S <= line.at <= end.at + AFTER_S]
+    wanted = CAUSES.get(end.fields.get("reason", ""), _LOSSES)
+    concerned = {line.daemon for line in own} | set(end.fields.get("tried", "").split(","))
+    key = end.fields.get("key", "-1")
+    context = [
+        line
+        for line in near
+        if line.event in wanted and line.daemon in concerned and _concerns_key(line, key)
+    ]
+    left_out = max(0, len(context) - MAX_CONTEXT)
+    return RequestTrace(own, context[left_out:], left_out, _count_dropped(near))
+
+
+def _find_end(own: list[LogLine]) -> LogLine:
+    """Return the line of the front's verdict, or the last one that there is."""
+    return next((line for line in reversed(own) if line.event == "not_answered"), own[-1])
+
+
+def _concerns_key(line: LogLine, key: str) -> bool:
+    """Return whether a line about a range of keys is about this one."""
+    first, last = line.fields.get("first"), line.fields.get("last")
+    if first is None or last is None or not key.isdigit():
+        return True
+    return int(first) <= int(key) <= int(last)
+
+
+def _count_dropped(lines: Iterable[LogLine]) -> dict[str, int]:
+    dropped: dict[str, int] = {}
+    for line in lines:
+        if line.event == "log_lines_dropped":
+            name = line.fields["name"]
+            dropped[name] = dropped.get(name, 0) + int(line.fields["count"])
+    return dropped
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -202,8 +202,28 @@
         verdict = await self._run(request)
         if isinstance(verdict, NotRun):
             self._metrics.count(f"refusals.{verdict.reason.value}")
+            self._log_refusal(request, verdict)
         return verdict
 
+    def _log_refusal(self, request: ForwardedRequest, verdict: NotRun) -> None:
+        now = read_clock()
+        logger.info(
+            "event=refused attempt={} route={} key={} reason={} running={} waiting={} slots={} "
+            "service_ms={:.0f} cold_ms={:.0f} left_ms={:.0f} offset={} retry_after_ms={}",
+            request.attempt,
+            request.route,
+            request.key,
+            verdict.reason.value,
+            len(self._running),
+            len(self._queue),
+            self.slots,
+            1000 * self._times.overall_s,
+            1000 * max(0.0, self._arrivals.cold_until - now),
+            1000 * (request.deadline - now),
+            self._keeper.assignment.offset,
+            verdict.retry_after_ms,
+        )
+
     async def _run(self, request: ForwardedRequest) -> Verdict:
         now = read_clock()
         if request.key != NO_KEY:
--- a/persimmondock/cli.py
+++ b/persimmondock/cli.py
@@ -42,6 +42,7 @@
     "status": "persimmondock._commands.fleet:StatusCommand",
     "dump": "persimmondock._commands.fleet:DumpCommand",
     "explain": "persimmondock._commands.fleet:ExplainCommand",
+    "trace": "persimmondock._commands.tracing:TraceCommand",
     "log tail": "persimmondock._commands.log:LogTailCommand",
     "demo": "persimmondock._commands.standins:DemoCommand",
     "bench": "persimmondock.bench.command:BenchCommand",
