End a repeat that waits for a new owner; a fault soak that found it

Its owner was killed with the request; from then on the loop of the dispatcher asked the lost owner again every 20 ms until the keys had a new owner, since the bound on waiting counted for first attempts only.

Ruled out: a stalled process (the same daemon answered others meanwhile), a late reply of a peer (the link was down).

Change: after a run, the wait for a new owner is bounded as before the first one. The test failed on the old code (no end within 3 s) and passes.

Stand-in backend servers now answer a release when the work on its keys has ended.

--- a/persimmondock/_domain/balance.py
+++ b/persimmondock/_domain/balance.py
@@ -21,6 +21,8 @@
 BUSY = 0.6  # utilization below which hardly anybody waits, so that nothing needs to move
 MIN_GAP = 0.2  # difference of utilization that pays for a move, above the noise of both figures
 HOT_SHARE = 0.03  # of an owner's room: a group with more moves by itself, others with their range
+HOT_FILL = 0.85  # utilization by one group above which its requests have to be refused
+HOT_GAIN = 0.55  # a full backend server answers 1.5 times slower than an idle one promises
 MAX_PIECES = 12  # ranges that move at a time; each asks its former owner
 MAX_RANGES = 640  # each is a grant to be renewed every second
 
@@ -63,7 +65,7 @@
     for item in ranges:
         if item.owner in loads:
             loads[item.owner] += sum_rates(rates, item.first, item.last)
-    result = ranges
+    result = _place_hot(ranges, rooms, loads, rates)
     for _ in range(len(rooms)):
         step = _move_once(result, rooms, loads, rates)
         if step is None:
@@ -72,6 +74,39 @@
     return result if result is not ranges else None
 
 
+def _place_hot(
+    ranges: tuple[KeyRange, ...],
+    rooms: Mapping[BackendLife, Room],
+    loads: dict[BackendLife, float],
+    rates: Mapping[int, float],
+) -> tuple[KeyRange, ...]:
+    """Give a group that fills an owner by itself to the one that serves most of it.
+
+    Nothing else can relieve such an owner, since a key has only one.
+    """
+    result = ranges
+    for group, rate in sorted(rates.items(), key=lambda entry: -entry[1])[:MAX_PIECES]:
+        first = group * GROUP_KEYS
+        item = _find(result, first)
+        if item is None or item.owner not in rooms or rate < HOT_FILL * rooms[item.owner].per_s:
+            continue
+        owner = item.owner
+
+        def fill_with(life: BackendLife, extra: float) -> float:
+            return (loads[life] + extra) / max(rooms[life].per_s, 1e-6)
+
+        best = min(
+            (life for life in sorted(rooms) if life != owner), key=lambda x: fill_with(x, rate)
+        )
+        if fill_with(best, rate) >= HOT_GAIN * fill_with(owner, 0.0):
+            continue
+        piece = _Piece(first, min(item.last, first + GROUP_KEYS - 1), rate)
+        loads[owner] -= rate
+        loads[best] += rate
+        result = _cut(result, [piece], best)
+    return result
+
+
 def _move_once(
     ranges: tuple[KeyRange, ...],
     rooms: Mapping[BackendLife, Room],
--- a/persimmondock/_domain/gate_queue.py
+++ b/persimmondock/_domain/gate_queue.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import bisect
+from collections import Counter
 
 import attrs
 
@@ -34,20 +35,26 @@
     overall_s: float = 0.0
     steady_s: float = 0.0
     _by_route: dict[str, float] = attrs.field(factory=dict)
+    _answers: Counter[str] = attrs.field(factory=Counter)
 
     def record(self, route: str, took_s: float) -> None:
         """Count an answered request."""
-        self.overall_s = _blend(self.overall_s, took_s)
-        self.steady_s = _blend(self.steady_s, took_s, STEADY_WEIGHT)
-        self._by_route[route] = _blend(self._by_route.get(route, 0.0), took_s)
+        self._answers[""] += 1
+        self._answers[route] += 1
+        count = self._answers[""]
+        self.overall_s = _blend(self.overall_s, took_s, SERVICE_WEIGHT, count)
+        self.steady_s = _blend(self.steady_s, took_s, STEADY_WEIGHT, count)
+        known_s = self._by_route.get(route, 0.0)
+        self._by_route[route] = _blend(known_s, took_s, SERVICE_WEIGHT, self._answers[route])
 
     def estimate(self, route: str) -> float:
         """Return the time that a request of a route will take."""
         return self._by_route.get(route) or self.overall_s or FIRST_SERVICE_S
 
 
-def _blend(mean_s: float, took_s: float, weight: float = SERVICE_WEIGHT) -> float:
-    return took_s if mean_s == 0.0 else mean_s + weight * (took_s - mean_s)
+def _blend(mean_s: float, took_s: float, weight: float, count: int) -> float:
+    """Return the new mean; the first answers count alike, since single ones differ tenfold."""
+    return mean_s + max(weight, 1 / count) * (took_s - mean_s)
 
 
 @attrs.define(eq=False)
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -129,7 +129,8 @@
         # What comes in while repeats run here may be calls of theirs.
         repeated = self._gate.find_repeated_share()
         self._find_budget(request.service).record_request(now, repeated)
-        hold_until = now + HOLD_SHARE * route.objective_s
+        hold_s = HOLD_SHARE * route.objective_s
+        hold_until, runs = now + hold_s, 0
         while True:
             node = self._choose(request, attempts)
             if node is None:
@@ -141,7 +142,10 @@
             if not self._goes_on(node, verdict, request, route, attempts):
                 return verdict if isinstance(verdict, Answered) else attempts.conclude()
             if request.key != NO_KEY:
-                if read_clock() >= hold_until and attempts.runs == 0:
+                if attempts.runs > runs:
+                    # A repeat may wait for a new owner as long as a first attempt.
+                    runs, hold_until = attempts.runs, read_clock() + hold_s
+                if read_clock() >= hold_until:
                     break
                 attempts.tried.clear()
                 await asyncio.sleep(HOLD_STEP_S)
--- a/persimmondock/cli.py
+++ b/persimmondock/cli.py
@@ -46,6 +46,7 @@
     "log tail": "persimmondock._commands.log:LogTailCommand",
     "demo": "persimmondock._commands.standins:DemoCommand",
     "bench": "persimmondock.bench.command:BenchCommand",
+    "soak": "persimmondock.soak.command:SoakCommand",
     "standin-log": "persimmondock._commands.standins:LogStandinCommand",
     "standin-backend": "persimmondock._commands.standins:BackendStandinCommand",
 }
--- /dev/null
+++ b/persimmondock/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A soak: the platform's daemon as real processes, faults and checks from outside."""
--- /dev/null
+++ b/persimmondock/soak/broken.py
@@ -0,0 +1,62 @@
+"""The platform's daemon with one mechanism broken on purpose, to show that the soak catches it."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+from persimmondock._adapters.clock import read_clock
+from persimmondock._domain.backend_report import LocalBackend
+from persimmondock._domain.range_lease import RangeLease, Takeover
+from persimmondock._domain.verdict import MayHaveRun, NotRun, Verdict
+from persimmondock._tasks.dispatcher import _Attempts
+from persimmondock.platform.__main__ import main as run_platform
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+LONG_S = 60.0
+
+
+def _hold_lease_for_ever() -> None:
+    """Grant keys without any sign that the assignment is the newest."""
+    RangeLease.compute_end = lambda self: read_clock() + LONG_S  # type: ignore[method-assign]
+
+
+def _take_over_at_once() -> None:
+    """Grant keys while their former owner may still hold them."""
+    Takeover.compute_ready = lambda self: self.known_at  # type: ignore[method-assign]
+
+
+def _forget_drain() -> None:
+    """Go on sending to a backend server that leaves."""
+    LocalBackend.leaving = property(lambda _: False)  # type: ignore[method-assign,assignment]
+
+
+def _refuse_after_sending() -> None:
+    """Say of requests that may have run that they have not."""
+    conclude = _Attempts.conclude
+
+    def claim(self: _Attempts) -> Verdict:
+        verdict = conclude(self)
+        return NotRun(verdict.reason, 100) if isinstance(verdict, MayHaveRun) else verdict
+
+    _Attempts.conclude = claim  # type: ignore[method-assign]
+
+
+BREAKS: Mapping[str, Callable[[], None]] = {
+    "lease": _hold_lease_for_ever,
+    "takeover": _take_over_at_once,
+    "drain": _forget_drain,
+    "refusal": _refuse_after_sending,
+}
+
+
+def main() -> int:
+    """Break the mechanism that the first argument names, then run the daemon."""
+    BREAKS[sys.argv.pop(1)]()
+    return run_platform()
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/persimmondock/soak/command.py
@@ -0,0 +1,88 @@
+"""The ``soak`` command."""
+
+from __future__ import annotations
+
+import shutil
+import tempfile
+from pathlib import Path
+
+from cleo.helpers import option
+
+from persimmondock._commands.base import BaseCommand, CommandError
+from persimmondock._commands.exit_codes import EXIT_DONE, EXIT_FAILED
+from persimmondock.soak.broken import BREAKS
+from persimmondock.soak.checks import Breach
+from persimmondock.soak.plan import Event, draw_plan
+from persimmondock.soak.runner import SoakRunner
+from persimmondock.soak.site import SoakSite
+
+MAX_VMS = 240
+SHOWN_EVENTS = 6
+
+
+class SoakCommand(BaseCommand):
+    """Plays a seed's faults against real daemons."""
+
+    name = "soak"
+    description = "Run the platform's daemons on loopback, break things, and judge what is seen"
+    help = "One seed gives one plan. Exit code 1 if a promise was broken; the logs are kept then."
+    options = [
+        option("seed", None, "Seed of the plan", flag=False, default="1"),
+        option("for", None, "Seconds of load", flag=False, default="40"),
+        option("vms", None, "Number of VMs", flag=False, default="6"),
+        option("network", None, "Third part of the addresses", flag=False, default="1"),
+        option("break", None, f"Mechanism to break: {', '.join(BREAKS)}", flag=False, default=""),
+        option("out", None, "Folder for the logs; they are kept", flag=False),
+    ]
+
+    def perform(self) -> int:
+        """Play the plan and show what was broken."""
+        seed = self.read_number("seed", least=0)
+        duration_s = self.read_number("for", least=1, kind=float)
+        vms = self.read_number("vms", least=4)
+        network = self.read_number("network", least=0)
+        if vms > MAX_VMS:
+            raise CommandError(f"--vms: must be at most {MAX_VMS}, not {vms}")
+        if network > 255:
+            raise CommandError(f"--network: must be at most 255, not {network}")
+        folder = self._make_folder()
+        plan = draw_plan(seed, duration_s, vms)
+        site = SoakSite(vms, network, folder, self._read_program())
+        runner = SoakRunner(site, plan, seed, duration_s)
+        breaches = self.run_async(runner.run())
+        self.show(f"seed {seed}: {len(plan)} events, {runner.counts}, {len(breaches)} broken")
+        for breach in breaches[:SHOWN_EVENTS]:
+            for line in render_breach(breach, runner.begun, plan):
+                self.show(line)
+        if breaches or self.option("out"):
+            self.show(f"logs: {folder}")
+        else:
+            shutil.rmtree(folder)
+        return EXIT_FAILED if breaches else EXIT_DONE
+
+    def _make_folder(self) -> Path:
+        if self.option("out"):
+            folder = Path(self.option("out"))
+            folder.mkdir(parents=True, exist_ok=True)
+            return folder
+        return Path(tempfile.mkdtemp(prefix="persimmondock-soak-"))
+
+    def _read_program(self) -> tuple[str, ...]:
+        name = self.option("break")
+        if not name:
+            return ("-m", "persimmondock.platform")
+        if name not in BREAKS:
+            raise CommandError(f"--break: expected one of {', '.join(BREAKS)}, not {name!r}")
+        return ("-m", "persimmondock.soak.broken", name)
+
+
+def render_breach(breach: Breach, begun: float, plan: tuple[Event, ...]) -> list[str]:
+    """Return the lines that show a breach, with the events before it."""
+    at_s = breach.at - begun
+    before = [event for event in plan if event.at_s <= at_s][-SHOWN_EVENTS:]
+    lines = [f"{breach.rule} at {at_s:.2f} s: {breach.subject}: {breach.detail}"]
+    return lines + [
+        f"    {event.at_s:.2f} s {event.kind} {f'vm-{event.vm}' if event.vm else 'site'} "
+        f"for {event.for_s:g} s {event.mode}".rstrip()
+        for event in before
+    ]
--- /dev/null
+++ b/persimmondock/soak/plan.py
@@ -0,0 +1,56 @@
+"""What happens in a soak, drawn from its seed."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+FIRST_AT_S = 3.0  # after callers have begun
+QUIET_END_S = 10.0  # for takeovers and cold starts to settle before the last check of service
+EVENT_EVERY_S = 0.8  # mean time between events; most last longer, so that they overlap
+
+DAEMON_KINDS = ("kill", "terminate", "freeze", "reload", "restart_backend", "drain_backend")
+PATH_KINDS = ("store_path", "backend_path")
+SITE_KINDS = ("store_down", "lose_append", "evacuate", "configure")
+LENGTHS_S = (0.3, 1.0, 2.0, 3.5, 5.0)
+FREEZES_S = (0.3, 1.0, 3.0, 7.0, 9.0)  # keys are taken over after some 6 s
+PATH_MODES = ("delay", "reset", "silent", "one_way")
+
+
+@attrs.frozen
+class Event:
+    """One fault, or one piece of planned work.
+
+    Parameters
+    ----------
+    at_s
+        Seconds after callers have begun.
+    vm
+        Number of the VM; 0 for what concerns the whole site.
+    for_s
+        How long it lasts.
+    mode
+        How a path is disturbed.
+    """
+
+    at_s: float
+    kind: str
+    vm: int = 0
+    for_s: float = 0.0
+    mode: str = ""
+
+
+def draw_plan(seed: int, duration_s: float, vms: int) -> tuple[Event, ...]:
+    """Return the events of a seed, in order."""
+    generator = random.Random(seed)
+    events = []
+    at_s = FIRST_AT_S
+    while at_s < duration_s - QUIET_END_S:
+        kind = generator.choice((*DAEMON_KINDS, *DAEMON_KINDS, *PATH_KINDS, *SITE_KINDS))
+        vm = 0 if kind in SITE_KINDS else generator.randint(1, vms)
+        mode = generator.choice(PATH_MODES) if kind in PATH_KINDS else ""
+        for_s = generator.choice(FREEZES_S if kind == "freeze" else LENGTHS_S)
+        events.append(Event(round(at_s, 2), kind, vm, for_s, mode))
+        at_s += generator.expovariate(1 / EVENT_EVERY_S)
+    return tuple(events)
--- /dev/null
+++ b/persimmondock/soak/proxy.py
@@ -0,0 +1,89 @@
+"""A loopback proxy that delays, resets, cuts one way or silences connections."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+CHUNK_BYTES = 65_536
+DELAY_S = 0.25  # above the objective of quick requests, below the time-outs of the store's calls
+POLL_S = 0.02
+
+
+class Proxy:
+    """Stands between one listener and one target; ``mode`` may change at any time."""
+
+    def __init__(self, listen: str, target: str) -> None:
+        self.mode = ""
+        self._listen = listen
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen."""
+        host, _, port = self._listen.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    def set_mode(self, mode: str) -> None:
+        """Disturb all connections from now on; ``reset`` ends those that are open."""
+        self.mode = mode
+        if mode == "reset":
+            self.reset_all()
+
+    def reset_all(self) -> None:
+        """End all open connections by a reset."""
+        for writer in list(self._writers):
+            sock = writer.get_extra_info("socket")
+            if sock is not None and sock.fileno() >= 0:
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.close()
+
+    def close(self) -> None:
+        """End everything."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_all()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        host, _, port = self._target.rpartition(":")
+        try:
+            if self.mode == "reset":
+                self.reset_all()
+                return
+            try:
+                far_reader, far_writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                # The target is not there: the caller has to see that, too.
+                return
+            self._writers.add(far_writer)
+            try:
+                await asyncio.gather(
+                    self._pass(reader, far_writer, towards=True),
+                    self._pass(far_reader, writer, towards=False),
+                )
+            finally:
+                self._writers.discard(far_writer)
+                far_writer.close()
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, towards: bool
+    ) -> None:
+        """Pass bytes on as the mode of the moment says; silence holds them until it ends."""
+        # An end that fails ends the other one, too: nothing else is to be told to anybody.
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                while self.mode == "silent" or (self.mode == "one_way" and not towards):
+                    await asyncio.sleep(POLL_S)
+                if self.mode == "delay":
+                    await asyncio.sleep(DELAY_S)
+                writer.write(data)
+                await writer.drain()
+        writer.close()
--- a/persimmondock/standins/site_backend.py
+++ b/persimmondock/standins/site_backend.py
@@ -13,6 +13,8 @@
 from aiohttp import web
 
 ANNOUNCE_S = 0.2
+ANNOUNCE_WITHIN_S = 1.0  # a daemon that is frozen does not answer
+POLL_S = 0.005
 
 
 @attrs.frozen
@@ -44,6 +46,12 @@
     ----------
     address, announce_to
         ``host:port`` of its own, and of the daemon beside it.
+    listen_on
+        Where it listens if something stands between ``address`` and it.
+    drain_acked_at
+        Instant at which the daemon first acknowledged that this one drains.
+    ended_at
+        Instant at which it was stopped.
     """
 
     service: str
@@ -59,6 +67,10 @@
     runs: list[Run] = attrs.field(factory=list)
     holds: list[Hold] = attrs.field(factory=list)
     cancelled: int = 0
+    listen_on: str = ""
+    drain_acked_at: float | None = None
+    ended_at: float | None = None
+    _active: list[int] = attrs.field(factory=list)
     _sequence: int = 0
     _runner: web.AppRunner | None = None
     _task: asyncio.Task[None] | None = None
@@ -73,12 +85,14 @@
             application, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
         )
         await self._runner.setup()
-        host, _, port = self.address.rpartition(":")
+        host, _, port = (self.listen_on or self.address).rpartition(":")
         await web.TCPSite(self._runner, host, int(port), reuse_address=True).start()
         self._task = asyncio.create_task(self._announce())
 
     async def stop(self) -> None:
         """End at once."""
+        if self.ended_at is None:
+            self.ended_at = time.monotonic()
         if self._task is not None:
             self._task.cancel()
         if self._runner is not None:
@@ -86,7 +100,8 @@
 
     async def _announce(self) -> None:
         url = f"http://{self.announce_to}/-/instances/{self.instance}"
-        async with aiohttp.ClientSession() as session:
+        timeout = aiohttp.ClientTimeout(total=ANNOUNCE_WITHIN_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 self._sequence += 1
                 body: dict[str, Any] = {
@@ -101,9 +116,12 @@
                     "born": self.born_ms,
                 }
                 # While the daemon is not up, the next announcement follows.
-                with contextlib.suppress(aiohttp.ClientError):
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                     async with session.put(url, json=body) as response:
                         await response.read()
+                        acked = response.status == 200 and body["state"] == "draining"
+                    if acked and self.drain_acked_at is None:
+                        self.drain_acked_at = time.monotonic()
                 await asyncio.sleep(ANNOUNCE_S)
 
     async def _grant(self, request: web.Request) -> web.Response:
@@ -130,6 +148,8 @@
             if last < hold.last:
                 kept.append(attrs.evolve(hold, first=last + 1, start=now))
         self.holds = kept
+        while any(first <= key <= last for key in self._active):
+            await asyncio.sleep(POLL_S)
         return web.Response(headers={"X-Handover": uuid.uuid4().hex[:16]})
 
     def _holds_key(self, key: int) -> bool:
@@ -146,10 +166,13 @@
             return web.Response(status=421, headers={"X-Not-Executed": "1"})
         body = await request.read()
         self.runs.append(Run(attempt, key, time.monotonic(), dict(request.headers)))
+        self._active.append(key)
         try:
             await asyncio.sleep(self.work_s)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        finally:
+            self._active.remove(key)
         named["X-Server-Signature"] = f"signed-by-{self.instance}"
         return web.Response(body=b"answer to " + attempt.encode() + body, headers=named)
--- a/persimmondock/tests/test_assignment.py
+++ b/persimmondock/tests/test_assignment.py
@@ -149,6 +149,24 @@
     assert max(load_of(after, rates, owner) for owner in range(2)) < 70.0
 
 
+def test_a_key_that_nobody_bears_goes_where_most_of_it_is_served() -> None:
+    """Pattern: one key gets most of the traffic, and its owner is the slowest backend server."""
+    rates = {0: 200.0} | {group: 1.0 for group in range(64, 4096, 64)}
+    rooms = make_rooms(18, 40, 66, 60)
+    after = balance_ranges(deal(4).ranges, rooms, rates)
+    assert after is not None
+    assert after[0].owner == make_life(2)
+    assert load_of(after, rates, 2) < 215.0
+
+
+def test_a_key_that_nobody_bears_does_not_move_between_equals() -> None:
+    rates = {0: 200.0} | {group: 1.0 for group in range(64, 4096, 64)}
+    before = deal(4).ranges
+    after = balance_ranges(before, make_rooms(60, 64, 70, 66), rates)
+    assert after is not None
+    assert after[0].owner == before[0].owner
+
+
 def test_a_quiet_site_does_not_move_keys() -> None:
     rates = {0: 100 * BUSY * 0.9}
     assert balance_ranges(deal(3).ranges, make_rooms(100, 100, 100), rates) is None
--- a/persimmondock/tests/test_dispatcher.py
+++ b/persimmondock/tests/test_dispatcher.py
@@ -216,6 +216,20 @@
     assert read_clock() - begun < 0.3
 
 
+async def test_a_repeat_waits_for_no_new_owner_longer_than_a_first_attempt(
+    dispatching: Dispatching,
+) -> None:
+    """Pattern: the owner is killed with an idempotent request, and is the owner for 3 s more."""
+    gone = PeerLostError("not connected", sent=False)
+    link = dispatching.add(1, PeerLostError("reset", sent=True), gone)
+    dispatching.control.assignments[SERVICE] = make_assignment(make_range(0, 65_535, 1))
+    begun = read_clock()
+    async with asyncio.timeout(3.0):
+        assert await dispatching.ask(key=5) == MayHaveRun(Reason.PEER_SILENT)
+    assert read_clock() - begun < 0.3
+    assert link.calls > 2
+
+
 async def test_a_call_that_was_held_up_is_refused(dispatching: Dispatching) -> None:
     """Pattern: a machine freezes with a request in its socket buffer and wakes seconds later."""
     payload = make_forwarded(read_clock()).pack(read_clock())
--- a/persimmondock/tests/test_gate_queue.py
+++ b/persimmondock/tests/test_gate_queue.py
@@ -83,6 +83,14 @@
     assert times.estimate("other") == times.overall_s
 
 
+def test_the_first_answers_count_alike() -> None:
+    """Pattern: the first answer is that of a quick call, one tenth of the usual work."""
+    times = ServiceTimes()
+    for took_s in (0.02, 0.2, 0.2, 0.2, 0.2):
+        times.record("view", took_s)
+    assert times.steady_s == times.overall_s == pytest.approx(0.164)
+
+
 def test_a_refused_caller_is_told_when_to_come_back() -> None:
     assert choose_retry_ms(0.4) == 400
     assert choose_retry_ms(0.0) >= 50
