--- a/persimmondock/soak/checks.py
+++ b/persimmondock/soak/checks.py
@@ -174,7 +174,8 @@
         if call.status == 200 and not (call.whole and ran):
             found.append(Breach("MIXED", at, name, f"answer is not its own, {len(ran)} runs"))
         calm = not seen.is_hurt(call.vm, call.sent_at, call.ended_at)
-        if calm and call.ended_at - call.sent_at > call.timeout_s + HOLD_SLACK_S:
+        took_s = call.ended_at - call.sent_at
+        if calm and took_s > call.timeout_s + HOLD_SLACK_S:
             found.append(
                 Breach(
                     "HELD", at, name, f"by vm-{call.vm} for {call.ended_at - call.sent_at:.2f} s"
@@ -186,6 +187,10 @@
     return found
 
 
+def _show_end(call: Call) -> str:
+    return f"status {call.status}" if call.status else f"connection {call.error}"
+
+
 def judge_leaving(seen: Observations) -> list[Breach]:
     """Check that nothing reaches what has left."""
     found = []
--- a/persimmondock/soak/runner.py
+++ b/persimmondock/soak/runner.py
@@ -101,9 +101,9 @@
         status, whole, error = 0, False, ""
         version_at, sent_at = self._site.version_at, time.monotonic()
         try:
-            async with self._session.request(
-                "GET" if safe else "POST", f"http://{vm.address}:8304{path}1", headers=headers
-            ) as response:
+            # aiohttp would send a GET once more by itself after a lost connection.
+            url = f"http://{vm.address}:8304{path}1"
+            async with self._session.post(url, headers=headers) as response:
                 whole = await response.read() == b"answer to " + attempt.encode()
                 status = response.status
         except aiohttp.ClientConnectorError:
--- a/persimmondock/standins/site_backend.py
+++ b/persimmondock/standins/site_backend.py
@@ -15,6 +15,7 @@
 ANNOUNCE_S = 0.2
 ANNOUNCE_WITHIN_S = 1.0  # a daemon that is frozen does not answer
 POLL_S = 0.005
+STOP_WITHIN_S = 0.005  # a process that ends takes its work with it; aiohttp takes 0 for no bound
 
 
 @attrs.frozen
@@ -82,7 +83,7 @@
         application.router.add_post("/-/release", self._release)
         application.router.add_route("*", "/{path:.*}", self._serve)
         self._runner = web.AppRunner(
-            application, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
+            application, access_log=None, handler_cancellation=True, shutdown_timeout=STOP_WITHIN_S
         )
         await self._runner.setup()
         host, _, port = (self.listen_on or self.address).rpartition(":")
--- /dev/null
+++ b/persimmondock/tests/soak/test_proxy.py
@@ -0,0 +1,82 @@
+"""The ways in which the proxy disturbs connections."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+
+from persimmondock.soak.proxy import DELAY_S, Proxy
+from persimmondock.tests.builders import NETWORK
+
+LISTEN, TARGET = f"{NETWORK}150:8301", f"{NETWORK}150:8401"
+
+
+@contextlib.asynccontextmanager
+async def open_through(
+    proxy: Proxy,
+) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter, bytearray]]:
+    """Yield a connection to a server that repeats what it gets, and what it got."""
+    got = bytearray()
+
+    async def repeat(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(100):
+                got.extend(data)
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+    host, _, port = TARGET.rpartition(":")
+    server = await asyncio.start_server(repeat, host, int(port))
+    await proxy.start()
+    host, _, port = LISTEN.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        yield reader, writer, got
+    finally:
+        writer.close()
+        proxy.close()
+        server.close()
+
+
+async def is_answered(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+    writer.write(b"x")
+    try:
+        async with asyncio.timeout(DELAY_S / 2):
+            return await reader.read(1) == b"x"
+    except TimeoutError:
+        return False
+
+
+@pytest.mark.parametrize(("mode", "arrives"), [("silent", False), ("one_way", True)])
+async def test_a_cut_way_is_healed_without_a_loss(mode: str, arrives: bool) -> None:
+    proxy = Proxy(LISTEN, TARGET)
+    async with open_through(proxy) as (reader, writer, got):
+        assert await is_answered(reader, writer)
+        proxy.set_mode(mode)
+        assert not await is_answered(reader, writer)
+        assert (len(got) == 2) is arrives
+        proxy.set_mode("")
+        async with asyncio.timeout(2.0):
+            assert await reader.read(1) == b"x"
+
+
+async def test_a_delayed_way_is_late() -> None:
+    proxy = Proxy(LISTEN, TARGET)
+    async with open_through(proxy) as (reader, writer, _):
+        proxy.set_mode("delay")
+        assert not await is_answered(reader, writer)
+        async with asyncio.timeout(5.0):
+            assert await reader.read(1) == b"x"
+
+
+async def test_a_reset_ends_open_connections() -> None:
+    proxy = Proxy(LISTEN, TARGET)
+    async with open_through(proxy) as (reader, writer, _):
+        assert await is_answered(reader, writer)
+        proxy.set_mode("reset")
+        with pytest.raises(ConnectionResetError):
+            await reader.read(1)
--- /dev/null
+++ b/persimmondock/tests/soak/test_soak.py
@@ -0,0 +1,54 @@
+"""Short soaks of real processes."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import pytest
+
+from persimmondock.soak.plan import Event
+from persimmondock.soak.runner import SoakRunner
+from persimmondock.soak.site import SoakSite
+from persimmondock.tests.test_cli import run_cli
+
+NETWORK_PART = os.getpid() % 250
+VMS = 6  # the last two have the service without keys
+
+
+async def play(folder: Path, plan: tuple[Event, ...], broken: str) -> set[str]:
+    """Return the rules that a daemon with a broken mechanism is caught by."""
+    program = ("-m", "persimmondock.soak.broken", broken)
+    site = SoakSite(VMS, NETWORK_PART, folder, program)
+    runner = SoakRunner(site, plan, seed=1, duration_s=plan[-1].at_s + 3.0)
+    return {breach.rule for breach in await runner.run()}
+
+
+def test_a_short_seeded_soak_breaks_nothing(monkeypatch, capfd) -> None:
+    assert run_cli(monkeypatch, "soak", "--for", "16", "--network", str(NETWORK_PART)) == 0
+    assert ", 0 broken" in capfd.readouterr().out
+
+
+async def test_a_drain_that_is_forgotten_is_caught(tmp_path: Path) -> None:
+    plan = tuple(Event(0.5, "drain_backend", vm) for vm in (1, 2, 5))
+    assert "DRAIN" in await play(tmp_path, plan, "drain")
+
+
+async def test_a_refusal_after_sending_is_caught(tmp_path: Path) -> None:
+    """Each restart meets one request that may run once only, on average."""
+    plan = tuple(Event(0.5 + 0.4 * n, "restart_backend", VMS - n % 2) for n in range(16))
+    assert "REFUSED" in await play(tmp_path, plan, "refusal")
+
+
+@pytest.mark.parametrize(
+    ("arguments", "message"),
+    [
+        ("--vms 3", "--vms: must be at least 4, not 3"),
+        ("--vms 900", "--vms: must be at most 240, not 900"),
+        ("--network 300", "--network: must be at most 255, not 300"),
+        ("--break x", "--break: expected one of lease, takeover, drain, refusal, not 'x'"),
+    ],
+)
+def test_wrong_options_are_named(monkeypatch, capfd, arguments, message) -> None:
+    assert run_cli(monkeypatch, "soak", *arguments.split()) == 2
+    assert message in capfd.readouterr().err
