Count ranges that change hands in the log line of an assignment

Cause: assignment_written said moved=236 where two ranges had been cut: owners were compared by place, and cutting one range shifts all that follow. A test that fails on the old count.

--- a/persimmondock/_domain/assignment.py
+++ b/persimmondock/_domain/assignment.py
@@ -230,6 +230,15 @@
     return life.node == than.node and life.born_ms < than.born_ms
 
 
+def count_moved(present: Assignment, ranges: tuple[KeyRange, ...]) -> int:
+    """Return how many ranges begin with a key that has another owner at present."""
+    before = (present.find_range(item.first) for item in ranges)
+    return sum(
+        old is not None and old.owner != item.owner
+        for old, item in zip(before, ranges, strict=True)
+    )
+
+
 def number_assignment(
     present: Assignment, ranges: Iterable[KeyRange], witnesses: frozenset[str], end: int
 ) -> Assignment:
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -15,6 +15,7 @@
 from persimmondock._domain.crash_suspects import CrashSuspects
 from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
 from persimmondock._domain.gate_queue import (
+    MIN_RETRY_MS,
     GateQueue,
     ServiceTimes,
     Waiter,
@@ -202,7 +203,8 @@
         verdict = await self._run(request)
         if isinstance(verdict, NotRun):
             self._metrics.count(f"refusals.{verdict.reason.value}")
-            self._log_refusal(request, verdict)
+            if verdict.reason is not Reason.SLOTS_TAKEN:
+                self._log_refusal(request, verdict)
         return verdict
 
     def _log_refusal(self, request: ForwardedRequest, verdict: NotRun) -> None:
@@ -234,6 +236,8 @@
         self._number += 1
         number = self._number
         if self._queue or not self._has_room(now):
+            if not request.patient:
+                return NotRun(Reason.SLOTS_TAKEN, MIN_RETRY_MS)
             refusal = await self._wait(request, number, now)
             if refusal is not None:
                 return refusal
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -17,6 +17,7 @@
     KeyRange,
     Owner,
     choose_witnesses,
+    count_moved,
     decode_assignment,
     encode_assignment,
     number_assignment,
@@ -219,7 +220,7 @@
         numbered = number_assignment(present, ranges, witnesses, end)
         entry = (ASSIGN_PREFIX + self._service, encode_assignment(numbered))
         outcome = await self._log.write(self._follower.partition, [entry], end)
-        moved = sum(a.owner != b.owner for a, b in zip(present.ranges, ranges, strict=False))
+        moved = count_moved(present, ranges)
         logger.info(
             "event=assignment_written service={} offset={} moved={} ranges={} outcome={}",
             self._service,
--- a/persimmondock/tests/test_assignment.py
+++ b/persimmondock/tests/test_assignment.py
@@ -14,6 +14,7 @@
     Assignment,
     Owner,
     choose_witnesses,
+    count_moved,
     decode_assignment,
     encode_assignment,
     number_assignment,
@@ -167,6 +168,15 @@
     assert after[0].owner == before[0].owner
 
 
+def test_ranges_that_were_cut_but_not_moved_do_not_count_as_moved() -> None:
+    before = deal(2)
+    rates = {0: 50.0, 1: 10.0, 2: 10.0}
+    after = balance_ranges(before.ranges, make_rooms(60, 60), rates)
+    assert after is not None and len(after) > len(before.ranges)
+    assert count_moved(before, after) == 2
+    assert count_moved(before, before.ranges) == 0
+
+
 def test_a_quiet_site_does_not_move_keys() -> None:
     rates = {0: 100 * BUSY * 0.9}
     assert balance_ranges(deal(3).ranges, make_rooms(100, 100, 100), rates) is None
