--- a/persimmondock/soak/runner.py
+++ b/persimmondock/soak/runner.py
@@ -11,7 +11,14 @@
 import aiohttp
 
 from persimmondock.soak.checks import Breach, Call, Span, judge
-from persimmondock.soak.site import GRACE_S, HOST, SoakSite
+from persimmondock.soak.site import SoakSite
+from persimmondock.standins.site_words import (
+    CALLER_PORT,
+    GRACE_S,
+    UNKEYED,
+    make_caller_fields,
+    set_evacuated,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine, Sequence
@@ -95,26 +102,20 @@
                 ("/view/", "/assign/", "/keep/", f"/version{self._site.version}/"), (6, 3, 2, 1)
             )[0]
             keyed = path in ("/view/", "/keep/")
-            key = self._random.randrange(KEYS) if keyed else -1
+            key = self._random.randrange(KEYS) if keyed else UNKEYED
             self._start(self._call(vm, path, key, f"s{self._number}"))
             await asyncio.sleep(self._random.expovariate(CALLS_PER_S))
 
     async def _call(self, vm: SoakVm, path: str, key: int, attempt: str) -> int:
         """Send one request and note what came of it."""
         assert self._session is not None
-        headers = {
-            "Host": HOST,
-            "X-Attempt-Id": attempt,
-            "X-Timeout-Ms": str(int(1000 * TIMEOUT_S)),
-        }
-        if key >= 0:
-            headers["X-Shard-Key"] = str(key)
+        headers = make_caller_fields(attempt, key, TIMEOUT_S)
         safe = path not in ("/assign/", "/keep/")
         status, whole, error = 0, False, ""
         version_at, sent_at = self._site.version_at, time.monotonic()
         try:
             # aiohttp would send a GET once more by itself after a lost connection.
-            url = f"http://{vm.address}:8304{path}1"
+            url = f"http://{vm.address}:{CALLER_PORT}{path}1"
             async with self._session.post(url, headers=headers) as response:
                 whole = await response.read() == b"answer to " + attempt.encode()
                 status = response.status
@@ -136,12 +137,12 @@
     async def _wait_until_served(self, when: str, within_s: float) -> None:
         """Ask for keys all over until all are served, or note those that are not."""
         begun = time.monotonic()
-        open_keys = [*range(0, KEYS, SWEEP_STEP), -1]
+        open_keys = [*range(0, KEYS, SWEEP_STEP), UNKEYED]
         while open_keys and time.monotonic() < begun + within_s:
             left = []
             for key in open_keys:
                 self._number += 1
-                path = "/view/" if key >= 0 else "/assign/"
+                path = "/view/" if key != UNKEYED else "/assign/"
                 vm = self._random.choice(self._site.vms)
                 if await self._call(vm, path, key, f"{when}{self._number}") != 200:
                     left.append(key)
@@ -195,10 +196,10 @@
                 if failure_domain in self._out:
                     return
                 self._out.add(failure_domain)
-                site.store.write("keyed.op", f"evacuate/{failure_domain}", b"{}")
+                set_evacuated(site.store, failure_domain, True)
                 await asyncio.sleep(event.for_s + GRACE_S)
                 site.seen.evacuated.append(Span(failure_domain, now, time.monotonic()))
-                site.store.write("keyed.op", f"evacuate/{failure_domain}", b"")
+                set_evacuated(site.store, failure_domain, False)
                 self._out.discard(failure_domain)
 
     async def _disturb(self, vm: SoakVm, event: Event) -> None:
--- a/persimmondock/soak/site.py
+++ b/persimmondock/soak/site.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
 import signal
 import sys
 import time
 from pathlib import Path
-from typing import IO, Any
+from typing import IO
 
 import attrs
 import yaml
@@ -19,47 +18,21 @@
 from persimmondock.soak.proxy import Proxy
 from persimmondock.standins.site_backend import SiteBackend
 from persimmondock.standins.site_store import SiteStore
+from persimmondock.standins.site_words import (
+    ANNOUNCE_PORT,
+    BACKEND_PORT,
+    KEYED,
+    PLAIN,
+    SETTINGS_VARIABLE,
+    STORE_PORT,
+    describe_settings,
+    publish_configuration,
+)
 
-KEYED, PLAIN = "painel", "recepcao"
 FAILURE_DOMAINS = ("recife", "salvador", "natal")
-HOST = "board.example"
-GRACE_S = 6.0
 WORK_S = 0.12  # several requests run on each backend server at every moment
 KEYED_SHARE = 0.6
-FILE_VARIABLE = "PERSIMMONDOCK_NODE_FILE"
-
-
-def make_configuration(version: int) -> dict[str, Any]:
-    """Return a configuration that has a route of its own version."""
-
-    def route(name: str, prefix: str, kind: str, service: str) -> dict[str, Any]:
-        return {
-            "name": name,
-            "path_prefix": prefix,
-            "route_type": kind,
-            "timeout_s": 2.0,
-            "target_latency_s": 0.5,
-            "priority": 1,
-            "service": service,
-            "max_attempts": 2,
-        }
-
-    paths = [
-        route("r-view", "/view/", "safe", KEYED),
-        route("r-assign", "/assign/", "unsafe", PLAIN),
-        route("r-keep", "/keep/", "unsafe", KEYED),
-        route("r-version", f"/version{version}/", "safe", PLAIN),
-    ]
-    services = [
-        {"name": KEYED, "sharded": True, "warmup_s": 0, "cold_per_s": 0},
-        {"name": PLAIN, "warmup_s": 0, "cold_per_s": 0},
-    ]
-    return {
-        "version": version,
-        "services": services,
-        "limits": {},
-        "virtual_hosts": [{"host": HOST, "paths": paths}],
-    }
+BEHIND_PORT = 8401  # where backend servers listen behind their proxies
 
 
 @attrs.define
@@ -90,13 +63,14 @@
             self._log = (self.folder / f"{self.name}.log").open("ab")
         settings = self.folder / f"{self.name}.yaml"
         if not settings.exists():
-            settings.write_text(yaml.safe_dump(self._describe()), encoding="utf-8")
+            words = describe_settings(self.name, self.address, self.failure_domain, self.service)
+            settings.write_text(yaml.safe_dump(words), encoding="utf-8")
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             *self.program,
             stdout=self._log,
             stderr=self._log,
-            env={**os.environ, FILE_VARIABLE: str(settings)},
+            env={**os.environ, SETTINGS_VARIABLE: str(settings)},
         )
 
     def send(self, number: signal.Signals) -> None:
@@ -127,36 +101,17 @@
         if self._log is not None:
             self._log.close()
 
-    def _describe(self) -> dict[str, Any]:
-        """Return the daemon's settings in the platform's words."""
-        ip = self.address
-        return {
-            "self": {
-                "node": self.name,
-                "ip": ip,
-                "zone": self.failure_domain,
-                "local_app": f"{ip}:8301",
-                "service": self.service,
-            },
-            "network": {
-                "bind": {"outbound": f"{ip}:8304", "ready": f"{ip}:8302", "control": f"{ip}:8306"},
-                "internal_ports": [7620],
-            },
-            "platform": {"platform": {"address": f"{ip}:9001"}},
-            "timing": {"bounds": {"grace_s": GRACE_S}},
-        }
-
 
 def make_backend(service: str, address: str, failure_domain: str) -> SiteBackend:
     """Return a new life of a VM's backend server, behind its proxy."""
     return SiteBackend(
         service,
-        f"{address}:8301",
-        f"{address}:8306",
+        f"{address}:{BACKEND_PORT}",
+        f"{address}:{ANNOUNCE_PORT}",
         failure_domain,
         keyed=service == KEYED,
         work_s=WORK_S,
-        listen_on=f"{address}:8401",
+        listen_on=f"{address}:{BEHIND_PORT}",
     )
 
 
@@ -194,8 +149,8 @@
             failure_domain,
             folder,
             make_backend(service, address, failure_domain),
-            Proxy(f"{address}:9001", f"{self._prefix}.250:9000"),
-            Proxy(f"{address}:8301", f"{address}:8401"),
+            Proxy(f"{address}:{STORE_PORT}", f"{self._prefix}.250:9000"),
+            Proxy(f"{address}:{BACKEND_PORT}", f"{address}:{BEHIND_PORT}"),
             program,
         )
 
@@ -217,8 +172,7 @@
         """Write the next configuration, as operators do."""
         self.version += 1
         self.version_at = time.monotonic()
-        value = json.dumps(make_configuration(self.version)).encode()
-        self.store.write("keyed.op", "config", value)
+        publish_configuration(self.store, self.version)
 
     def note_hurt(self, vm: SoakVm, for_s: float) -> None:
         """Note that a daemon's process does not run from now on."""
--- /dev/null
+++ b/persimmondock/standins/site_words.py
@@ -0,0 +1,94 @@
+"""What operators, callers and VMs of a site say in the platform's words."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from persimmondock.standins.site_store import SiteStore
+
+HOST = "board.example"
+KEYED, PLAIN = "painel", "recepcao"
+SETTINGS_VARIABLE = "PERSIMMONDOCK_NODE_FILE"
+STORE_PORT = 9001
+BACKEND_PORT = 8301
+ANNOUNCE_PORT = 8306
+CALLER_PORT = 8304
+GRACE_S = 6.0
+OPERATOR_TOPIC = "keyed.op"
+UNKEYED = -1
+
+
+def publish_configuration(store: SiteStore, version: int) -> None:
+    """Write a configuration that has a route of its own version."""
+
+    def route(name: str, prefix: str, kind: str, service: str) -> dict[str, Any]:
+        return {
+            "name": name,
+            "path_prefix": prefix,
+            "route_type": kind,
+            "timeout_s": 2.0,
+            "target_latency_s": 0.5,
+            "priority": 1,
+            "service": service,
+            "max_attempts": 2,
+        }
+
+    paths = [
+        route("r-view", "/view/", "safe", KEYED),
+        route("r-assign", "/assign/", "unsafe", PLAIN),
+        route("r-keep", "/keep/", "unsafe", KEYED),
+        route("r-version", f"/version{version}/", "safe", PLAIN),
+    ]
+    services = [
+        {"name": KEYED, "sharded": True, "warmup_s": 0, "cold_per_s": 0},
+        {"name": PLAIN, "warmup_s": 0, "cold_per_s": 0},
+    ]
+    config = {
+        "version": version,
+        "services": services,
+        "limits": {},
+        "virtual_hosts": [{"host": HOST, "paths": paths}],
+    }
+    store.write(OPERATOR_TOPIC, "config", json.dumps(config).encode())
+
+
+def set_evacuated(store: SiteStore, failure_domain: str, out: bool) -> None:
+    """Take a failure domain out, or back."""
+    store.write(OPERATOR_TOPIC, f"evacuate/{failure_domain}", b"{}" if out else b"")
+
+
+def make_caller_fields(attempt: str, key: int, timeout_s: float) -> dict[str, str]:
+    """Return the header fields of a caller's request."""
+    fields = {
+        "Host": HOST,
+        "X-Attempt-Id": attempt,
+        "X-Timeout-Ms": str(int(1000 * timeout_s)),
+    }
+    if key != UNKEYED:
+        fields["X-Shard-Key"] = str(key)
+    return fields
+
+
+def describe_settings(node: str, address: str, failure_domain: str, service: str) -> dict[str, Any]:
+    """Return the settings file of a daemon whose VM has an address."""
+    return {
+        "self": {
+            "node": node,
+            "ip": address,
+            "zone": failure_domain,
+            "local_app": f"{address}:{BACKEND_PORT}",
+            "service": service,
+        },
+        "network": {
+            "bind": {
+                "outbound": f"{address}:{CALLER_PORT}",
+                "ready": f"{address}:8302",
+                "control": f"{address}:{ANNOUNCE_PORT}",
+            },
+            "internal_ports": [7620],
+        },
+        "platform": {"platform": {"address": f"{address}:{STORE_PORT}"}},
+        "timing": {"bounds": {"grace_s": GRACE_S}},
+    }
