Take back: gates without a free slot are passed by before a request waits

Four backend servers fail at once there (srv_grey, 13 to 21.5 s): they always have a free slot, so that requests which pass by the full ones end at them.

Conclusion: not kept. Next: a share of failed answers in what gates tell, in the choice of a gate; then try it again.

--- a/persimmondock/_domain/forwarding.py
+++ b/persimmondock/_domain/forwarding.py
@@ -40,8 +40,6 @@
         Instant at which the latency objective passes.
     repeat
         Whether an earlier attempt of the same request may have reached a backend server.
-    patient
-        Whether it may wait at the gate; if not, the front goes on to another one at once.
     """
 
     attempt: str
@@ -58,7 +56,6 @@
     deadline: float
     objective_at: float
     repeat: bool = False
-    patient: bool = True
 
     @property
     def fingerprint(self) -> int:
@@ -82,16 +79,15 @@
             self.deadline - now,
             self.objective_at - now,
             self.repeat,
-            self.patient,
         ]
 
 
-PACKED_FIELDS = tuple(field.name for field in attrs.fields(ForwardedRequest))[:-4]
+PACKED_FIELDS = tuple(field.name for field in attrs.fields(ForwardedRequest))[:-3]
 
 
 def unpack_request(data: list[Any], received_at: float, age_s: float) -> ForwardedRequest:
     """Read a request that took ``age_s`` seconds longer than usual to come."""
-    *fields, left_s, objective_s, repeat, patient = data
+    *fields, left_s, objective_s, repeat = data
     values: dict[str, Any] = dict(zip(PACKED_FIELDS, fields, strict=True))
     values["headers"] = tuple((name, value) for name, value in values["headers"])
     return ForwardedRequest(
@@ -99,7 +95,6 @@
         deadline=received_at + left_s - age_s,
         objective_at=received_at + objective_s - age_s,
         repeat=repeat,
-        patient=patient,
     )
 
 
--- a/persimmondock/_domain/verdict.py
+++ b/persimmondock/_domain/verdict.py
@@ -23,7 +23,6 @@
     HANDOVER_PENDING = "handover_pending"
     DEADLINE_PASSED = "deadline_passed"
     OVERLOADED = "overloaded"
-    SLOTS_TAKEN = "slots_taken"
     DRAINING = "draining"
     SUSPECTED_POISON = "suspected_poison"
     BAD_REQUEST = "bad_request"
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -15,7 +15,6 @@
 from persimmondock._domain.crash_suspects import CrashSuspects
 from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
 from persimmondock._domain.gate_queue import (
-    MIN_RETRY_MS,
     GateQueue,
     ServiceTimes,
     Waiter,
@@ -203,8 +202,7 @@
         verdict = await self._run(request)
         if isinstance(verdict, NotRun):
             self._metrics.count(f"refusals.{verdict.reason.value}")
-            if verdict.reason is not Reason.SLOTS_TAKEN:
-                self._log_refusal(request, verdict)
+            self._log_refusal(request, verdict)
         return verdict
 
     def _log_refusal(self, request: ForwardedRequest, verdict: NotRun) -> None:
@@ -236,8 +234,6 @@
         self._number += 1
         number = self._number
         if self._queue or not self._has_room(now):
-            if not request.patient:
-                return NotRun(Reason.SLOTS_TAKEN, MIN_RETRY_MS)
             refusal = await self._wait(request, number, now)
             if refusal is not None:
                 return refusal
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -44,7 +44,6 @@
 HOLD_SHARE = 0.125  # part of the objective for which an unsettled key is waited for
 HOLD_STEP_S = 0.02  # a handover takes about two round trips
 REPLY_GRACE_S = 0.12  # the backend server and its gate answer by themselves at the deadline
-IMPATIENT_GATES = 2  # with two fifths of the slots taken, the second or third gate has a free one
 MAX_GATES = 4  # each refusal costs a round trip of a few ms
 MAX_AGE_S = 1.0  # a request that was held up for longer has been given up by its caller
 GIVEN_UP_RETRY_MS = 300
@@ -64,7 +63,6 @@
     failure: Answered | None = None
     refusal: NotRun | None = None
     tried: set[str] = attrs.field(factory=set)
-    others_left: bool = False
 
     def conclude(self) -> Verdict:
         """Return the verdict on the request as a whole."""
@@ -212,7 +210,6 @@
             known = node == self._mesh.own.node or node in self._mesh.peers
             return node if known and node not in attempts.tried else None
         candidates = self._list_candidates(request.service, attempts.tried)
-        attempts.others_left = len(candidates) > 1
         if not candidates:
             return None
         weights = weigh_candidates(candidates)
@@ -255,8 +252,6 @@
     async def _send(self, node: str, request: ForwardedRequest, attempts: _Attempts) -> Verdict:
         if attempts.runs or attempts.arrivals:
             request = attrs.evolve(request, repeat=True)
-        if attempts.others_left and len(attempts.tried) < IMPATIENT_GATES:
-            request = attrs.evolve(request, patient=False)
         if node == self._mesh.own.node:
             return await self._gate.run(request)
         peer = self._mesh.peers[node]
@@ -308,8 +303,6 @@
 
 def _keep_sooner(known: NotRun | None, new: NotRun) -> NotRun:
     """Return the refusal with which the caller may come back sooner."""
-    if known is None or known.reason is Reason.SLOTS_TAKEN:
+    if known is None or 0 < new.retry_after_ms < known.retry_after_ms:
         return new
-    sooner = 0 < new.retry_after_ms < known.retry_after_ms
-    # A gate that was not waited at does not say when it has room.
-    return new if sooner and new.reason is not Reason.SLOTS_TAKEN else known
+    return known
--- a/persimmondock/tests/test_dispatcher.py
+++ b/persimmondock/tests/test_dispatcher.py
@@ -12,7 +12,7 @@
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.peer_stream import Delivered, PeerLostError
 from persimmondock._domain.assignment import Assignment
-from persimmondock._domain.forwarding import pack_verdict, unpack_request
+from persimmondock._domain.forwarding import pack_verdict
 from persimmondock._domain.gate_choice import Candidate, weigh_candidates
 from persimmondock._domain.gate_status import GateStatus
 from persimmondock._domain.range_lease import RangeLease
@@ -49,11 +49,9 @@
     verdicts: list[Verdict | PeerLostError]
     calls: int = 0
     connected: bool = True
-    patient: list[bool] = attrs.field(factory=list)
 
     async def request(self, kind: str, payload: Any) -> Any:
         await asyncio.sleep(0)
-        self.patient.append(unpack_request(payload, 0.0, 0.0).patient)
         verdict = self.verdicts[min(self.calls, len(self.verdicts) - 1)]
         self.calls += 1
         if isinstance(verdict, PeerLostError):
@@ -124,41 +122,6 @@
     assert await dispatching.ask() == NotRun(Reason.OVERLOADED, 150)
 
 
-async def test_a_request_waits_at_a_gate_only_after_two_others_had_no_free_slot(
-    dispatching: Dispatching,
-) -> None:
-    """Pattern: backend servers of three slots, and news of them that is seconds old."""
-    taken = NotRun(Reason.SLOTS_TAKEN, 100)
-    links = [dispatching.add(number, taken) for number in (1, 2)]
-    last = dispatching.add(3, DONE, service_s=5.0)
-    assert await dispatching.ask() == DONE
-    assert [link.patient for link in links] == [[False], [False]]
-    assert last.patient == [True]
-
-
-async def test_a_gate_that_was_not_waited_at_does_not_say_when_to_come_back(
-    dispatching: Dispatching,
-) -> None:
-    for number in (1, 2):
-        dispatching.add(number, NotRun(Reason.SLOTS_TAKEN, 100))
-    dispatching.add(3, FULL, service_s=5.0)
-    assert await dispatching.ask() == FULL
-
-
-async def test_one_gate_alone_is_waited_at(dispatching: Dispatching) -> None:
-    link = dispatching.add(1, DONE)
-    assert await dispatching.ask() == DONE
-    assert link.patient == [True]
-
-
-async def test_a_key_is_waited_for_at_its_owner(dispatching: Dispatching) -> None:
-    link = dispatching.add(1, DONE)
-    dispatching.add(2, DONE)
-    dispatching.control.assignments[SERVICE] = make_assignment(make_range(0, 65_535, 1))
-    assert await dispatching.ask(key=5) == DONE
-    assert link.patient == [True]
-
-
 @pytest.mark.parametrize("outcome", [LOST, MayHaveRun(Reason.DEADLINE_PASSED), FAILED])
 async def test_a_request_that_may_have_run_is_never_sent_again_if_it_may_run_once_only(
     dispatching: Dispatching, outcome: Verdict
