Serve callers with httptools in place of aiohttp's server

Change: `_adapters/http_server.py`, a server of whole requests and responses on httptools' parser, which the way to backend servers uses already.

--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -5,30 +5,30 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from aiohttp import web
 from loguru import logger
-from multidict import CIMultiDict
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.http_server import (
+    HttpServer,
+    ServerLimits,
+    ServerRequest,
+    ServerResponse,
+)
 from persimmondock._adapters.prometheus import CONTENT_TYPE, PrometheusMetrics
-from persimmondock._adapters.sockets import set_socket_options
 from persimmondock._domain.backend_report import AnnouncementError
 from persimmondock._domain.forwarding import ForwardedRequest
-from persimmondock._domain.verdict import Answer, Answered, NotRun, Reason, Verdict
+from persimmondock._domain.verdict import Answered, NotRun, Reason, Verdict
 from persimmondock.platform import _discovery, _headers
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from persimmondock._domain.routing_table import RoutePolicy, RoutingTable
+    from persimmondock._domain.routing_table import RoutePolicy
     from persimmondock._tasks.sidecar import Sidecar
     from persimmondock.platform._settings import MetricsEndpoint
 
+JSON_FIELDS = (("Content-Type", "application/json"),)
 READY_PATH = "/-/readiness"
-# Callers reuse a connection for four fifths of the configured idle timeout, by default 15 s.
-KEEPALIVE_TIMEOUT_S = 15.0
-LISTEN_BACKLOG = 1024
-MAX_BODY_BYTES = 64 * 1024 * 1024
 NO_CONFIGURATION_RETRY_S = 0.5
 DEFAULT_TIMEOUT_S = 30.0
 MIN_SHUTDOWN_TIMEOUT_S = 0.1
@@ -48,8 +48,7 @@
         self._sidecar = sidecar
         self._metrics_endpoint = metrics_endpoint
         self._metrics = metrics
-        self._listeners: list[asyncio.Server] = []
-        self._http_servers: list[web.Server] = []
+        self._http_servers: list[HttpServer] = []
         self._closed = False
 
     async def start(self) -> None:
@@ -88,112 +87,78 @@
         if self._closed:
             return
         self._closed = True
-        # Stop accepting, and let accepted connections be set up: one that is not set up when
-        # its listener closes would stay open and never be read.
-        loop = asyncio.get_running_loop()
-        for listener in self._listeners:
-            for sock in listener.sockets:
-                loop.remove_reader(sock.fileno())
-        await asyncio.sleep(ACCEPT_SETTLE_S)
-        for listener in self._listeners:
-            listener.close()
+        # Accepted connections have to be set up: one that is not set up when its listener closes
+        # would stay open and never be read.
         for server in self._http_servers:
-            server.pre_shutdown()
-        # aiohttp treats a timeout of 0 as no timeout.
-        timeout_s = max(MIN_SHUTDOWN_TIMEOUT_S, within_s)
-        await asyncio.gather(*(server.shutdown(timeout_s) for server in self._http_servers))
+            server.stop_accepting()
+        await asyncio.sleep(ACCEPT_SETTLE_S)
+        await asyncio.gather(*(server.close(within_s) for server in self._http_servers))
 
     async def _listen(
-        self, address: str, handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+        self, address: str, handler: Callable[[ServerRequest], Awaitable[ServerResponse]]
     ) -> None:
-        host, _, port = address.rpartition(":")
-        server = web.Server(
-            handler,
-            request_factory=_make_request,
-            handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-            access_log=None,
-            auto_decompress=False,
-            tcp_keepalive=False,
-        )
-        loop = asyncio.get_running_loop()
-
-        def make_protocol() -> asyncio.BaseProtocol:
-            return server()
-
-        listener = await loop.create_server(
-            make_protocol, host, int(port), backlog=LISTEN_BACKLOG, reuse_address=True
-        )
-        for sock in listener.sockets:
-            set_socket_options(sock)
-        self._listeners.append(listener)
+        # Callers reuse a connection for four fifths of the idle timeout, which is 15 s by default.
+        server = HttpServer(handler, ServerLimits())
+        await server.listen(address)
         self._http_servers.append(server)
 
     # Readiness, metrics and announcements.
 
-    async def _handle_readiness(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _handle_readiness(self, request: ServerRequest) -> ServerResponse:
         ready = request.path == READY_PATH and self._sidecar.is_ready
-        return web.Response(status=200 if ready else 503)
+        return ServerResponse(200 if ready else 503)
 
-    async def _handle_metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _handle_metrics(self, request: ServerRequest) -> ServerResponse:
         endpoint = self._metrics_endpoint
         if self._metrics is None or endpoint is None or request.path != endpoint.path:
-            return web.Response(status=404)
+            return ServerResponse(404)
         self._sidecar.update_gauges()
-        return web.Response(body=self._metrics.render(), headers={"Content-Type": CONTENT_TYPE})
+        return ServerResponse(200, (("Content-Type", CONTENT_TYPE),), self._metrics.render())
 
-    async def _handle_announcement(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _handle_announcement(self, request: ServerRequest) -> ServerResponse:
         """Apply an announcement or a leave notice of the backend server.
 
         The status is 409 for an announcement of another service or address, and 400 for an
         invalid one.
         """
-        body = await request.read()
         try:
             if request.method == "PUT":
-                announcement = _discovery.decode_announcement(request.path, body)
+                announcement = _discovery.decode_announcement(request.path, request.body)
                 if not self._sidecar.handle_announcement(announcement):
-                    return web.Response(status=409)
+                    return ServerResponse(409)
                 granted = await self._sidecar.grant_holdings(announcement)
-                return web.Response(
-                    body=_discovery.encode_reply(granted), content_type="application/json"
-                )
+                return ServerResponse(200, JSON_FIELDS, _discovery.encode_reply(granted))
             if request.method == "DELETE":
                 self._sidecar.handle_leave(_discovery.parse_instance(request.path))
-                return web.json_response({})
+                return ServerResponse(200, JSON_FIELDS, b"{}")
         except AnnouncementError as error:
             logger.warning("event=report_refused path={} detail={!r}", request.path, str(error))
-            return web.Response(status=400, text=str(error))
-        return web.Response(status=405)
+            return ServerResponse(400, body=str(error).encode())
+        return ServerResponse(405)
 
     # Callers.
 
-    async def _handle_request(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _handle_request(self, request: ServerRequest) -> ServerResponse:
         received_at = read_clock()
         table = self._sidecar.site.table
         if table is None:
             return self._refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_S)
-        host = request.headers.get("Host", "").rpartition(":")[0] or request.headers.get("Host", "")
-        route = table.find_route(host.lower(), request.raw_path.partition("?")[0])
+        host = (request.find_header("host") or "").partition(":")[0]
+        route = table.find_route(host.lower(), request.path)
         if route is None:
-            logger.info("event=no_route host={} path={}", host, request.raw_path)
-            return web.Response(status=404)
-        body = await request.read()
-        fields = _headers.read_caller_fields(
-            (name.decode("latin-1"), value.decode("latin-1")) for name, value in request.raw_headers
-        )
-        forwarded = self._build_request(request, fields, route, table, body, received_at)
+            logger.info("event=no_route host={} path={}", host, request.target)
+            return ServerResponse(404)
+        fields = _headers.read_caller_fields(request.headers)
+        forwarded = self._build_request(request, fields, route, received_at)
         verdict = await self._sidecar.dispatcher.dispatch(forwarded, route)
         deadline_passed = read_clock() + DEADLINE_MARGIN_S >= forwarded.deadline
         return self._render_verdict(verdict, forwarded.attempt, deadline_passed)
 
     def _build_request(
         self,
-        request: web.BaseRequest,
+        request: ServerRequest,
         fields: _headers.CallerFields,
         route: RoutePolicy,
-        table: RoutingTable,
-        body: bytes,
         received_at: float,
     ) -> ForwardedRequest:
         site = self._sidecar.site
@@ -205,9 +170,9 @@
             service=service,
             route=route.name,
             method=request.method,
-            target=request.raw_path,
+            target=request.target,
             headers=fields.forwarded,
-            body=body,
+            body=request.body,
             key=fields.key if keyed else -1,
             idempotent=route.idempotent,
             priority=route.priority,
@@ -216,43 +181,22 @@
             objective_at=received_at + route.objective_s,
         )
 
-    def _refuse(self, reason: Reason, retry_after_s: float) -> web.Response:
+    def _refuse(self, reason: Reason, retry_after_s: float) -> ServerResponse:
         return self._render_verdict(NotRun(reason, int(1000 * retry_after_s)), "", False)
 
     def _render_verdict(
         self, verdict: Verdict, attempt: str, deadline_passed: bool
-    ) -> web.Response:
-        headers: CIMultiDict[str] = CIMultiDict()
-        if self._sidecar.stopping.is_set():
-            headers["Connection"] = "close"
+    ) -> ServerResponse:
+        # Callers connect to another daemon while this one is about to stop.
+        close = self._sidecar.stopping.is_set()
+        headers: list[tuple[str, str]] = []
         match verdict:
             case Answered(answer=answer):
-                return _render_answer(answer, headers)
+                fields = tuple((header.name, header.value) for header in answer.headers)
+                return ServerResponse(answer.status, fields, answer.body, close)
             case NotRun(retry_after_ms=retry_after_ms) if retry_after_ms:
-                headers["Retry-After"] = f"{retry_after_ms / 1000:.3f}"
+                headers.append(("Retry-After", f"{retry_after_ms / 1000:.3f}"))
         if attempt:
-            headers[_headers.ATTEMPT] = attempt
-        return web.Response(
-            status=_headers.choose_status(verdict, deadline_passed), headers=headers
-        )
-
-
-def _render_answer(answer: Answer, headers: CIMultiDict[str]) -> web.Response:
-    for header in answer.headers:
-        headers.add(header.name, header.value)
-    return web.Response(status=answer.status, headers=headers, body=answer.body)
-
-
-def _make_request(
-    message: object, payload: object, protocol: object, writer: object, task: object
-) -> web.BaseRequest:
-    """Create a request as aiohttp does by default, but with this module's body size limit."""
-    return web.BaseRequest(
-        message,  # type: ignore[arg-type]
-        payload,  # type: ignore[arg-type]
-        protocol,  # type: ignore[arg-type]
-        writer,  # type: ignore[arg-type]
-        task,  # type: ignore[arg-type]
-        asyncio.get_running_loop(),
-        client_max_size=MAX_BODY_BYTES,
-    )
+            headers.append((_headers.ATTEMPT, attempt))
+        status = _headers.choose_status(verdict, deadline_passed)
+        return ServerResponse(status, tuple(headers), b"", close)
