Bound the bytes of a backend server that sends them without end

The client of backend servers and of the store bounded bodies only. Sixty connections could keep 64 MiB each on a VM of 200 MB.

Change: 64 KiB for the head, interim responses and trailers of one exchange, 64 MiB for all that it receives, 64 MiB for all incomplete responses of one server together. Beyond it the connection is closed and the verdict is `may_have_run` (the request was sent), so the slot is free again.

Left: peers are trusted with frames of 72 MiB; they are daemons of the same site.

--- a/persimmondock/_adapters/http_exchange.py
+++ b/persimmondock/_adapters/http_exchange.py
@@ -26,6 +26,8 @@
 DEFAULT_MAX_IDLE_S = 8.0  # servers that send no Keep-Alive header close after 10 s
 IDLE_MARGIN_S = 1.0  # avoids sending a request while the server closes the connection
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_HEAD_BYTES = 64 * 1024  # of a response, its interim responses and its trailers
+MAX_BUFFERED_BYTES = 64 * 1024 * 1024  # of all incomplete responses of one server
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -82,9 +84,21 @@
         return None
 
 
+@attrs.define
+class BufferedBytes:
+    """Size of the incomplete responses of one server."""
+
+    count: int = 0
+
+
 class HttpConnection(asyncio.Protocol):
     """One connection to a server.
 
+    Parameters
+    ----------
+    buffered
+        Size of all incomplete responses of the server, which is limited.
+
     Attributes
     ----------
     usable
@@ -98,8 +112,11 @@
         close it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, buffered: BufferedBytes | None = None) -> None:
         self.usable = True
+        self._buffered = buffered or BufferedBytes()
+        self._received = 0
+        self._head_bytes = 0
         self.exchange_count = 0
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_MAX_IDLE_S
@@ -113,9 +130,9 @@
     def _reset_message(self) -> None:
         self._headers: list[tuple[str, str]] = []
         self._body: list[bytes] = []
-        self._body_size = 0
         self._until_eof = False
         self._in_message = False
+        self._in_body = False
         self._keep_alive = False
 
     async def exchange(
@@ -139,6 +156,7 @@
         if self._transport is None or not self.usable:
             raise ConnectionLostError("the connection is closed", sent=False)
         self._reset_message()
+        self._received = self._head_bytes = 0
         self.exchange_count += 1
         self._responses.clear()
         self._accept = accept or _accept_any
@@ -152,6 +170,7 @@
             raise
         finally:
             self._waiter = None
+            self._forget_received()
         if self._transport.get_write_buffer_size():
             # The server responded before it had received the whole request.
             self.abort()
@@ -184,7 +203,19 @@
         except httptools.HttpParserError as error:
             self._fail(InvalidResponseError(repr(error), sent=True))
             return
+        self._received += len(data)
+        self._buffered.count += len(data)
+        if not self._in_body:
+            self._head_bytes += len(data)
         self._deliver_response()
+        if self._waiter.done():
+            return
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._fail(InvalidResponseError("the header is too large", sent=True))
+        elif self._received > MAX_RESPONSE_BYTES:
+            self._fail(InvalidResponseError("the response is too large", sent=True))
+        elif self._buffered.count > MAX_BUFFERED_BYTES:
+            self._fail(InvalidResponseError("the incomplete responses are too large", sent=True))
 
     def eof_received(self) -> bool:
         """Complete a response that ends with its connection."""
@@ -210,10 +241,13 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
+        if self._in_body:
+            self._head_bytes += len(name) + len(value)
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Determine whether the body ends with the connection."""
+        self._in_body = True
         names = {name.lower() for name, _ in self._headers}
         self._until_eof = (
             self._status not in NO_BODY_STATUSES
@@ -225,9 +259,6 @@
     def on_body(self, data: bytes) -> None:
         """Store a part of the body."""
         self._body.append(data)
-        self._body_size += len(data)
-        if self._body_size > MAX_RESPONSE_BYTES:
-            self._fail(InvalidResponseError("the response is too large", sent=True))
 
     def on_message_complete(self) -> None:
         """Complete a response; interim responses are dropped."""
@@ -236,7 +267,7 @@
         self._keep_alive = bool(self._parser.should_keep_alive())
         if self._status >= 200:
             self._responses.append(self._build_response())
-        self._in_message = False
+        self._in_message = self._in_body = False
 
     @property
     def _status(self) -> int:
@@ -275,7 +306,12 @@
             self.idle_limit_s = float(found.group(1)) - IDLE_MARGIN_S
         return True
 
+    def _forget_received(self) -> None:
+        self._buffered.count -= self._received
+        self._received = 0
+
     def _fail(self, error: ExchangeError) -> None:
+        self._forget_received()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(error)
         self.abort()
@@ -307,6 +343,7 @@
         self._limit = limit
         self._idle: deque[HttpConnection] = deque()
         self._busy: set[HttpConnection] = set()
+        self._buffered = BufferedBytes()
         self.connections_opened = 0
 
     async def acquire(self, max_idle_s: float = DEFAULT_MAX_IDLE_S) -> HttpConnection:
@@ -358,7 +395,9 @@
         self.connections_opened += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(HttpConnection, self._host, self._port)
+                _, connection = await loop.create_connection(
+                    lambda: HttpConnection(self._buffered), self._host, self._port
+                )
         except TimeoutError as error:
             raise ConnectFailedError("connecting timed out", refused=False) from error
         except OSError as error:
--- a/persimmondock/tests/test_http_exchange.py
+++ b/persimmondock/tests/test_http_exchange.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from persimmondock._adapters import http_exchange
 from persimmondock._adapters.http_exchange import (
     ConnectFailedError,
     ConnectionLostError,
@@ -235,3 +236,78 @@
         task.cancel()
         async with asyncio.timeout(1.0):
             await ended.wait()
+
+
+def respond_without_end(start: bytes, part: bytes, sent: list[int]) -> Handler:
+    """Return a handler that repeats a part until the client closes; ``sent`` counts its bytes."""
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(start)
+        try:
+            while True:
+                writer.write(part)
+                sent[0] += len(part)
+                await writer.drain()
+        except ConnectionError:
+            return
+
+    return handle
+
+
+@pytest.mark.parametrize(
+    ("start", "part"),
+    [
+        pytest.param(b"HTTP/1.1 200 OK\r\n", b"X-A: aaaa\r\n" * 100, id="header fields"),
+        pytest.param(b"HTTP/1.1 200 OK\r\nX-A: ", b"a" * 1000, id="one header field"),
+        pytest.param(b"", b"HTTP/1.1 102 Processing\r\nX-A: a\r\n\r\n" * 30, id="interim"),
+        pytest.param(b"HTTP/1.1 200 OK\r\n\r\n", b"a" * 1000, id="body until the end"),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"3e8\r\n" + b"a" * 1000 + b"\r\n",
+            id="chunks",
+        ),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"X-A: aaaa\r\n" * 100,
+            id="trailers",
+        ),
+        pytest.param(b"\r\n", b"\r\n" * 500, id="empty lines"),
+    ],
+)
+async def test_bytes_without_end_end_the_exchange(
+    monkeypatch: pytest.MonkeyPatch, start: bytes, part: bytes
+) -> None:
+    """A backend server in trouble sends bytes that are no response until the client closes."""
+    monkeypatch.setattr(http_exchange, "MAX_RESPONSE_BYTES", 200_000)
+    sent = [0]
+    async with serve(respond_without_end(start, part, sent)) as pool:
+        connection = await pool.acquire()
+        async with asyncio.timeout(5.0):
+            with pytest.raises(InvalidResponseError):
+                await connection.exchange(REQUEST)
+        assert not connection.usable
+    assert sent[0] < 20_000_000
+
+
+async def test_all_responses_in_progress_share_a_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http_exchange, "MAX_BUFFERED_BYTES", 350_000)
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head + b"a" * 100_000)  # the rest of the body never comes
+
+    async with serve(handle) as pool:
+        connections = [await pool.acquire() for _ in range(4)]
+        exchanges = [asyncio.create_task(item.exchange(REQUEST)) for item in connections]
+        done, pending = await asyncio.wait(exchanges, timeout=0.5)
+        assert len(done) == 1 and isinstance(done.pop().exception(), InvalidResponseError)
+        for item in pending:
+            item.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
+        # What has ended does not count any more.
+        again = asyncio.create_task((await pool.acquire()).exchange(REQUEST))
+        await asyncio.sleep(0.2)
+        assert not again.done()
+        again.cancel()
