Bound the grants in a reply, and reply at once to a backend server that leaves

Cause: a reply above 4 KiB is ignored, so an owner of about 100 ranges would lose them all. Moves of hot groups split ranges for ever and nothing merged them.

Change: the planner gives no owner more than 36 rows by a move and merges adjacent ranges of an owner that has more. A merged range has a new token; the keeper goes on serving under the former grants and replaces them in the next reply. A reply has at most 80 rows: what is held stays, what does not fit waits with a warning. Replies to leaving backend servers, and those of a daemon that stops, are sent at once.

--- a/persimmondock/_domain/assignment.py
+++ b/persimmondock/_domain/assignment.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
 import attrs
@@ -266,6 +266,40 @@
     )
 
 
+def count_rows(ranges: Iterable[KeyRange]) -> Counter[BackendIncarnation]:
+    """Return the grants of each owner, where adjacent ranges with one fencing token share one."""
+    counts: Counter[BackendIncarnation] = Counter()
+    previous: KeyRange | None = None
+    for item in ranges:
+        if previous is None or (item.owner, item.fence) != (previous.owner, previous.fence):
+            counts[item.owner] += 1
+        previous = item
+    return counts
+
+
+def merge_ranges(ranges: tuple[KeyRange, ...], max_rows: int) -> tuple[KeyRange, ...] | None:
+    """Return the ranges with adjacent ones merged for each owner with too many grants, or None.
+
+    A merged range gets a new fencing token, with which its owner replaces the grants that it has.
+    Ranges that may have former owners stay as they are.
+    """
+    counts = count_rows(ranges)
+    result: list[KeyRange] = []
+    for item in ranges:
+        if (
+            result
+            and counts[item.owner] > max_rows
+            and result[-1].owner == item.owner
+            and not result[-1].former_owners
+            and not item.former_owners
+        ):
+            fence = item.fence if result[-1].fence == item.fence else 0
+            result[-1] = attrs.evolve(result[-1], last=item.last, fence=fence)
+        else:
+            result.append(item)
+    return tuple(result) if count_rows(result) != counts else None
+
+
 def build_next_assignment(
     current: Assignment, ranges: Iterable[KeyRange], witnesses: frozenset[str], end: int
 ) -> Assignment:
--- a/persimmondock/_domain/balance.py
+++ b/persimmondock/_domain/balance.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from persimmondock._domain.assignment import KeyRange
+from persimmondock._domain.assignment import KeyRange, count_rows
 from persimmondock._domain.key_loads import KEYS_PER_GROUP, sum_rates
 
 if TYPE_CHECKING:
@@ -61,6 +61,7 @@
     ranges: tuple[KeyRange, ...],
     capacities: Mapping[BackendIncarnation, OwnerCapacity],
     rates: Mapping[int, float],
+    max_rows: int = MAX_RANGES,
 ) -> tuple[KeyRange, ...] | None:
     """Return the ranges with busy keys moved, or None if nothing has to move.
 
@@ -70,6 +71,8 @@
         Backend servers that may own keys; ranges of others stay where they are.
     rates
         Requests per second by group of keys; see `persimmondock._domain.key_loads`.
+    max_rows
+        Number of grants that no owner gets to by a move; see `count_rows`.
     """
     if len(capacities) < 2:
         return None
@@ -78,14 +81,26 @@
         if item.owner in loads:
             loads[item.owner] += sum_rates(rates, item.first, item.last)
     result = _move_saturating_groups(ranges, capacities, loads, rates)
+    if _has_more_rows(result, ranges, max_rows):
+        result = ranges
     for _ in range(len(capacities)):
         moved_ranges = _move_from_fullest(result, capacities, loads, rates)
-        if moved_ranges is None:
+        if moved_ranges is None or _has_more_rows(moved_ranges, result, max_rows):
             break
         result = moved_ranges
     return result if result is not ranges else None
 
 
+def _has_more_rows(
+    ranges: tuple[KeyRange, ...], before: tuple[KeyRange, ...], max_rows: int
+) -> bool:
+    """Return whether a move gave an owner more grants than it may have."""
+    counts_before = count_rows(before)
+    return any(
+        count > max(max_rows, counts_before[owner]) for owner, count in count_rows(ranges).items()
+    )
+
+
 def _move_saturating_groups(
     ranges: tuple[KeyRange, ...],
     capacities: Mapping[BackendIncarnation, OwnerCapacity],
--- a/persimmondock/_tasks/heartbeat_grants.py
+++ b/persimmondock/_tasks/heartbeat_grants.py
@@ -40,6 +40,8 @@
 MAX_FREED_HISTORY = 512
 # Replies above 4 KiB are ignored. A row takes up to 50 bytes with a handover, 26 without.
 MAX_ROWS = 80
+# Owners that take over the ranges of others get up to as many again.
+MAX_PLANNED_ROWS = 36
 
 
 @attrs.frozen
@@ -115,14 +117,18 @@
         del self._freed[:-MAX_FREED_HISTORY]
         self._notify_report()
 
-    async def grant_holdings(self, sequence: int) -> GrantedHoldings | None:
+    async def grant_holdings(self, sequence: int, may_wait: bool) -> GrantedHoldings | None:
         """Return what to grant in the reply to a heartbeat.
 
-        The reply waits up to REPLY_WAIT_S for a change of the holdings. The result is None if the
-        heartbeat is not the newest, or if nothing may be granted now; such a reply renews and
-        releases nothing.
+        The result is None if the heartbeat is not the newest, or if nothing may be granted now;
+        such a reply renews and releases nothing.
+
+        Parameters
+        ----------
+        may_wait
+            Whether the reply may wait up to REPLY_WAIT_S for a change of the holdings.
         """
-        wait_until = read_clock() + REPLY_WAIT_S
+        wait_until = read_clock() + REPLY_WAIT_S if may_wait else -math.inf
         while not self._is_change_pending() and (wait_s := wait_until - read_clock()) > 0:
             self._changed.clear()
             try:
@@ -161,18 +167,13 @@
             for first, wanted in self._wanted.items()
             if keeper.find_hold_s(wanted.key_range, report.arrived_at) > 0
         }
-        rows = merge_rows(
-            GrantedRow(*key_range.grant_id, self._find_unconfirmed_handover(key_range))
-            for key_range in (ranges | new).values()
-        )
+        rows = self._build_rows([*ranges.values(), *new.values()])
         if len(rows) > MAX_ROWS:
             # What the backend server holds already stays; the rest waits.
             logger.warning("event=grants_deferred rows={} ranges={}", len(rows), len(new))
-            new = {}
-            rows = merge_rows(
-                GrantedRow(*key_range.grant_id, self._find_unconfirmed_handover(key_range))
-                for key_range in ranges.values()
-            )
+            while new and len(rows) > MAX_ROWS:
+                new.popitem()
+                rows = self._build_rows([*ranges.values(), *new.values()])
         # The heartbeat was sent after the previous reply had arrived, or within the time in which
         # the backend server accepts the reply.
         sent_after = max(report.arrived_at - ACK_TIMEOUT_S, self._replied_at)
@@ -187,6 +188,12 @@
                 wanted.granted.set_result(None)
         return GrantedHoldings(rows, hold_s)
 
+    def _build_rows(self, ranges: list[KeyRange]) -> tuple[GrantedRow, ...]:
+        return merge_rows(
+            GrantedRow(*key_range.grant_id, self._find_unconfirmed_handover(key_range))
+            for key_range in ranges
+        )
+
     def _find_unconfirmed_handover(self, key_range: KeyRange) -> str:
         """Return the handover to send with a range, which is empty once the range is held."""
         handover = self._handovers.get(key_range.grant_id, "")
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -21,9 +21,10 @@
     count_moved_ranges,
     decode_assignment,
     encode_assignment,
+    merge_ranges,
     plan_assignment,
 )
-from persimmondock._domain.balance import OwnerCapacity, balance_ranges
+from persimmondock._domain.balance import MAX_RANGES, OwnerCapacity, balance_ranges
 from persimmondock._domain.key_loads import KeyLoads, merge_rates
 from persimmondock._domain.range_lease import LEASE_TERM_S
 from persimmondock._ports.keyed_log import Conflict, Written
@@ -72,6 +73,8 @@
         Returns whether the keys of a service have exclusive owners.
     loads
         Request rates of the keys served here.
+    max_rows
+        Grants that an owner is to have at most; beyond it its adjacent ranges are merged.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         is_evacuated: Callable[[str], bool],
         is_keyed: Callable[[str], bool],
         loads: KeyLoads,
+        max_rows: int = MAX_RANGES,
     ) -> None:
         self.assignments: dict[str, Assignment] = {}
         self._node = node
@@ -98,6 +102,7 @@
         self._is_evacuated = is_evacuated
         self._is_keyed = is_keyed
         self._loads = loads
+        self._max_rows = max_rows
         self._started_at = read_clock()
         self._unavailable_since: dict[str, float] = {}
         self._written_at = -math.inf
@@ -188,7 +193,9 @@
         ended = self._list_ended(current, statuses)
         ranges = plan_assignment(current, owners, ended)
         if ranges is None and self._may_balance(current, statuses, now):
-            ranges = await self._balance(current, owners, statuses)
+            ranges = merge_ranges(current.ranges, self._max_rows)
+            if ranges is None:
+                ranges = await self._balance(current, owners, statuses)
             if ranges is None and any(key_range.former_owners for key_range in current.ranges):
                 # Write the same ranges without the former owners, or a restarted daemon would wait
                 # for them although they released the keys long ago.
@@ -230,7 +237,7 @@
         rates = merge_rates(await self._collect_loads(available))
         if self.assignments.get(self._service, current) != current:
             return None
-        return balance_ranges(current.ranges, capacities, rates)
+        return balance_ranges(current.ranges, capacities, rates, self._max_rows)
 
     async def _collect_loads(self, owners: list[BackendIncarnation]) -> list[dict[int, float]]:
         """Collect the request rates of the keys of all owners."""
--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -12,6 +12,7 @@
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.peer_stream import Delivery, PeerRequestError
 from persimmondock._domain.assignment import Assignment, BackendIncarnation, KeyRange
+from persimmondock._domain.balance import MAX_RANGES
 from persimmondock._domain.holdings import (
     GrantedHoldings,
     HeldRange,
@@ -22,9 +23,11 @@
 from persimmondock._domain.site import GrantMode, GrantsByCall, GrantsInHeartbeats
 from persimmondock._domain.verdict import NotRun, Reason
 from persimmondock._tasks.call_grants import CallGrants
-from persimmondock._tasks.heartbeat_grants import HeartbeatGrants
+from persimmondock._tasks.heartbeat_grants import MAX_PLANNED_ROWS, HeartbeatGrants
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from persimmondock._ports.backend import BackendServer
     from persimmondock._tasks.mesh import Mesh
 
@@ -39,6 +42,15 @@
 MAX_RELEASE_HISTORY = 512
 
 
+def find_max_rows(grant_mode: GrantMode) -> int:
+    """Return how many grants each owner is to have at most."""
+    match grant_mode:
+        case GrantsByCall():
+            return MAX_RANGES
+        case GrantsInHeartbeats():
+            return MAX_PLANNED_ROWS
+
+
 class RangeKeeper:
     """Keeps the grants of one backend server in line with the current assignment.
 
@@ -136,7 +148,11 @@
         self._reconcile()
 
     async def grant_holdings(
-        self, incarnation: BackendIncarnation, sequence: int, holdings: ReportedHoldings
+        self,
+        incarnation: BackendIncarnation,
+        sequence: int,
+        holdings: ReportedHoldings,
+        may_wait: bool,
     ) -> GrantedHoldings | None:
         """Apply what a heartbeat of the backend server says of its keys; return the grants.
 
@@ -147,12 +163,14 @@
         ----------
         sequence
             Number that increases with each heartbeat of an incarnation.
+        may_wait
+            Whether the reply may be held open for a change of the grants.
         """
         if incarnation != self.incarnation or not isinstance(self._channel, HeartbeatGrants):
             return None
         self._channel.record_report(sequence, holdings)
         self._reconcile()
-        return await self._channel.grant_holdings(sequence)
+        return await self._channel.grant_holdings(sequence, may_wait)
 
     def record_heartbeat(
         self, node: str, end: int, may_witness: bool, sent_at: float, now: float
@@ -210,6 +228,7 @@
                 key_range.first: key_range
                 for key_range in self.assignment.list_owned(self.incarnation)
             }
+        self._adopt_merged_ranges(owned)
         for first, held in list(self._held.items()):
             key_range = owned.get(first)
             if key_range is not None and key_range.grant_id == held.key_range.grant_id:
@@ -227,6 +246,27 @@
                 self._acquiring[grant_id] = task
                 task.add_done_callback(functools.partial(self._finish_acquisition, grant_id))
 
+    def _adopt_merged_ranges(self, owned: Mapping[int, KeyRange]) -> None:
+        """Hold owned ranges that were merged from held ones; a renewal replaces their grants."""
+        for item in owned.values():
+            pieces = [
+                held
+                for held in self._held.values()
+                if item.first <= held.key_range.first
+                and held.key_range.last <= item.last
+                and held.key_range.fence < item.fence
+            ]
+            keys = sum(held.key_range.last - held.key_range.first + 1 for held in pieces)
+            if keys != item.last - item.first + 1 or item.former_owners:
+                continue
+            for held in pieces:
+                del self._held[held.key_range.first]
+            self._held[item.first] = HeldRange(
+                item,
+                min(held.guaranteed_until for held in pieces),
+                max(held.possible_until for held in pieces),
+            )
+
     def _finish_acquisition(self, grant_id: tuple[int, int, int], task: asyncio.Task[None]) -> None:
         if self._acquiring.get(grant_id) is task:
             del self._acquiring[grant_id]
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -20,7 +20,7 @@
 from persimmondock._tasks.dispatcher import Dispatcher
 from persimmondock._tasks.key_control import KeyControl
 from persimmondock._tasks.mesh import Member, Mesh, encode_member
-from persimmondock._tasks.range_keeper import RangeKeeper
+from persimmondock._tasks.range_keeper import RangeKeeper, find_max_rows
 from persimmondock._tasks.site_state import SiteState
 from persimmondock._tasks.store_follower import PartitionFollower
 
@@ -144,6 +144,7 @@
             self.site.is_evacuated,
             self.site.is_keyed,
             self.gate.loads,
+            find_max_rows(settings.grant_mode),
         )
         self.dispatcher = Dispatcher(
             settings.service, settings.bounds, self.mesh, self.gate, self.control, self.metrics
@@ -256,8 +257,10 @@
         incarnation = BackendIncarnation(
             self.settings.node, announcement.instance, announcement.born_ms
         )
+        # The bound of a drain counts from the reply, and a stop must not wait for open ones.
+        may_wait = not (announcement.draining or self.stopping.is_set())
         return await self.keeper.grant_holdings(
-            incarnation, announcement.sequence, announcement.holdings
+            incarnation, announcement.sequence, announcement.holdings, may_wait
         )
 
     def handle_leave(self, instance: str) -> None:
--- a/persimmondock/tests/test_assignment.py
+++ b/persimmondock/tests/test_assignment.py
@@ -16,8 +16,10 @@
     build_next_assignment,
     choose_witnesses,
     count_moved_ranges,
+    count_rows,
     decode_assignment,
     encode_assignment,
+    merge_ranges,
     plan_assignment,
 )
 from persimmondock._domain.balance import BUSY_UTILIZATION, OwnerCapacity, balance_ranges
@@ -254,3 +256,30 @@
     found = assignment.find_range(10)
     assert found is not None and found.owner == make_incarnation(2)
     assert assignment.find_range(100) is None
+
+
+def test_only_owners_with_too_many_grants_get_their_adjacent_ranges_merged() -> None:
+    """Replies to heartbeats hold a limited number of rows, and moves split ranges for ever."""
+    split = [make_range(n, n, 1, fence=1 + n) for n in range(6)]
+    other = [make_range(n, n, 2, fence=1) for n in (6, 8)]
+    ranges = (*split, other[0], make_range(7, 7, 3), other[1])
+    merged = merge_ranges(ranges, 5)
+    assert merged == (make_range(0, 5, 1, fence=0), *ranges[6:])
+    assert merge_ranges(ranges, 6) is None
+
+
+def test_ranges_with_former_owners_are_not_merged() -> None:
+    ranges = (
+        make_range(0, 0, 1),
+        make_range(1, 1, 1, fence=2, former_owners=(make_incarnation(2),)),
+        make_range(2, 2, 1, fence=3),
+    )
+    assert merge_ranges(ranges, 1) is None
+
+
+def test_moves_give_no_owner_more_grants_than_it_may_have() -> None:
+    before = make_first_assignment(4).ranges
+    most = max(count_rows(before).values())
+    rates = {group: 20.0 for group in range(0, 40, 3)}
+    after = balance_ranges(before, make_capacities(60, 60, 60, 60), rates, most + 2) or before
+    assert max(count_rows(after).values()) <= most + 2
--- a/persimmondock/tests/test_heartbeat_grants.py
+++ b/persimmondock/tests/test_heartbeat_grants.py
@@ -49,6 +49,7 @@
         freed: tuple[tuple[int, int, str], ...] = (),
         sequence: int | None = None,
         born_ms: int = 1,
+        may_wait: bool = True,
     ) -> GrantedHoldings | None:
         """Send a heartbeat and return what its reply grants."""
         if sequence is None:
@@ -58,7 +59,7 @@
             tuple(ReportedRow(*row) for row in rows), tuple(ReleasedRange(*row) for row in freed)
         )
         incarnation = make_incarnation(1, born_ms)
-        return await self.keeper.grant_holdings(incarnation, sequence, holdings)
+        return await self.keeper.grant_holdings(incarnation, sequence, holdings, may_wait)
 
     def serves(self, key: int) -> bool:
         return self.keeper.find_refusal(key, read_clock()) is None
@@ -259,6 +260,17 @@
     assert granted is not None and granted.rows == ()
 
 
+async def test_the_reply_to_a_leaving_backend_server_is_not_held_open(
+    harness: HeartbeatHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The bound of its drain counts from the reply."""
+    monkeypatch.setattr(heartbeat_grants, "REPLY_WAIT_S", 5.0)
+    await harness.follow(make_assignment(make_range(0, 9, 1)))
+    await harness.beat()
+    async with asyncio.timeout(1.0):
+        assert await harness.beat((0, 9, 1), may_wait=False) is not None
+
+
 async def test_rows_beyond_the_limit_wait_and_held_ones_stay(
     harness: HeartbeatHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -271,3 +283,36 @@
     assert granted is not None and granted.rows == (GrantedRow(0, 9, 1),)
     assert harness.serves(5)
     assert not harness.serves(25)
+
+
+async def test_a_merged_range_is_served_without_interruption(harness: HeartbeatHarness) -> None:
+    await harness.follow(make_assignment(make_range(0, 9, 1), make_range(10, 19, 1, fence=2)))
+    await harness.beat()
+    await harness.follow(make_assignment(make_range(0, 19, 1, fence=3), offset=3))
+    assert harness.serves(5) and harness.serves(15)
+    granted = await harness.beat((0, 9, 1), (10, 19, 2))
+    assert granted is not None and granted.rows == (GrantedRow(0, 19, 3),)
+
+
+async def test_a_merged_range_that_moves_before_its_grant_counts_as_held(
+    harness: HeartbeatHarness,
+) -> None:
+    await harness.follow(make_assignment(make_range(0, 9, 1), make_range(10, 19, 1, fence=2)))
+    await harness.beat()
+    await harness.follow(make_assignment(make_range(0, 19, 1, fence=3), offset=3))
+    await harness.follow(make_assignment(make_range(0, 19, 2, fence=4), offset=4))
+    reply = asyncio.create_task(harness.keeper.handle_release([0, 19, 4, 4], PEER))
+    await harness.beat((0, 9, 1), (10, 19, 2))
+    await asyncio.sleep(0.1)
+    assert not reply.done()
+    await harness.beat()
+    assert (await reply)[0]
+
+
+async def test_as_many_new_rows_are_granted_as_fit(
+    harness: HeartbeatHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(heartbeat_grants, "MAX_ROWS", 2)
+    await harness.follow(make_assignment(*(make_range(n, n, 1, fence=1 + n) for n in range(4))))
+    granted = await harness.beat()
+    assert granted is not None and len(granted.rows) == 2
