Keep work that must not run twice when its daemon was only silent for a while

Cause: a peer that left a heartbeat unanswered for 1.5 s had its connection closed. Its daemon then cancelled all requests of that connection, and the callers got 502, though a VM that was paused for two seconds goes on with its work when it wakes, and a request that is not idempotent cannot be tried elsewhere.

Change: a silent connection is replaced, and kept for the requests that are not idempotent; idempotent ones are cancelled there and may be tried elsewhere within the retry budget, as before. Pending requests belong to their connection.

Before: the first case of the new module test_peer_stream did not pass on the code before (the request ended with an error). After: all six pass.

--- a/persimmondock/_adapters/peer_stream.py
+++ b/persimmondock/_adapters/peer_stream.py
@@ -125,19 +125,68 @@
         raise NotImplementedError
 
 
+@attrs.frozen
+class _PendingRequest:
+    """A request without a reply.
+
+    Parameters
+    ----------
+    on_reply
+        Called with the reply, or with a `PeerRequestError`.
+    outlives_silence
+        Whether the request waits on after the peer has been silent for too long.
+    """
+
+    on_reply: Callable[[Any], None]
+    outlives_silence: bool
+
+
 class _ClientProtocol(_FrameProtocol):
+    """One connection, with the requests that wait for replies on it."""
+
     def __init__(self, client: PeerClient) -> None:
         super().__init__()
         self._client = client
+        self._pending: dict[int, _PendingRequest] = {}
+        self._retired = False
+
+    def send_request(self, number: int, kind: str, payload: Any, request: _PendingRequest) -> None:
+        """Send a request."""
+        self._pending[number] = request
+        self.send([REQUEST, number, kind, payload, read_clock()])
+
+    def cancel_request(self, number: int) -> None:
+        """Have the peer cancel a request, unless its reply has arrived."""
+        if self._pending.pop(number, None) is not None:
+            self.send([CANCEL, number, None, None, read_clock()])
+            self._close_if_done()
+
+    def retire(self) -> None:
+        """Keep the connection only for the requests that outlive the peer's silence."""
+        self._retired = True
+        for number, request in list(self._pending.items()):
+            if not request.outlives_silence:
+                self.cancel_request(number)
+                request.on_reply(PeerRequestError("the peer is silent", sent=True))
+        self._close_if_done()
+
+    def _close_if_done(self) -> None:
+        if self._retired and not self._pending:
+            self.close()
 
     def handle_frame(self, frame: list[Any]) -> None:
         kind, number, payload = frame
-        on_reply = self._client.pending.pop(number, None)
-        if on_reply is not None:
-            on_reply(payload if kind == REPLY else PeerRequestError(str(payload), sent=True))
+        request = self._pending.pop(number, None)
+        if request is not None:
+            is_reply = kind == REPLY
+            request.on_reply(payload if is_reply else PeerRequestError(str(payload), sent=True))
+        self._close_if_done()
 
     def connection_lost(self, error: Exception | None) -> None:
-        self._client.handle_disconnect(self, repr(error))
+        self._client.handle_disconnect(self)
+        pending, self._pending = self._pending, {}
+        for request in pending.values():
+            request.on_reply(PeerRequestError(repr(error), sent=True))
 
 
 class PeerClient:
@@ -152,20 +201,15 @@
         Name of the peer.
     address
         ``host:port`` of the peer.
-
-    Attributes
-    ----------
-    pending
-        Functions that get the reply to a request or its error, by request number.
     """
 
     def __init__(self, greeting: list[str], node: str, address: str) -> None:
         self.node = node
         self.address = address
-        self.pending: dict[int, Callable[[Any], None]] = {}
         self._greeting = greeting
         self._last_number = 0
         self._protocol: _ClientProtocol | None = None
+        self._retired: set[_ClientProtocol] = set()
         self._task = asyncio.create_task(self._run_connection())
         self._disconnected = asyncio.Event()
 
@@ -174,14 +218,20 @@
         """Whether a connection is open."""
         return self._protocol is not None
 
-    async def request(self, kind: str, payload: Any) -> Any:
+    async def request(self, kind: str, payload: Any, outlives_silence: bool = False) -> Any:
         """Send a request and return its reply.
 
+        Parameters
+        ----------
+        outlives_silence
+            Whether to wait on, up to the loss of the connection, when the peer has been silent for
+            too long.
+
         Raises
         ------
         PeerRequestError
-            If there is no connection, its write buffer is full, it is lost, or the peer's handler
-            fails.
+            If there is no connection, its write buffer is full, it is lost, the peer is silent, or
+            its handler fails.
         """
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
 
@@ -193,16 +243,19 @@
             else:
                 future.set_result(reply)
 
-        number, protocol = self.send(kind, payload, complete)
+        number, protocol = self.send(kind, payload, complete, outlives_silence)
         try:
             return await future
         except asyncio.CancelledError:
-            if self.pending.pop(number, None) is not None and self._protocol is protocol:
-                protocol.send([CANCEL, number, None, None, read_clock()])
+            protocol.cancel_request(number)
             raise
 
     def send(
-        self, kind: str, payload: Any, on_reply: Callable[[Any], None]
+        self,
+        kind: str,
+        payload: Any,
+        on_reply: Callable[[Any], None],
+        outlives_silence: bool = False,
     ) -> tuple[int, _ClientProtocol]:
         """Send a request without waiting for its reply.
 
@@ -228,31 +281,32 @@
             raise PeerRequestError("write buffer is full", sent=False)
         self._last_number += 1
         number = self._last_number
-        self.pending[number] = on_reply
-        protocol.send([REQUEST, number, kind, payload, read_clock()])
+        protocol.send_request(number, kind, payload, _PendingRequest(on_reply, outlives_silence))
         return number, protocol
 
     def reconnect(self, detail: str) -> None:
-        """Close a silent connection, so that a new one is opened."""
-        if self._protocol is not None:
+        """Replace a silent connection by a new one; requests that outlive silence stay on it."""
+        protocol = self._protocol
+        if protocol is not None:
             logger.info("event=peer_dropped peer={} detail={!r}", self.node, detail)
-            self._protocol.close()
-
-    def handle_disconnect(self, protocol: _ClientProtocol, detail: str) -> None:
-        """Fail the requests that are pending on a lost connection."""
-        if self._protocol is not protocol:
-            return
-        self._protocol = None
-        pending, self.pending = self.pending, {}
-        for on_reply in pending.values():
-            on_reply(PeerRequestError(detail, sent=True))
-        self._disconnected.set()
+            self._retired.add(protocol)
+            self._protocol = None
+            self._disconnected.set()
+            protocol.retire()
+
+    def handle_disconnect(self, protocol: _ClientProtocol) -> None:
+        """Open a new connection after the loss of the current one."""
+        self._retired.discard(protocol)
+        if self._protocol is protocol:
+            self._protocol = None
+            self._disconnected.set()
 
     def close(self) -> None:
-        """Close the connection and stop reconnecting."""
+        """Close all connections and stop reconnecting."""
         self._task.cancel()
-        if self._protocol is not None:
-            self._protocol.close()
+        for protocol in [self._protocol, *self._retired]:
+            if protocol is not None:
+                protocol.close()
 
     async def _run_connection(self) -> None:
         loop = asyncio.get_running_loop()
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -295,7 +295,10 @@
         self._metrics.count("forwards")
         try:
             async with asyncio.timeout(request.deadline - read_clock() + REPLY_GRACE_S):
-                reply = await peer.client.request("call", request.pack(read_clock()))
+                # A request that is not idempotent cannot be tried elsewhere.
+                reply = await peer.client.request(
+                    "call", request.pack(read_clock()), outlives_silence=not request.idempotent
+                )
         except PeerRequestError as error:
             if error.sent:
                 return MayHaveRun(Reason.PEER_SILENT)
--- a/persimmondock/tests/test_dispatcher.py
+++ b/persimmondock/tests/test_dispatcher.py
@@ -50,7 +50,7 @@
     calls: int = 0
     connected: bool = True
 
-    async def request(self, kind: str, payload: Any) -> Any:
+    async def request(self, kind: str, payload: Any, outlives_silence: bool = False) -> Any:
         await asyncio.sleep(0)
         verdict = self.verdicts[min(self.calls, len(self.verdicts) - 1)]
         self.calls += 1
--- a/persimmondock/tests/test_mesh.py
+++ b/persimmondock/tests/test_mesh.py
@@ -48,7 +48,7 @@
     def reconnect(self, _: str) -> None:
         self.reconnects += 1
 
-    async def request(self, kind: str, payload: Any) -> Any:
+    async def request(self, kind: str, payload: Any, outlives_silence: bool = False) -> Any:
         self.sent.append((kind, payload))
         return self.reply
 
--- /dev/null
+++ b/persimmondock/tests/test_peer_stream.py
@@ -0,0 +1,128 @@
+"""Requests between daemons when a peer is silent for a while or its connection is lost."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from persimmondock._adapters.peer_stream import (
+    Delivery,
+    PeerClient,
+    PeerRequestError,
+    PeerServer,
+)
+from persimmondock.tests.builders import NETWORK
+
+ADDRESS = f"{NETWORK}172:18300"
+GREETING = ["node-1", "10.0.0.1:1", "recife", "painel"]
+
+
+class PeerHarness:
+    """A server whose requests take a given time, and a client that is connected to it."""
+
+    def __init__(self) -> None:
+        self.server = PeerServer(lambda _: None)
+        self.server.handlers["call"] = self._handle_call
+        self.runs: list[Any] = []
+        self.cancelled: list[Any] = []
+
+    async def start(self) -> None:
+        await self.server.start(ADDRESS)
+        self.client = PeerClient(GREETING, "node-2", ADDRESS)
+        await self.wait_until_connected()
+
+    async def wait_until_connected(self) -> None:
+        async with asyncio.timeout(3.0):
+            while not self.client.connected:
+                await asyncio.sleep(0.01)
+
+    async def _handle_call(self, payload: Any, _: Delivery) -> Any:
+        self.runs.append(payload)
+        try:
+            await asyncio.sleep(payload)
+        except asyncio.CancelledError:
+            self.cancelled.append(payload)
+            raise
+        return ["done", payload]
+
+    def call(self, work_s: float, **options: Any) -> asyncio.Task[Any]:
+        return asyncio.create_task(self.client.request("call", work_s, **options))
+
+
+@pytest.fixture
+async def harness():
+    harness = PeerHarness()
+    await harness.start()
+    yield harness
+    harness.client.close()
+    harness.server.close()
+
+
+async def test_work_that_must_not_run_twice_outlives_a_silent_spell(harness: PeerHarness) -> None:
+    """Guards against giving up running work of a VM that was only paused or slow to reply.
+
+    A peer that left a heartbeat unanswered for 1.5 s had its connection closed, which cancelled
+    all its running requests, though a request that is not idempotent cannot be tried elsewhere.
+    """
+    request = harness.call(0.4, outlives_silence=True)
+    await asyncio.sleep(0.1)
+    harness.client.reconnect("no answer to heartbeats")
+    assert not harness.client.connected
+    await harness.wait_until_connected()
+    assert await harness.call(0.0) == ["done", 0.0]
+    assert await request == ["done", 0.4]
+    assert harness.runs == [0.4, 0.0] and harness.cancelled == []
+
+
+async def test_idempotent_requests_at_a_silent_peer_end_at_once(harness: PeerHarness) -> None:
+    request = harness.call(5.0)
+    await asyncio.sleep(0.1)
+    harness.client.reconnect("no answer to heartbeats")
+    with pytest.raises(PeerRequestError) as raised:
+        await request
+    assert raised.value.sent
+
+
+async def test_idempotent_work_at_a_silent_peer_is_cancelled_beside_other_work(
+    harness: PeerHarness,
+) -> None:
+    requests = [harness.call(0.5, outlives_silence=True), harness.call(5.0)]
+    await asyncio.sleep(0.1)
+    harness.client.reconnect("no answer to heartbeats")
+    with pytest.raises(PeerRequestError):
+        await requests[1]
+    assert await requests[0] == ["done", 0.5]
+    assert harness.cancelled == [5.0]
+
+
+async def test_a_former_connection_is_closed_after_its_last_reply(harness: PeerHarness) -> None:
+    request = harness.call(0.2, outlives_silence=True)
+    await asyncio.sleep(0.05)
+    harness.client.reconnect("no answer to heartbeats")
+    await request
+    await harness.wait_until_connected()
+    await asyncio.sleep(0.1)
+    assert len(harness.server.connections) == 1
+
+
+async def test_a_lost_connection_ends_its_requests(harness: PeerHarness) -> None:
+    requests = [harness.call(5.0, outlives_silence=True), harness.call(5.0)]
+    await asyncio.sleep(0.05)
+    harness.server.close()
+    for request in requests:
+        with pytest.raises(PeerRequestError):
+            await request
+
+
+async def test_a_cancelled_request_on_a_former_connection_is_cancelled_there(
+    harness: PeerHarness,
+) -> None:
+    request = harness.call(5.0, outlives_silence=True)
+    await asyncio.sleep(0.05)
+    harness.client.reconnect("no answer to heartbeats")
+    await harness.wait_until_connected()
+    request.cancel()
+    await asyncio.sleep(0.1)
+    assert harness.cancelled == [5.0]
