Find routes by their prefixes in place of a scan

Change: a dictionary of prefixes for each host, asked from the longest prefix of the path to the shortest.

--- a/persimmondock/_domain/routing_table.py
+++ b/persimmondock/_domain/routing_table.py
@@ -96,7 +96,8 @@
     Parameters
     ----------
     hosts
-        Routes of each host, longest prefix first.
+        Routes of each host. Path prefixes end with a slash; of several routes with one prefix the
+        first counts.
     services
         Policies by name of the service.
     """
@@ -106,19 +107,34 @@
     services: Mapping[str, ServicePolicy]
     limits: ClientLimits = attrs.field(factory=ClientLimits)
 
+    _by_prefix: Mapping[str, Mapping[str, RoutePolicy]] = attrs.field(
+        init=False, repr=False, eq=False
+    )
+
+    @_by_prefix.default
+    def _index_by_prefix(self) -> Mapping[str, Mapping[str, RoutePolicy]]:
+        return {
+            host: {route.path_prefix: route for route in reversed(routes)}
+            for host, routes in self.hosts.items()
+        }
+
     def find_route(self, host: str, path: str) -> RoutePolicy | None:
-        """Return the route with the longest matching path prefix, or None."""
-        for route in self.hosts.get(host, ()):
-            if path.startswith(route.path_prefix):
+        """Return the route with the longest matching path prefix, or None.
+
+        The time depends on the slashes in the path and not on the number of routes.
+        """
+        routes = self._by_prefix.get(host)
+        if routes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
                 return route
+            end = path.rfind("/", 0, end)
         return None
 
 
-def order_routes(routes: list[RoutePolicy]) -> tuple[RoutePolicy, ...]:
-    """Return the routes of one host, longest path prefix first."""
-    return tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
-
-
 @attrs.define
 class WeightedRoundRobin:
     """Smooth weighted round robin over the services of a route.
--- a/persimmondock/platform/_operator.py
+++ b/persimmondock/platform/_operator.py
@@ -12,7 +12,6 @@
     RoutingTable,
     ServicePolicy,
     TrafficShare,
-    order_routes,
 )
 
 CONFIG_KEY = "config"
@@ -51,8 +50,8 @@
         limits = _read_limits(config.get("limits") or {})
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise ConfigurationUnreadableError(f"{place}: {error!r}") from error
-    ordered = {host: order_routes(routes) for host, routes in hosts.items()}
-    return RoutingTable(version, ordered, services, limits)
+    routes = {host: tuple(items) for host, items in hosts.items()}
+    return RoutingTable(version, routes, services, limits)
 
 
 def _read_service(item: dict[str, Any]) -> ServicePolicy:
@@ -73,6 +72,8 @@
         shares = tuple(TrafficShare(part["service"], float(part["weight"])) for part in split)
     else:
         shares = (TrafficShare(item["service"], 1.0),)
+    if not item["path_prefix"].endswith("/"):
+        raise ValueError(f"path_prefix must end with a slash, not {item['path_prefix']!r}")
     return RoutePolicy(
         name=item.get("name", item["path_prefix"]),
         path_prefix=item["path_prefix"],
