--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -455,6 +455,8 @@
             # The last of the former owners held the keys most recently.
             return handovers[-1]
         finally:
+            # Marks the error of the cancelled requests as handled.
+            release_requests.add_done_callback(lambda done: done.cancelled() or done.exception())
             release_requests.cancel()
             self._takeovers.pop(key_range.first, None)
 
--- a/persimmondock/tests/test_range_keeper.py
+++ b/persimmondock/tests/test_range_keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 
 import attrs
 import pytest
@@ -186,3 +187,22 @@
     await harness.follow(make_assignment(make_range(0, 9, 1)))
     harness.keeper.update_incarnation(make_incarnation(1, born_ms=2))
     assert harness.find_refusal(5) is not None
+
+
+async def test_a_takeover_leaves_no_unhandled_error(
+    harness: KeeperHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The unanswered questions to former owners are cancelled, which was logged as an error."""
+    errors: list[dict[str, object]] = []
+    asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+    key_range = make_range(0, 9, 1, fence=2, former_owners=(make_incarnation(2),))
+    await harness.follow(make_assignment(key_range, offset=2, witnesses="abc"))
+    takeover = harness.keeper._takeovers[0]
+    takeover.known_at -= 100.0
+    for witness in "ab":
+        harness.keeper.record_heartbeat(witness, 2, True, 0.0, read_clock() - 100.0)
+    await asyncio.sleep(0.3)
+    assert harness.backend.grants == [(0, 9, 2, "")]
+    gc.collect()
+    await asyncio.sleep(0)
+    assert errors == []
