--- a/persimmondock/tests/platform/test_settings.py
+++ b/persimmondock/tests/platform/test_settings.py
@@ -7,6 +7,7 @@
 import pytest
 import yaml
 
+from persimmondock._domain.site import GrantMode, GrantsByCall, GrantsInHeartbeats
 from persimmondock.platform._settings import (
     MetricsEndpoint,
     load_node_settings,
@@ -103,3 +104,22 @@
 def test_a_missing_file_is_named(tmp_path: Path) -> None:
     with pytest.raises(SettingsError, match="No such file"):
         load_node_settings(tmp_path / "settings.yaml")
+
+
+@pytest.mark.parametrize(
+    ("value", "mode"),
+    [("call", GrantsByCall()), ("heartbeat", GrantsInHeartbeats()), (None, GrantsByCall())],
+)
+def test_the_settings_say_how_keys_are_granted(
+    tmp_path: Path, value: str | None, mode: GrantMode
+) -> None:
+    settings = load_node_settings(write_settings(tmp_path, FULL_SETTINGS | {"grants": value}))
+    assert settings.grant_mode == mode
+
+
+@pytest.mark.parametrize("value", ["beat", 3, ["call"]])
+def test_an_unknown_way_to_grant_names_the_choices(tmp_path: Path, value: object) -> None:
+    file = write_settings(tmp_path, FULL_SETTINGS | {"grants": value})
+    with pytest.raises(SettingsError, match="grants must be one of call, heartbeat, not") as caught:
+        load_node_settings(file)
+    assert repr(value) in str(caught.value)
--- a/persimmondock/tests/platform/test_words.py
+++ b/persimmondock/tests/platform/test_words.py
@@ -14,11 +14,20 @@
 import persimmondock
 from persimmondock._adapters.http_exchange import HttpResponse
 from persimmondock._domain.backend_report import AnnouncementError
+from persimmondock._domain.holdings import (
+    GrantedHoldings,
+    GrantedRow,
+    ReleasedRange,
+    ReportedHoldings,
+    ReportedRow,
+)
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._domain.routing_table import TrafficShare
 from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Reason
 from persimmondock._ports.keyed_log import Records, StoreFailed
+from persimmondock._tasks.heartbeat_grants import MAX_ROWS
 from persimmondock.platform import _backend, _discovery, _headers, _operator, _store
+from persimmondock.standins.site_backend import MAX_REPLY_BYTES
 from persimmondock.tests.live_site import make_config
 from persimmondock.tests.sites import make_forwarded
 
@@ -128,6 +137,8 @@
         ("cold_s", "long"),
         ("born", "yesterday"),
         ("address", 7),
+        ("holds", "all"),
+        ("freed", {"0": 9}),
     ],
 )
 def test_an_invalid_report_names_the_field_and_value(field: str, value: object) -> None:
@@ -138,6 +149,47 @@
     assert repr(value) in str(caught.value)
 
 
+@pytest.mark.parametrize(
+    ("row", "shown"),
+    [
+        ([0, 9], "[0, 9]"),
+        ([9, 0, 1], "[9, 0, 1]"),
+        ([0, 65536, 1], "[0, 65536, 1]"),
+        ([True, 9, 1], "True"),
+        ([0, 9, "x"], "'x'"),
+    ],
+)
+def test_an_invalid_row_of_a_report_is_shown(row: list[object], shown: str) -> None:
+    data = json.dumps(REPORT | {"holds": [[0, 1, 1], row]}).encode()
+    with pytest.raises(AnnouncementError, match="holds") as caught:
+        _discovery.decode_announcement("/-/instances/i-1", data)
+    assert shown in str(caught.value)
+
+
+def test_what_a_report_says_of_keys_is_decoded() -> None:
+    data = REPORT | {"holds": [[0, 4095, 7]], "freed": [[4096, 8191, "5c0e7a21d94b36f8"]]}
+    report = _discovery.decode_announcement("/-/instances/i-1", json.dumps(data).encode())
+    assert report.holdings == ReportedHoldings(
+        (ReportedRow(0, 4095, 7),), (ReleasedRange(4096, 8191, "5c0e7a21d94b36f8"),)
+    )
+
+
+def test_a_reply_lists_all_grants_and_their_duration() -> None:
+    rows = (GrantedRow(0, 4095, 7), GrantedRow(9000, 9999, 12, "7a21d94b36f85c0e"))
+    assert json.loads(_discovery.encode_reply(GrantedHoldings(rows, 2.98765))) == {
+        "holds": [[0, 4095, 7, ""], [9000, 9999, 12, "7a21d94b36f85c0e"]],
+        "hold_s": 2.988,
+    }
+    assert json.loads(_discovery.encode_reply(GrantedHoldings((), 3.0)))["holds"] == []
+    assert json.loads(_discovery.encode_reply(None)) == {}
+
+
+def test_the_largest_reply_counts_as_an_acknowledgement() -> None:
+    row = GrantedRow(65_535, 65_535, 10**9, "f" * 16)
+    reply = _discovery.encode_reply(GrantedHoldings((row,) * MAX_ROWS, 2.999))
+    assert len(reply) <= MAX_REPLY_BYTES
+
+
 @pytest.mark.parametrize("body", [b"", b"\xff", b"[]", b"7"])
 def test_bytes_that_are_no_report_are_rejected(body: bytes) -> None:
     with pytest.raises(AnnouncementError):
