Let requests for a key wait at its only owner as long as a caller would before a retry

Pattern: bookings make two short calls each to a keyed service whose owners have three slots and run requests of 0.22 s. A refusal helps where another gate can serve the request; a key has one owner.

Change: a request for a key may wait up to a third of its time, if it will then be answered in time. Others as before.

--- a/persimmondock/_domain/gate_queue.py
+++ b/persimmondock/_domain/gate_queue.py
@@ -4,7 +4,8 @@
 early deadlines and so go first; the work already done for the running requests depends on them. A
 request is queued only if it will probably be answered within its latency objective or, if that
 cannot be met any more, after a short wait. Other requests are refused at once, while their callers
-can still retry elsewhere.
+can still retry elsewhere. Requests for a key cannot be served elsewhere, so they may wait for as
+long as their caller would wait before a retry.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 MEAN_WEIGHT = 0.1  # follows a change within about ten answers
 SLOW_MEAN_WEIGHT = 0.05  # for decisions that are costly to revert
 MAX_LATE_WAIT_SHARE = 0.25  # of the time to the deadline, if the objective cannot be met
+MAX_OWNER_WAIT_SHARE = 1 / 3  # of the time to the deadline; callers retry after at most as long
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 1_500
 
@@ -138,16 +140,28 @@
 
 
 def is_worth_queueing(
-    wait_s: float, service_s: float, now: float, objective_at: float, deadline: float
+    wait_s: float,
+    service_s: float,
+    now: float,
+    objective_at: float,
+    deadline: float,
+    keyed: bool = False,
 ) -> bool:
     """Return whether a request will probably be answered in time after a wait.
 
     A request whose objective cannot be met even without a wait may still wait for a fraction of the
     time to its deadline.
+
+    Parameters
+    ----------
+    keyed
+        Whether only this gate can serve the request. It may miss its objective by the wait then.
     """
     remaining_s = deadline - now
     if now + wait_s + service_s <= objective_at:
         return True
+    if keyed:
+        return wait_s <= MAX_OWNER_WAIT_SHARE * remaining_s and wait_s + service_s <= remaining_s
     if objective_at - now > service_s:
         return False
     return wait_s <= MAX_LATE_WAIT_SHARE * remaining_s and wait_s + service_s <= remaining_s
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -456,7 +456,14 @@
                 wait_s, self._arrival_limit.find_next_send_at(self._cold_limit_per_s, now) - now
             )
             wait_s += len(self._queue) / self._cold_limit_per_s
-        if not is_worth_queueing(wait_s, service_s, now, request.objective_at, request.deadline):
+        if not is_worth_queueing(
+            wait_s,
+            service_s,
+            now,
+            request.objective_at,
+            request.deadline,
+            keyed=request.key != NO_KEY,
+        ):
             return NotRun(Reason.OVERLOADED, compute_retry_after_ms(wait_s))
         queued = QueuedRequest(request.priority, number, service_s, request.deadline)
         future: asyncio.Future[NotRun | None] = asyncio.get_running_loop().create_future()
--- a/persimmondock/tests/test_gate_queue.py
+++ b/persimmondock/tests/test_gate_queue.py
@@ -66,6 +66,29 @@
     assert is_worth_queueing(0.1, 0.6, 0.0, 0.4, 2.5)
 
 
+@pytest.mark.parametrize(
+    ("wait_s", "accepted"),
+    [
+        pytest.param(0.07, True, id="one of three slots is free within 70 ms"),
+        pytest.param(0.09, False, id="longer than a caller would wait before a retry"),
+    ],
+)
+def test_a_short_call_to_a_busy_owner_waits_though_its_objective_is_missed(
+    wait_s: float, accepted: bool
+) -> None:
+    """All slots of a key's owner run requests of 0.2 s, and a running booking reads from it.
+
+    The call takes 40 ms, its objective is 0.1 s and its limit 0.25 s. No other backend server has
+    the key, and the booking's work is lost if the call is refused.
+    """
+    assert is_worth_queueing(wait_s, 0.04, 0.0, 0.1, 0.25, keyed=True) is accepted
+    assert not is_worth_queueing(wait_s, 0.04, 0.0, 0.1, 0.25, keyed=False)
+
+
+def test_a_request_for_a_key_is_refused_if_its_deadline_would_be_missed() -> None:
+    assert not is_worth_queueing(0.3, 0.8, 0.0, 0.4, 1.0, keyed=True)
+
+
 def test_requests_that_cannot_meet_their_deadline_are_removed() -> None:
     queue = make_queue((1, 0.03), (1, 5.0))
     assert [request.number for request in queue.pop_unanswerable(0.0)] == [0]
