Let requests for a key in handover wait at the new owner

Pattern: keys that move are refused for as long as the move takes. A move through heartbeats takes tenths of a second, and fronts wait an eighth of the objective, 12 ms for a call.

Change: the new owner's gate holds a request for up to a third of its time while the handover is younger than 1 s, and runs it when the key is granted. An older handover has become a takeover from a silent owner: the request is refused at once, with a Retry-After of 1 s in place of 0.15 s. Waiting requests count as in flight, so that a stop answers them.

--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -15,6 +15,7 @@
 from persimmondock._domain.crash_suspects import CrashSuspects
 from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
 from persimmondock._domain.gate_queue import (
+    MAX_OWNER_WAIT_SHARE,
     GateQueue,
     QueuedRequest,
     ServiceTimes,
@@ -140,6 +141,7 @@
         self._slot_futures: dict[int, asyncio.Future[NotRun | None]] = {}
         self._running: dict[int, _RunningRequest] = {}
         self._last_number = 0
+        self._awaiting_handover = 0
         self.loads = KeyLoads()
         self.suspects = CrashSuspects()
         self.broadcast_suspects: Callable[[dict[int, int]], None] = lambda _: None
@@ -188,8 +190,8 @@
         return sum(running.repeat for running in self._running.values()) / len(self._running)
 
     def count_in_flight(self) -> int:
-        """Return the number of running and queued requests."""
-        return len(self._running) + len(self._queue)
+        """Return the number of requests that are running, queued, or wait for their key."""
+        return len(self._running) + len(self._queue) + self._awaiting_handover
 
     # Events.
 
@@ -274,6 +276,15 @@
         if request.key != NO_KEY:
             self.loads.count(request.key, now)
         refusal = self._find_refusal(request, now)
+        if refusal is not None and refusal.reason is Reason.HANDOVER_PENDING:
+            wait_until = now + MAX_OWNER_WAIT_SHARE * (request.deadline - now)
+            self._awaiting_handover += 1
+            try:
+                await self._keeper.wait_for_handover(request.key, wait_until)
+            finally:
+                self._awaiting_handover -= 1
+            now = read_clock()
+            refusal = self._find_refusal(request, now)
         if refusal is not None:
             return refusal
         self._last_number += 1
--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import math
 from typing import TYPE_CHECKING, Any
@@ -39,6 +40,8 @@
 RELEASE_REQUEST_RETRY_S = 0.2
 RELEASE_REQUEST_TIMEOUT_S = 4.0  # running requests for the keys have to end first
 HANDOVER_RETRY_MS = 150
+EXPECTED_HANDOVER_S = 1.0  # a handover that takes longer waits for a former owner's lease to end
+TAKEOVER_RETRY_MS = 1_000
 MAX_RELEASE_HISTORY = 512
 
 
@@ -81,6 +84,8 @@
         self._held: dict[int, HeldRange] = {}
         self._acquiring: dict[tuple[int, int, int], asyncio.Task[None]] = {}
         self._releasing: dict[tuple[int, int, int], asyncio.Task[None]] = {}
+        self._acquisition_starts: dict[tuple[int, int, int], float] = {}
+        self._held_changed = asyncio.Event()
         self._released: list[ReleasedRange] = []
         self._takeovers: dict[int, Takeover] = {}
         self._started_at = read_clock()
@@ -100,11 +105,44 @@
             return NotRun(Reason.NOT_OWNER, HANDOVER_RETRY_MS)
         held = self._held.get(key_range.first)
         if held is None or held.key_range.grant_id != key_range.grant_id:
-            return NotRun(Reason.HANDOVER_PENDING, HANDOVER_RETRY_MS)
+            expected = now < self._expect_handover_by(key_range)
+            retry_after_ms = HANDOVER_RETRY_MS if expected else TAKEOVER_RETRY_MS
+            return NotRun(Reason.HANDOVER_PENDING, retry_after_ms)
         if now >= held.guaranteed_until:
             return NotRun(Reason.LEASE_LAPSED, HANDOVER_RETRY_MS)
         return None
 
+    def _expect_handover_by(self, key_range: KeyRange) -> float:
+        started_at = self._acquisition_starts.get(key_range.grant_id, -math.inf)
+        return started_at + EXPECTED_HANDOVER_S
+
+    async def wait_for_handover(self, key: int, wait_until: float) -> None:
+        """Wait until a key that is about to be handed over can be served.
+
+        Parameters
+        ----------
+        wait_until
+            Instant at which waiting ends at the latest.
+        """
+        while True:
+            now = read_clock()
+            refusal = self.find_refusal(key, now)
+            key_range = self.assignment.find_range(key)
+            if refusal is None or refusal.reason is not Reason.HANDOVER_PENDING:
+                return
+            assert key_range is not None
+            wait_s = min(wait_until, self._expect_handover_by(key_range)) - now
+            if wait_s <= 0:
+                return
+            held_changed = self._held_changed
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await held_changed.wait()
+
+    def _notify_held_changed(self) -> None:
+        self._held_changed.set()
+        self._held_changed = asyncio.Event()
+
     def find_granted_offset(self) -> int:
         """Return the assignment's offset if all owned ranges are held, or -1."""
         if self.incarnation is None:
@@ -128,6 +166,7 @@
         if assignment.offset < self.assignment.offset:
             return
         self.assignment = assignment
+        self._notify_held_changed()
         self.lease.adopt_assignment(partition_end, assignment.witnesses)
         self._reconcile()
 
@@ -244,6 +283,7 @@
             if key_range.first not in self._held and grant_id not in self._acquiring:
                 task = asyncio.create_task(self._acquire_range(key_range))
                 self._acquiring[grant_id] = task
+                self._acquisition_starts[grant_id] = read_clock()
                 task.add_done_callback(functools.partial(self._finish_acquisition, grant_id))
 
     def _adopt_merged_ranges(self, owned: Mapping[int, KeyRange]) -> None:
@@ -270,6 +310,8 @@
     def _finish_acquisition(self, grant_id: tuple[int, int, int], task: asyncio.Task[None]) -> None:
         if self._acquiring.get(grant_id) is task:
             del self._acquiring[grant_id]
+        if grant_id not in self._acquiring:
+            self._acquisition_starts.pop(grant_id, None)
         if not task.cancelled() and (error := task.exception()) is not None:
             logger.error("event=grant_failed range={} error={!r}", grant_id, error)
 
@@ -411,6 +453,7 @@
                 held.guaranteed_until = max(held.guaranteed_until, known.guaranteed_until)
                 held.possible_until = max(held.possible_until, known.possible_until)
             self._held[key_range.first] = held
+            self._notify_held_changed()
         else:
             # The assignment changed while the grant was in flight.
             owned = {}
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -13,10 +13,18 @@
 from persimmondock._domain.site import SiteBounds
 from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Reason, Verdict
 from persimmondock._ports.metrics import NoMetrics
+from persimmondock._tasks import range_keeper
 from persimmondock._tasks.backend_gate import BackendGate
 from persimmondock._tasks.range_keeper import RangeKeeper
 from persimmondock.tests.fake_backend import FakeBackend
-from persimmondock.tests.sites import SERVICE, make_forwarded, make_report
+from persimmondock.tests.sites import (
+    SERVICE,
+    make_assignment,
+    make_forwarded,
+    make_incarnation,
+    make_range,
+    make_report,
+)
 
 LOST = MayHaveRun(Reason.BACKEND_LOST)
 DOWN = NotRun(Reason.BACKEND_DOWN, 200)
@@ -210,3 +218,57 @@
         attrs.evolve(make_forwarded(read_clock()), service="elsewhere")
     )
     assert verdict == NotRun(Reason.NO_SUCH_SERVICE, 300)
+
+
+class HandoverHarness(GateHarness):
+    """A gate whose backend server is to get keys 0 to 9 from a former owner."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        incarnation = self.gate.incarnation
+        assert incarnation is not None
+        self.keeper = self.gate._keeper
+        former = (make_incarnation(2),)
+        self.key_range = attrs.evolve(make_range(0, 9, 1), owner=incarnation, former_owners=former)
+        self.keeper.update_assignment(make_assignment(self.key_range, witnesses="abc"), 1)
+        self.keeper.lease.confirm_by_store(1, read_clock())
+
+    def finish_handover(self) -> None:
+        now = read_clock()
+        self.keeper.record_accepted_grant(self.key_range, now + 3.0, now + 3.1)
+
+
+async def test_a_request_for_a_key_in_handover_waits_for_it() -> None:
+    """Moves of busy keys refused each request for them, and the calls of running requests.
+
+    A handover through two heartbeats takes some tenths of a second; a call has 0.25 s.
+    """
+    harness = HandoverHarness()
+    now = read_clock()
+    request = asyncio.create_task(harness.ask(key=5, objective_at=now + 0.6, deadline=now + 1.5))
+    await asyncio.sleep(0.1)
+    assert not request.done() and harness.server.runs == []
+    harness.finish_handover()
+    assert isinstance(await request, Answered)
+
+
+async def test_a_request_does_not_wait_longer_for_a_handover_than_a_caller_before_a_retry() -> None:
+    harness = HandoverHarness()
+    now = read_clock()
+    verdict = await harness.ask(key=5, objective_at=now + 0.1, deadline=now + 0.3)
+    assert isinstance(verdict, NotRun) and verdict.reason is Reason.HANDOVER_PENDING
+    assert 0.05 < read_clock() - now < 0.25
+
+
+async def test_a_request_for_keys_of_a_silent_owner_is_refused_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A takeover takes more than 3 s; a handover that is not done by now becomes one."""
+    monkeypatch.setattr(range_keeper, "EXPECTED_HANDOVER_S", 0.1)
+    harness = HandoverHarness()
+    await asyncio.sleep(0.15)
+    now = read_clock()
+    verdict = await harness.ask(key=5, objective_at=now + 5.0, deadline=now + 9.0)
+    assert isinstance(verdict, NotRun) and verdict.reason is Reason.HANDOVER_PENDING
+    assert verdict.retry_after_ms == range_keeper.TAKEOVER_RETRY_MS
+    assert read_clock() - now < 0.1
