Remember the leave notice of a backend server that is not known yet

A daemon was restarted; the leave notice of the backend server beside it was the first that the new process heard, 40 ms after its start; it was acknowledged and forgotten.

Change: such a notice is remembered with the time of day; announcements of that instance count only if it started later.

--- a/persimmondock/_domain/backend_report.py
+++ b/persimmondock/_domain/backend_report.py
@@ -66,10 +66,14 @@
     departed
         Instance and start of each incarnation that has announced its stop or withdrawn its
         announcement. Announcements of these without ``draining`` that arrive later are ignored.
+    unknown_departed
+        Instant in Unix milliseconds at which an instance that is not known withdrew its
+        announcement. Late announcements of it are ignored if it was started before.
     """
 
     announcement: BackendAnnouncement | None = None
     departed: set[tuple[str, int]] = attrs.field(factory=set)
+    unknown_departed: dict[str, int] = attrs.field(factory=dict)
 
     def apply_announcement(self, announcement: BackendAnnouncement) -> Change:
         """Apply an announcement and return its effect."""
@@ -77,6 +81,8 @@
         current = self.announcement
         if incarnation in self.departed and not announcement.draining:
             return Change.STALE
+        if announcement.born_ms <= self.unknown_departed.get(announcement.instance, -1):
+            return Change.STALE
         if current is None:
             self.announcement = announcement
             if announcement.draining:
@@ -95,10 +101,17 @@
             return Change.DRAINING
         return Change.NONE
 
-    def mark_departed(self, instance: str) -> Change:
-        """Record that an instance withdrew its announcement."""
+    def mark_departed(self, instance: str, now_ms: int) -> Change:
+        """Record that an instance withdrew its announcement.
+
+        Parameters
+        ----------
+        now_ms
+            Current time in Unix milliseconds.
+        """
         current = self.announcement
         if current is None or current.instance != instance:
+            self.unknown_departed[instance] = now_ms
             return Change.STALE
         self.departed.add((current.instance, current.born_ms))
         return Change.GONE
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -220,9 +220,9 @@
         self._start_waiting()
         return change
 
-    def handle_leave(self, instance: str) -> Change:
-        """Apply a backend server's notice that it is leaving."""
-        change = self.backend.mark_departed(instance)
+    def handle_leave(self, instance: str, now_ms: int) -> Change:
+        """Apply a backend server's notice that it is leaving, at a time in Unix milliseconds."""
+        change = self.backend.mark_departed(instance, now_ms)
         if change is Change.GONE:
             self._refuse_all_waiting(Reason.DRAINING)
         return change
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import signal
+import time
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -265,7 +266,7 @@
 
     def handle_leave(self, instance: str) -> None:
         """Apply the backend server's notice that it is leaving."""
-        change = self.gate.handle_leave(instance)
+        change = self.gate.handle_leave(instance, int(1000 * time.time()))
         logger.info("event=backend_left change={} instance={}", change.value, instance)
 
     def _apply_site(self) -> None:
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -8,6 +8,7 @@
 import pytest
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._domain.backend_report import Change, LocalBackend
 from persimmondock._domain.range_lease import RangeLease
 from persimmondock._domain.routing_table import ServicePolicy
 from persimmondock._domain.site import SiteBounds
@@ -220,6 +221,31 @@
     assert verdict == NotRun(Reason.NO_SUCH_SERVICE, 300)
 
 
+async def test_a_restarted_daemon_does_not_use_a_backend_server_that_has_left() -> None:
+    """Guards against requests to a backend server whose leave notice a new process got first.
+
+    The daemon restarted, took the notice 40 ms later, before any announcement, and forgot it. An
+    announcement that had been delayed by seconds then counted as that of a new backend server.
+    """
+    harness = GateHarness()
+    harness.gate.backend = LocalBackend()
+    harness.gate.handle_leave("i-9", now_ms=5000)
+    late = make_report(instance="i-9", born_ms=1000, sequence=7)
+    assert harness.gate.handle_announcement(late) is Change.STALE
+    verdict = await harness.ask()
+    assert isinstance(verdict, NotRun)
+    assert harness.server.runs == []
+
+
+async def test_a_backend_server_that_starts_again_under_its_name_is_used() -> None:
+    harness = GateHarness()
+    harness.gate.backend = LocalBackend()
+    harness.gate.handle_leave("i-9", now_ms=5000)
+    again = make_report(instance="i-9", born_ms=6000, sequence=1)
+    assert harness.gate.handle_announcement(again) is Change.NEW_INCARNATION
+    assert isinstance(await harness.ask(), Answered)
+
+
 class HandoverHarness(GateHarness):
     """A gate whose backend server is to get keys 0 to 9 from a former owner."""
 
