End an open reply when a newer heartbeat arrives

Cause: by reading. The reply to a heartbeat that is not the newest any more was held open to its end for nothing. Change: it is sent at once, without grants.

--- a/persimmondock/_tasks/heartbeat_grants.py
+++ b/persimmondock/_tasks/heartbeat_grants.py
@@ -32,16 +32,14 @@
     from persimmondock._tasks.range_keeper import RangeKeeper
 
 ACK_TIMEOUT_S = 1.0  # the backend server ignores replies that arrive later
-# Replies count for 1 s. While one is open, a change needs not wait for the next heartbeat.
-REPLY_WAIT_S = 0.6
+REPLY_WAIT_S = 0.6  # an open reply carries a change that would else wait for the next heartbeat
 OVERDUE_AFTER_S = 1.2  # heartbeats come every 0.9 s or so
 PROBE_INTERVAL_S = 0.25
 PREDECESSOR_POLL_S = 0.02
 MAX_FREED_HISTORY = 512
 # Replies above 4 KiB are ignored. A row takes up to 50 bytes with a handover, 26 without.
 MAX_ROWS = 80
-# Owners that take over the ranges of others get up to as many again.
-MAX_PLANNED_ROWS = 36
+MAX_PLANNED_ROWS = 36  # owners that take over the ranges of others get up to as many again
 
 
 @attrs.frozen
@@ -129,13 +127,16 @@
             Whether the reply may wait up to REPLY_WAIT_S for a change of the holdings.
         """
         wait_until = read_clock() + REPLY_WAIT_S if may_wait else -math.inf
-        while not self._is_change_pending() and (wait_s := wait_until - read_clock()) > 0:
+        while (
+            self._report is not None
+            and self._report.sequence == sequence
+            and not self._is_change_pending()
+            and (wait_s := wait_until - read_clock()) > 0
+        ):
             self._changed.clear()
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait()
-            except TimeoutError:
-                break
         return self._compose_reply(sequence)
 
     def _is_change_pending(self) -> bool:
--- a/persimmondock/tests/test_heartbeat_grants.py
+++ b/persimmondock/tests/test_heartbeat_grants.py
@@ -260,6 +260,21 @@
     assert granted is not None and granted.rows == ()
 
 
+async def test_an_open_reply_ends_when_a_newer_heartbeat_arrives(
+    harness: HeartbeatHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(heartbeat_grants, "REPLY_WAIT_S", 5.0)
+    await harness.follow(make_assignment(make_range(0, 9, 1)))
+    await harness.beat()
+    open_reply = asyncio.create_task(harness.beat((0, 9, 1)))
+    await asyncio.sleep(0.05)
+    newer = asyncio.create_task(harness.beat((0, 9, 1)))
+    async with asyncio.timeout(1.0):
+        assert await open_reply is None
+    assert not newer.done()
+    newer.cancel()
+
+
 async def test_the_reply_to_a_leaving_backend_server_is_not_held_open(
     harness: HeartbeatHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
