Quote names with U+0085 in rendered configurations

Change: text with that character is quoted; one function renders YAML in the three places that did. Other text is rendered as before (test).

--- a/persimmondock/_domain/configuration.py
+++ b/persimmondock/_domain/configuration.py
@@ -11,10 +11,10 @@
 from typing import Any, TypeVar
 
 import attrs
-import yaml
 
 from persimmondock._domain.documents import DocumentError, DocumentReader, compose_document
 from persimmondock._domain.structuring import make_strict_converter
+from persimmondock._domain.yaml_text import render_yaml
 
 FLEET_SUBJECT = "fleet"
 SERVICE_PREFIX = "service/"
@@ -213,4 +213,4 @@
 def render_subject(configuration: ServiceConfiguration | FleetConfiguration) -> str:
     """Return the YAML body of one subject; equal configurations give the same text."""
     data = json.loads(json.dumps(_converter.unstructure(configuration)))
-    return yaml.safe_dump(data, sort_keys=True, allow_unicode=True)
+    return render_yaml(data)
--- a/persimmondock/configuration.py
+++ b/persimmondock/configuration.py
@@ -34,6 +34,7 @@
     compose_document,
     join_place,
 )
+from persimmondock._domain.yaml_text import render_yaml
 
 if TYPE_CHECKING:
     from typing import TextIO
@@ -66,7 +67,7 @@
             If a value is invalid, or another service has the name or the path.
         """
         fields = _to_plain_data({"name": name, "path": path, **options})
-        text = yaml.safe_dump(fields, sort_keys=False, allow_unicode=True)
+        text = render_yaml(fields, sort_keys=False)
         try:
             service = parse_subject(text, ServiceConfiguration)
         except ConfigurationError as error:
@@ -132,7 +133,7 @@
                 for name in sorted(self.services)
             ],
         }
-        return yaml.safe_dump(document, sort_keys=True, allow_unicode=True)
+        return render_yaml(document)
 
     def print(self, file: TextIO | None = None) -> None:
         """Print the YAML to publish, to standard output unless a file is given."""
