--- a/persimmondock/soak/command.py
+++ b/persimmondock/soak/command.py
@@ -15,6 +15,7 @@
 from persimmondock.soak.plan import Event, draw_plan
 from persimmondock.soak.runner import SoakRunner
 from persimmondock.soak.site import SoakSite
+from persimmondock.standins.site_messages import GRANT_MODES
 
 MAX_VMS = 240  # a VM's number is the last octet of its address; the store's is 250
 MAX_SHOWN_ITEMS = 6
@@ -31,6 +32,13 @@
         option("for", None, "Duration of the load in seconds", flag=False, default="40"),
         option("vms", None, "Number of VMs", flag=False, default="6"),
         option("network", None, "Third octet of the addresses", flag=False, default="1"),
+        option(
+            "grants",
+            None,
+            f"How keys are granted: {', '.join(GRANT_MODES)}",
+            flag=False,
+            default=GRANT_MODES[0],
+        ),
         option("break", None, f"Mechanism to break: {', '.join(BREAKS)}", flag=False, default=""),
         option("out", None, "Folder for the logs, which are kept", flag=False),
     ]
@@ -45,9 +53,14 @@
             raise CommandError(f"--vms: must be at most {MAX_VMS}, not {vms}")
         if network > 255:
             raise CommandError(f"--network: must be at most 255, not {network}")
+        grants = self.option("grants")
+        if grants not in GRANT_MODES:
+            raise CommandError(
+                f"--grants: expected one of {', '.join(GRANT_MODES)}, not {grants!r}"
+            )
         folder = self._make_folder()
         plan = draw_plan(seed, duration_s, vms)
-        site = SoakSite(vms, network, folder, self._read_daemon_arguments())
+        site = SoakSite(vms, network, folder, self._read_daemon_arguments(), grants)
         runner = SoakRunner(site, plan, seed, duration_s)
         breaches = self.run_async(runner.run())
         self.show(
--- a/persimmondock/soak/site.py
+++ b/persimmondock/soak/site.py
@@ -16,10 +16,11 @@
 
 from persimmondock.soak.checks import Observations, ObservedRun, OwnershipSpan, Span
 from persimmondock.soak.proxy import Proxy
-from persimmondock.standins.site_backend import SiteBackend
+from persimmondock.standins.site_backend import ANNOUNCE_INTERVAL_S, SiteBackend
 from persimmondock.standins.site_messages import (
     ANNOUNCE_PORT,
     BACKEND_PORT,
+    GRANT_MODES,
     KEYED_SERVICE,
     SETTINGS_VARIABLE,
     STORE_PORT,
@@ -31,6 +32,7 @@
 
 FAILURE_DOMAINS = ("recife", "salvador", "natal")
 REQUEST_DURATION_S = 0.12  # long enough for several concurrent requests on each backend server
+HEARTBEAT_INTERVAL_S = 0.87  # of backend servers that take their keys in heartbeats
 KEYED_VM_RATIO = 0.6
 PROXIED_BACKEND_PORT = 8401  # where backend servers listen behind their proxies
 
@@ -47,6 +49,8 @@
         Proxies on the daemon's paths to the store and to the backend server.
     daemon_arguments
         Arguments of the Python interpreter that start the daemon.
+    grants
+        How the backend server gets its keys, one of `GRANT_MODES`.
     busy
         Whether an event is being applied to the daemon or the backend server.
     former_backends
@@ -62,6 +66,7 @@
     store_proxy: Proxy
     backend_proxy: Proxy
     daemon_arguments: tuple[str, ...]
+    grants: str
     process: asyncio.subprocess.Process | None = None
     busy: bool = False
     former_backends: list[SiteBackend] = attrs.field(factory=list)
@@ -77,7 +82,9 @@
             self._log = (self.folder / f"{self.name}.log").open("ab")
         settings = self.folder / f"{self.name}.yaml"
         if not settings.exists():
-            document = build_settings(self.name, self.address, self.failure_domain, self.service)
+            document = build_settings(
+                self.name, self.address, self.failure_domain, self.service, self.grants
+            )
             settings.write_text(yaml.safe_dump(document), encoding="utf-8")
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -103,7 +110,7 @@
         old = self.backend
         self.former_backends.append(old)
         await old.stop()
-        self.backend = make_backend(self.service, self.address, self.failure_domain)
+        self.backend = make_backend(self.service, self.address, self.failure_domain, self.grants)
         await self.backend.start()
 
     async def close(self) -> None:
@@ -116,7 +123,7 @@
             self._log.close()
 
 
-def make_backend(service: str, address: str, failure_domain: str) -> SiteBackend:
+def make_backend(service: str, address: str, failure_domain: str, grants: str) -> SiteBackend:
     """Return a new instance of a VM's backend server, behind its proxy."""
     return SiteBackend(
         service,
@@ -124,6 +131,8 @@
         f"{address}:{ANNOUNCE_PORT}",
         failure_domain,
         keyed=service == KEYED_SERVICE,
+        grants_in_heartbeats=grants == "heartbeat",
+        announce_interval_s=HEARTBEAT_INTERVAL_S if grants == "heartbeat" else ANNOUNCE_INTERVAL_S,
         work_s=REQUEST_DURATION_S,
         listen_on=f"{address}:{PROXIED_BACKEND_PORT}",
     )
@@ -138,6 +147,8 @@
         Third octet of all addresses; soaks that run at the same time need different ones.
     daemon_arguments
         Arguments of the Python interpreter that start a daemon.
+    grants
+        How backend servers get their keys, one of `GRANT_MODES`.
 
     Attributes
     ----------
@@ -148,8 +159,14 @@
     """
 
     def __init__(
-        self, vms: int, network: int, folder: Path, daemon_arguments: tuple[str, ...]
+        self,
+        vms: int,
+        network: int,
+        folder: Path,
+        daemon_arguments: tuple[str, ...],
+        grants: str = GRANT_MODES[0],
     ) -> None:
+        self._grants = grants
         self.store = SiteStore()
         self.observations = Observations()
         self.version = 1
@@ -178,10 +195,11 @@
             service,
             failure_domain,
             folder,
-            make_backend(service, address, failure_domain),
+            make_backend(service, address, failure_domain, self._grants),
             Proxy(f"{address}:{STORE_PORT}", f"{self._address_prefix}.250:9000"),
             Proxy(f"{address}:{BACKEND_PORT}", f"{address}:{PROXIED_BACKEND_PORT}"),
             daemon_arguments,
+            self._grants,
         )
 
     async def start(self) -> None:
--- a/persimmondock/standins/site_backend.py
+++ b/persimmondock/standins/site_backend.py
@@ -88,6 +88,8 @@
         Number of requests that were cancelled while they ran.
     listen_on
         ``host:port`` to listen on if a proxy listens on ``address``; empty for ``address``.
+    announce_interval_s
+        Interval between the sendings of announcements, in seconds.
     drain_acked_at
         Monotonic time at which the daemon first acknowledged the draining, in seconds.
     ended_at
@@ -109,6 +111,7 @@
     held_ranges: list[HeldRange] = attrs.field(factory=list)
     cancelled: int = 0
     listen_on: str = ""
+    announce_interval_s: float = ANNOUNCE_INTERVAL_S
     drain_acked_at: float | None = None
     ended_at: float | None = None
     _active_keys: list[int] = attrs.field(factory=list)
@@ -167,7 +170,7 @@
                 await asyncio.sleep(
                     RELEASING_INTERVAL_S
                     if releasing
-                    else max(0.0, sent_at + ANNOUNCE_INTERVAL_S - time.monotonic())
+                    else max(0.0, sent_at + self.announce_interval_s - time.monotonic())
                 )
 
     def _build_announcement(self) -> dict[str, Any]:
--- a/persimmondock/standins/site_messages.py
+++ b/persimmondock/standins/site_messages.py
@@ -18,6 +18,7 @@
 GRACE_S = 6.0  # time that a daemon has to stop after SIGTERM
 OPERATOR_TOPIC = "keyed.op"
 NO_KEY = -1
+GRANT_MODES = ("call", "heartbeat")
 
 
 def publish_configuration(store: SiteStore, version: int) -> None:
@@ -71,9 +72,15 @@
     return headers
 
 
-def build_settings(node: str, address: str, failure_domain: str, service: str) -> dict[str, Any]:
-    """Return the contents of the settings file of the daemon at an address."""
+def build_settings(
+    node: str, address: str, failure_domain: str, service: str, grants: str = GRANT_MODES[0]
+) -> dict[str, Any]:
+    """Return the contents of the settings file of the daemon at an address.
+
+    ``grants`` is one of `GRANT_MODES`.
+    """
     return {
+        "grants": grants,
         "self": {
             "node": node,
             "ip": address,
--- a/persimmondock/tests/soak/test_soak.py
+++ b/persimmondock/tests/soak/test_soak.py
@@ -11,6 +11,7 @@
 from persimmondock.soak.plan import Event, draw_plan
 from persimmondock.soak.runner import SoakRunner
 from persimmondock.soak.site import SoakSite
+from persimmondock.standins.site_messages import GRANT_MODES
 from persimmondock.tests.test_cli import run_cli
 
 THIRD_OCTET = os.getpid() % 250  # so that concurrent test runs do not share addresses
@@ -18,7 +19,12 @@
 VMS = 6  # the last two have the service without keys
 
 
-async def run_soak(folder: Path, plan: tuple[Event, ...], disabled_mechanism: str = "") -> set[str]:
+async def run_soak(
+    folder: Path,
+    plan: tuple[Event, ...],
+    disabled_mechanism: str = "",
+    grants: str = GRANT_MODES[0],
+) -> set[str]:
     """Run a plan and return the rules that were broken.
 
     ``disabled_mechanism`` is a key of ``persimmondock.soak.broken.BREAKS``, or empty.
@@ -28,14 +34,15 @@
         if disabled_mechanism
         else INTACT_DAEMON
     )
-    site = SoakSite(VMS, THIRD_OCTET, folder, daemon_arguments)
+    site = SoakSite(VMS, THIRD_OCTET, folder, daemon_arguments, grants)
     runner = SoakRunner(site, plan, seed=1, duration_s=plan[-1].at_s + 3.0)
     return {breach.rule for breach in await runner.run()}
 
 
-async def test_short_soak_breaks_no_untimed_rule(tmp_path: Path) -> None:
+@pytest.mark.parametrize("grants", GRANT_MODES)
+async def test_short_soak_breaks_no_untimed_rule(tmp_path: Path, grants: str) -> None:
     """Rules with real-time bounds are left to manual soaks: CI may run on a busy machine."""
-    broken_rules = await run_soak(tmp_path, draw_plan(1, 16.0, VMS))
+    broken_rules = await run_soak(tmp_path, draw_plan(1, 16.0, VMS), grants=grants)
     assert broken_rules <= TIMED_RULES
 
 
