Log and measure what a backend server's answers say about itself

The adapter reads Server-Limit and Server-Leaving from answers that belong to the instance and the attempt asked for, refusals included. The gate keeps them for the incarnation, and shows them in log lines and two gauges. No decision depends on them yet.

A limit ends only by a signed answer to a request that was sent after it was last named; values that are no decimal number are logged and end nothing; of two in one answer the lower counts.

--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -48,6 +48,10 @@
     "queued": MetricSpec(Gauge, "Requests that wait for a slot here"),
     "slots": MetricSpec(Gauge, "Requests that may run here at the same time now"),
     "gate_open": MetricSpec(Gauge, "1 while the gate takes new work"),
+    "backend_limit_per_s": MetricSpec(
+        Gauge, "Requests per second that the backend server here asked for, or -1"
+    ),
+    "backend_leaving": MetricSpec(Gauge, "1 while the backend server here says that it leaves"),
     "peers_known": MetricSpec(Gauge, "Other daemons on record"),
     "peers_alive": MetricSpec(Gauge, "Other daemons that answered heartbeats lately"),
     "copy_end": MetricSpec(Gauge, "Offset at which the copy of a partition ends", ("partition",)),
--- /dev/null
+++ b/persimmondock/_domain/backend_notice.py
@@ -0,0 +1,78 @@
+"""What a backend server says about itself in its answers."""
+
+from __future__ import annotations
+
+import enum
+import math
+
+import attrs
+
+
+@attrs.frozen
+class BackendNotice:
+    """What one answer says about its backend server.
+
+    Parameters
+    ----------
+    max_per_s
+        Requests per second that it takes from all daemons together, or None if it names no limit.
+    leaving
+        Whether it is about to stop and is to get no new requests.
+    conclusive
+        Whether the answer also proves what it does not say. Only an answer that the backend server
+        signed does: a limit that is missing from it has ended.
+    """
+
+    max_per_s: float | None = None
+    leaving: bool = False
+    conclusive: bool = False
+
+
+class LimitChange(enum.Enum):
+    """Effect of a notice on the limit that is in force."""
+
+    NONE = "none"
+    NAMED = "named"
+    CHANGED = "changed"
+    ENDED = "ended"
+
+
+@attrs.define
+class KnownNotice:
+    """What the answers of one incarnation of a backend server have said so far.
+
+    Parameters
+    ----------
+    max_per_s
+        Limit in force, or None.
+    leaving
+        Whether any answer said that the backend server leaves.
+    heard
+        Whether an answer was heard here, and not only told by another daemon.
+    named_at
+        Instant at which an answer last named a limit.
+    """
+
+    max_per_s: float | None = None
+    leaving: bool = False
+    heard: bool = False
+    named_at: float = -math.inf
+
+    def hear(self, notice: BackendNotice, sent_at: float, now: float) -> LimitChange:
+        """Apply the notice of an answer to a request that was sent at an instant.
+
+        A limit ends by an answer to a request that was sent after the limit was last named; earlier
+        requests may have been answered before it was.
+        """
+        self.leaving = self.leaving or notice.leaving
+        if notice.max_per_s is not None:
+            previous, self.max_per_s = self.max_per_s, notice.max_per_s
+            self.heard, self.named_at = True, now
+            if previous is None:
+                return LimitChange.NAMED
+            return LimitChange.NONE if previous == notice.max_per_s else LimitChange.CHANGED
+        if not notice.conclusive or sent_at <= self.named_at:
+            return LimitChange.NONE
+        self.heard = True
+        previous, self.max_per_s = self.max_per_s, None
+        return LimitChange.NONE if previous is None else LimitChange.ENDED
--- a/persimmondock/_ports/backend.py
+++ b/persimmondock/_ports/backend.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmondock._domain.backend_notice import BackendNotice
     from persimmondock._domain.forwarding import ForwardedRequest
     from persimmondock._domain.verdict import NotRun, Verdict
 
@@ -75,6 +76,7 @@
         request: ForwardedRequest,
         instance: str,
         check: Callable[[], NotRun | None],
+        record_notice: Callable[[BackendNotice], None],
     ) -> Verdict:
         """Run a request on the backend server.
 
@@ -84,6 +86,8 @@
             Instance of the backend server that may run the request; other instances refuse it.
         check
             Called before the send with no await in between; a returned refusal stops the request.
+        record_notice
+            Called with what the answer, or a refusal by the backend server, says about it.
         """
         ...
 
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -11,6 +11,7 @@
 from persimmondock._adapters.clock import read_clock
 from persimmondock._domain.arrival_limit import ArrivalLimit
 from persimmondock._domain.assignment import BackendIncarnation
+from persimmondock._domain.backend_notice import BackendNotice, KnownNotice, LimitChange
 from persimmondock._domain.backend_report import BackendAnnouncement, Change, LocalBackend
 from persimmondock._domain.crash_suspects import CrashSuspects
 from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
@@ -112,6 +113,8 @@
         Whether the gate refuses all requests because the daemon is stopping.
     backend_down
         Whether the backend server was found unreachable since its last announcement.
+    notice
+        What the answers of the current incarnation say about it.
     broadcast_suspects
         Sends numbers of crashes by fingerprint to other daemons; 0 clears a suspect.
     """
@@ -135,6 +138,7 @@
         self._server = server
         self._keeper = keeper
         self._metrics = metrics
+        self.notice = KnownNotice()
         self._arrival_limit = ArrivalLimit()
         self._service_times = ServiceTimes()
         self._queue = GateQueue()
@@ -212,6 +216,7 @@
         if change is Change.NEW_INCARNATION:
             self._record_crash(now)
             self._service_times = ServiceTimes()
+            self.notice = KnownNotice()
             incarnation = self.incarnation
             assert incarnation is not None
             self._keeper.update_incarnation(incarnation)
@@ -306,6 +311,9 @@
         if incarnation is None:
             return NotRun(Reason.BACKEND_DOWN, REFUSED_RETRY_MS)
 
+        def record_notice(notice: BackendNotice) -> None:
+            self._record_notice(incarnation, notice, self._running[number].started_at)
+
         def check() -> NotRun | None:
             now = read_clock()
             refusal = self._find_refusal(request, now)
@@ -320,7 +328,7 @@
             return refusal
 
         try:
-            verdict = await self._server.run(request, incarnation.instance, check)
+            verdict = await self._server.run(request, incarnation.instance, check, record_notice)
         except asyncio.CancelledError:
             # The caller disconnected; the time until then still counts if it exceeds the estimate.
             elapsed_s = read_clock() - self._running[number].started_at
@@ -374,6 +382,27 @@
             case _:
                 return
 
+    def _record_notice(
+        self, incarnation: BackendIncarnation, notice: BackendNotice, sent_at: float
+    ) -> None:
+        """Record what an answer to a request that was sent at an instant says."""
+        if incarnation != self.incarnation:
+            return
+        previous_per_s, was_leaving = self.notice.max_per_s, self.notice.leaving
+        change = self.notice.hear(notice, sent_at, read_clock())
+        if change is not LimitChange.NONE:
+            logger.info(
+                "event=limit_{} instance={} max_per_s={} previous_per_s={} running={} waiting={}",
+                change.value,
+                incarnation.instance,
+                _show_limit(self.notice.max_per_s),
+                _show_limit(previous_per_s),
+                len(self._running),
+                len(self._queue),
+            )
+        if self.notice.leaving and not was_leaving:
+            logger.info("event=leaving_answered instance={}", incarnation.instance)
+
     def _record_crash(self, now: float) -> None:
         """Record the requests that were lost shortly before a restart as crash suspects."""
         lost, self._lost_requests = self._lost_requests, _LostRequests()
@@ -531,3 +560,7 @@
         future = self._slot_futures.get(queued.number)
         if future is not None and not future.done():
             future.set_result(refusal)
+
+
+def _show_limit(max_per_s: float | None) -> str:
+    return "-" if max_per_s is None else f"{max_per_s:g}"
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -314,6 +314,9 @@
         sink.set_gauge("queued", status.waiting)
         sink.set_gauge("slots", status.slots)
         sink.set_gauge("gate_open", status.accepts_work)
+        limit_per_s = self.gate.notice.max_per_s
+        sink.set_gauge("backend_limit_per_s", -1.0 if limit_per_s is None else limit_per_s)
+        sink.set_gauge("backend_leaving", self.gate.notice.leaving)
         sink.set_gauge("peers_known", len(self.mesh.peers))
         sink.set_gauge("peers_alive", len(self.mesh.list_alive(now)))
         for index, follower in enumerate(self._followers):
--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -39,6 +39,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmondock._domain.backend_notice import BackendNotice
     from persimmondock._domain.forwarding import ForwardedRequest
 
 GRANT_PATH = "/-/grant"
@@ -72,6 +73,7 @@
         request: ForwardedRequest,
         instance: str,
         check: Callable[[], NotRun | None],
+        record_notice: Callable[[BackendNotice], None],
     ) -> Verdict:
         """Have the backend server run a request.
 
@@ -89,7 +91,7 @@
                 reason = Reason.BACKEND_DOWN if error.refused else Reason.BACKEND_UNREACHABLE
                 return NotRun(reason, RETRY_AFTER_MS)
             try:
-                verdict = await self._exchange(connection, request, instance, check)
+                verdict = await self._exchange(connection, request, instance, check, record_notice)
             finally:
                 self._pool.release(connection)
             if verdict != NOT_SENT:
@@ -102,6 +104,7 @@
         request: ForwardedRequest,
         instance: str,
         check: Callable[[], NotRun | None],
+        record_notice: Callable[[BackendNotice], None],
     ) -> Verdict:
         refusal = check()
         if refusal is not None:
@@ -124,7 +127,12 @@
             return MayHaveRun(Reason.ANSWER_INVALID)
         # On the first request of a connection there is no earlier one whose response may be late.
         is_first_request = connection.exchange_count == 1
-        return _classify_response(response, request.attempt, instance, is_first_request)
+        verdict = _classify_response(response, request.attempt, instance, is_first_request)
+        if _speaks_for_instance(verdict):
+            notice = _headers.read_notice(response.headers)
+            if notice is not None:
+                record_notice(notice)
+        return verdict
 
     async def grant(
         self, first: int, last: int, fence: int, find_hold_s: Callable[[], float], handover: str
@@ -256,3 +264,12 @@
         Header(name, value) for name, value in _headers.select_response_fields(response)
     )
     return Answered(Answer(response.status, headers, response.body))
+
+
+def _speaks_for_instance(verdict: Verdict) -> bool:
+    """Return whether the response is of the instance and the attempt that were asked for."""
+    match verdict:
+        case Answered() | NotRun(reason=Reason.BACKEND_REFUSED | Reason.NOT_OWNER):
+            return True
+        case _:
+            return False
--- a/persimmondock/platform/_headers.py
+++ b/persimmondock/platform/_headers.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import math
+import re
 from typing import TYPE_CHECKING
 
 import attrs
+from loguru import logger
 
+from persimmondock._domain.backend_notice import BackendNotice
 from persimmondock._domain.fields import HOP_BY_HOP_HEADERS
 from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
 from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Verdict
@@ -25,7 +29,11 @@
 SIGNATURE = "x-server-signature"
 HANDOVER = "x-handover"
 INSTANCE = "x-instance-id"
+LIMIT = "server-limit"
+LEAVING = "server-leaving"
 MAX_KEY = 65_535
+MAX_LOGGED = 40  # characters of a value that is refused
+DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 # Host is forwarded: it is part of the request.
 HOP_BY_HOP_FIELDS = HOP_BY_HOP_HEADERS - {"host"}
@@ -96,6 +104,35 @@
     return tuple(item for item in response.headers if item[0].lower() not in HOP_BY_HOP_FIELDS)
 
 
+def read_notice(fields: Iterable[tuple[str, str]]) -> BackendNotice | None:
+    """Return what an answer says about its backend server, or None if that cannot be read.
+
+    Of several limits in one answer the lowest counts. Values that are not decimal numbers are
+    logged; an answer with no other limit then says nothing, so that a limit in force stays so.
+    """
+    limits: list[float] = []
+    leaving = signed = unreadable = False
+    for name, value in fields:
+        lower, text = name.lower(), value.strip()
+        if lower == LIMIT:
+            limit = float(text) if DECIMAL_NUMBER.fullmatch(text) else math.inf
+            if math.isfinite(limit):
+                limits.append(limit)
+                continue
+        elif lower == LEAVING:
+            leaving = leaving or text == "1"
+            if text in ("0", "1"):
+                continue
+        else:
+            signed = signed or lower == SIGNATURE
+            continue
+        unreadable = True
+        logger.warning("event=notice_refused field={} value={!r}", lower, value[:MAX_LOGGED])
+    if unreadable and not limits and not leaving:
+        return None
+    return BackendNotice(min(limits, default=None), leaving, conclusive=signed)
+
+
 def may_belong_to(response: HttpResponse, attempt: str) -> bool:
     """Return whether a response may belong to an attempt; refusals may lack the identifier."""
     return response.find_header(ATTEMPT.lower()) in (None, attempt)
--- a/persimmondock/standins/site_backend.py
+++ b/persimmondock/standins/site_backend.py
@@ -94,6 +94,10 @@
         Monotonic time at which the daemon first acknowledged the draining, in seconds.
     ended_at
         Monotonic time of the stop, in seconds.
+    limit
+        Value of the header by which all answers to requests name a limit; empty for none.
+    leaving
+        Whether all answers to requests say that the server leaves.
     """
 
     service: str
@@ -114,6 +118,8 @@
     announce_interval_s: float = ANNOUNCE_INTERVAL_S
     drain_acked_at: float | None = None
     ended_at: float | None = None
+    limit: str = ""
+    leaving: bool = False
     _active_keys: list[int] = attrs.field(factory=list)
     _freed: list[list[Any]] = attrs.field(factory=list)
     _releasing: list[HeldRange] = attrs.field(factory=list)
@@ -257,6 +263,10 @@
         now = time.monotonic()
         return any(h.first <= key <= h.last and h.start <= now < h.end for h in self.held_ranges)
 
+    def _build_notice_headers(self) -> dict[str, str]:
+        headers = {"Server-Limit": self.limit} if self.limit else {}
+        return headers | {"Server-Leaving": "1"} if self.leaving else headers
+
     async def _serve(self, request: web.Request) -> web.Response:
         attempt = request.headers.get("X-Attempt-Id", "")
         key = int(request.headers.get("X-Shard-Key", "-1"))
@@ -276,4 +286,5 @@
         finally:
             self._active_keys.remove(key)
         response_headers["X-Server-Signature"] = f"signed-by-{self.instance}"
+        response_headers |= self._build_notice_headers()
         return web.Response(body=b"answer to " + attempt.encode() + body, headers=response_headers)
--- a/persimmondock/tests/fake_backend.py
+++ b/persimmondock/tests/fake_backend.py
@@ -8,6 +8,7 @@
 import attrs
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._domain.backend_notice import BackendNotice
 from persimmondock._domain.forwarding import ForwardedRequest
 from persimmondock._domain.verdict import Answer, Answered, NotRun, Verdict
 from persimmondock._ports.backend import (
@@ -38,6 +39,8 @@
         Duration of a request in seconds.
     outcomes
         Verdicts of the next requests, instead of an answer.
+    notice
+        What each answer says about the backend server, or None if it cannot be read.
     """
 
     holds: dict[tuple[int, int], tuple[int, float]] = attrs.field(factory=dict)
@@ -50,9 +53,14 @@
     outcomes: list[Verdict] = attrs.field(factory=list)
     releases: list[tuple[int, int]] = attrs.field(factory=list)
     cancelled: int = 0
+    notice: BackendNotice | None = attrs.field(factory=lambda: BackendNotice(conclusive=True))
 
     async def run(
-        self, request: ForwardedRequest, instance: str, check: Callable[[], NotRun | None]
+        self,
+        request: ForwardedRequest,
+        instance: str,
+        check: Callable[[], NotRun | None],
+        record_notice: Callable[[BackendNotice], None],
     ) -> Verdict:
         """Run a request."""
         await asyncio.sleep(0)
@@ -66,6 +74,8 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        if self.notice is not None:
+            record_notice(self.notice)
         if self.outcomes:
             return self.outcomes.pop(0)
         return Answered(Answer(200, (), b"done"))
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -6,8 +6,10 @@
 
 import attrs
 import pytest
+from loguru import logger
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._domain.backend_notice import BackendNotice, KnownNotice
 from persimmondock._domain.backend_report import Change, LocalBackend
 from persimmondock._domain.range_lease import RangeLease
 from persimmondock._domain.routing_table import ServicePolicy
@@ -298,3 +300,29 @@
     assert isinstance(verdict, NotRun) and verdict.reason is Reason.HANDOVER_PENDING
     assert verdict.retry_after_ms == range_keeper.TAKEOVER_RETRY_MS
     assert read_clock() - now < 0.1
+
+
+async def test_the_gate_knows_the_limit_that_its_backend_server_names(
+    harness: GateHarness,
+) -> None:
+    """Guards against a limit that no log line and no metric shows."""
+    lines: list[str] = []
+    handler = logger.add(lambda message: lines.append(message.record["message"]), level="INFO")
+    try:
+        for notice in (BackendNotice(18.1), BackendNotice(5.0), BackendNotice(conclusive=True)):
+            harness.server.notice = notice
+            await harness.ask()
+    finally:
+        logger.remove(handler)
+    named = [line.split(" instance=")[0] for line in lines if "event=limit_" in line]
+    assert named == ["event=limit_named", "event=limit_changed", "event=limit_ended"]
+    assert "max_per_s=5 previous_per_s=18.1" in "".join(lines)
+    assert harness.gate.notice.max_per_s is None
+
+
+async def test_a_new_incarnation_has_said_nothing_yet(harness: GateHarness) -> None:
+    """Guards against the limit of a backend server that was replaced."""
+    harness.server.notice = BackendNotice(18.1, leaving=True)
+    await harness.ask()
+    harness.gate.handle_announcement(make_report(instance="i-2", born_ms=2000))
+    assert harness.gate.notice == KnownNotice()
