Send a backend server no more than the limit that its answers name

Cause: what an answer says of its server ended at the adapter; no gate knew.

Change: the gate, which all requests pass, has bounds on arrivals in place of one count for cold servers: a count in 4 s for a named limit, and a shorter one that spreads it. Requests hold a reservation between permit and send, so several queued ones no longer find the same room. Waiting requests are judged again when a limit is named or falls; who does not fit is refused at once (backend_limited) with the time at which there is room, one caller after the other. A window starts afresh when a limit falls: what was sent before it was named does not count against it, or the server would get nothing for seconds.

--- a/persimmondock/_domain/gate_queue.py
+++ b/persimmondock/_domain/gate_queue.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import bisect
+import math
 from collections import Counter
 
 import attrs
@@ -73,12 +74,18 @@
         Expected service time in seconds.
     deadline
         Instant after which the answer is of no use.
+    objective_at
+        Instant at which the latency objective is missed.
+    keyed
+        Whether only this gate can serve the request.
     """
 
     priority: int
     number: int
     service_s: float
     deadline: float
+    objective_at: float = math.inf
+    keyed: bool = False
 
 
 @attrs.define
@@ -109,6 +116,12 @@
         )
         return (mean_service_s + ahead_s) / max(1, slots)
 
+    def count_ahead(self, priority: int, deadline: float) -> int:
+        """Return the number of requests that would be sent before a new one."""
+        return sum(
+            (queued.priority, queued.deadline) <= (priority, deadline) for queued in self._queued
+        )
+
     def add(self, request: QueuedRequest) -> None:
         """Insert a request."""
         bisect.insort(self._queued, request, key=_sort_key)
@@ -122,6 +135,34 @@
         """Remove and return the next request, or None if the queue is empty."""
         return self._queued.pop(0) if self._queued else None
 
+    def pop_hopeless(
+        self, first_wait_s: float, interval_s: float, now: float
+    ) -> list[QueuedRequest]:
+        """Remove and return requests that are not worth queueing any more.
+
+        Parameters
+        ----------
+        first_wait_s
+            Seconds until the first request is sent.
+        interval_s
+            Seconds between two requests.
+        """
+        kept: list[QueuedRequest] = []
+        hopeless: list[QueuedRequest] = []
+        for request in self._queued:
+            wait_s = first_wait_s + len(kept) * interval_s if kept else first_wait_s
+            worth_queueing = is_worth_queueing(
+                wait_s,
+                request.service_s,
+                now,
+                request.objective_at,
+                request.deadline,
+                request.keyed,
+            )
+            (kept if worth_queueing else hopeless).append(request)
+        self._queued = kept
+        return hopeless
+
     def pop_unanswerable(self, now: float) -> list[QueuedRequest]:
         """Remove and return requests that are unlikely to meet their deadline.
 
@@ -170,3 +211,26 @@
 def compute_retry_after_ms(wait_s: float) -> int:
     """Return the delay after which a refused caller should retry, in milliseconds."""
     return int(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, 1000 * wait_s)))
+
+
+@attrs.define
+class ReturnTimes:
+    """Spreads the returns of refused callers over the time in which there is room for them."""
+
+    _last_at: float = 0.0
+
+    def choose_retry_after_ms(self, room_at: float, interval_s: float, now: float) -> int:
+        """Return the delay for one more refused caller in milliseconds.
+
+        Parameters
+        ----------
+        room_at
+            Instant from which there is room for a request that comes now.
+        interval_s
+            Seconds between two requests for which there is room.
+        """
+        latest_at = now + MAX_RETRY_AFTER_MS / 1000
+        self._last_at = max(room_at, self._last_at + interval_s)
+        if self._last_at > latest_at:
+            self._last_at = min(room_at, latest_at)
+        return compute_retry_after_ms(self._last_at - now)
--- a/persimmondock/_domain/request_trace.py
+++ b/persimmondock/_domain/request_trace.py
@@ -58,10 +58,12 @@
         "leaving",
     }
 )
+_LIMIT_EVENTS = frozenset({"limit_named", "limit_changed", "limit_ended"})
 # Events that may have caused an outcome, by the reason in the ``not_answered`` line.
 CAUSE_EVENTS = {
     "overloaded": _CAPACITY_EVENTS,
     "backend_cold": _CAPACITY_EVENTS,
+    "backend_limited": _CAPACITY_EVENTS | _LIMIT_EVENTS,
     "backend_refused": _CAPACITY_EVENTS,
     "not_owner": _OWNERSHIP_EVENTS,
     "no_owner": _OWNERSHIP_EVENTS | _AVAILABILITY_EVENTS,
@@ -69,7 +71,7 @@
     "lease_lapsed": _OWNERSHIP_EVENTS,
     "failure_domain_out": frozenset({"failure_domains_out"}),
     "suspected_poison": frozenset({"backend_crashed"}),
-    "draining": _CAPACITY_EVENTS,
+    "draining": _CAPACITY_EVENTS | {"leaving_answered", "leaving_told"},
     "no_configuration": frozenset({"configuration", "configuration_refused", "store_lost"}),
 }
 
--- a/persimmondock/_domain/verdict.py
+++ b/persimmondock/_domain/verdict.py
@@ -33,6 +33,7 @@
     BACKEND_UNREACHABLE = "backend_unreachable"
     BACKEND_DOWN = "backend_down"
     BACKEND_COLD = "backend_cold"
+    BACKEND_LIMITED = "backend_limited"
     FAILURE_DOMAIN_OUT = "failure_domain_out"
     NO_CONFIGURATION = "no_configuration"
     BACKEND_LOST = "backend_lost"
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -9,7 +9,13 @@
 from loguru import logger
 
 from persimmondock._adapters.clock import read_clock
-from persimmondock._domain.arrival_limit import ArrivalLimit
+from persimmondock._domain.arrival_limit import (
+    COLD_WINDOW_S,
+    ArrivalBound,
+    ArrivalLimit,
+    bound_named_limit,
+    bound_rate,
+)
 from persimmondock._domain.assignment import BackendIncarnation
 from persimmondock._domain.backend_notice import BackendNotice, KnownNotice, LimitChange
 from persimmondock._domain.backend_report import BackendAnnouncement, Change, LocalBackend
@@ -19,6 +25,7 @@
     MAX_OWNER_WAIT_SHARE,
     GateQueue,
     QueuedRequest,
+    ReturnTimes,
     ServiceTimes,
     compute_retry_after_ms,
     is_worth_queueing,
@@ -61,11 +68,14 @@
     ----------
     repeat
         Whether an earlier attempt at the request reached a backend server.
+    reserved
+        Whether it holds a reservation of `ArrivalLimit`.
     """
 
     route: str
     started_at: float
     repeat: bool = False
+    reserved: bool = True
 
 
 @attrs.define
@@ -140,6 +150,8 @@
         self._metrics = metrics
         self.notice = KnownNotice()
         self._arrival_limit = ArrivalLimit()
+        self._named_bounds: tuple[ArrivalBound, ...] = ()
+        self._return_times = ReturnTimes()
         self._service_times = ServiceTimes()
         self._queue = GateQueue()
         self._slot_futures: dict[int, asyncio.Future[NotRun | None]] = {}
@@ -217,6 +229,7 @@
             self._record_crash(now)
             self._service_times = ServiceTimes()
             self.notice = KnownNotice()
+            self._named_bounds = ()
             incarnation = self.incarnation
             assert incarnation is not None
             self._keeper.update_incarnation(incarnation)
@@ -261,7 +274,8 @@
         now = read_clock()
         logger.info(
             "event=refused attempt={} route={} key={} reason={} running={} waiting={} slots={} "
-            "service_ms={:.0f} cold_ms={:.0f} left_ms={:.0f} offset={} retry_after_ms={}",
+            "service_ms={:.0f} cold_ms={:.0f} left_ms={:.0f} offset={} limit_per_s={} "
+            "retry_after_ms={}",
             request.attempt,
             request.route,
             request.key,
@@ -273,6 +287,7 @@
             1000 * max(0.0, self._arrival_limit.cold_until - now),
             1000 * (request.deadline - now),
             self._keeper.assignment.offset,
+            _show_limit(self.notice.max_per_s),
             verdict.retry_after_ms,
         )
 
@@ -299,13 +314,22 @@
             if refusal is not None:
                 return refusal
         else:
-            self._running[number] = _RunningRequest(request.route, now)
+            self._start(number, request.route, now)
         try:
             return await self._send(request, number)
         finally:
-            self._running.pop(number, None)
+            self._finish(number)
             self._start_waiting()
 
+    def _start(self, number: int, route: str, now: float) -> None:
+        self._running[number] = _RunningRequest(route, now)
+        self._arrival_limit.reserve()
+
+    def _finish(self, number: int) -> None:
+        running = self._running.pop(number, None)
+        if running is not None and running.reserved:
+            self._arrival_limit.release()
+
     async def _send(self, request: ForwardedRequest, number: int) -> Verdict:
         incarnation = self.incarnation
         if incarnation is None:
@@ -319,10 +343,9 @@
             refusal = self._find_refusal(request, now)
             if refusal is None and self.incarnation != incarnation:
                 refusal = NotRun(Reason.BACKEND_DOWN, REFUSED_RETRY_MS)
-            if refusal is None and not self._arrival_limit.has_room(self._cold_limit_per_s, now):
-                refusal = NotRun(Reason.BACKEND_COLD, REFUSED_RETRY_MS)
             if refusal is None:
-                self._arrival_limit.record(now)
+                refusal = self._record_send(number, now)
+            if refusal is None:
                 self._running[number].started_at = now
                 self._running[number].repeat = request.repeat
             return refusal
@@ -391,6 +414,7 @@
         previous_per_s, was_leaving = self.notice.max_per_s, self.notice.leaving
         change = self.notice.hear(notice, sent_at, read_clock())
         if change is not LimitChange.NONE:
+            self._apply_limit()
             logger.info(
                 "event=limit_{} instance={} max_per_s={} previous_per_s={} running={} waiting={}",
                 change.value,
@@ -450,6 +474,54 @@
         bound = self.policy.cold_per_s * self.bounds.cold_factor + self.bounds.cold_slack
         return COLD_RATE_SHARE * bound
 
+    def _list_bounds(self, now: float) -> tuple[ArrivalBound, ...]:
+        """Return the bounds on the requests that may be sent now."""
+        if self._cold_limit_per_s > 0 and self._arrival_limit.is_cold(now):
+            return (bound_rate(self._cold_limit_per_s, COLD_WINDOW_S), *self._named_bounds)
+        return self._named_bounds
+
+    def _apply_limit(self) -> None:
+        """Apply the limit that is in force from now on to what waits and to what comes."""
+        now, limit_per_s = read_clock(), self.notice.max_per_s
+        self._named_bounds = () if limit_per_s is None else bound_named_limit(limit_per_s)
+        if self._named_bounds:
+            total = self._named_bounds[0]
+            room_at = self._arrival_limit.find_next_send_at(self._named_bounds, now)
+            if room_at > now + total.interval_s:
+                # What was sent before the limit was named does not count against it.
+                self._arrival_limit.assume_used(total, now)
+            self._refuse_hopeless(now)
+        self._start_waiting()
+
+    def _record_send(self, number: int, now: float) -> NotRun | None:
+        """Record that a request is sent now, or return why there is no room any more."""
+        running, bounds = self._running[number], self._list_bounds(now)
+        if running.reserved:
+            running.reserved = False
+            self._arrival_limit.release()
+        if not self._arrival_limit.has_room(bounds, now):
+            if self._named_bounds:
+                return self._refuse_by_limit(0.0, now)
+            return NotRun(Reason.BACKEND_COLD, REFUSED_RETRY_MS)
+        self._arrival_limit.record(bounds, now)
+        return None
+
+    def _refuse_by_limit(self, wait_s: float, now: float) -> NotRun:
+        """Return the refusal of a request that would wait because of the named limit."""
+        interval_s = self._named_bounds[0].interval_s
+        room_at = max(now + wait_s, self._arrival_limit.find_next_send_at(self._named_bounds, now))
+        retry_after_ms = self._return_times.choose_retry_after_ms(room_at, interval_s, now)
+        return NotRun(Reason.BACKEND_LIMITED, retry_after_ms)
+
+    def _refuse_hopeless(self, now: float) -> None:
+        """Refuse the waiting requests for which a lower limit leaves no room in time."""
+        interval_s = self._named_bounds[0].interval_s
+        first_wait_s = self._arrival_limit.find_next_send_at(self._named_bounds, now) - now
+        hopeless = self._queue.pop_hopeless(first_wait_s, interval_s, now)
+        wait_s = first_wait_s + len(self._queue) * interval_s
+        for queued in hopeless:
+            self._refuse(queued, self._refuse_by_limit(wait_s, now))
+
     def _count_usable_slots(self) -> int:
         """Return the slots to report; fewer while the backend server is cold."""
         now = read_clock()
@@ -469,7 +541,7 @@
 
     def _has_room(self, now: float) -> bool:
         return len(self._running) < self.slots and self._arrival_limit.has_room(
-            self._cold_limit_per_s, now
+            self._list_bounds(now), now
         )
 
     def _estimate_service_time(self, now: float) -> float:
@@ -491,11 +563,9 @@
         wait_s = self._queue.estimate_wait(
             request.priority, request.deadline, mean_service_s, self.slots
         )
-        if self._arrival_limit.is_cold(now) and self._cold_limit_per_s > 0:
-            wait_s = max(
-                wait_s, self._arrival_limit.find_next_send_at(self._cold_limit_per_s, now) - now
-            )
-            wait_s += len(self._queue) / self._cold_limit_per_s
+        paced_wait_s = self._estimate_paced_wait(request, now)
+        is_limited = bool(self._named_bounds) and paced_wait_s > wait_s
+        wait_s = max(wait_s, paced_wait_s)
         if not is_worth_queueing(
             wait_s,
             service_s,
@@ -504,8 +574,17 @@
             request.deadline,
             keyed=request.key != NO_KEY,
         ):
+            if is_limited:
+                return self._refuse_by_limit(wait_s, now)
             return NotRun(Reason.OVERLOADED, compute_retry_after_ms(wait_s))
-        queued = QueuedRequest(request.priority, number, service_s, request.deadline)
+        queued = QueuedRequest(
+            request.priority,
+            number,
+            service_s,
+            request.deadline,
+            request.objective_at,
+            request.key != NO_KEY,
+        )
         future: asyncio.Future[NotRun | None] = asyncio.get_running_loop().create_future()
         self._slot_futures[number] = future
         self._queue.add(queued)
@@ -514,7 +593,7 @@
             refusal = await future
         except asyncio.CancelledError:
             self._queue.remove(queued)
-            self._running.pop(number, None)
+            self._finish(number)
             self._start_waiting()
             raise
         finally:
@@ -523,6 +602,15 @@
             self._running[number].route = request.route
         return refusal
 
+    def _estimate_paced_wait(self, request: ForwardedRequest, now: float) -> float:
+        """Return the expected wait until the bounds on arrivals leave room, in seconds."""
+        bounds = self._list_bounds(now)
+        if not bounds:
+            return 0.0
+        ahead = self._queue.count_ahead(request.priority, request.deadline)
+        wait_s = self._arrival_limit.find_next_send_at(bounds, now) - now
+        return wait_s + (ahead * max(bound.interval_s for bound in bounds) if ahead else 0.0)
+
     def _start_waiting(self) -> None:
         """Start queued requests while there is room; refuse those that would be too late."""
         now = read_clock()
@@ -534,11 +622,8 @@
             future = self._slot_futures.get(next_queued.number)
             if future is None or future.done():
                 continue
-            self._running[next_queued.number] = _RunningRequest("", now)
+            self._start(next_queued.number, "", now)
             future.set_result(None)
-            if self._arrival_limit.is_cold(now):
-                # The limit counts a request only when it is sent, which happens after this loop.
-                break
         if self._queue:
             self._set_timer()
 
--- a/persimmondock/tests/test_gate_queue.py
+++ b/persimmondock/tests/test_gate_queue.py
@@ -6,11 +6,15 @@
 
 from __future__ import annotations
 
+import math
+from collections import Counter
+
 import pytest
 
 from persimmondock._domain.gate_queue import (
     GateQueue,
     QueuedRequest,
+    ReturnTimes,
     ServiceTimes,
     compute_retry_after_ms,
     is_worth_queueing,
@@ -118,3 +122,30 @@
     assert compute_retry_after_ms(0.4) == 400
     assert compute_retry_after_ms(0.0) >= 50
     assert compute_retry_after_ms(60.0) <= 2_000
+
+
+def test_a_lower_rate_refuses_those_that_would_come_too_late() -> None:
+    """Guards against requests that wait on until their deadline when a limit is named."""
+    queue = GateQueue()
+    for number in range(6):
+        queue.add(QueuedRequest(1, number, 0.1, 103.0 + number, objective_at=101.0))
+    hopeless = queue.pop_hopeless(first_wait_s=0.2, interval_s=0.3, now=100.0)
+    assert [request.number for request in hopeless] == [3, 4, 5]
+    assert len(queue) == 3
+    assert len(queue.pop_hopeless(math.inf, math.inf, 100.0)) == 3
+
+
+def test_refused_callers_return_one_by_one() -> None:
+    """Guards against a wave of callers that were refused at the same moment."""
+    returns = ReturnTimes()
+    delays_ms = [returns.choose_retry_after_ms(100.2, 0.1, 100.0) for _ in range(30)]
+    assert delays_ms[:4] == pytest.approx([200, 300, 400, 500], abs=1)
+    assert max(delays_ms) <= 1500
+    assert max(Counter(delays_ms).values()) <= 3
+
+
+def test_a_refused_caller_is_told_the_longest_delay_when_there_will_be_no_room() -> None:
+    returns = ReturnTimes()
+    assert [returns.choose_retry_after_ms(math.inf, math.inf, 100.0) for _ in range(2)] == [
+        1500
+    ] * 2
--- a/persimmondock/tests/virtual_site.py
+++ b/persimmondock/tests/virtual_site.py
@@ -428,8 +428,8 @@
             outcome = await self._send(front, first_sent_at, deadline, changes)
             if outcome is None:
                 return
-            retry_after_s = outcome.retry_after_ms / 1000
-            if left and 0 < retry_after_s <= (deadline - read_clock()) / 3:
+            retry_after_s = min(outcome.retry_after_ms / 1000, (deadline - read_clock()) / 3)
+            if left and retry_after_s > 0:
                 self.returns_at.append(read_clock() + retry_after_s)
                 await asyncio.sleep(retry_after_s)
                 continue
