Tell a gate what was heard of its backend server ahead of each request

Cause: what answers said was kept in one process, that of the gate.

Change: the daemon that passes an answer on reads the same fields, remembers them for the incarnation, and sends them ahead of each request on the same connection. Whoever is bound by having passed on such an answer thus is who tells, and a daemon that cannot tell cannot send either. The gate believes the lowest limit told until it has heard an answer itself, since all answers pass it, and counts the limit as used up to then. What is told before the backend server's first announcement is kept for it.

--- a/persimmondock/_domain/backend_notice.py
+++ b/persimmondock/_domain/backend_notice.py
@@ -4,9 +4,12 @@
 
 import enum
 import math
+from typing import Any
 
 import attrs
 
+from persimmondock._domain.assignment import BackendIncarnation
+
 
 @attrs.frozen
 class BackendNotice:
@@ -28,6 +31,25 @@
     conclusive: bool = False
 
 
+@attrs.frozen
+class ToldNotice:
+    """What another daemon has heard of an incarnation of a backend server."""
+
+    incarnation: BackendIncarnation
+    max_per_s: float | None
+    leaving: bool
+
+    def pack(self) -> list[Any]:
+        """Return the fields in order, as data for msgpack."""
+        return [[*attrs.astuple(self.incarnation)], self.max_per_s, self.leaving]
+
+
+def unpack_told(data: list[Any]) -> ToldNotice:
+    """Return the notice of packed data."""
+    incarnation, max_per_s, leaving = data
+    return ToldNotice(BackendIncarnation(*incarnation), max_per_s, leaving)
+
+
 class LimitChange(enum.Enum):
     """Effect of a notice on the limit that is in force."""
 
@@ -76,3 +98,16 @@
         self.heard = True
         previous, self.max_per_s = self.max_per_s, None
         return LimitChange.NONE if previous is None else LimitChange.ENDED
+
+    def tell(self, max_per_s: float | None) -> bool:
+        """Apply a limit that another daemon has heard; return whether it is in force from now on.
+
+        All answers pass this daemon, so what it has heard itself is newer. Of several daemons the
+        one with the lowest limit is believed.
+        """
+        if self.heard or max_per_s is None:
+            return False
+        if self.max_per_s is not None and self.max_per_s <= max_per_s:
+            return False
+        self.max_per_s = max_per_s
+        return True
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -17,7 +17,12 @@
     bound_rate,
 )
 from persimmondock._domain.assignment import BackendIncarnation
-from persimmondock._domain.backend_notice import BackendNotice, KnownNotice, LimitChange
+from persimmondock._domain.backend_notice import (
+    BackendNotice,
+    KnownNotice,
+    LimitChange,
+    ToldNotice,
+)
 from persimmondock._domain.backend_report import BackendAnnouncement, Change, LocalBackend
 from persimmondock._domain.crash_suspects import CrashSuspects
 from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
@@ -151,6 +156,7 @@
         self.notice = KnownNotice()
         self._arrival_limit = ArrivalLimit()
         self._named_bounds: tuple[ArrivalBound, ...] = ()
+        self._told_early: list[ToldNotice] = []
         self._return_times = ReturnTimes()
         self._service_times = ServiceTimes()
         self._queue = GateQueue()
@@ -233,11 +239,39 @@
             incarnation = self.incarnation
             assert incarnation is not None
             self._keeper.update_incarnation(incarnation)
+            told_early, self._told_early = self._told_early, []
+            for told in told_early:
+                self.apply_told_notice(told)
         if change is Change.DRAINING:
             self._refuse_all_waiting(Reason.DRAINING)
         self._start_waiting()
         return change
 
+    def apply_told_notice(self, told: ToldNotice) -> None:
+        """Apply what a daemon that sends requests here has heard of the backend server.
+
+        A new process of this daemon learns so what the former one knew, before it sends anything
+        that comes from that daemon.
+        """
+        incarnation = self.incarnation
+        if incarnation is None:
+            if told not in self._told_early:
+                self._told_early.append(told)
+            return
+        if told.incarnation != incarnation:
+            return
+        if told.leaving and not self.notice.leaving:
+            self.notice.leaving = True
+            logger.info("event=leaving_told instance={}", incarnation.instance)
+            self._apply_leaving()
+        if self.notice.tell(told.max_per_s):
+            logger.info(
+                "event=limit_told instance={} max_per_s={}",
+                incarnation.instance,
+                _show_limit(told.max_per_s),
+            )
+            self._apply_limit(assume_used=True)
+
     def _apply_leaving(self) -> None:
         """Treat the backend server as if it had announced that it drains."""
         if self.backend.mark_draining() is Change.DRAINING:
@@ -486,14 +520,20 @@
             return (bound_rate(self._cold_limit_per_s, COLD_WINDOW_S), *self._named_bounds)
         return self._named_bounds
 
-    def _apply_limit(self) -> None:
-        """Apply the limit that is in force from now on to what waits and to what comes."""
+    def _apply_limit(self, assume_used: bool = False) -> None:
+        """Apply the limit that is in force from now on to what waits and to what comes.
+
+        Parameters
+        ----------
+        assume_used
+            Whether a former process of this daemon may have used the limit up to now.
+        """
         now, limit_per_s = read_clock(), self.notice.max_per_s
         self._named_bounds = () if limit_per_s is None else bound_named_limit(limit_per_s)
         if self._named_bounds:
             total = self._named_bounds[0]
             room_at = self._arrival_limit.find_next_send_at(self._named_bounds, now)
-            if room_at > now + total.interval_s:
+            if assume_used or room_at > now + total.interval_s:
                 # What was sent before the limit was named does not count against it.
                 self._arrival_limit.assume_used(total, now)
             self._refuse_hopeless(now)
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -12,6 +12,13 @@
 
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.peer_stream import Delivery, PeerRequestError
+from persimmondock._domain.assignment import BackendIncarnation
+from persimmondock._domain.backend_notice import (
+    BackendNotice,
+    KnownNotice,
+    ToldNotice,
+    unpack_told,
+)
 from persimmondock._domain.forwarding import (
     NO_KEY,
     ForwardedRequest,
@@ -23,6 +30,7 @@
 from persimmondock._domain.gate_status import GateStatus, unpack_status
 from persimmondock._domain.shared_budget import SharedBudget
 from persimmondock._domain.verdict import (
+    Answer,
     Answered,
     MayHaveRun,
     NotRun,
@@ -89,6 +97,22 @@
         return self.refusal or NotRun(Reason.NO_OWNER, NO_OWNER_RETRY_MS)
 
 
+@attrs.define
+class _HeardNotice:
+    """What answers that were passed on here have said of an incarnation of a backend server."""
+
+    incarnation: BackendIncarnation
+    known: KnownNotice = attrs.field(factory=KnownNotice)
+
+    def is_empty(self) -> bool:
+        """Return whether there is nothing to tell."""
+        return self.known.max_per_s is None and not self.known.leaving
+
+    def build_told(self) -> ToldNotice:
+        """Return the message to the gate of the backend server."""
+        return ToldNotice(self.incarnation, self.known.max_per_s, self.known.leaving)
+
+
 class Dispatcher:
     """Sends requests of callers to gates, with retries within a budget.
 
@@ -102,6 +126,13 @@
         The local gate.
     control
         Knows the current assignments.
+
+    Attributes
+    ----------
+    is_evacuated
+        Returns whether operators have evacuated a failure domain.
+    read_notice
+        Returns what an answer says about its backend server, or None if it cannot be read.
     """
 
     def __init__(
@@ -125,6 +156,9 @@
         self._random = random.Random()
         self.in_flight = 0
         self.is_evacuated: Callable[[str], bool] = lambda _: False
+        self.read_notice: Callable[[Answer], BackendNotice | None] = lambda _: None
+        self._heard_notices: dict[str, _HeardNotice] = {}
+        mesh.server.instant_handlers["notice"] = self._handle_notice
         mesh.server.handlers["call"] = self._handle_call
 
     async def dispatch(self, request: ForwardedRequest, route: RoutePolicy) -> Verdict:
@@ -291,6 +325,8 @@
         if node == self._mesh.own.node:
             return await self._gate.run(request)
         peer = self._mesh.peers[node]
+        self._tell_notice(peer)
+        incarnation, sent_at = peer.status.incarnation, read_clock()
         self._in_flight_by_node[node] += 1
         self._metrics.count("forwards")
         try:
@@ -311,7 +347,43 @@
         peer.status = unpack_status(status)
         peer.heard_at = read_clock()
         self.record_status_update(node)
-        return unpack_verdict(verdict)
+        result = unpack_verdict(verdict)
+        if isinstance(result, Answered) and incarnation in (None, peer.status.incarnation):
+            self._record_notice(peer, result.answer, sent_at)
+        return result
+
+    # Notices of backend servers.
+
+    def _record_notice(self, peer: Peer, answer: Answer, sent_at: float) -> None:
+        """Remember what an answer says, since a new process of its gate's daemon does not know."""
+        notice, incarnation = self.read_notice(answer), peer.status.incarnation
+        node = peer.member.node
+        heard = self._heard_notices.get(node)
+        if notice is None or incarnation is None:
+            return
+        if heard is None or heard.incarnation != incarnation:
+            heard = _HeardNotice(incarnation)
+        heard.known.hear(notice, sent_at, read_clock())
+        if heard.is_empty():
+            self._heard_notices.pop(node, None)
+        elif node not in self._heard_notices or self._heard_notices[node] is not heard:
+            for unknown in self._heard_notices.keys() - self._mesh.peers.keys():
+                del self._heard_notices[unknown]
+            self._heard_notices[node] = heard
+
+    def _tell_notice(self, peer: Peer) -> None:
+        """Tell a gate what was heard of its backend server, ahead of the next request."""
+        heard = self._heard_notices.get(peer.member.node)
+        if heard is None:
+            return
+        try:
+            peer.client.send("notice", heard.build_told().pack(), lambda _: None)
+        except PeerRequestError as error:
+            # The request that follows fails in the same way and reports it.
+            logger.debug("event=notice_not_sent peer={} error={!r}", peer.member.node, error)
+
+    def _handle_notice(self, payload: Any, _: Delivery) -> None:
+        self._gate.apply_told_notice(unpack_told(payload))
 
     async def _handle_call(self, payload: Any, delivered: Delivery) -> Any:
         """Run a request that another daemon forwarded to the local gate."""
--- a/persimmondock/platform/_daemon.py
+++ b/persimmondock/platform/_daemon.py
@@ -12,7 +12,7 @@
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.prometheus import PrometheusMetrics
 from persimmondock._tasks.sidecar import OperatorCodec, Sidecar, SitePartitions
-from persimmondock.platform import _operator, _settings, _store
+from persimmondock.platform import _headers, _operator, _settings, _store
 from persimmondock.platform._backend import PlatformBackend
 from persimmondock.platform._ingress import Ingress
 from persimmondock.settings import SettingsError
@@ -47,6 +47,7 @@
             ),
             self._metrics,
         )
+        self.sidecar.dispatcher.read_notice = _headers.read_answer_notice
         self._ingress = Ingress(self.sidecar, metrics_endpoint, self._metrics)
 
     async def start(self) -> None:
--- a/persimmondock/platform/_headers.py
+++ b/persimmondock/platform/_headers.py
@@ -12,7 +12,7 @@
 from persimmondock._domain.backend_notice import BackendNotice
 from persimmondock._domain.fields import HOP_BY_HOP_HEADERS
 from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
-from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Verdict
+from persimmondock._domain.verdict import Answer, Answered, MayHaveRun, NotRun, Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -133,6 +133,11 @@
     return BackendNotice(min(limits, default=None), leaving, conclusive=signed)
 
 
+def read_answer_notice(answer: Answer) -> BackendNotice | None:
+    """Return what an answer that is passed on says about its backend server; see `read_notice`."""
+    return read_notice((header.name, header.value) for header in answer.headers)
+
+
 def may_belong_to(response: HttpResponse, attempt: str) -> bool:
     """Return whether a response may belong to an attempt; refusals may lack the identifier."""
     return response.find_header(ATTEMPT.lower()) in (None, attempt)
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -9,7 +9,8 @@
 from loguru import logger
 
 from persimmondock._adapters.clock import read_clock
-from persimmondock._domain.backend_notice import BackendNotice, KnownNotice
+from persimmondock._domain.assignment import BackendIncarnation
+from persimmondock._domain.backend_notice import BackendNotice, KnownNotice, ToldNotice
 from persimmondock._domain.backend_report import Change, LocalBackend
 from persimmondock._domain.range_lease import RangeLease
 from persimmondock._domain.routing_table import ServicePolicy
@@ -36,12 +37,13 @@
 class GateHarness:
     """A gate with two slots and an in-memory backend server."""
 
-    def __init__(self) -> None:
+    def __init__(self, announced: bool = True) -> None:
         self.server = FakeBackend()
         keeper = RangeKeeper(self.server, RangeLease(), "node-1")
         self.gate = BackendGate("node-1", SiteBounds(), self.server, keeper, NoMetrics())
         self.gate.policy = ServicePolicy(SERVICE, cold_per_s=10.0)
-        self.gate.handle_announcement(make_report())
+        if announced:
+            self.gate.handle_announcement(make_report())
 
     async def ask(self, **changes: object) -> Verdict:
         return await self.gate.run(make_forwarded(read_clock(), **changes))
@@ -341,3 +343,46 @@
     assert len(harness.server.runs) == 2
     harness.gate.handle_announcement(make_report(instance="i-2", born_ms=2000))
     assert isinstance(await harness.ask(), Answered)
+
+
+def make_told(**changes: object) -> ToldNotice:
+    incarnation = BackendIncarnation("node-1", "i-1", 1000)
+    return attrs.evolve(ToldNotice(incarnation, 0.5, leaving=False), **changes)
+
+
+async def test_a_told_limit_binds_before_the_first_request(harness: GateHarness) -> None:
+    """Guards against a new process of the gate's daemon that sends before it has heard itself."""
+    harness.gate.apply_told_notice(make_told())
+    verdict = await harness.ask(objective_at=read_clock() + 0.3, deadline=read_clock() + 0.5)
+    assert isinstance(verdict, NotRun) and verdict.reason is Reason.BACKEND_LIMITED
+    assert harness.server.runs == []
+
+
+async def test_a_told_notice_that_comes_before_the_announcement_is_kept() -> None:
+    """Guards against a daemon that hears of its backend server from others first."""
+    harness = GateHarness(announced=False)
+    harness.gate.apply_told_notice(make_told(leaving=True))
+    harness.gate.handle_announcement(make_report())
+    assert harness.gate.backend.leaving
+    assert await harness.ask() == NotRun(Reason.DRAINING, 300)
+
+
+async def test_a_told_notice_of_another_incarnation_is_ignored(harness: GateHarness) -> None:
+    former = BackendIncarnation("node-1", "i-1", 999)
+    harness.gate.apply_told_notice(make_told(incarnation=former, leaving=True))
+    assert isinstance(await harness.ask(), Answered)
+
+
+async def test_what_the_gate_has_heard_itself_is_newer_than_what_it_is_told(
+    harness: GateHarness,
+) -> None:
+    """Guards against a limit that ended and comes back by a daemon that did not hear of it."""
+    await harness.ask()
+    harness.gate.apply_told_notice(make_told())
+    assert harness.gate.notice.max_per_s is None
+
+
+async def test_of_several_told_limits_the_lowest_counts(harness: GateHarness) -> None:
+    for max_per_s in (5.0, 2.0, 8.0):
+        harness.gate.apply_told_notice(make_told(max_per_s=max_per_s))
+    assert harness.gate.notice.max_per_s == 2.0
--- a/persimmondock/tests/test_dispatcher.py
+++ b/persimmondock/tests/test_dispatcher.py
@@ -12,12 +12,21 @@
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.peer_stream import Delivery, PeerRequestError
 from persimmondock._domain.assignment import Assignment
+from persimmondock._domain.backend_notice import ToldNotice, unpack_told
 from persimmondock._domain.forwarding import pack_verdict
 from persimmondock._domain.gate_choice import GateCandidate, compute_weights
 from persimmondock._domain.gate_status import GateStatus
 from persimmondock._domain.range_lease import RangeLease
 from persimmondock._domain.site import SiteBounds
-from persimmondock._domain.verdict import Answer, Answered, MayHaveRun, NotRun, Reason, Verdict
+from persimmondock._domain.verdict import (
+    Answer,
+    Answered,
+    Header,
+    MayHaveRun,
+    NotRun,
+    Reason,
+    Verdict,
+)
 from persimmondock._ports.keyed_log import Partition
 from persimmondock._ports.metrics import NoMetrics
 from persimmondock._tasks.backend_gate import BackendGate
@@ -25,6 +34,7 @@
 from persimmondock._tasks.mesh import Member, Mesh, Peer
 from persimmondock._tasks.range_keeper import RangeKeeper
 from persimmondock._tasks.store_follower import PartitionFollower
+from persimmondock.platform import _headers
 from persimmondock.tests.fake_backend import FakeBackend
 from persimmondock.tests.sites import (
     SERVICE,
@@ -49,6 +59,11 @@
     verdicts: list[Verdict | PeerRequestError]
     calls: int = 0
     connected: bool = True
+    told: list[Any] = attrs.field(factory=list)
+
+    def send(self, kind: str, payload: Any, on_reply: Any) -> None:
+        assert kind == "notice"
+        self.told.append(payload)
 
     async def request(self, kind: str, payload: Any, outlives_silence: bool = False) -> Any:
         await asyncio.sleep(0)
@@ -263,3 +278,49 @@
     weights = compute_weights(candidates)
     assert min(weights) > 0
     assert weights == sorted(weights, reverse=True)
+
+
+# What backend servers say about themselves.
+
+SIGNATURE = Header("X-Server-Signature", "s")
+LIMITED = Answered(Answer(200, (Header("Server-Limit", "7.5"), SIGNATURE), b""))
+UNLIMITED = Answered(Answer(200, (SIGNATURE,), b""))
+
+
+def make_owner(harness: DispatcherHarness, *verdicts: Verdict) -> FakeLink:
+    """Return the link to the only gate of the service."""
+    harness.dispatcher.read_notice = _headers.read_answer_notice
+    return harness.add(1, *verdicts)
+
+
+async def test_a_gate_is_told_what_was_heard_ahead_of_each_request(
+    harness: DispatcherHarness,
+) -> None:
+    """Guards against a new process of the gate's daemon that does not know of a limit."""
+    link = make_owner(harness, LIMITED)
+    await harness.ask()
+    assert link.told == []
+    await harness.ask()
+    await harness.ask()
+    assert [unpack_told(told) for told in link.told] == 2 * [
+        ToldNotice(make_incarnation(1), 7.5, False)
+    ]
+
+
+async def test_a_limit_that_ended_is_not_told_any_more(harness: DispatcherHarness) -> None:
+    link = make_owner(harness, LIMITED, UNLIMITED)
+    for _ in range(4):
+        await harness.ask()
+    assert len(link.told) == 1
+
+
+async def test_an_answer_is_not_put_down_to_an_incarnation_that_came_after_it(
+    harness: DispatcherHarness,
+) -> None:
+    """The status in the reply may be that of a backend server that has been started since."""
+    link = make_owner(harness, LIMITED)
+    harness.mesh.peers["node-1"].status = make_status(incarnation=make_incarnation(1, born_ms=0))
+    await harness.ask()
+    harness.mesh.peers["node-1"].status = make_status(incarnation=make_incarnation(1, born_ms=0))
+    await harness.ask()
+    assert link.told == []
--- a/persimmondock/tests/virtual_site.py
+++ b/persimmondock/tests/virtual_site.py
@@ -155,7 +155,7 @@
             node.service, SiteBounds(), self.mesh, self.gate, site.control, NoMetrics()
         )
         self.dispatcher._random = random.Random(site.seed)
-        self.dispatcher.read_notice = read_answer_notice
+        self.dispatcher.read_notice = _headers.read_answer_notice
         self.tasks: set[asyncio.Task[Any]] = set()
         # Servers whose answers with a limit, or with their leaving, were passed on here.
         self.passed_on_limit: dict[str, float] = {}
@@ -174,11 +174,6 @@
             task.cancel()
 
 
-def read_answer_notice(answer: Answer) -> BackendNotice | None:
-    """Return what an answer says about its backend server."""
-    return _headers.read_notice([(header.name, header.value) for header in answer.headers])
-
-
 @attrs.define(eq=False)
 class VirtualNode:
     """One VM with a daemon and a backend server.
@@ -474,7 +469,7 @@
         """Record that a front passed on an answer with a limit, or with a server's leaving."""
         now = read_clock()
         server = next(h.value for h in answer.headers if h.name == "X-Server")
-        notice = read_answer_notice(answer)
+        notice = _headers.read_answer_notice(answer)
         if notice is not None and notice.max_per_s is not None:
             process.passed_on_limit.setdefault(server, now)
         if notice is not None and notice.leaving:
