Report the room that a named limit leaves to callers' daemons and the planner

Change: a limited gate reports as many slots as run at a time at the limit, a service time that gives the limit when divided by, and the limit as its capacity. Both are what others compare already, so no message changes. What a gate without a known service time is taken for is the median of the known ones, not their mean, which a limited gate would raise for new ones.

--- a/persimmondock/_domain/gate_choice.py
+++ b/persimmondock/_domain/gate_choice.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import statistics
+
 import attrs
 
 DEFAULT_SERVICE_S = 0.1  # until a gate reports a service time
@@ -47,8 +49,9 @@
 def compute_weights(candidates: list[GateCandidate]) -> list[float]:
     """Return the weights of a random choice between gates, in the order of the candidates."""
     known_service_s = [c.service_s for c in candidates if c.service_s > 0]
+    # The median: a few slow or limited gates must not make new ones look slow.
     default_service_s = (
-        sum(known_service_s) / len(known_service_s) if known_service_s else DEFAULT_SERVICE_S
+        statistics.median_low(known_service_s) if known_service_s else DEFAULT_SERVICE_S
     )
     return [
         compute_cost(candidate, default_service_s) ** -COST_EXPONENT for candidate in candidates
--- a/persimmondock/_domain/gate_status.py
+++ b/persimmondock/_domain/gate_status.py
@@ -26,7 +26,8 @@
     accepts_work
         Whether the gate accepts new requests.
     service_s
-        Recent mean service time of a request in seconds; 0 before the first answer.
+        Recent mean service time of a request in seconds; 0 before the first answer. Longer where a
+        limit that the backend server names allows less than its slots.
     granted_offset
         Offset after the record of the current assignment if all of this gate's ranges are granted,
         else -1.
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -27,6 +27,7 @@
 from persimmondock._domain.crash_suspects import CrashSuspects
 from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
 from persimmondock._domain.gate_queue import (
+    INITIAL_SERVICE_S,
     MAX_OWNER_WAIT_SHARE,
     GateQueue,
     QueuedRequest,
@@ -63,6 +64,8 @@
 CRASH_WINDOW_S = 6.0  # only a restart proves a crash, and it is announced seconds later
 GATEWAY_TIMEOUT = 504  # status that the backend server itself returns at the time limit
 QUEUE_CHECK_INTERVAL_S = 0.05
+MIN_REPORTED_PER_S = 0.1  # 0 stands for an unknown rate
+MAX_SLOWDOWN_REPORTED = 10.0  # enough for other gates to be chosen first
 
 
 @attrs.define
@@ -193,14 +196,15 @@
     def describe(self) -> GateStatus:
         """Return the state to report to other daemons."""
         announcement = self.backend.announcement
+        slots = self._count_usable_slots()
         return GateStatus(
             service=announcement.service if announcement is not None else "",
             incarnation=self.incarnation,
-            slots=self._count_usable_slots(),
+            slots=slots,
             running=len(self._running),
             waiting=len(self._queue),
             accepts_work=self.is_open and not self.evacuated,
-            service_s=self._service_times.mean_s,
+            service_s=self._compute_reported_service_s(slots),
             granted_offset=self._keeper.find_granted_offset(),
             capacity_per_s=self._estimate_rate(),
         )
@@ -569,18 +573,36 @@
             self._refuse(queued, self._refuse_by_limit(wait_s, now))
 
     def _count_usable_slots(self) -> int:
-        """Return the slots to report; fewer while the backend server is cold."""
-        now = read_clock()
+        """Return the slots to report; fewer while the backend server is cold or limited."""
+        now, slots = read_clock(), self.slots
         if self._cold_limit_per_s > 0 and self._arrival_limit.is_cold(now):
             # As many requests as the limit allows in 0.1 s.
-            return max(1, min(self.slots, int(self._cold_limit_per_s * 0.1)))
-        return self.slots
+            slots = min(slots, int(self._cold_limit_per_s * 0.1))
+        if self.notice.max_per_s is not None:
+            # As many as run at a time when requests come at the limit.
+            service_s = self._service_times.mean_s or INITIAL_SERVICE_S
+            slots = min(slots, int(self.notice.max_per_s * service_s))
+        return max(min(1, self.slots), slots)
+
+    def _compute_reported_service_s(self, slots: int) -> float:
+        """Return the mean service time to report, longer where a limit allows less than the slots.
+
+        Other daemons compare gates by the slots and by this time.
+        """
+        mean_s, limit_per_s = self._service_times.mean_s, self.notice.max_per_s
+        if limit_per_s is None:
+            return mean_s
+        longest_s = MAX_SLOWDOWN_REPORTED * (mean_s or INITIAL_SERVICE_S)
+        return min(longest_s, max(mean_s, slots / limit_per_s)) if limit_per_s else longest_s
 
     def _estimate_rate(self) -> float:
         """Return the requests per second that the backend server can answer, or 0 if unknown."""
+        limit_per_s = self.notice.max_per_s
         if self._service_times.slow_mean_s == 0.0:
-            return 0.0
+            return 0.0 if limit_per_s is None else max(MIN_REPORTED_PER_S, limit_per_s)
         per_s = self.slots / self._service_times.slow_mean_s
+        if limit_per_s is not None:
+            per_s = min(per_s, max(MIN_REPORTED_PER_S, limit_per_s))
         if self._cold_limit_per_s > 0 and self._arrival_limit.is_cold(read_clock()):
             return min(per_s, self._cold_limit_per_s)
         return per_s
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -386,3 +386,20 @@
     for max_per_s in (5.0, 2.0, 8.0):
         harness.gate.apply_told_notice(make_told(max_per_s=max_per_s))
     assert harness.gate.notice.max_per_s == 2.0
+
+
+@pytest.mark.parametrize("limit_per_s", [0.0, 0.3, 2.0, 11.2])
+async def test_a_limited_gate_reports_the_room_that_the_limit_leaves(
+    harness: GateHarness, limit_per_s: float
+) -> None:
+    """Guards against callers' daemons and a planner of keys that go on as before."""
+    harness.server.work_s = 0.02
+    await harness.ask()
+    free = harness.gate.describe()
+    harness.server.notice = BackendNotice(limit_per_s)
+    await harness.ask()
+    status = harness.gate.describe()
+    assert free.capacity_per_s > 20.0 and free.slots == 2
+    assert status.capacity_per_s == pytest.approx(max(0.1, limit_per_s))
+    assert status.slots == 1
+    assert status.slots / status.service_s <= max(limit_per_s, free.capacity_per_s / 10)
