Ask a limited backend server that answers too little whether its limit holds

What would be seen: a backend server that names a limit of 0 gets nothing, so no answer of it can say that it takes more again; its callers are refused for good. With 0.3 a second the news takes seconds, and an owner of keys whose keys were moved away is never heard of again.

Cause: a limit ends by an answer to a request only.

Change: where a limited backend server has told of no limit for 2 s, its gate asks its health path. What the answer names counts; one of the instance that names none doubles the limit, from 0.5 a second on, since health answers prove less than answers to requests. One kept connection, no check without a limit.

Evidence: four tests in virtual time (0 and 0.3 a second, with and without a restart of the gate's daemon), an idle server, steps down and up.

--- a/persimmondock/_domain/backend_notice.py
+++ b/persimmondock/_domain/backend_notice.py
@@ -50,6 +50,12 @@
     return ToldNotice(BackendIncarnation(*incarnation), max_per_s, leaving)
 
 
+# A limit that a backend server does not name any more when it is asked, while it gets too few
+# requests to say so in answers, is raised step by step: to this rate first, then to twice as much.
+FIRST_RAISED_PER_S = 0.5
+LAST_RAISED_PER_S = 1_000.0
+
+
 class LimitChange(enum.Enum):
     """Effect of a notice on the limit that is in force."""
 
@@ -69,15 +75,16 @@
         Limit in force, or None.
     leaving
         Whether any answer said that the backend server leaves.
-    heard
-        Whether an answer was heard here, and not only told by another daemon.
+    heard_at
+        Instant of the last answer that was heard here and told of a limit or of its end; minus
+        infinity if there was none, but only what another daemon told.
     named_at
         Instant at which an answer last named a limit.
     """
 
     max_per_s: float | None = None
     leaving: bool = False
-    heard: bool = False
+    heard_at: float = -math.inf
     named_at: float = -math.inf
 
     def hear(self, notice: BackendNotice, sent_at: float, now: float) -> LimitChange:
@@ -89,13 +96,13 @@
         self.leaving = self.leaving or notice.leaving
         if notice.max_per_s is not None:
             previous, self.max_per_s = self.max_per_s, notice.max_per_s
-            self.heard, self.named_at = True, now
+            self.heard_at = self.named_at = now
             if previous is None:
                 return LimitChange.NAMED
             return LimitChange.NONE if previous == notice.max_per_s else LimitChange.CHANGED
         if not notice.conclusive or sent_at <= self.named_at:
             return LimitChange.NONE
-        self.heard = True
+        self.heard_at = now
         previous, self.max_per_s = self.max_per_s, None
         return LimitChange.NONE if previous is None else LimitChange.ENDED
 
@@ -105,9 +112,20 @@
         All answers pass this daemon, so what it has heard itself is newer. Of several daemons the
         one with the lowest limit is believed.
         """
-        if self.heard or max_per_s is None:
+        if self.heard_at > -math.inf or max_per_s is None:
             return False
         if self.max_per_s is not None and self.max_per_s <= max_per_s:
             return False
         self.max_per_s = max_per_s
         return True
+
+    def raise_limit(self) -> LimitChange:
+        """Raise the limit because the backend server does not name it when it is asked.
+
+        Only an answer to a request proves that a limit has ended.
+        """
+        if self.max_per_s is None:
+            return LimitChange.NONE
+        raised_per_s = max(FIRST_RAISED_PER_S, 2 * self.max_per_s)
+        self.max_per_s = raised_per_s if raised_per_s <= LAST_RAISED_PER_S else None
+        return LimitChange.ENDED if self.max_per_s is None else LimitChange.CHANGED
--- a/persimmondock/_ports/backend.py
+++ b/persimmondock/_ports/backend.py
@@ -114,6 +114,16 @@
         """Revoke keys, and wait until no work on them is running."""
         ...
 
+    async def check_health(self, path: str, instance: str) -> BackendNotice | None:
+        """Return what the answer to a health check says about the backend server.
+
+        Returns
+        -------
+        BackendNotice | None
+            None if no answer of ``instance`` came, or none that can be read.
+        """
+        ...
+
     async def refuses_connections(self) -> bool:
         """Return whether nothing listens at the backend server's address."""
         ...
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -65,6 +65,8 @@
 GATEWAY_TIMEOUT = 504  # status that the backend server itself returns at the time limit
 QUEUE_CHECK_INTERVAL_S = 0.05
 MIN_REPORTED_PER_S = 0.1  # 0 stands for an unknown rate
+# A limited backend server that answers nothing for so long is asked whether the limit still holds.
+LIMIT_CHECK_INTERVAL_S = 2.0
 MAX_SLOWDOWN_REPORTED = 10.0  # enough for other gates to be chosen first
 
 
@@ -160,6 +162,7 @@
         self._arrival_limit = ArrivalLimit()
         self._named_bounds: tuple[ArrivalBound, ...] = ()
         self._told_early: list[ToldNotice] = []
+        self._limit_checked_at = 0.0
         self._return_times = ReturnTimes()
         self._service_times = ServiceTimes()
         self._queue = GateQueue()
@@ -251,6 +254,43 @@
         self._start_waiting()
         return change
 
+    def _apply_limit_change(self, change: LimitChange, previous_per_s: float | None) -> None:
+        if change is LimitChange.NONE:
+            return
+        logger.info(
+            "event=limit_{} instance={} max_per_s={} previous_per_s={} running={} waiting={}",
+            change.value,
+            self.incarnation.instance if self.incarnation is not None else "-",
+            _show_limit(self.notice.max_per_s),
+            _show_limit(previous_per_s),
+            len(self._running),
+            len(self._queue),
+        )
+        self._apply_limit()
+
+    async def watch_limit(self) -> None:
+        """Find out until cancelled whether a limit holds that hardly lets anything be answered."""
+        while True:
+            await asyncio.sleep(LIMIT_CHECK_INTERVAL_S / 4)
+            last_at = max(self.notice.heard_at, self._limit_checked_at)
+            is_limited = self.notice.max_per_s is not None and not self.backend.leaving
+            if is_limited and read_clock() - last_at >= LIMIT_CHECK_INTERVAL_S:
+                self._limit_checked_at = read_clock()
+                await self._check_limit()
+
+    async def _check_limit(self) -> None:
+        incarnation, policy = self.incarnation, self.policy
+        if incarnation is None or policy is None or self.backend_down:
+            return
+        sent_at = read_clock()
+        notice = await self._server.check_health(policy.health_path, incarnation.instance)
+        if notice is None or self.incarnation != incarnation or self.notice.heard_at > sent_at:
+            return
+        self._record_notice(incarnation, notice, sent_at)
+        if notice.max_per_s is None:
+            previous_per_s = self.notice.max_per_s
+            self._apply_limit_change(self.notice.raise_limit(), previous_per_s)
+
     def apply_told_notice(self, told: ToldNotice) -> None:
         """Apply what a daemon that sends requests here has heard of the backend server.
 
@@ -456,17 +496,7 @@
             return
         previous_per_s, was_leaving = self.notice.max_per_s, self.notice.leaving
         change = self.notice.hear(notice, sent_at, read_clock())
-        if change is not LimitChange.NONE:
-            self._apply_limit()
-            logger.info(
-                "event=limit_{} instance={} max_per_s={} previous_per_s={} running={} waiting={}",
-                change.value,
-                incarnation.instance,
-                _show_limit(self.notice.max_per_s),
-                _show_limit(previous_per_s),
-                len(self._running),
-                len(self._queue),
-            )
+        self._apply_limit_change(change, previous_per_s)
         if self.notice.leaving and not was_leaving:
             logger.info("event=leaving_answered instance={}", incarnation.instance)
             self._apply_leaving()
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -172,6 +172,7 @@
             self.mesh.run(),
             self.keeper.run(),
             self.control.run(),
+            self.gate.watch_limit(),
             self._register_member(),
         ]
         for coroutine in coroutines:
--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -6,6 +6,8 @@
 import json
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.http_exchange import (
     ConnectFailedError,
@@ -53,6 +55,7 @@
 MAX_CONCURRENT_RELEASES = 6
 GRANT_TIMEOUT_S = 0.5  # grants are answered within milliseconds or take seconds
 RELEASE_TIMEOUT_S = 2.5  # a release waits for work on its keys, which usually ends by then
+HEALTH_TIMEOUT_S = 0.5
 RESPONSE_GRACE_S = 0.1  # time for the backend server's own timeout response to arrive
 RETRY_AFTER_MS = 200
 NOT_SENT = NotRun(Reason.BACKEND_UNREACHABLE, RETRY_AFTER_MS)
@@ -67,6 +70,7 @@
         # Separate clients: releases wait for running work and must not delay renewals of grants.
         self._grant_client = _ControlClient(address, MAX_CONCURRENT_GRANTS)
         self._release_client = _ControlClient(address, MAX_CONCURRENT_RELEASES)
+        self._health_client = _ControlClient(address, 1)
 
     async def run(
         self,
@@ -180,6 +184,21 @@
             return ReleaseFailed(f"status {response.status}")
         return ReleaseDone(response.find_header(_headers.HANDOVER) or "")
 
+    async def check_health(self, path: str, instance: str) -> BackendNotice | None:
+        """Return what the answer to a health check says about the backend server."""
+        fields = [("Host", self._address), (_headers.EXPECTED_INSTANCE, instance)]
+        data = render_request("GET", path, fields, b"")
+        try:
+            response = await self._health_client.call(lambda: data, HEALTH_TIMEOUT_S)
+        except (ExchangeError, TimeoutError) as error:
+            logger.info("event=health_unknown instance={} error={!r}", instance, error)
+            return None
+        answered_by = response.find_header(_headers.INSTANCE) if response is not None else None
+        if response is None or answered_by != instance:
+            logger.info("event=health_unknown instance={} answered_by={}", instance, answered_by)
+            return None
+        return _headers.read_notice(response.headers)
+
     async def refuses_connections(self) -> bool:
         """Return whether nothing listens at the backend server's address."""
         try:
@@ -193,6 +212,7 @@
         self._pool.close()
         self._grant_client.pool.close()
         self._release_client.pool.close()
+        self._health_client.pool.close()
 
 
 class _ControlClient:
--- a/persimmondock/standins/site_backend.py
+++ b/persimmondock/standins/site_backend.py
@@ -94,6 +94,8 @@
         Monotonic time at which the daemon first acknowledged the draining, in seconds.
     ended_at
         Monotonic time of the stop, in seconds.
+    health_checks
+        Number of health checks that were answered.
     limit
         Value of the header by which all answers to requests name a limit; empty for none.
     leaving
@@ -118,6 +120,7 @@
     announce_interval_s: float = ANNOUNCE_INTERVAL_S
     drain_acked_at: float | None = None
     ended_at: float | None = None
+    health_checks: int = 0
     limit: str = ""
     leaving: bool = False
     _active_keys: list[int] = attrs.field(factory=list)
@@ -132,6 +135,7 @@
         application = web.Application()
         application.router.add_post("/-/grant", self._grant)
         application.router.add_post("/-/release", self._release)
+        application.router.add_get("/health", self._show_health)
         application.router.add_route("*", "/{path:.*}", self._serve)
         self._runner = web.AppRunner(
             application,
@@ -263,6 +267,11 @@
         now = time.monotonic()
         return any(h.first <= key <= h.last and h.start <= now < h.end for h in self.held_ranges)
 
+    async def _show_health(self, _: web.Request) -> web.Response:
+        self.health_checks += 1
+        headers = {"X-Instance-Id": self.instance} | self._build_notice_headers()
+        return web.Response(status=503 if self.draining or self.leaving else 200, headers=headers)
+
     def _build_notice_headers(self) -> dict[str, str]:
         headers = {"Server-Limit": self.limit} if self.limit else {}
         return headers | {"Server-Leaving": "1"} if self.leaving else headers
--- a/persimmondock/tests/fake_backend.py
+++ b/persimmondock/tests/fake_backend.py
@@ -53,6 +53,7 @@
     outcomes: list[Verdict] = attrs.field(factory=list)
     releases: list[tuple[int, int]] = attrs.field(factory=list)
     cancelled: int = 0
+    health_checks: list[str] = attrs.field(factory=list)
     notice: BackendNotice | None = attrs.field(factory=lambda: BackendNotice(conclusive=True))
 
     async def run(
@@ -107,6 +108,12 @@
         held = self.holds.pop((first, last), None)
         return ReleaseDone(f"handover-{first}" if held is not None else "")
 
+    async def check_health(self, path: str, instance: str) -> BackendNotice | None:
+        """Answer a health check."""
+        await asyncio.sleep(0)
+        self.health_checks.append(path)
+        return self.notice
+
     async def refuses_connections(self) -> bool:
         """Return whether connections are refused."""
         return self.refused
--- a/persimmondock/tests/test_server_limits.py
+++ b/persimmondock/tests/test_server_limits.py
@@ -31,9 +31,9 @@
     return run_in_virtual_time(run())
 
 
-def name_limit(node: VirtualNode, limit: float = LIMIT_PER_S) -> float:
+def name_limit(node: VirtualNode, limit: str = str(LIMIT_PER_S)) -> float:
     """Have a backend server name a limit from now on; return the instant."""
-    node.server.limit = str(limit)
+    node.server.limit = limit
     return read_clock()
 
 
@@ -115,3 +115,67 @@
     site = run_site(scenario, keyed=keyed)
     assert any(front.process.passed_on_leaving for front in site.fronts)
     assert list_late_arrivals(site) == []
+
+
+# Guards against a limit that lets nothing through, and so is never heard to have risen.
+@pytest.mark.parametrize("limit", ["0", "0.3"])
+@pytest.mark.parametrize("restarts", [False, True], ids=["steady", "gate_restarted"])
+def test_a_server_that_takes_hardly_anything_is_used_again_once_it_takes_more(
+    limit: str, restarts: bool
+) -> None:
+    risen_at, limited_from = [], []
+
+    async def scenario(site: VirtualSite) -> None:
+        server = site.servers[0].server
+        offered = asyncio.create_task(site.offer(130.0, 30.0))
+        await asyncio.sleep(3.0)
+        limited_from.append(name_limit(site.servers[0], limit) + CONTACT_S)
+        await asyncio.sleep(6.0)
+        if restarts:
+            await site.restart(site.servers[0], down_s=0.6)
+        await asyncio.sleep(6.0)
+        assert sum(a.at >= limited_from[0] for a in server.arrivals) <= 9 * 0.3 + 1
+        server.limit = ""
+        risen_at.append(read_clock())
+        await offered
+
+    site = run_site(scenario, keyed=True)
+    server = site.servers[0].server
+    served_again = [a.at for a in server.arrivals if a.at > risen_at[0] + 6.0]
+    assert len(served_again) > 100
+    assert 0 < len(server.health_checks) <= 20
+
+
+# Guards against keys that a planner never gives back, as nothing ends the limit of an idle server.
+def test_the_limit_of_an_idle_server_is_raised_once_it_names_none() -> None:
+    async def scenario(site: VirtualSite) -> None:
+        await site.offer(50.0, 2.0)
+        name_limit(site.servers[0], "5")
+        await site.offer(50.0, 2.0)
+        site.servers[0].server.limit = ""
+        await asyncio.sleep(10.0)
+        assert site.servers[0].process.gate.describe().capacity_per_s > 20.0
+
+    run_site(scenario, keyed=True)
+
+
+# Guards against a limit that goes up and down faster than the bounds follow.
+@pytest.mark.parametrize("keyed", [True, False], ids=["keyed", "plain"])
+def test_steps_of_a_limit_are_followed(keyed: bool) -> None:
+    steps: list[tuple[float, float]] = []
+
+    async def scenario(site: VirtualSite) -> None:
+        offered = asyncio.create_task(site.offer(160.0, 24.0))
+        await asyncio.sleep(3.0)
+        for limit in (18.0, 5.0, 30.0, 2.0, 11.0):
+            steps.append((name_limit(site.servers[0], str(limit)), limit))
+            await asyncio.sleep(4.0)
+        await offered
+
+    site = run_site(scenario, keyed=keyed)
+    for start, limit in steps:
+        # An answer that names the new limit has to come first.
+        arrivals = [
+            a.at for a in site.servers[0].server.arrivals if start + 0.6 <= a.at < start + 4
+        ]
+        assert len(arrivals) <= 1.1 * limit * 3.4 + 1
--- a/persimmondock/tests/virtual_site.py
+++ b/persimmondock/tests/virtual_site.py
@@ -75,7 +75,6 @@
     limit: str = ""
     leaving: bool = False
     arrivals: list[Arrival] = attrs.field(factory=list)
-    health_checks: list[float] = attrs.field(factory=list)
 
     def _list_fields(self) -> tuple[Header, ...]:
         fields = [Header("X-Server-Signature", "3e1b"), Header("X-Server", self.name)]
@@ -112,7 +111,7 @@
     async def check_health(self, path: str, instance: str) -> BackendNotice | None:
         """Answer a health check."""
         await asyncio.sleep(0)
-        self.health_checks.append(read_clock())
+        self.health_checks.append(path)
         return self._read_notice(self._list_fields())
 
 
@@ -359,6 +358,7 @@
                 node.process.mesh.add_peer(Peer(member, link))
         node.process.start(self._run_heartbeats(node))
         node.process.start(self._run_announcements(node, node.process))
+        node.process.start(node.process.gate.watch_limit())
 
     async def _run_heartbeats(self, node: VirtualNode) -> None:
         while True:
