Come back step by step after the end of a limit

What would be seen: 42 requests in the 0.8 s after a limit of 5 a second ends, at a backend server that was in need; and a rush on each answer that misses the field although the limit holds.

Change: after the end of a limit twice as much is sent every 0.5 s, until the slots allow less; other daemons are told of the room in the same steps.

--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -65,6 +65,10 @@
 GATEWAY_TIMEOUT = 504  # status that the backend server itself returns at the time limit
 QUEUE_CHECK_INTERVAL_S = 0.05
 MIN_REPORTED_PER_S = 0.1  # 0 stands for an unknown rate
+# After the end of a limit, twice as much is sent in each of these steps: a server that was in need
+# is not met by everyone at once, and one answer without the limit costs little.
+RECOVERY_STEP_S = 0.5
+MIN_RECOVERY_PER_S = 1.0
 # A limited backend server that answers nothing for so long is asked whether the limit still holds.
 LIMIT_CHECK_INTERVAL_S = 2.0
 MAX_SLOWDOWN_REPORTED = 10.0  # enough for other gates to be chosen first
@@ -163,6 +167,8 @@
         self._named_bounds: tuple[ArrivalBound, ...] = ()
         self._told_early: list[ToldNotice] = []
         self._limit_checked_at = 0.0
+        self._recovery_per_s: float | None = None
+        self._recovery_timer: asyncio.TimerHandle | None = None
         self._return_times = ReturnTimes()
         self._service_times = ServiceTimes()
         self._queue = GateQueue()
@@ -242,7 +248,7 @@
             self._record_crash(now)
             self._service_times = ServiceTimes()
             self.notice = KnownNotice()
-            self._named_bounds = ()
+            self._end_recovery()
             incarnation = self.incarnation
             assert incarnation is not None
             self._keeper.update_incarnation(incarnation)
@@ -266,8 +272,40 @@
             len(self._running),
             len(self._queue),
         )
+        if change is LimitChange.ENDED and previous_per_s is not None:
+            self._recovery_per_s = max(previous_per_s, MIN_RECOVERY_PER_S)
+            self._advance_recovery()
+        else:
+            self._end_recovery()
         self._apply_limit()
 
+    def _advance_recovery(self) -> None:
+        """Double the rate after the end of a limit, until the slots allow less."""
+        assert self._recovery_per_s is not None
+        self._recovery_per_s *= 2
+        slots_per_s = self.slots / (self._service_times.mean_s or INITIAL_SERVICE_S)
+        if self._recovery_per_s >= slots_per_s:
+            self._end_recovery()
+        else:
+            self._recovery_timer = asyncio.get_running_loop().call_later(
+                RECOVERY_STEP_S, self._on_recovery_timer
+            )
+
+    def _on_recovery_timer(self) -> None:
+        self._advance_recovery()
+        self._apply_limit()
+
+    def _end_recovery(self) -> None:
+        self._recovery_per_s = None
+        if self._recovery_timer is not None:
+            self._recovery_timer.cancel()
+            self._recovery_timer = None
+
+    @property
+    def _limit_per_s(self) -> float | None:
+        """Requests per second that may be sent, by the limit or after its end; None for all."""
+        return self.notice.max_per_s if self.notice.max_per_s is not None else self._recovery_per_s
+
     async def watch_limit(self) -> None:
         """Find out until cancelled whether a limit holds that hardly lets anything be answered."""
         while True:
@@ -562,7 +600,7 @@
         assume_used
             Whether a former process of this daemon may have used the limit up to now.
         """
-        now, limit_per_s = read_clock(), self.notice.max_per_s
+        now, limit_per_s = read_clock(), self._limit_per_s
         self._named_bounds = () if limit_per_s is None else bound_named_limit(limit_per_s)
         if self._named_bounds:
             total = self._named_bounds[0]
@@ -608,10 +646,10 @@
         if self._cold_limit_per_s > 0 and self._arrival_limit.is_cold(now):
             # As many requests as the limit allows in 0.1 s.
             slots = min(slots, int(self._cold_limit_per_s * 0.1))
-        if self.notice.max_per_s is not None:
+        if self._limit_per_s is not None:
             # As many as run at a time when requests come at the limit.
             service_s = self._service_times.mean_s or INITIAL_SERVICE_S
-            slots = min(slots, int(self.notice.max_per_s * service_s))
+            slots = min(slots, int(self._limit_per_s * service_s))
         return max(min(1, self.slots), slots)
 
     def _compute_reported_service_s(self, slots: int) -> float:
@@ -619,7 +657,7 @@
 
         Other daemons compare gates by the slots and by this time.
         """
-        mean_s, limit_per_s = self._service_times.mean_s, self.notice.max_per_s
+        mean_s, limit_per_s = self._service_times.mean_s, self._limit_per_s
         if limit_per_s is None:
             return mean_s
         longest_s = MAX_SLOWDOWN_REPORTED * (mean_s or INITIAL_SERVICE_S)
@@ -627,7 +665,7 @@
 
     def _estimate_rate(self) -> float:
         """Return the requests per second that the backend server can answer, or 0 if unknown."""
-        limit_per_s = self.notice.max_per_s
+        limit_per_s = self._limit_per_s
         if self._service_times.slow_mean_s == 0.0:
             return 0.0 if limit_per_s is None else max(MIN_REPORTED_PER_S, limit_per_s)
         per_s = self.slots / self._service_times.slow_mean_s
--- a/persimmondock/tests/test_server_limits.py
+++ b/persimmondock/tests/test_server_limits.py
@@ -179,3 +179,38 @@
             a.at for a in site.servers[0].server.arrivals if start + 0.6 <= a.at < start + 4
         ]
         assert len(arrivals) <= 1.1 * limit * 3.4 + 1
+
+
+# Guards against the rush after an answer that does not name the limit by mistake.
+@pytest.mark.parametrize("keyed", [True, False], ids=["keyed", "plain"])
+def test_answers_that_miss_the_limit_do_not_end_it_for_long(keyed: bool) -> None:
+    binding_from = []
+
+    async def scenario(site: VirtualSite) -> None:
+        site.servers[0].server.unnamed_share = 0.2
+        offered = asyncio.create_task(site.offer(200.0, 20.0))
+        await asyncio.sleep(3.0)
+        binding_from.append(name_limit(site.servers[0]) + CONTACT_S)
+        await offered
+
+    site = run_site(scenario, keyed=keyed)
+    server = site.servers[0].server
+    assert count_arrivals(server, binding_from[0]) <= 1.5 * WINDOW_S * LIMIT_PER_S + 5
+
+
+# Guards against everyone at once when a limit ends.
+def test_requests_come_back_step_by_step_when_a_limit_ends() -> None:
+    ended_at = []
+
+    async def scenario(site: VirtualSite) -> None:
+        offered = asyncio.create_task(site.offer(200.0, 18.0))
+        await asyncio.sleep(3.0)
+        name_limit(site.servers[0], "5")
+        await asyncio.sleep(7.0)
+        site.servers[0].server.limit = ""
+        ended_at.append(read_clock())
+        await offered
+
+    arrivals = run_site(scenario, keyed=True).servers[0].server.arrivals
+    assert sum(ended_at[0] <= a.at < ended_at[0] + 0.8 for a in arrivals) <= 20
+    assert sum(ended_at[0] + 4.0 <= a.at < ended_at[0] + 5.0 for a in arrivals) >= 50
--- a/persimmondock/tests/virtual_site.py
+++ b/persimmondock/tests/virtual_site.py
@@ -69,16 +69,20 @@
         Value of the field by which answers name a limit; empty for none.
     leaving
         Whether answers say that it leaves.
+    unnamed_share
+        Share of the answers that name no limit although there is one.
     """
 
     name: str = ""
     limit: str = ""
     leaving: bool = False
+    unnamed_share: float = 0.0
     arrivals: list[Arrival] = attrs.field(factory=list)
 
     def _list_fields(self) -> tuple[Header, ...]:
         fields = [Header("X-Server-Signature", "3e1b"), Header("X-Server", self.name)]
-        if self.limit:
+        count, share = len(self.arrivals), self.unnamed_share
+        if self.limit and int(count * share) == int((count - 1) * share):
             fields.append(Header("Server-Limit", self.limit))
         if self.leaving:
             fields.append(Header("Server-Leaving", "1"))
