Forget the bounds of a limit with the incarnation that named it

What would be seen: a new backend server starts with the bounds of the former one until its first answers, 20 requests at once are mostly refused (test_a_new_incarnation_has_said_nothing_yet fails before). The incarnation's notice was forgotten, the bounds made from it were not; seen in reading.

--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -247,7 +247,7 @@
         if change is Change.NEW_INCARNATION:
             self._record_crash(now)
             self._service_times = ServiceTimes()
-            self.notice = KnownNotice()
+            self.notice, self._named_bounds = KnownNotice(), ()
             self._end_recovery()
             incarnation = self.incarnation
             assert incarnation is not None
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -328,6 +328,12 @@
     await harness.ask()
     harness.gate.handle_announcement(make_report(instance="i-2", born_ms=2000))
     assert harness.gate.notice == KnownNotice()
+    harness.server.notice = BackendNotice(0.1)
+    await harness.ask()
+    harness.gate.handle_announcement(make_report(instance="i-3", born_ms=3000))
+    harness.server.notice = BackendNotice(conclusive=True)
+    verdicts = await harness.ask_many(20)
+    assert all(isinstance(verdict, Answered) for verdict in verdicts)
 
 
 async def test_a_backend_server_that_says_it_leaves_drains(harness: GateHarness) -> None:
