Tests of limits and leaving with whole daemons, and of which answers count

Over HTTP: a limit is kept after a restart of the gate's daemon, keys of a server that says it leaves are handed over in both grant modes, a limit of 0 ends by health checks. Which answers count: 500s and refusals of the server do; an unsigned success, another attempt, another instance and an answer that is broken off do not.

--- a/persimmondock/tests/platform/test_daemon.py
+++ b/persimmondock/tests/platform/test_daemon.py
@@ -13,7 +13,7 @@
 from persimmondock.platform._daemon import PlatformDaemon
 from persimmondock.platform._settings import MetricsEndpoint
 from persimmondock.tests.builders import NETWORK
-from persimmondock.tests.live_site import METRICS_PORT, make_config, run_site
+from persimmondock.tests.live_site import METRICS_PORT, LiveNode, LiveSite, make_config, run_site
 
 GRANT_MODES = pytest.mark.parametrize(
     "grant_mode", [GrantsByCall(), GrantsInHeartbeats()], ids=["call", "heartbeat"]
@@ -248,3 +248,68 @@
         await asyncio.gather(*callers)
         assert took_s < bounds.stop_s / 2
         assert set(outcomes) <= {200, 503}
+
+
+async def restart_daemon(site: LiveSite, node: LiveNode) -> None:
+    """Replace a daemon by a new process of it, which remembers nothing."""
+    await node.daemon.close()
+    node.daemon = PlatformDaemon(node.settings, MetricsEndpoint(METRICS_PORT, "/metrics"))
+    await node.daemon.start()
+
+
+async def test_a_limit_holds_on_the_wire_and_after_a_restart_of_the_gate() -> None:
+    """Guards against the LIMIT incident, with whole daemons and answers over HTTP."""
+    async with run_site() as site:
+        gate, other = site.nodes[2], site.nodes[3]
+        other.backend.leaving = True
+        gate.backend.limit = "2.0"
+        for number in range(12):
+            await site.ask(site.nodes[0], "/assign/1", attempt=f"before-{number}")
+        assert gate.daemon.sidecar.gate.notice.max_per_s == 2.0
+        assert "persimmondock_backend_limit_per_s 2.0" in await site.read_metrics(gate)
+        await restart_daemon(site, gate)
+        deadline = read_clock() + 5.0
+        while read_clock() < deadline:
+            status, _, _ = await site.ask(site.nodes[0], "/assign/1", timeout_ms=400)
+            if status == 503 and gate.daemon.sidecar.gate.notice.max_per_s is not None:
+                break
+            await asyncio.sleep(0.05)
+        assert gate.daemon.sidecar.gate.notice.max_per_s == 2.0
+        started, before = read_clock(), len(gate.backend.runs)
+        while read_clock() < started + 3.0:
+            await site.ask(site.nodes[0], "/assign/1", timeout_ms=300)
+            await asyncio.sleep(0.02)
+        assert len(gate.backend.runs) - before <= 8
+
+
+@GRANT_MODES
+async def test_the_keys_of_a_backend_server_that_says_it_leaves_are_handed_over(
+    grant_mode: GrantMode,
+) -> None:
+    """Its announcements go on to say that it is ready."""
+    async with run_site(grant_mode=grant_mode) as site:
+        leaving = site.nodes[0]
+        leaving.backend.leaving = True
+        for key in range(0, 65_536, 4_096):
+            await site.ask(site.nodes[2], "/view/1", key)
+        before = len(leaving.backend.runs)
+        assert leaving.daemon.sidecar.gate.backend.leaving
+        await site.wait_until_served(site.nodes[2])
+        assert len(leaving.backend.runs) == before
+        assert site.find_double_holds() == []
+
+
+async def test_a_limit_of_zero_ends_when_health_checks_name_none() -> None:
+    async with run_site() as site:
+        gate, other = site.nodes[2], site.nodes[3]
+        other.backend.leaving = True
+        gate.backend.limit = "0"
+        for number in range(12):
+            await site.ask(site.nodes[0], "/assign/1", attempt=f"z-{number}", timeout_ms=400)
+        assert (await site.ask(site.nodes[0], "/assign/1", timeout_ms=400))[0] == 503
+        gate.backend.limit = ""
+        deadline = read_clock() + 8.0
+        while (await site.ask(site.nodes[0], "/assign/1", timeout_ms=400))[0] != 200:
+            assert read_clock() < deadline
+            await asyncio.sleep(0.1)
+        assert gate.backend.health_checks > 0
--- a/persimmondock/tests/platform/test_words.py
+++ b/persimmondock/tests/platform/test_words.py
@@ -12,7 +12,9 @@
 import pytest
 
 import persimmondock
+from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.http_exchange import HttpResponse
+from persimmondock._domain.backend_notice import BackendNotice
 from persimmondock._domain.backend_report import AnnouncementError
 from persimmondock._domain.holdings import (
     GrantedHoldings,
@@ -29,6 +31,7 @@
 from persimmondock.platform import _backend, _discovery, _headers, _operator, _store
 from persimmondock.standins.site_backend import MAX_REPLY_BYTES
 from persimmondock.tests.live_site import make_config
+from persimmondock.tests.scripted_server import ScriptedServer
 from persimmondock.tests.sites import make_forwarded
 
 SOURCES = Path(persimmondock.__file__).parent
@@ -327,3 +330,80 @@
     assert fields["X-Timeout-Ms"] == "700"
     assert fields["X-Expected-Instance"] == "i-1"
     assert fields["X-Caller-Service"] == "recepcao"
+
+
+# What answers say about their backend server.
+
+
+def render_answer(status: int, **headers: str) -> bytes:
+    """Return the bytes of an answer."""
+    lines = [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join(
+        [f"HTTP/1.1 {status} X", *lines, "Server-Limit: 7.5", "Content-Length: 2", "", "ok"]
+    ).encode()
+
+
+@pytest.mark.parametrize(
+    ("response", "notices"),
+    [
+        (
+            render_answer(200, X_Attempt_Id="a", X_Server_Signature="s"),
+            [BackendNotice(7.5, conclusive=True)],
+        ),
+        (
+            render_answer(500, X_Attempt_Id="a", X_Server_Signature="s"),
+            [BackendNotice(7.5, conclusive=True)],
+        ),
+        (render_answer(500, X_Attempt_Id="a"), [BackendNotice(7.5)]),
+        (render_answer(503, X_Not_Executed="1"), [BackendNotice(7.5)]),
+        (render_answer(421), [BackendNotice(7.5)]),
+        (render_answer(421, X_Instance_Id="i-other"), []),
+        (render_answer(200, X_Attempt_Id="a"), []),
+        (render_answer(200, X_Attempt_Id="b", X_Server_Signature="s"), []),
+        (render_answer(200, X_Attempt_Id="a", X_Server_Signature="s")[:-1], []),
+    ],
+    ids=[
+        "answer",
+        "failure",
+        "unsigned failure",
+        "refusal",
+        "not owner",
+        "another instance",
+        "unsigned success",
+        "another attempt",
+        "broken off",
+    ],
+)
+async def test_answers_of_the_instance_and_attempt_say_something(
+    response: bytes, notices: list[BackendNotice]
+) -> None:
+    """Whatever is passed on to a caller counts; what is not from this backend server does not."""
+    is_broken_off = response.endswith(b"o")
+    server = ScriptedServer([response], close_after_response=is_broken_off)
+    found: list[BackendNotice] = []
+    async with server.listen() as address:
+        backend = _backend.PlatformBackend(address)
+        request = make_forwarded(read_clock(), attempt="a", deadline=read_clock() + 0.5)
+        await backend.run(request, "i-1", lambda: None, found.append)
+        backend.close()
+    assert found == notices
+
+
+@pytest.mark.parametrize(
+    ("response", "notice"),
+    [
+        (render_answer(200, X_Instance_Id="i-1"), BackendNotice(7.5)),
+        (render_answer(503, X_Instance_Id="i-1", Server_Leaving="1"), BackendNotice(7.5, True)),
+        (render_answer(200, X_Instance_Id="i-2"), None),
+        (render_answer(200), None),
+        (None, None),
+    ],
+    ids=["healthy", "leaving", "another instance", "no instance", "no answer"],
+)
+async def test_a_health_check_tells_of_a_limit(
+    response: bytes | None, notice: BackendNotice | None
+) -> None:
+    async with ScriptedServer([response]).listen() as address:
+        backend = _backend.PlatformBackend(address)
+        assert await backend.check_health("/health", "i-1") == notice
+        backend.close()
