Soak backend servers that name limits and say that they leave

New rule LIMIT, and DRAIN by answers, judged from outside: by VM that passed such an answer on; a new process of the VM's daemon excuses it. A daemon that ignores limits is found (--break limit).

--- a/persimmondock/soak/broken.py
+++ b/persimmondock/soak/broken.py
@@ -9,6 +9,7 @@
 from persimmondock._domain.backend_report import LocalBackend
 from persimmondock._domain.range_lease import RangeLease, Takeover
 from persimmondock._domain.verdict import MayHaveRun, NotRun, Verdict
+from persimmondock._tasks.backend_gate import BackendGate
 from persimmondock._tasks.dispatcher import _Attempts
 from persimmondock.platform.__main__ import main as run_platform
 
@@ -44,11 +45,17 @@
     _Attempts.conclude = conclude_as_not_run  # type: ignore[method-assign]
 
 
+def _ignore_limits() -> None:
+    """Keep sending requests to a backend server whatever limit it names."""
+    BackendGate._list_bounds = lambda self, now: ()  # type: ignore[method-assign]
+
+
 BREAKS: Mapping[str, Callable[[], None]] = {
     "lease": _extend_lease_unconfirmed,
     "takeover": _take_over_without_wait,
     "drain": _ignore_drain,
     "refusal": _report_sent_as_not_run,
+    "limit": _ignore_limits,
 }
 
 
--- a/persimmondock/soak/checks.py
+++ b/persimmondock/soak/checks.py
@@ -19,6 +19,8 @@
     A daemon that is up does not close the connection of a request without an answer.
 DRAIN, EVAC
     Drained backend servers and evacuated failure domains soon get no new requests.
+LIMIT
+    A backend server that names a limit soon gets little more from VMs that passed that on.
 BUDGET
     Repeated runs stay within the retry budget.
 STOP
@@ -46,9 +48,14 @@
 RETRY_BUDGET_RATIO = 0.2  # repeats per call
 RETRY_BUDGET_ALLOWANCE = 60  # repeats per window in addition to the ratio
 RETRY_WINDOW_S = 10.0
+LIMIT_BINDS_AFTER_S = 3.0
+NOTICE_KNOWN_AFTER_S = 0.5  # after a VM has passed an answer with it on
+LIMIT_WINDOW_S = 4.0
+LIMIT_RATIO = 1.5  # of what the limit allows
+LIMIT_ALLOWANCE = 5  # requests per window in addition to the ratio
 
 # Rules with bounds in real time, which a busy host alone can break.
-TIMED_RULES = frozenset({"HELD", "LOST", "STOP", "DRAIN", "EVAC", "CONFIG", "RECOVER"})
+TIMED_RULES = frozenset({"HELD", "LOST", "STOP", "DRAIN", "EVAC", "CONFIG", "RECOVER", "LIMIT"})
 
 
 @attrs.frozen
@@ -69,6 +76,25 @@
     detail: str
 
 
+@attrs.frozen
+class Notice:
+    """What an answer said about a backend server.
+
+    Parameters
+    ----------
+    instance
+        Instance of the backend server; empty without an answer of one.
+    limited
+        Whether the answer named a limit.
+    leaving
+        Whether it said that the backend server leaves.
+    """
+
+    instance: str = ""
+    limited: bool = False
+    leaving: bool = False
+
+
 @attrs.frozen
 class Call:
     """One request, as its caller observed it.
@@ -101,6 +127,7 @@
     whole: bool
     timeout_s: float
     error: str = ""
+    notice: Notice = attrs.field(factory=Notice)
 
 
 @attrs.frozen
@@ -141,6 +168,16 @@
     end: float
 
 
+@attrs.frozen
+class LimitSpan:
+    """A period in which an instance of a backend server named one limit."""
+
+    backend: str
+    start: float
+    end: float
+    per_s: float
+
+
 @attrs.define
 class Observations:
     """All observations of a soak.
@@ -153,6 +190,8 @@
         Failure domains, from their evacuation to its end.
     daemon_outages
         VMs whose daemon was killed or frozen.
+    daemon_restarts
+        VMs whose daemon was stopped by SIGTERM and started again.
     store_outages
         VMs, or the whole ``site``, whose access to the store was disturbed.
     late_stops
@@ -160,6 +199,8 @@
     configuration_delays
         VMs whose daemon did not know the newest configuration, from its writing to the request
         that showed this.
+    limits
+        Limits that backend servers named.
     unserved_keys
         Keys that were not served within the time allowed after the start or the last fault.
     """
@@ -170,15 +211,22 @@
     drained: list[Span] = attrs.field(factory=list)
     evacuated: list[Span] = attrs.field(factory=list)
     daemon_outages: list[Span] = attrs.field(factory=list)
+    daemon_restarts: list[Span] = attrs.field(factory=list)
     store_outages: list[Span] = attrs.field(factory=list)
     late_stops: list[Span] = attrs.field(factory=list)
     configuration_delays: list[Span] = attrs.field(factory=list)
+    limits: list[LimitSpan] = attrs.field(factory=list)
     unserved_keys: list[Span] = attrs.field(factory=list)
 
     def had_daemon_outage(self, vm: int, start: float, end: float) -> bool:
         """Return whether a VM's daemon was down in a period or within ``RECONNECT_S`` before it."""
         return _overlaps(self.daemon_outages, {f"vm-{vm}"}, start, end)
 
+    def had_new_process(self, vm: int, start: float, end: float) -> bool:
+        """Return whether a VM's daemon was down or restarted, as for ``had_daemon_outage``."""
+        restarted = _overlaps(self.daemon_restarts, {f"vm-{vm}"}, start, end)
+        return restarted or self.had_daemon_outage(vm, start, end)
+
     def had_store_outage(self, vm: int, start: float, end: float) -> bool:
         """Return whether a VM's daemon was down or its access to the store was disturbed.
 
@@ -201,6 +249,7 @@
         *check_calls(observations),
         *check_drains_and_evacuations(observations),
         *check_retry_budget(observations.runs, observations.calls),
+        *check_notices(observations),
     ]
     breaches += [
         Breach("STOP", s.end, s.subject, f"still running {s.end - s.start:.2f} s after SIGTERM")
@@ -312,6 +361,53 @@
     return found
 
 
+def check_notices(observations: Observations) -> list[Breach]:
+    """Check that VMs heed what answers that they passed on said about backend servers.
+
+    A new process of a VM's daemon has nothing to heed yet.
+    """
+    calls_by_attempt = {call.attempt: call for call in observations.calls}
+    limited_since: dict[tuple[int, str], float] = {}
+    leaving_since: dict[tuple[int, str], float] = {}
+    for call in sorted(observations.calls, key=lambda call: call.ended_at):
+        subject = (call.vm, call.notice.instance)
+        if call.notice.limited:
+            limited_since.setdefault(subject, call.ended_at)
+        if call.notice.leaving:
+            leaving_since.setdefault(subject, call.ended_at)
+    found = []
+    bound_runs: dict[str, list[float]] = defaultdict(list)
+    for run in observations.runs:
+        if run.attempt not in calls_by_attempt:
+            continue
+        call = calls_by_attempt[run.attempt]
+        subject = (call.vm, run.backend.rpartition("/")[2])
+        since = leaving_since.get(subject)
+        if (
+            since is not None
+            and call.sent_at > since + DRAIN_BOUND_S
+            and not observations.had_new_process(call.vm, since, run.at)
+        ):
+            after = f"sent {call.sent_at - since:.2f} s after vm-{call.vm} passed on that it leaves"
+            found.append(Breach("DRAIN", run.at, f"request {run.attempt}", after))
+        since = limited_since.get(subject)
+        if (
+            since is not None
+            and run.at >= since + NOTICE_KNOWN_AFTER_S
+            and not observations.had_new_process(call.vm, since, run.at)
+        ):
+            bound_runs[run.backend].append(run.at)
+    for limit in observations.limits:
+        start = limit.start + LIMIT_BINDS_AFTER_S
+        times = sorted(at for at in bound_runs[limit.backend] if start <= at < limit.end)
+        allowed = LIMIT_RATIO * LIMIT_WINDOW_S * limit.per_s + LIMIT_ALLOWANCE
+        counts = [sum(at <= other < at + LIMIT_WINDOW_S for other in times) for at in times]
+        if counts and max(counts) > allowed:
+            detail = f"{max(counts)} requests in {LIMIT_WINDOW_S:g} s, allowed {allowed:g}"
+            found.append(Breach("LIMIT", start, limit.backend, detail))
+    return found
+
+
 def check_retry_budget(runs: list[ObservedRun], calls: list[Call]) -> list[Breach]:
     """Check that repeated runs stay within the retry budget.
 
--- a/persimmondock/soak/plan.py
+++ b/persimmondock/soak/plan.py
@@ -15,6 +15,10 @@
 SITE_KINDS = ("store_down", "lose_append", "evacuate", "configure")
 DURATIONS_S = (0.3, 1.0, 2.0, 3.5, 5.0)
 FREEZE_DURATIONS_S = (0.3, 1.0, 3.0, 7.0, 9.0)  # keys are taken over after about 6 s
+NOTICE_KINDS = ("name_limit", "say_leaving")
+LIMITS = ("0", "0.3", "2", "2", "5")  # a backend server gets about ten requests a second
+LIMIT_DURATIONS_S = (5.0, 7.0, 9.0)
+MEAN_NOTICE_INTERVAL_S = 3.0
 PATH_MODES = ("delay", "reset", "silent", "one_way")
 
 
@@ -27,13 +31,14 @@
     at_s
         Start in seconds after callers start.
     kind
-        One of ``VM_KINDS``, ``PATH_KINDS`` and ``SITE_KINDS``.
+        One of ``VM_KINDS``, ``PATH_KINDS``, ``SITE_KINDS`` and ``NOTICE_KINDS``.
     vm
         Number of the VM; 0 if the event concerns the whole site.
     for_s
         Duration in seconds.
     mode
-        One of ``PATH_MODES``, the fault that a proxy injects; empty for other kinds of events.
+        One of ``PATH_MODES``, the fault that a proxy injects, or one of ``LIMITS``, which a backend
+        server names; empty for other kinds of events.
     """
 
     at_s: float
@@ -56,4 +61,22 @@
         for_s = generator.choice(FREEZE_DURATIONS_S if kind == "freeze" else DURATIONS_S)
         events.append(Event(round(at_s, 2), kind, vm, for_s, mode))
         at_s += generator.expovariate(1 / MEAN_EVENT_INTERVAL_S)
-    return tuple(events)
+    events += draw_notices(seed, duration_s, vms)
+    return tuple(sorted(events, key=lambda event: event.at_s))
+
+
+def draw_notices(seed: int, duration_s: float, vms: int) -> list[Event]:
+    """Return the events in which backend servers say something about themselves.
+
+    They have a sequence of their own, so that the other events of a seed stay the same.
+    """
+    generator = random.Random(f"notices {seed}")
+    events = []
+    at_s = FIRST_EVENT_AT_S
+    while at_s < duration_s - SETTLING_TIME_S:
+        kind = generator.choice(("name_limit", "name_limit", "say_leaving"))
+        for_s = generator.choice(LIMIT_DURATIONS_S) if kind == "name_limit" else 0.0
+        mode = generator.choice(LIMITS) if kind == "name_limit" else ""
+        events.append(Event(round(at_s, 2), kind, generator.randint(1, vms), for_s, mode))
+        at_s += generator.expovariate(1 / MEAN_NOTICE_INTERVAL_S)
+    return events
--- a/persimmondock/soak/runner.py
+++ b/persimmondock/soak/runner.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 
-from persimmondock.soak.checks import Breach, Call, Span, find_breaches
+from persimmondock.soak.checks import Breach, Call, LimitSpan, Notice, Span, find_breaches
 from persimmondock.soak.site import SoakSite
 from persimmondock.standins.site_messages import (
     CALLER_PORT,
@@ -21,7 +21,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Sequence
+    from collections.abc import Coroutine, Mapping, Sequence
 
     from persimmondock.soak.plan import Event
     from persimmondock.soak.site import SoakVm
@@ -120,7 +120,7 @@
         assert self._session is not None
         headers = build_request_headers(attempt, key, TIMEOUT_S)
         safe = path not in ("/assign/", "/keep/")
-        status, whole, error = 0, False, ""
+        status, whole, error, notice = 0, False, "", Notice()
         version_written_at, sent_at = self._site.version_written_at, time.monotonic()
         try:
             # POST, because aiohttp repeats a GET by itself after a lost connection.
@@ -128,6 +128,7 @@
             async with self._session.post(url, headers=headers) as response:
                 whole = await response.read() == b"answer to " + attempt.encode()
                 status = response.status
+                notice = read_notice(response.headers)
         except aiohttp.ClientConnectorError:
             error = "refused"
         except (aiohttp.ClientError, TimeoutError) as raised:
@@ -135,7 +136,7 @@
         now = time.monotonic()
         observations = self._site.observations
         observations.calls.append(
-            Call(attempt, vm.number, safe, sent_at, now, status, whole, TIMEOUT_S, error)
+            Call(attempt, vm.number, safe, sent_at, now, status, whole, TIMEOUT_S, error, notice)
         )
         # Each version has its own route: a 404 for an older one is expected.
         is_newest_version = path == f"/version{self._site.version}/"
@@ -185,6 +186,8 @@
             await self._apply_to_site(event)
         elif event.kind in ("store_path", "backend_path"):
             await self._disturb_path(vm, event)
+        elif event.kind == "name_limit":
+            await self._name_limit(vm, event)
         elif not vm.busy:
             vm.busy = True
             try:
@@ -248,6 +251,24 @@
                 vm.backend.draining = True
                 await asyncio.sleep(DRAIN_FOR_S)
                 await vm.replace_backend()
+            case "say_leaving":
+                vm.backend.leaving = True
+                await asyncio.sleep(DRAIN_FOR_S)
+                await vm.replace_backend()
+
+    async def _name_limit(self, vm: SoakVm, event: Event) -> None:
+        """Have the present backend server name a limit for a time, beside all other events."""
+        backend = vm.backend
+        if backend.limit:
+            return
+        started_at, backend.limit = time.monotonic(), event.mode
+        await asyncio.sleep(event.for_s)
+        backend.limit = ""
+        self._site.observations.limits.append(
+            LimitSpan(
+                f"{vm.name}/{backend.instance}", started_at, time.monotonic(), float(event.mode)
+            )
+        )
 
     async def _terminate(self, vm: SoakVm) -> None:
         """Stop the daemon by SIGTERM, or kill it after its grace period, and start it again."""
@@ -264,3 +285,11 @@
         # A planned restart is not recorded as an outage: until the daemon listens again,
         # connections are refused, which breaks no rule.
         await vm.start_daemon()
+        restart = Span(vm.name, started_at, time.monotonic())
+        self._site.observations.daemon_restarts.append(restart)
+
+
+def read_notice(headers: Mapping[str, str]) -> Notice:
+    """Return what an answer says about the backend server that signed it."""
+    instance = headers.get("X-Server-Signature", "").removeprefix("signed-by-")
+    return Notice(instance, "Server-Limit" in headers, "Server-Leaving" in headers)
--- a/persimmondock/tests/soak/test_checks.py
+++ b/persimmondock/tests/soak/test_checks.py
@@ -7,6 +7,8 @@
 
 from persimmondock.soak.checks import (
     Call,
+    LimitSpan,
+    Notice,
     Observations,
     ObservedRun,
     OwnershipSpan,
@@ -118,3 +120,32 @@
     runs = [make_run(attempt=f"a{n}") for n in range(100)]
     assert find_rules(Observations(calls, runs + runs[:80])) == []
     assert find_rules(Observations(calls, runs + runs[:81])) == ["BUDGET"]
+
+
+LIMITED, LEAVING = Notice("i", limited=True), Notice("i", leaving=True)
+
+
+def make_load(notice: Notice, first_at: float, count: int) -> tuple[list[Call], list[ObservedRun]]:
+    """Return one call that passed a notice on at 10 s, and later ones 0.1 s apart."""
+    times = [first_at + 0.1 * n for n in range(count)]
+    calls = [attrs.evolve(CALL, notice=notice, sent_at=9.8, ended_at=10.0)]
+    calls += [make_call(attempt=f"b{n}", sent_at=at) for n, at in enumerate(times)]
+    runs = [RUN, *(make_run(attempt=f"b{n}", at=at) for n, at in enumerate(times))]
+    return [attrs.evolve(c, safe=True, ended_at=c.sent_at + 0.2) for c in calls], runs
+
+
+@pytest.mark.parametrize(("count", "rules"), [(11, []), (12, ["LIMIT"])])
+def test_more_requests_than_a_limit_allows_are_found(count: int, rules: list[str]) -> None:
+    calls, runs = make_load(LIMITED, 13.0, count)
+    limits = [LimitSpan("vm-1/i", 9.9, 30.0, 1.0)]
+    assert find_rules(Observations(calls, runs, limits=limits)) == rules
+    restarts = [Span("vm-1", 12.0, 12.1)]
+    assert find_rules(Observations(calls, runs, limits=limits, daemon_restarts=restarts)) == []
+
+
+@pytest.mark.parametrize(("first_at", "rules"), [(11.9, []), (12.1, ["DRAIN"])])
+def test_a_request_after_a_passed_on_leaving_is_found(first_at: float, rules: list[str]) -> None:
+    calls, runs = make_load(LEAVING, first_at, 1)
+    assert find_rules(Observations(calls, runs)) == rules
+    outages = [Span("vm-1", 10.5, 11.0)]
+    assert find_rules(Observations(calls, runs, daemon_outages=outages)) == []
--- a/persimmondock/tests/soak/test_plan.py
+++ b/persimmondock/tests/soak/test_plan.py
@@ -14,7 +14,7 @@
 
 def test_plans_have_all_kinds_and_overlapping_events() -> None:
     events = [event for seed in range(20) for event in draw_plan(seed, 60.0, 6)]
-    assert len({event.kind for event in events}) == 12
+    assert len({event.kind for event in events}) == 14
     plan = draw_plan(3, 60.0, 6)
     assert any(one.at_s + one.for_s > two.at_s for one, two in itertools.pairwise(plan))
 
--- a/persimmondock/tests/soak/test_soak.py
+++ b/persimmondock/tests/soak/test_soak.py
@@ -57,6 +57,12 @@
     assert "DRAIN" in await run_soak(tmp_path, plan, "drain")
 
 
+async def test_ignored_limits_are_detected(tmp_path: Path) -> None:
+    limits = [Event(0.5, "name_limit", vm, 7.0, "0.3") for vm in (5, 6)]
+    plan = (*limits, Event(8.0, "reload", 1))
+    assert "LIMIT" in await run_soak(tmp_path, plan, "limit")
+
+
 async def test_refusal_after_sending_is_detected(tmp_path: Path) -> None:
     """Each restart interrupts on average one request that may run only once."""
     plan = tuple(Event(0.5 + 0.4 * n, "restart_backend", VMS - n % 2) for n in range(16))
@@ -69,7 +75,7 @@
         ("--vms 3", "--vms: must be at least 4, not 3"),
         ("--vms 900", "--vms: must be at most 240, not 900"),
         ("--network 300", "--network: must be at most 255, not 300"),
-        ("--break x", "--break: expected one of lease, takeover, drain, refusal, not 'x'"),
+        ("--break x", "--break: expected one of lease, takeover, drain, refusal, limit, not 'x'"),
     ],
 )
 def test_invalid_option_is_reported(monkeypatch, capfd, arguments, message) -> None:
