--- a/persimmondock/_domain/request_trace.py
+++ b/persimmondock/_domain/request_trace.py
@@ -58,7 +58,7 @@
         "leaving",
     }
 )
-_LIMIT_EVENTS = frozenset({"limit_named", "limit_changed", "limit_ended", "limit_told"})
+_LIMIT_EVENTS = frozenset({"limit_changed", "limit_told"})
 # Events that may have caused an outcome, by the reason in the ``not_answered`` line.
 CAUSE_EVENTS = {
     "overloaded": _CAPACITY_EVENTS,
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -264,7 +264,8 @@
         if change is LimitChange.NONE:
             return
         logger.info(
-            "event=limit_{} instance={} max_per_s={} previous_per_s={} running={} waiting={}",
+            "event=limit_changed change={} instance={} max_per_s={} previous_per_s={} running={} "
+            "waiting={}",
             change.value,
             self.incarnation.instance if self.incarnation is not None else "-",
             _show_limit(self.notice.max_per_s),
--- a/persimmondock/soak/runner.py
+++ b/persimmondock/soak/runner.py
@@ -17,11 +17,12 @@
     GRACE_S,
     NO_KEY,
     build_request_headers,
+    read_answer_notice,
     set_evacuated,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Mapping, Sequence
+    from collections.abc import Coroutine, Sequence
 
     from persimmondock.soak.plan import Event
     from persimmondock.soak.site import SoakVm
@@ -128,7 +129,7 @@
             async with self._session.post(url, headers=headers) as response:
                 whole = await response.read() == b"answer to " + attempt.encode()
                 status = response.status
-                notice = read_notice(response.headers)
+                notice = Notice(*read_answer_notice(response.headers))
         except aiohttp.ClientConnectorError:
             error = "refused"
         except (aiohttp.ClientError, TimeoutError) as raised:
@@ -287,9 +288,3 @@
         await vm.start_daemon()
         restart = Span(vm.name, started_at, time.monotonic())
         self._site.observations.daemon_restarts.append(restart)
-
-
-def read_notice(headers: Mapping[str, str]) -> Notice:
-    """Return what an answer says about the backend server that signed it."""
-    instance = headers.get("X-Server-Signature", "").removeprefix("signed-by-")
-    return Notice(instance, "Server-Limit" in headers, "Server-Leaving" in headers)
--- a/persimmondock/standins/site_messages.py
+++ b/persimmondock/standins/site_messages.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from persimmondock.standins.site_store import SiteStore
 
 HOST = "board.example"
@@ -72,6 +74,12 @@
     return headers
 
 
+def read_answer_notice(headers: Mapping[str, str]) -> tuple[str, bool, bool]:
+    """Return which instance answered, whether it named a limit, and whether it said it leaves."""
+    instance = headers.get("X-Server-Signature", "").removeprefix("signed-by-")
+    return instance, "Server-Limit" in headers, "Server-Leaving" in headers
+
+
 def build_settings(
     node: str, address: str, failure_domain: str, service: str, grants: str = GRANT_MODES[0]
 ) -> dict[str, Any]:
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -316,8 +316,8 @@
             await harness.ask()
     finally:
         logger.remove(handler)
-    named = [line.split(" instance=")[0] for line in lines if "event=limit_" in line]
-    assert named == ["event=limit_named", "event=limit_changed", "event=limit_ended"]
+    changes = [line.split()[1] for line in lines if line.startswith("event=limit_changed ")]
+    assert changes == ["change=named", "change=changed", "change=ended"]
     assert "max_per_s=5 previous_per_s=18.1" in "".join(lines)
     assert harness.gate.notice.max_per_s is None
 
