Let the test of an idle limited server wait until no answer is under way

The test passed with the health checks taken out: an answer that was under way when the limit was cleared ended it.

The list of expected failures may be absent.

--- a/persimmondock/conftest.py
+++ b/persimmondock/conftest.py
@@ -19,9 +19,8 @@
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Expect the listed tests to fail; one that passes is an error until it leaves the list."""
-    listed = {
-        test: issue for issue, test in KNOWN_FAILURE.findall(KNOWN_FAILURES.read_text("utf-8"))
-    }
+    text = KNOWN_FAILURES.read_text("utf-8") if KNOWN_FAILURES.exists() else ""
+    listed = {test: issue for issue, test in KNOWN_FAILURE.findall(text)}
     for item in items:
         issue = listed.get(item.nodeid.partition("[")[0])
         if issue is not None:
--- a/persimmondock/tests/test_server_limits.py
+++ b/persimmondock/tests/test_server_limits.py
@@ -152,6 +152,7 @@
         await site.offer(50.0, 2.0)
         name_limit(site.servers[0], "5")
         await site.offer(50.0, 2.0)
+        await asyncio.sleep(1.0)  # no answer is under way any more
         site.servers[0].server.limit = ""
         await asyncio.sleep(10.0)
         assert site.servers[0].process.gate.describe().capacity_per_s > 20.0
