--- a/persimmondock/_tasks/call_grants.py
+++ b/persimmondock/_tasks/call_grants.py
@@ -168,6 +168,14 @@
                 if self._keeper.incarnation == incarnation:
                     self._remove_unanswered(grant_id, possible_until)
                     self._keeper.record_accepted_grant(key_range, sent_at + hold_s, possible_until)
+                else:
+                    logger.warning(
+                        "event=grant_outdated first={} fence={} sent_to={} now={}",
+                        key_range.first,
+                        key_range.fence,
+                        incarnation.instance if incarnation is not None else "-",
+                        self._keeper.incarnation.instance if self._keeper.incarnation else "-",
+                    )
                 return True
             case GrantNotSent():
                 self._remove_unanswered(grant_id, possible_until)
--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -68,9 +68,9 @@
         self._address = address
         self._pool = HttpPool(address, MAX_CONNECTIONS)
         # Separate clients: releases wait for running work and must not delay renewals of grants.
-        self._grant_client = _ControlClient(address, MAX_CONCURRENT_GRANTS)
-        self._release_client = _ControlClient(address, MAX_CONCURRENT_RELEASES)
-        self._health_client = _ControlClient(address, 1)
+        self._grant_client = _ControlClient("grant", address, MAX_CONCURRENT_GRANTS)
+        self._release_client = _ControlClient("release", address, MAX_CONCURRENT_RELEASES)
+        self._health_client = _ControlClient("health", address, 1)
 
     async def run(
         self,
@@ -216,9 +216,10 @@
 
 
 class _ControlClient:
-    """Sends grants or releases on pooled connections, with bounded concurrency."""
+    """Sends grants, releases or health checks on pooled connections, with bounded concurrency."""
 
-    def __init__(self, address: str, max_concurrent: int) -> None:
+    def __init__(self, purpose: str, address: str, max_concurrent: int) -> None:
+        self._purpose = purpose
         self.pool = HttpPool(address, max_concurrent)
         self._semaphore = asyncio.Semaphore(max_concurrent)
 
@@ -241,6 +242,8 @@
         """
         async with self._semaphore:
             connection = await self.pool.acquire()
+            if connection.exchange_count == 0:
+                logger.info("event=control_connected purpose={}", self._purpose)
             try:
                 data = render()
                 if data is None:
