--- a/persimmondock/tests/virtual_network.py
+++ b/persimmondock/tests/virtual_network.py
@@ -352,6 +352,8 @@
     async def answer(self, target: str, fields: dict[str, str], body: bytes) -> bytes | None:
         """Return the answer to a request, or None if there is none."""
         arrived_at = read_clock()
+        if target.startswith("/-/") and not self._is_expected(fields):
+            return _render_answer(421)
         if target == "/-/grant":
             data = json.loads(body)
             order = (data["from"], data["target"], data["fence"], data["hold_s"], arrived_at)
