Name the instance in grants and releases; others refuse them

Cause: a grant went to an address, not to a process. A backend server that is started again at once listens some ms before its announcement is applied; the daemon's renewals of those ms, on new connections, reached the new process, which took the keys under the token of the one that had died.

Change: X-Expected-Instance goes with each grant and release. The process that gets the call decides, at its arrival, whether it is meant, so that neither a connection nor a delay can lead an order to another process. 421 is an outcome of its own (grant_misdirected), and for a release it means that the process that held the keys has ended. What an earlier process of the daemon granted is still released from whichever instance listens.

--- a/persimmondock/_ports/backend.py
+++ b/persimmondock/_ports/backend.py
@@ -33,12 +33,34 @@
 
 @attrs.frozen
 class GrantNotSent:
-    """The grant did not reach the backend server."""
+    """The grant did not reach the backend server.
+
+    Parameters
+    ----------
+    refused
+        Whether nothing listens at the backend server's address.
+    """
 
     detail: str
+    refused: bool = False
+
+
+@attrs.frozen
+class GrantMisdirected:
+    """Another instance listens at the backend server's address; it did not take the grant.
+
+    Parameters
+    ----------
+    answered_by
+        Name of that instance, or empty if it did not tell.
+    """
+
+    answered_by: str
 
 
-GrantOutcome: TypeAlias = GrantAccepted | GrantFenced | GrantUnknown | GrantNotSent
+GrantOutcome: TypeAlias = (
+    GrantAccepted | GrantFenced | GrantUnknown | GrantNotSent | GrantMisdirected
+)
 
 
 @attrs.frozen
@@ -62,10 +84,13 @@
     ----------
     refused
         Whether nothing listens at the backend server's address, so that no process holds keys.
+    misdirected
+        Whether another instance listens there, so that the process that was meant has ended.
     """
 
     detail: str
     refused: bool = False
+    misdirected: bool = False
 
 
 class BackendServer(Protocol):
@@ -92,12 +117,20 @@
         ...
 
     async def grant(
-        self, first: int, last: int, fence: int, find_hold_s: Callable[[], float], handover: str
+        self,
+        instance: str,
+        first: int,
+        last: int,
+        fence: int,
+        find_hold_s: Callable[[], float],
+        handover: str,
     ) -> GrantOutcome:
         """Grant keys for a time that starts when the call reaches the backend server.
 
         Parameters
         ----------
+        instance
+            Instance of the backend server that may take the keys; other instances refuse them.
         first, last
             First and last key, both inclusive.
         fence
@@ -110,8 +143,16 @@
         """
         ...
 
-    async def release(self, first: int, last: int, fence: int) -> ReleaseDone | ReleaseFailed:
-        """Revoke keys, and wait until no work on them is running."""
+    async def release(
+        self, instance: str, first: int, last: int, fence: int
+    ) -> ReleaseDone | ReleaseFailed:
+        """Revoke keys, and wait until no work on them is running.
+
+        Parameters
+        ----------
+        instance
+            Instance of the backend server that is meant, or empty for any.
+        """
         ...
 
     async def check_health(self, path: str, instance: str) -> BackendNotice | None:
--- a/persimmondock/_tasks/call_grants.py
+++ b/persimmondock/_tasks/call_grants.py
@@ -15,6 +15,7 @@
 from persimmondock._ports.backend import (
     GrantAccepted,
     GrantFenced,
+    GrantMisdirected,
     GrantNotSent,
     GrantUnknown,
     ReleaseDone,
@@ -74,13 +75,14 @@
         """
         incarnation = self._keeper.incarnation
         handover = ""
+        instance = incarnation.instance if incarnation is not None else ""
         while read_clock() < possible_until and self._keeper.incarnation == incarnation:
-            outcome = await self._backend.release(first, last, fence)
+            outcome = await self._backend.release(instance, first, last, fence)
             if isinstance(outcome, ReleaseDone):
                 handover = outcome.handover
                 break
-            if outcome.refused:
-                # Nothing listens at the backend server's address, so nothing holds the keys.
+            if outcome.refused or outcome.misdirected:
+                # The process that held the keys has ended.
                 break
             await asyncio.sleep(RELEASE_RETRY_S)
         # A grant whose reply was lost may still take effect until it expires.
@@ -98,7 +100,8 @@
         never got may still take effect, so before the longest grant has expired only a refused
         connection proves that nothing holds them.
         """
-        outcome = await self._backend.release(first, last, fence)
+        # Whichever instance listens may have got them.
+        outcome = await self._backend.release("", first, last, fence)
         if isinstance(outcome, ReleaseFailed) and outcome.refused:
             return True
         if isinstance(outcome, ReleaseDone) and outcome.handover:
@@ -157,10 +160,15 @@
                 self._keeper.record_sent_grant(key_range, possible_until)
             return hold_s
 
-        if self._keeper.find_hold_s(key_range, read_clock()) <= 0:
+        if incarnation is None or self._keeper.find_hold_s(key_range, read_clock()) <= 0:
             return False
         outcome = await self._backend.grant(
-            key_range.first, key_range.last, key_range.fence, find_hold_s, handover
+            incarnation.instance,
+            key_range.first,
+            key_range.last,
+            key_range.fence,
+            find_hold_s,
+            handover,
         )
         possible_until = sent_at + hold_s * (1 + CLOCK_TOLERANCE)
         match outcome:
@@ -173,12 +181,21 @@
                         "event=grant_outdated first={} fence={} sent_to={} now={}",
                         key_range.first,
                         key_range.fence,
-                        incarnation.instance if incarnation is not None else "-",
+                        incarnation.instance,
                         self._keeper.incarnation.instance if self._keeper.incarnation else "-",
                     )
                 return True
             case GrantNotSent():
                 self._remove_unanswered(grant_id, possible_until)
+            case GrantMisdirected(answered_by=answered_by):
+                self._remove_unanswered(grant_id, possible_until)
+                logger.warning(
+                    "event=grant_misdirected first={} fence={} sent_to={} answered_by={}",
+                    key_range.first,
+                    key_range.fence,
+                    incarnation.instance,
+                    answered_by or "-",
+                )
             case GrantFenced():
                 self._remove_unanswered(grant_id, possible_until)
                 logger.warning(
--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -30,6 +30,7 @@
 from persimmondock._ports.backend import (
     GrantAccepted,
     GrantFenced,
+    GrantMisdirected,
     GrantNotSent,
     GrantOutcome,
     GrantUnknown,
@@ -58,6 +59,7 @@
 HEALTH_TIMEOUT_S = 0.5
 RESPONSE_GRACE_S = 0.1  # time for the backend server's own timeout response to arrive
 RETRY_AFTER_MS = 200
+MISDIRECTED = 421  # another instance answers than the one that was named, and did nothing
 NOT_SENT = NotRun(Reason.BACKEND_UNREACHABLE, RETRY_AFTER_MS)
 
 
@@ -139,7 +141,13 @@
         return verdict
 
     async def grant(
-        self, first: int, last: int, fence: int, find_hold_s: Callable[[], float], handover: str
+        self,
+        instance: str,
+        first: int,
+        last: int,
+        fence: int,
+        find_hold_s: Callable[[], float],
+        handover: str,
     ) -> GrantOutcome:
         """Grant keys for a time that starts when the request reaches the backend server."""
         body: dict[str, object] = {"from": first, "target": last, "fence": fence}
@@ -151,13 +159,16 @@
             if hold_s <= 0:
                 return None
             return _render_control_request(
-                self._address, GRANT_PATH, body | {"hold_s": round(hold_s, 3)}
+                self._address, GRANT_PATH, instance, body | {"hold_s": round(hold_s, 3)}
             )
 
         try:
             response = await self._grant_client.call(render, GRANT_TIMEOUT_S)
         except ExchangeError as error:
-            return GrantUnknown(str(error)) if error.sent else GrantNotSent(str(error))
+            if error.sent:
+                return GrantUnknown(str(error))
+            refused = isinstance(error, ConnectFailedError) and error.refused
+            return GrantNotSent(str(error), refused)
         except TimeoutError:
             return GrantUnknown("no response within the timeout")
         if response is None:
@@ -166,12 +177,16 @@
             return GrantAccepted()
         if response.status == 409:
             return GrantFenced()
+        if response.status == MISDIRECTED:
+            return GrantMisdirected(response.find_header(_headers.INSTANCE) or "")
         return GrantUnknown(f"status {response.status}")
 
-    async def release(self, first: int, last: int, fence: int) -> ReleaseDone | ReleaseFailed:
+    async def release(
+        self, instance: str, first: int, last: int, fence: int
+    ) -> ReleaseDone | ReleaseFailed:
         """Release a range of keys; returns once no work on them is running."""
         data = _render_control_request(
-            self._address, RELEASE_PATH, {"from": first, "target": last, "fence": fence}
+            self._address, RELEASE_PATH, instance, {"from": first, "target": last, "fence": fence}
         )
         try:
             response = await self._release_client.call(lambda: data, RELEASE_TIMEOUT_S)
@@ -181,7 +196,8 @@
         if response is None:
             return ReleaseFailed("not sent")
         if response.status != 200:
-            return ReleaseFailed(f"status {response.status}")
+            is_misdirected = response.status == MISDIRECTED
+            return ReleaseFailed(f"status {response.status}", misdirected=is_misdirected)
         return ReleaseDone(response.find_header(_headers.HANDOVER) or "")
 
     async def check_health(self, path: str, instance: str) -> BackendNotice | None:
@@ -254,8 +270,12 @@
                 self.pool.release(connection)
 
 
-def _render_control_request(address: str, path: str, body: dict[str, object]) -> bytes:
+def _render_control_request(
+    address: str, path: str, instance: str, body: dict[str, object]
+) -> bytes:
     fields = [("Host", address), ("Content-Type", "application/json")]
+    if instance:
+        fields.append((_headers.EXPECTED_INSTANCE, instance))
     return render_request("POST", path, fields, json.dumps(body).encode())
 
 
@@ -272,7 +292,7 @@
     """
     response_attempt = response.find_header(_headers.ATTEMPT.lower())
     is_for_attempt = response_attempt == attempt or (response_attempt is None and is_first_request)
-    if response.status == 421 and is_for_attempt:
+    if response.status == MISDIRECTED and is_for_attempt:
         if response.find_header(_headers.INSTANCE) in (None, instance):
             return NotRun(Reason.NOT_OWNER, RETRY_AFTER_MS)
         # Another instance runs at the address now.
--- a/persimmondock/tests/fake_backend.py
+++ b/persimmondock/tests/fake_backend.py
@@ -14,6 +14,7 @@
 from persimmondock._ports.backend import (
     GrantAccepted,
     GrantFenced,
+    GrantMisdirected,
     GrantNotSent,
     GrantOutcome,
     GrantUnknown,
@@ -33,8 +34,12 @@
         ``read_clock``.
     unanswered_grants
         Number of next grants that are accepted without a reply.
+    instance
+        Name that grants and releases have to give, or empty for any.
+    calls
+        Number of grants that were sent.
     refused
-        Whether connections for releases are refused.
+        Whether connections for grants and releases are refused.
     work_s
         Duration of a request in seconds.
     outcomes
@@ -48,6 +53,8 @@
     runs: list[ForwardedRequest] = attrs.field(factory=list)
     run_times: list[float] = attrs.field(factory=list)
     unanswered_grants: int = 0
+    instance: str = ""
+    calls: int = 0
     refused: bool = False
     work_s: float = 0.0
     outcomes: list[Verdict] = attrs.field(factory=list)
@@ -82,13 +89,24 @@
         return Answered(Answer(200, (), b"done"))
 
     async def grant(
-        self, first: int, last: int, fence: int, find_hold_s: Callable[[], float], handover: str
+        self,
+        instance: str,
+        first: int,
+        last: int,
+        fence: int,
+        find_hold_s: Callable[[], float],
+        handover: str,
     ) -> GrantOutcome:
         """Accept a grant of keys unless a newer fencing token is known."""
         await asyncio.sleep(0)
         hold_s = find_hold_s()
         if hold_s <= 0:
             return GrantNotSent("no longer allowed")
+        self.calls += 1
+        if self.refused:
+            return GrantNotSent("refused", refused=True)
+        if self.instance and instance != self.instance:
+            return GrantMisdirected(self.instance)
         known = self.holds.get((first, last), (0, 0.0))
         if known[0] > fence:
             return GrantFenced()
@@ -99,12 +117,16 @@
             return GrantUnknown("no answer in time")
         return GrantAccepted()
 
-    async def release(self, first: int, last: int, fence: int) -> ReleaseDone | ReleaseFailed:
+    async def release(
+        self, instance: str, first: int, last: int, fence: int
+    ) -> ReleaseDone | ReleaseFailed:
         """Release keys."""
         await asyncio.sleep(0)
         self.releases.append((first, last))
         if self.refused:
             return ReleaseFailed("refused", refused=True)
+        if self.instance and instance not in ("", self.instance):
+            return ReleaseFailed("another instance", misdirected=True)
         held = self.holds.pop((first, last), None)
         return ReleaseDone(f"handover-{first}" if held is not None else "")
 
--- a/persimmondock/tests/platform/test_words.py
+++ b/persimmondock/tests/platform/test_words.py
@@ -26,6 +26,13 @@
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._domain.routing_table import TrafficShare
 from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Reason
+from persimmondock._ports.backend import (
+    GrantAccepted,
+    GrantFenced,
+    GrantMisdirected,
+    GrantOutcome,
+    ReleaseFailed,
+)
 from persimmondock._ports.keyed_log import Records, StoreFailed
 from persimmondock._tasks.heartbeat_grants import MAX_ROWS
 from persimmondock.platform import _backend, _discovery, _headers, _operator, _store
@@ -407,3 +414,44 @@
         backend = _backend.PlatformBackend(address)
         assert await backend.check_health("/health", "i-1") == notice
         backend.close()
+
+
+# Grants and releases.
+
+
+@pytest.mark.parametrize(
+    ("response", "outcome"),
+    [
+        (render_answer(200), GrantAccepted()),
+        (render_answer(409), GrantFenced()),
+        (render_answer(421), GrantMisdirected("")),
+        (render_answer(421, X_Instance_Id="i-2"), GrantMisdirected("i-2")),
+    ],
+    ids=["accepted", "fenced", "another instance", "another instance that names itself"],
+)
+async def test_a_grant_names_the_instance_that_may_take_it(
+    response: bytes, outcome: GrantOutcome
+) -> None:
+    """Guards against keys for one process that the next one at its address takes."""
+    server = ScriptedServer([response])
+    async with server.listen() as address:
+        backend = _backend.PlatformBackend(address)
+        assert await backend.grant("i-1", 0, 9, 3, lambda: 2.0, "") == outcome
+        backend.close()
+    assert b"X-Expected-Instance: i-1\r\n" in server.requests[0]
+
+
+@pytest.mark.parametrize(("status", "is_misdirected"), [(421, True), (500, False)])
+async def test_a_release_names_the_instance_that_is_meant(
+    status: int, is_misdirected: bool
+) -> None:
+    """Guards against a release for one process that takes keys from the next one."""
+    server = ScriptedServer([render_answer(status)])
+    async with server.listen() as address:
+        backend = _backend.PlatformBackend(address)
+        outcome = await backend.release("i-1", 0, 9, 3)
+        assert outcome == ReleaseFailed(f"status {status}", misdirected=is_misdirected)
+        await backend.release("", 0, 9, 3)
+        backend.close()
+    assert b"X-Expected-Instance: i-1\r\n" in server.requests[0]
+    assert b"X-Expected-Instance" not in server.requests[1]
