Pause grants while the backend server's address refuses or misdirects them

Callers saw keys taken under the token of a process that had died (OWNER). The gate knew 0.8 s before the next announcement that nothing listened (backend_down); the keeper did not look at it and went on with a call each 50 ms for every range, whoever might listen.

Change: a refused connection, or an answer by another instance, pauses grants for that incarnation until an announcement is accepted. Renewals are due a second after a grant of three, announcements come within 0.9 s, so that a backend server that stays loses no key by a pause.

Why it works: between the end of a process and the announcement of the next, nothing that was granted can be right. With the instance named in the grant it would be refused anyhow; the pause saves the calls, and covers a process that starts again under its former name, which the name alone does not tell apart.

Evidence: the three new tests fail without the change (calls go on, four ranges are tried again each 50 ms) and pass with it.

--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -244,7 +244,9 @@
         if self.backend_down:
             logger.info("event=backend_back instance={}", announcement.instance)
         self.backend_down = False
-        if change is Change.NEW_INCARNATION:
+        if change is not Change.NEW_INCARNATION:
+            self._keeper.resume_grants()
+        else:
             self._record_crash(now)
             self._service_times = ServiceTimes()
             self.notice, self._named_bounds = KnownNotice(), ()
@@ -507,6 +509,7 @@
                     )
                     self.backend_down = True
                     if reason is Reason.BACKEND_DOWN:
+                        self._keeper.pause_grants(incarnation)
                         self._record_crash(read_clock())
                     self._refuse_all_waiting(Reason.BACKEND_DOWN)
             case MayHaveRun(reason=reason):
--- a/persimmondock/_tasks/call_grants.py
+++ b/persimmondock/_tasks/call_grants.py
@@ -83,6 +83,7 @@
                 break
             if outcome.refused or outcome.misdirected:
                 # The process that held the keys has ended.
+                self._keeper.pause_grants(incarnation)
                 break
             await asyncio.sleep(RELEASE_RETRY_S)
         # A grant whose reply was lost may still take effect until it expires.
@@ -185,8 +186,10 @@
                         self._keeper.incarnation.instance if self._keeper.incarnation else "-",
                     )
                 return True
-            case GrantNotSent():
+            case GrantNotSent(refused=refused):
                 self._remove_unanswered(grant_id, possible_until)
+                if refused:
+                    self._keeper.pause_grants(incarnation)
             case GrantMisdirected(answered_by=answered_by):
                 self._remove_unanswered(grant_id, possible_until)
                 logger.warning(
@@ -196,6 +199,7 @@
                     incarnation.instance,
                     answered_by or "-",
                 )
+                self._keeper.pause_grants(incarnation)
             case GrantFenced():
                 self._remove_unanswered(grant_id, possible_until)
                 logger.warning(
--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -89,6 +89,7 @@
         self._released: list[ReleasedRange] = []
         self._takeovers: dict[int, Takeover] = {}
         self._started_at = read_clock()
+        self._is_paused = False
         self._channel: CallGrants | HeartbeatGrants
         match grant_mode:
             case GrantsByCall():
@@ -175,6 +176,7 @@
         if incarnation == self.incarnation:
             return
         previous, self.incarnation = self.incarnation, incarnation
+        self._is_paused = False
         self._held.clear()
         for task in self._acquiring.values():
             task.cancel()
@@ -186,6 +188,22 @@
             self._started_at = -math.inf
         self._reconcile()
 
+    def pause_grants(self, incarnation: BackendIncarnation | None) -> None:
+        """Grant nothing to an incarnation that was found absent, until it is heard of again.
+
+        Another process may listen at its address before that announces itself.
+        """
+        if incarnation is None or incarnation != self.incarnation or self._is_paused:
+            return
+        self._is_paused = True
+        logger.info("event=grants_paused instance={}", incarnation.instance)
+
+    def resume_grants(self) -> None:
+        """Grant keys again: the current incarnation has announced itself."""
+        if self._is_paused and self.incarnation is not None:
+            logger.info("event=grants_resumed instance={}", self.incarnation.instance)
+        self._is_paused = False
+
     async def grant_holdings(
         self,
         incarnation: BackendIncarnation,
@@ -409,7 +427,8 @@
         """
         current = self.assignment.find_range(key_range.first)
         if (
-            current is None
+            self._is_paused
+            or current is None
             or current.grant_id != key_range.grant_id
             or key_range.owner != self.incarnation
         ):
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -61,6 +61,21 @@
     return sum(isinstance(v, NotRun) and v.reason is reason for v in verdicts)
 
 
+async def test_grants_pause_while_the_backend_server_is_down(harness: GateHarness) -> None:
+    """Guards against grants to the process that follows a crashed one before it is announced."""
+    keeper, incarnation = harness.gate._keeper, harness.gate.incarnation
+    assert incarnation is not None
+    owned = attrs.evolve(make_range(0, 65_535, 1), owner=incarnation)
+    keeper.update_assignment(make_assignment(owned), 1)
+    keeper.lease.confirm_by_store(1, read_clock())
+    assert keeper.find_hold_s(owned, read_clock()) > 0
+    harness.server.outcomes = [DOWN]
+    await harness.ask()
+    assert keeper.find_hold_s(owned, read_clock()) == 0
+    harness.gate.handle_announcement(make_report(sequence=2))
+    assert keeper.find_hold_s(owned, read_clock()) > 0
+
+
 async def test_no_more_requests_run_than_there_are_slots(harness: GateHarness) -> None:
     harness.server.work_s = 0.05
     verdicts_task = asyncio.create_task(harness.ask_many(6))
--- a/persimmondock/tests/test_range_keeper.py
+++ b/persimmondock/tests/test_range_keeper.py
@@ -189,6 +189,43 @@
     assert harness.find_refusal(5) is not None
 
 
+async def test_a_refused_connection_pauses_grants_until_the_next_announcement(
+    harness: KeeperHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against renewals that meet whichever process listens next at the address."""
+    monkeypatch.setattr(call_grants, "RENEW_AFTER_S", 0.05)
+    await harness.follow(make_assignment(make_range(0, 9, 1)))
+    harness.backend.refused = True
+    await asyncio.sleep(0.2)
+    harness.backend.refused = False
+    calls = harness.backend.calls
+    await asyncio.sleep(0.2)
+    assert harness.backend.calls == calls
+    harness.keeper.resume_grants()
+    await asyncio.sleep(0.3)
+    assert harness.backend.calls > calls
+
+
+async def test_an_instance_that_was_replaced_is_not_asked_again(
+    harness: KeeperHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a burst of calls to a process that has not announced itself yet."""
+    monkeypatch.setattr(call_grants, "RENEW_AFTER_S", 0.05)
+    ranges = [make_range(10 * n, 10 * n + 9, 1) for n in range(4)]
+    await harness.follow(make_assignment(*ranges))
+    harness.backend.instance = "i-another"
+    calls, grants = harness.backend.calls, len(harness.backend.grants)
+    await asyncio.sleep(0.4)
+    assert len(harness.backend.grants) == grants
+    assert 0 < harness.backend.calls - calls <= len(ranges)
+    new = make_incarnation(1, born_ms=2)
+    harness.backend.instance = new.instance
+    harness.keeper.update_incarnation(new)
+    owned = [attrs.evolve(item, owner=new, fence=2) for item in ranges]
+    await harness.follow(make_assignment(*owned, offset=2))
+    assert harness.keeper.count_held() == len(ranges)
+
+
 async def test_a_takeover_leaves_no_unhandled_error(
     harness: KeeperHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
