Wait for a former daemon's grants whatever the backend server announces

A daemon that restarts confirms no release before the grants of its former process have expired, unless its backend server changed since: then the holder had ended, it was thought. That does not follow. A delayed announcement of a process that has ended may be the first that the new daemon hears; the next one, of the process that is there, then counted as the change, and keys that this process holds from the daemon's former process were called free: two holders.

The new test fails before the change. Cost: in the 3.1 s after a daemon's start, and only if its backend server also changed in that time, a release is confirmed when those grants have expired or the connection is refused.

--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -88,6 +88,7 @@
         self._held_changed = asyncio.Event()
         self._released: list[ReleasedRange] = []
         self._takeovers: dict[int, Takeover] = {}
+        # Since when all grants to the backend server's address are known.
         self._started_at = read_clock()
         self._is_paused = False
         self._channel: CallGrants | HeartbeatGrants
@@ -175,17 +176,13 @@
         """Record a restart of the backend server; a new incarnation holds no keys."""
         if incarnation == self.incarnation:
             return
-        previous, self.incarnation = self.incarnation, incarnation
+        self.incarnation = incarnation
         self._is_paused = False
         self._held.clear()
         for task in self._acquiring.values():
             task.cancel()
         self._acquiring.clear()
         self._channel.reset()
-        if previous is not None:
-            # Keys that an earlier process of this daemon granted were held by the incarnation
-            # that has ended.
-            self._started_at = -math.inf
         self._reconcile()
 
     def pause_grants(self, incarnation: BackendIncarnation | None) -> None:
--- a/persimmondock/tests/test_range_keeper.py
+++ b/persimmondock/tests/test_range_keeper.py
@@ -157,6 +157,26 @@
     harness.task.cancel()
 
 
+async def test_a_restarted_daemon_waits_though_it_first_hears_of_a_process_that_has_ended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against confirming a release of keys that the daemon granted before its restart.
+
+    A delayed announcement of the backend server's former process comes first. The present one,
+    which the daemon's own former process granted the keys to, is announced after it.
+    """
+    monkeypatch.setattr(range_keeper, "GRANT_DURATION_S", 0.5)
+    harness = KeeperHarness()
+    harness.keeper.update_incarnation(make_incarnation(1))
+    harness.keeper.update_incarnation(make_incarnation(1, born_ms=2))
+    harness.keeper.update_assignment(make_assignment(make_range(0, 9, 2, fence=2), offset=2), 2)
+    reply = asyncio.create_task(harness.keeper.handle_release([0, 9, 2, 2], PEER))
+    await asyncio.sleep(0.2)
+    assert not reply.done()
+    assert (await reply)[0]
+    harness.task.cancel()
+
+
 async def test_a_refused_connection_shows_that_nothing_holds_keys() -> None:
     harness = KeeperHarness()
     harness.backend.refused = True
