Ask for the release of keys whose owner started again under its name

A backend server may start again under the name that it had. A grant that names it is then taken by either process, so the new one may hold keys under the former one's token, while the planner took the former one for ended and gave its keys to others at once.

Change: after such a start the keeper treats what was granted before as it does after a restart of the daemon: no release is confirmed before it has expired, and it is released first. KeyControl counts an incarnation as ended only if the newer one has another name; else its daemon is asked.

The new tests fail before the change. Left: a process that is gone for so short a time that no call fails may take one renewal under the former token before it announces itself.

--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -350,7 +350,11 @@
     def _list_ended(
         self, current: Assignment, statuses: dict[str, tuple[GateStatus, str]]
     ) -> frozenset[BackendIncarnation]:
-        """Return incarnations that have ended: their daemons report a newer one."""
+        """Return incarnations whose grants cannot be in force: their daemons report a newer one.
+
+        A newer one with the same name may have taken grants for the earlier one, so the daemon
+        has to be asked to release them.
+        """
         incarnations = {key_range.owner for key_range in current.ranges} | {
             incarnation for key_range in current.ranges for incarnation in key_range.former_owners
         }
@@ -361,6 +365,7 @@
             and (current_incarnation := statuses[incarnation.node][0].incarnation) is not None
             # The known status of a daemon may be older than the assignment.
             and current_incarnation.born_ms > incarnation.born_ms
+            and current_incarnation.instance != incarnation.instance
         )
 
     def _are_granted(
--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -176,13 +176,16 @@
         """Record a restart of the backend server; a new incarnation holds no keys."""
         if incarnation == self.incarnation:
             return
-        self.incarnation = incarnation
+        previous, self.incarnation = self.incarnation, incarnation
         self._is_paused = False
         self._held.clear()
         for task in self._acquiring.values():
             task.cancel()
         self._acquiring.clear()
         self._channel.reset()
+        if previous is not None and previous.instance == incarnation.instance:
+            # The new process may have taken grants for the earlier one, which has the same name.
+            self._started_at = read_clock()
         self._reconcile()
 
     def pause_grants(self, incarnation: BackendIncarnation | None) -> None:
--- a/persimmondock/tests/test_key_control.py
+++ b/persimmondock/tests/test_key_control.py
@@ -129,6 +129,17 @@
     assert harness.control._list_ended(current, statuses) == {make_incarnation(2)}
 
 
+def test_an_incarnation_is_not_ended_by_a_newer_one_of_the_same_name(
+    harness: ControlHarness,
+) -> None:
+    """Guards against a second holder: grants for the one may have reached the other."""
+    current = make_assignment(make_range(0, 9, 2))
+    same_name = attrs.evolve(make_incarnation(2), born_ms=5)
+    harness.add_peer(2, make_status(2, incarnation=same_name))
+    statuses = harness.control._list_statuses(read_clock())
+    assert harness.control._list_ended(current, statuses) == frozenset()
+
+
 def test_former_owners_are_dropped_once_the_current_owner_holds_the_range(
     harness: ControlHarness,
 ) -> None:
--- a/persimmondock/tests/test_range_keeper.py
+++ b/persimmondock/tests/test_range_keeper.py
@@ -157,6 +157,31 @@
     harness.task.cancel()
 
 
+@pytest.mark.parametrize("same_name", [True, False])
+async def test_grants_may_have_reached_a_new_process_of_the_same_name(
+    same_name: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a release that is confirmed while the successor of a process holds its keys.
+
+    The name in a grant does not tell two processes apart that have the same one.
+    """
+    monkeypatch.setattr(range_keeper, "GRANT_DURATION_S", 0.4)
+    harness = KeeperHarness()
+    harness.keeper._started_at -= 1.0
+    harness.keeper.update_incarnation(make_incarnation(1))
+    new = make_incarnation(1, born_ms=2)
+    if same_name:
+        new = attrs.evolve(new, instance=make_incarnation(1).instance)
+    harness.keeper.update_incarnation(new)
+    harness.keeper.update_assignment(make_assignment(make_range(0, 9, 2, fence=2), offset=2), 2)
+    reply = asyncio.create_task(harness.keeper.handle_release([0, 9, 2, 2], PEER))
+    await asyncio.sleep(0.1)
+    assert reply.done() is not same_name
+    assert harness.backend.releases == ([(0, 9)] if same_name else [])
+    assert (await reply)[0]
+    harness.task.cancel()
+
+
 async def test_a_restarted_daemon_waits_though_it_first_hears_of_a_process_that_has_ended(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
