Show two holders of keys that move while a process starts

The daemons of a service run in virtual time with their links, planner and clients; the store is in memory. A backend server is down for 0.4 or 0.5 s. Its gate is closed meanwhile, so the planner moves the keys, and the next process gets a renewal under the former one's token before its announcement. With the announcement the keys count as free, and their new owner takes them.

--- a/persimmondock/tests/test_grants_to_successors.py
+++ b/persimmondock/tests/test_grants_to_successors.py
@@ -13,6 +13,7 @@
 from persimmondock._domain.range_lease import RangeLease
 from persimmondock._tasks.range_keeper import RangeKeeper
 from persimmondock.tests.sites import make_assignment, make_range
+from persimmondock.tests.virtual_fleet import VirtualFleet
 from persimmondock.tests.virtual_network import (
     ServerBehavior,
     ServerProcess,
@@ -141,3 +142,35 @@
     """Guards against a grant that a new process carries out long after its announcement."""
     faults = find_faults(down_s=0.1, announced_after_s=announced_after_s, is_successor_late=True)
     assert faults == []
+
+
+async def move_keys(crash_after_s: float, down_s: float, announced_after_s: float) -> VirtualFleet:
+    """Crash a backend server; the planner moves its keys while the next process starts."""
+    fleet = VirtualFleet()
+    await fleet.start()
+    await asyncio.sleep(crash_after_s)
+    await fleet.crash_server(fleet.vms[1], down_s, announced_after_s)
+    await asyncio.sleep(announced_after_s + TERM_S)
+    assert fleet.list_free() == []
+    fleet.close()
+    return fleet
+
+
+@pytest.mark.parametrize(
+    ("down_s", "announced_after_s"), [(0.4, 0.005), (0.4, 0.05), (0.5, 0.005), (0.5, 0.05)]
+)
+def test_keys_that_move_while_a_process_starts_have_one_holder(
+    down_s: float, announced_after_s: float
+) -> None:
+    """Guards against two holders after a crash that is shorter than the move of the keys.
+
+    Other VMs got the keys as soon as the next process was announced, which held them too.
+    """
+    faults = []
+    for number in range(24):
+        # The next process listens from 2.0 s on, and the keys are moved at about 2.1 s.
+        crash_after_s = 2.0 - down_s + 0.005 * number
+        fleet = run_in_virtual_time(move_keys(crash_after_s, down_s, announced_after_s))
+        found = find_shared_holds(fleet.processes) + find_reused_tokens(fleet.processes)
+        faults += [(crash_after_s, fault) for fault in found]
+    assert faults == []
--- /dev/null
+++ b/persimmondock/tests/virtual_fleet.py
@@ -0,0 +1,397 @@
+"""Daemons of one keyed service with their store and backend servers, in virtual time.
+
+Everything between the sockets is that of the product: the daemons with their links, the planner and
+the clients of the backend servers. The store keeps its records in memory; announcements are handed
+to the daemon directly.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import random
+from collections.abc import Coroutine, Sequence
+from typing import Any
+
+import attrs
+
+from persimmondock._adapters.clock import read_clock
+from persimmondock._domain.assignment import (
+    KEY_COUNT,
+    Assignment,
+    BackendIncarnation,
+    KeyRange,
+    encode_assignment,
+)
+from persimmondock._domain.backend_report import BackendAnnouncement
+from persimmondock._domain.replica import KeyedEntry
+from persimmondock._domain.site import NodeSettings
+from persimmondock._ports.keyed_log import (
+    Conflict,
+    Partition,
+    ReadOutcome,
+    Records,
+    WriteOutcome,
+    Written,
+)
+from persimmondock._tasks.key_control import ASSIGNMENT_KEY_PREFIX
+from persimmondock._tasks.sidecar import OperatorCodec, Sidecar, SitePartitions
+from persimmondock.tests.sites import SERVICE, make_forwarded, make_report, make_table
+from persimmondock.tests.virtual_network import (
+    ServerBehavior,
+    ServerProcess,
+    VirtualNetwork,
+    make_backend_client,
+)
+
+STORE_CALL_S = 0.004
+ANNOUNCE_S = 0.87
+DOMAINS = ("recife", "fortaleza", "salvador")
+PARTITIONS = SitePartitions(Partition("operator"), Partition("members"), Partition("assignments"))
+CONFIG_KEY = "config"
+CODEC = OperatorCodec(CONFIG_KEY, lambda _: make_table(keyed=True), lambda _: None)
+# The daemon whose code runs, if any; tasks inherit it.
+RUNNING_DAEMON: contextvars.ContextVar[DaemonProcess | None] = contextvars.ContextVar(
+    "RUNNING_DAEMON", default=None
+)
+
+
+class VirtualLog:
+    """The store, in memory."""
+
+    def __init__(self) -> None:
+        self._entries: dict[Partition, list[KeyedEntry]] = {}
+        self._appended = asyncio.Event()
+
+    def append(self, partition: Partition, key: str, value: bytes) -> int:
+        """Append a record and return its offset."""
+        entries = self._entries.setdefault(partition, [])
+        entries.append(KeyedEntry(len(entries), key, value))
+        self._appended.set()
+        self._appended = asyncio.Event()
+        return len(entries) - 1
+
+    def find_newest(self, partition: Partition, key: str) -> KeyedEntry:
+        """Return the newest record of a key."""
+        return next(e for e in reversed(self._entries[partition]) if e.key == key)
+
+    async def read_newest(self, partition: Partition) -> Records:
+        """Read the newest record of each key."""
+        await asyncio.sleep(STORE_CALL_S)
+        entries = self._entries.get(partition, [])
+        newest = {entry.key: entry for entry in entries}
+        return Records(tuple(newest.values()), len(entries))
+
+    async def read_from(self, partition: Partition, offset: int, wait_s: float) -> ReadOutcome:
+        """Read records from an offset; wait up to ``wait_s`` seconds for one."""
+        await asyncio.sleep(STORE_CALL_S / 2)
+        wait_until = read_clock() + wait_s
+        while len(self._entries.get(partition, [])) <= offset and read_clock() < wait_until:
+            try:
+                async with asyncio.timeout(wait_until - read_clock()):
+                    await self._appended.wait()
+            except TimeoutError:
+                break
+        entries = self._entries.get(partition, [])
+        records = Records(tuple(entries[offset:]), len(entries))
+        await asyncio.sleep(STORE_CALL_S / 2)
+        return records
+
+    async def write(
+        self, partition: Partition, entries: Sequence[tuple[str, bytes]], expected_end: int | None
+    ) -> WriteOutcome:
+        """Append records; with ``expected_end`` only if the partition ends there."""
+        await asyncio.sleep(STORE_CALL_S / 2)
+        end = len(self._entries.get(partition, []))
+        outcome: WriteOutcome = Conflict()
+        if expected_end in (None, end):
+            for key, value in entries:
+                self.append(partition, key, value)
+            outcome = Written(end)
+        await asyncio.sleep(STORE_CALL_S / 2)
+        return outcome
+
+
+class DaemonProcess:
+    """One process of a daemon; everything that it started ends with it."""
+
+    def __init__(self, vm: VirtualVm, log: VirtualLog) -> None:
+        # In the order of their start, so that runs can be repeated.
+        self.tasks: dict[asyncio.Task[Any], None] = {}
+        self.is_running = True
+        settings = NodeSettings(
+            node=vm.name,
+            failure_domain=vm.failure_domain,
+            service=SERVICE,
+            backend_address=vm.backend_address,
+            store_address="",
+            caller_address="",
+            ready_address="",
+            announce_address="",
+            peer_address=vm.peer_address,
+        )
+        self.context = contextvars.copy_context()
+        self.context.run(RUNNING_DAEMON.set, self)
+        self._client = make_backend_client(vm.backend_address)
+        self.sidecar: Sidecar = self.context.run(
+            Sidecar, settings, log, self._client, PARTITIONS, CODEC
+        )
+
+    def create_task(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Start a task of this process."""
+        return self.context.run(asyncio.get_running_loop().create_task, work)
+
+    def kill(self) -> None:
+        """End the process."""
+        self.is_running = False
+        for task in list(self.tasks):
+            task.cancel()
+        self.sidecar.close()
+        self._client.close()
+
+
+def _create_task(
+    loop: asyncio.AbstractEventLoop, work: Coroutine[Any, Any, Any], **kwargs: Any
+) -> asyncio.Task[Any]:
+    task: asyncio.Task[Any] = asyncio.Task(work, loop=loop, **kwargs)
+    daemon = RUNNING_DAEMON.get()
+    if daemon is not None:
+        daemon.tasks[task] = None
+        task.add_done_callback(lambda _: daemon.tasks.pop(task, None))
+        if not daemon.is_running:
+            task.cancel()
+    return task
+
+
+@attrs.define(eq=False)
+class VirtualVm:
+    """A daemon and the backend server beside it.
+
+    Parameters
+    ----------
+    daemon, server
+        Their present processes, or None while they are down.
+    """
+
+    name: str
+    failure_domain: str
+    backend_address: str
+    peer_address: str
+    behavior: ServerBehavior = attrs.field(factory=ServerBehavior)
+    daemon: DaemonProcess | None = None
+    server: ServerProcess | None = None
+    sequence: int = 0
+    starts: int = 0
+    announcing: asyncio.Task[None] | None = None
+
+
+class VirtualFleet:
+    """VMs of one service; the ranges of the first assignment are few and equal in size.
+
+    Parameters
+    ----------
+    ranges_each
+        Ranges that each VM owns at the start.
+    request_interval_s
+        Mean time between the requests that a gate gets.
+    """
+
+    def __init__(
+        self,
+        count: int = 3,
+        ranges_each: int = 2,
+        request_interval_s: float = 0.2,
+        seed: int = 1,
+    ) -> None:
+        self.network = VirtualNetwork()
+        self.log = VirtualLog()
+        self.random = random.Random(seed)
+        self.vms = [
+            VirtualVm(f"vm-{n}", DOMAINS[n % 3], f"10.0.0.{n}:80", f"10.0.0.{n}:90")
+            for n in range(count)
+        ]
+        self._ranges_each = ranges_each
+        self._request_interval_s = request_interval_s
+        self._tasks: list[asyncio.Task[Any]] = []
+        asyncio.get_running_loop().set_task_factory(_create_task)
+
+    @property
+    def processes(self) -> list[ServerProcess]:
+        """All processes of backend servers, past and present."""
+        return self.network.processes
+
+    async def start(self) -> None:
+        """Start all processes, and wait until all keys are held."""
+        self.log.append(PARTITIONS.operator, CONFIG_KEY, b"{}")
+        for vm in self.vms:
+            self.start_server(vm)
+        count = self._ranges_each * len(self.vms)
+        ranges = [
+            KeyRange(
+                KEY_COUNT * n // count,
+                KEY_COUNT * (n + 1) // count - 1,
+                self.find_incarnation(self.vms[n % len(self.vms)]),
+                1,
+            )
+            for n in range(count)
+        ]
+        witnesses = frozenset(vm.name for vm in self.vms[: len(self.vms) - 1 | 1])
+        first = Assignment(SERVICE, tuple(ranges), witnesses)
+        self.log.append(
+            PARTITIONS.assignments, ASSIGNMENT_KEY_PREFIX + SERVICE, encode_assignment(first)
+        )
+        for vm in self.vms:
+            await self.start_daemon(vm)
+            self._tasks.append(asyncio.create_task(self._send_requests(vm)))
+        await self.wait_until_held(10.0)
+
+    async def wait_until_held(self, timeout_s: float) -> None:
+        """Wait until every key is held.
+
+        Raises
+        ------
+        TimeoutError
+            If some are not within the time.
+        """
+        async with asyncio.timeout(timeout_s):
+            while self.list_free():
+                await asyncio.sleep(0.05)
+
+    def list_free(self) -> list[tuple[int, int]]:
+        """Return the ranges of keys that no process holds."""
+        free, position = [], 0
+        held = [span for process in self.processes for span in process.list_held()]
+        for span in sorted(held, key=lambda span: span.first):
+            if span.first > position:
+                free.append((position, span.first - 1))
+            position = max(position, span.last + 1)
+        return [*free, (position, KEY_COUNT - 1)] if position < KEY_COUNT else free
+
+    def find_incarnation(self, vm: VirtualVm) -> BackendIncarnation:
+        """Return the incarnation of a VM's present backend server."""
+        assert vm.server is not None
+        return BackendIncarnation(vm.name, vm.server.instance, vm.server.born_ms)
+
+    # Processes.
+
+    async def start_daemon(self, vm: VirtualVm) -> None:
+        """Start a daemon that remembers nothing."""
+        vm.daemon = DaemonProcess(vm, self.log)
+        await vm.daemon.create_task(vm.daemon.sidecar.start())
+
+    async def restart_daemon(self, vm: VirtualVm, down_s: float) -> None:
+        """Kill a daemon, and start it again later."""
+        if vm.daemon is None:
+            return
+        vm.daemon.kill()
+        vm.daemon = None
+        await asyncio.sleep(down_s)
+        await self.start_daemon(vm)
+
+    def start_server(
+        self, vm: VirtualVm, announced_after_s: float = 0.0, keeps_name: bool = False
+    ) -> None:
+        """Start a backend server that announces itself some time later."""
+        vm.starts += not keeps_name
+        vm.sequence = 0
+        vm.server = ServerProcess(
+            self.network, vm.backend_address, f"i-{vm.name}-{vm.starts}", vm.behavior
+        )
+        vm.announcing = asyncio.create_task(self._announce(vm, vm.server, announced_after_s))
+
+    async def _announce(self, vm: VirtualVm, server: ServerProcess, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        while server.is_running:
+            self.announce(vm, server)
+            await asyncio.sleep(ANNOUNCE_S)
+
+    def announce(self, vm: VirtualVm, server: ServerProcess, draining: bool = False) -> None:
+        """Hand an announcement to the daemon, if it runs."""
+        self._deliver(vm, self._build_announcement(vm, server, draining))
+
+    async def announce_late(self, vm: VirtualVm, server: ServerProcess, delay_s: float) -> None:
+        """Hand an announcement to the daemon some time after the server has sent it."""
+        announcement = self._build_announcement(vm, server, draining=False)
+        await asyncio.sleep(delay_s)
+        self._deliver(vm, announcement)
+
+    def _build_announcement(
+        self, vm: VirtualVm, server: ServerProcess, draining: bool
+    ) -> BackendAnnouncement:
+        vm.sequence += 1
+        return make_report(
+            instance=server.instance,
+            address=vm.backend_address,
+            failure_domain=vm.failure_domain,
+            slots=8,
+            sequence=vm.sequence,
+            born_ms=server.born_ms,
+            draining=draining,
+        )
+
+    def _deliver(self, vm: VirtualVm, announcement: BackendAnnouncement) -> None:
+        if vm.daemon is not None:
+            vm.daemon.context.run(vm.daemon.sidecar.handle_announcement, announcement)
+
+    def kill_server(self, vm: VirtualVm) -> None:
+        """Kill the backend server."""
+        if vm.server is not None:
+            vm.server.kill()
+            vm.server = None
+        if vm.announcing is not None:
+            vm.announcing.cancel()
+
+    async def crash_server(
+        self, vm: VirtualVm, down_s: float, announced_after_s: float, keeps_name: bool = False
+    ) -> None:
+        """Kill the backend server; another process listens at its address later."""
+        if vm.server is None:
+            return
+        self.kill_server(vm)
+        await asyncio.sleep(down_s)
+        self.start_server(vm, announced_after_s, keeps_name)
+
+    async def replace_server(self, vm: VirtualVm, drain_s: float, announced_after_s: float) -> None:
+        """Let a backend server leave; another one starts at its address as soon as it has ended."""
+        server = vm.server
+        if server is None:
+            return
+        if vm.announcing is not None:
+            vm.announcing.cancel()
+        self.announce(vm, server, draining=True)
+        await asyncio.sleep(drain_s)
+        if vm.server is not server:
+            return
+        if vm.daemon is not None:
+            vm.daemon.context.run(vm.daemon.sidecar.handle_leave, server.instance)
+        self.kill_server(vm)
+        self.start_server(vm, announced_after_s)
+
+    # Requests.
+
+    async def _send_requests(self, vm: VirtualVm) -> None:
+        """Send requests for keys of the VM's own backend server until cancelled."""
+        number = 0
+        while True:
+            await asyncio.sleep(self.random.uniform(0.5, 1.5) * self._request_interval_s)
+            if vm.daemon is None:
+                continue
+            gate, keeper = vm.daemon.sidecar.gate, vm.daemon.sidecar.keeper
+            ranges = [r for r in keeper.assignment.ranges if r.owner == keeper.incarnation]
+            if ranges:
+                number += 1
+                key = self.random.choice(ranges).first
+                headers = (("X-Attempt-Id", f"{vm.name}/{number}"), ("X-Shard-Key", str(key)))
+                request = make_forwarded(
+                    read_clock(), attempt=f"{vm.name}/{number}", key=key, headers=headers
+                )
+                vm.daemon.create_task(gate.run(attrs.evolve(request, idempotent=True)))
+
+    def close(self) -> None:
+        """End everything."""
+        for vm in self.vms:
+            if vm.daemon is not None:
+                vm.daemon.kill()
+            self.kill_server(vm)
+        for task in self._tasks:
+            task.cancel()
--- a/persimmondock/tests/virtual_network.py
+++ b/persimmondock/tests/virtual_network.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 import enum
 import json
 import math
@@ -40,19 +41,23 @@
         self._inbox: deque[bytes | ConnectionResetError | None] = deque()
         self._is_closed = False
         self._unopened = 0
+        # What arrives is handled as the process to which this end belongs.
+        self._context = contextvars.copy_context()
 
     def open(self, protocol: asyncio.Protocol) -> None:
         """Deliver to a protocol what has arrived and what will."""
         self._protocol = protocol
         protocol.connection_made(self)
         for _ in range(self._unopened):
-            asyncio.get_running_loop().call_soon(self._receive)
+            asyncio.get_running_loop().call_soon(self._receive, context=self._context)
 
     def _send(self, item: bytes | ConnectionResetError | None) -> None:
         """Send bytes, the end of the stream (None), or a reset."""
         if self.other is not None:
             self.other._inbox.append(item)
-            asyncio.get_running_loop().call_later(HOP_S, self.other._receive)
+            asyncio.get_running_loop().call_later(
+                HOP_S, self.other._receive, context=self.other._context
+            )
 
     def _receive(self) -> None:
         if self._is_closed:
@@ -74,7 +79,9 @@
             return
         self._is_closed = True
         if self._protocol is not None:
-            asyncio.get_running_loop().call_soon(self._protocol.connection_lost, error)
+            asyncio.get_running_loop().call_soon(
+                self._protocol.connection_lost, error, context=self._context
+            )
 
     def drop(self) -> None:
         """Reset the connection without a word to the own protocol, whose process was killed."""
@@ -121,6 +128,7 @@
     network: VirtualNetwork
     address: str
     make_protocol: Callable[[], asyncio.Protocol]
+    context: contextvars.Context = attrs.field(factory=contextvars.copy_context)
 
     def close(self) -> None:
         """Stop listening; open connections remain."""
@@ -154,7 +162,8 @@
         if listener is None:
             await asyncio.sleep(HOP_S)
             raise ConnectionRefusedError(f"{host}:{port}")
-        client, server = VirtualTransport(), VirtualTransport()
+        client = VirtualTransport()
+        server = listener.context.copy().run(VirtualTransport)
         client.other, server.other = server, client
         server.open(listener.make_protocol())
         try:
@@ -270,7 +279,7 @@
         self.spans: list[HoldSpan] = []
         self.requests: list[tuple[float, int]] = []
         self.health_checks: list[float] = []
-        self._connections: set[_ServerConnection] = set()
+        self._connections: dict[_ServerConnection, None] = {}
         self._seen: dict[tuple[int, int], int] = {}
         self._running: list[int] = []
         self._listener = network.listen(address, lambda: _ServerConnection(self))
@@ -410,7 +419,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, VirtualTransport)
         self.transport = transport
-        self.process._connections.add(self)
+        self.process._connections[self] = None
 
     def data_received(self, data: bytes) -> None:
         self._task = asyncio.get_running_loop().create_task(self._answer(data))
@@ -428,7 +437,7 @@
             self.transport.write(answer)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.process._connections.discard(self)
+        self.process._connections.pop(self, None)
 
 
 def _render_answer(status: int, fields: dict[str, str] | None = None) -> bytes:
@@ -444,7 +453,7 @@
     """Return the holds of the same keys by two running processes at the same time."""
     spans = _list_by_start(processes)
     return [
-        f"{one}; {other}"
+        f"shared: {one}; {other}"
         for index, one in enumerate(spans)
         for other in spans[index + 1 :]
         if other.process is not one.process
@@ -457,7 +466,7 @@
     """Return the holds under a token that is not above that of an earlier holder of a key."""
     spans = _list_by_start(processes)
     return [
-        f"{earlier}; {later}"
+        f"reused: {earlier}; {later}"
         for index, later in enumerate(spans)
         for earlier in spans[:index]
         if earlier.process is not later.process
