Treat a successor as draining by its first announcement

Callers saw: a request could reach a backend server although its daemon had acknowledged that it drains (DRAIN), until the announcement after that one.

Cause: LocalBackend.apply_announcement noted the draining of the first incarnation that a daemon hears of, and of one that it knows already, but not of a successor that is first heard of while it drains: its earlier announcements were lost, or it was replaced and drained within a heartbeat.

Evidence: test_a_successor_that_is_first_heard_of_while_it_drains_gets_no_requests failed before (the request was answered with 200) and passes now.

Why it works: the first announcement of any incarnation takes the same path now, and the path notes the draining.

--- a/persimmondock/_domain/backend_report.py
+++ b/persimmondock/_domain/backend_report.py
@@ -83,16 +83,13 @@
             return Change.STALE
         if announcement.born_ms <= self.unknown_departed.get(announcement.instance, -1):
             return Change.STALE
-        if current is None:
+        if current is None or incarnation != (current.instance, current.born_ms):
+            if current is not None and announcement.born_ms < current.born_ms:
+                return Change.STALE
             self.announcement = announcement
             if announcement.draining:
                 self.departed.add(incarnation)
             return Change.NEW_INCARNATION
-        if incarnation != (current.instance, current.born_ms):
-            if announcement.born_ms < current.born_ms:
-                return Change.STALE
-            self.announcement = announcement
-            return Change.NEW_INCARNATION
         if announcement.sequence < current.sequence:
             return Change.STALE
         self.announcement = announcement
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -160,6 +160,19 @@
     assert isinstance(await harness.ask(), Answered)
 
 
+async def test_a_successor_that_is_first_heard_of_while_it_drains_gets_no_requests(
+    harness: GateHarness,
+) -> None:
+    """Guards against requests to a replaced backend server after its draining was acknowledged.
+
+    Its earlier announcements were lost. Only those of the first incarnation that a daemon heard of
+    counted as draining at once.
+    """
+    harness.gate.handle_announcement(make_report(instance="i-2", born_ms=2000, draining=True))
+    assert await harness.ask() == NotRun(Reason.DRAINING, 300)
+    assert harness.server.runs == [] and not harness.gate.is_open
+
+
 async def test_a_backend_server_that_refuses_connections_is_down_until_it_announces(
     harness: GateHarness,
 ) -> None:
