Bind an open reply to its heartbeat instead of to a sequence number

Callers saw (sites that grant in heartbeats): a backend server that was replaced within 0.6 s of its start got no keys in the reply to its first heartbeat, so its keys were refused for one more heartbeat (0.9 s).

Cause: HeartbeatGrants found the heartbeat of an open reply by its sequence number. The numbers of a new incarnation start anew, so the reply that was still open for the former process took the successor's first heartbeat for its own: its end was recorded as the answer to that heartbeat.

Evidence: test_an_open_reply_to_a_former_incarnation_does_not_count_as_its_successors, in virtual time, failed before (the former reply was a list of grants) and passes now.

Why it works: the reply keeps the report that it answers, and ends once that is not the newest one, whatever its number.

--- a/persimmondock/_tasks/heartbeat_grants.py
+++ b/persimmondock/_tasks/heartbeat_grants.py
@@ -126,10 +126,13 @@
         may_wait
             Whether the reply may wait up to REPLY_WAIT_S for a change of the holdings.
         """
+        report = self._report
+        if report is None or report.sequence != sequence:
+            return None
         wait_until = read_clock() + REPLY_WAIT_S if may_wait else -math.inf
         while (
-            self._report is not None
-            and self._report.sequence == sequence
+            # The sequence numbers of a new incarnation start anew.
+            self._report is report
             and not self._is_change_pending()
             and (wait_s := wait_until - read_clock()) > 0
         ):
@@ -137,7 +140,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait()
-        return self._compose_reply(sequence)
+        return self._compose_reply(report)
 
     def _is_change_pending(self) -> bool:
         """Return whether the next reply grants or releases keys."""
@@ -154,10 +157,10 @@
                 position = item.key_range.last + 1
         return position > last
 
-    def _compose_reply(self, sequence: int) -> GrantedHoldings | None:
-        """Compose the reply to the newest heartbeat, and record what it grants."""
-        report, keeper = self._report, self._keeper
-        if report is None or sequence != report.sequence or sequence == self._replied_sequence:
+    def _compose_reply(self, report: _Report) -> GrantedHoldings | None:
+        """Compose the reply to a heartbeat if it is the newest, and record what it grants."""
+        keeper = self._keeper
+        if report is not self._report or report.sequence == self._replied_sequence:
             return None
         hold_s = keeper.compute_hold_s(report.arrived_at)
         if keeper.assignment.offset == 0 or hold_s <= 0:
@@ -180,7 +183,7 @@
         sent_after = max(report.arrived_at - ACK_TIMEOUT_S, self._replied_at)
         guaranteed_until = min(sent_after, report.arrived_at) + hold_s
         possible_until = report.arrived_at + hold_s * (1 + CLOCK_TOLERANCE)
-        self._replied_sequence, self._replied_at = sequence, read_clock()
+        self._replied_sequence, self._replied_at = report.sequence, read_clock()
         for key_range in (ranges | new).values():
             keeper.record_accepted_grant(key_range, guaranteed_until, possible_until)
         for first in new:
--- a/persimmondock/tests/test_heartbeat_grants.py
+++ b/persimmondock/tests/test_heartbeat_grants.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from persimmondock._adapters.clock import read_clock
@@ -23,6 +24,7 @@
 from persimmondock._tasks.range_keeper import RangeKeeper
 from persimmondock.tests.fake_backend import FakeBackend
 from persimmondock.tests.sites import make_assignment, make_incarnation, make_range
+from persimmondock.tests.virtual_time import run_in_virtual_time
 
 PEER = Delivery("node-2", 0.0)
 
@@ -275,6 +277,36 @@
     newer.cancel()
 
 
+def test_an_open_reply_to_a_former_incarnation_does_not_count_as_its_successors() -> None:
+    """Guards against a successor without keys after a reply to a process that has ended.
+
+    A backend server is replaced while its first reply is held open, and the successor's first
+    heartbeat has the same number. The end of the former reply counted as the answer to it.
+    """
+
+    async def play() -> tuple[GrantedHoldings | None, GrantedHoldings | None]:
+        harness = HeartbeatHarness()
+        owned = attrs.evolve(make_range(0, 9, 1, fence=2), owner=make_incarnation(1, born_ms=2))
+        await harness.follow(make_assignment())
+        former = asyncio.create_task(harness.beat(sequence=1))
+        await asyncio.sleep(0.1)
+
+        async def replace() -> GrantedHoldings | None:
+            harness.keeper.update_incarnation(make_incarnation(1, born_ms=2))
+            return await harness.beat(sequence=1, born_ms=2)
+
+        successor = asyncio.create_task(replace())
+        former_reply = await former
+        await harness.follow(make_assignment(owned, offset=2))
+        reply = await successor
+        harness.task.cancel()
+        return former_reply, reply
+
+    former_reply, reply = run_in_virtual_time(play())
+    assert former_reply is None
+    assert reply is not None and reply.rows == (GrantedRow(0, 9, 2),)
+
+
 async def test_the_reply_to_a_leaving_backend_server_is_not_held_open(
     harness: HeartbeatHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
