Name the expected daemon first on each connection between daemons

Another VM at the address of a lost one, whose record is still in the store, answered heartbeats, requests and releases in the lost daemon's name: as a witness it counted twice in a majority, a leader with the lowest name seemed alive so that nobody planned the keys, and its gate ran what was routed to the lost daemon.

Cause: a connection was taken for that of the daemon whose record has the address; nothing on it says who answers.

Why it works: frames of a connection are handled in order, and the first one names the daemon that is meant. Another one refuses the connection and ignores all that follows on it; requests that wait there fail as not sent.

--- a/persimmondock/_adapters/peer_stream.py
+++ b/persimmondock/_adapters/peer_stream.py
@@ -9,6 +9,9 @@
 which it was sent, by the sender's clock, and the receiver subtracts that time from its own clock.
 The smallest difference on a connection counts as its normal delay, which includes the offset
 between the two clocks. The amount by which a request exceeds it is the request's age.
+
+A client names the daemon that it wants first. The address may belong to another daemon by now,
+which then refuses the connection and handles nothing that was sent on it.
 """
 
 from __future__ import annotations
@@ -36,8 +39,9 @@
 LENGTH_PREFIX = struct.Struct(">I")
 
 # Kinds of frames. The client sends [kind, number, kind of request, payload, time of sending], the
-# server [kind, number, payload]; the number is that of the request.
-REQUEST, REPLY, CANCEL, FAILED = 0, 1, 2, 3
+# server [kind, number, payload]; the number is that of the request. A server that is not the one
+# expected sends OTHER_NODE with its own name and closes the connection.
+REQUEST, REPLY, CANCEL, FAILED, OTHER_NODE = 0, 1, 2, 3, 4
 
 
 class PeerRequestError(Exception):
@@ -149,6 +153,7 @@
         self._client = client
         self._pending: dict[int, _PendingRequest] = {}
         self._retired = False
+        self.is_refused = False
 
     def send_request(self, number: int, kind: str, payload: Any, request: _PendingRequest) -> None:
         """Send a request."""
@@ -176,17 +181,34 @@
 
     def handle_frame(self, frame: list[Any]) -> None:
         kind, number, payload = frame
+        if kind == OTHER_NODE:
+            self._handle_refusal(payload)
+            return
         request = self._pending.pop(number, None)
         if request is not None:
             is_reply = kind == REPLY
             request.on_reply(payload if is_reply else PeerRequestError(str(payload), sent=True))
         self._close_if_done()
 
+    def _handle_refusal(self, node: str) -> None:
+        logger.warning(
+            "event=peer_mistaken peer={} address={} answered_by={}",
+            self._client.node,
+            self._client.address,
+            node,
+        )
+        self.is_refused = True
+        self.close()
+        self._fail_pending(PeerRequestError(f"{node} is at the address", sent=False))
+
     def connection_lost(self, error: Exception | None) -> None:
         self._client.handle_disconnect(self)
+        self._fail_pending(PeerRequestError(repr(error), sent=True))
+
+    def _fail_pending(self, error: PeerRequestError) -> None:
         pending, self._pending = self._pending, {}
         for request in pending.values():
-            request.on_reply(PeerRequestError(repr(error), sent=True))
+            request.on_reply(error)
 
 
 class PeerClient:
@@ -324,9 +346,12 @@
                 continue
             delay_s = RECONNECT_DELAY_S
             self._disconnected.clear()
+            protocol.send([REQUEST, 0, "expect", self.node, read_clock()])
             protocol.send([REQUEST, 0, "hello", self._greeting, read_clock()])
             self._protocol = protocol
             await self._disconnected.wait()
+            if protocol.is_refused:
+                await asyncio.sleep(MAX_RECONNECT_DELAY_S)
 
 
 class _ServerProtocol(_FrameProtocol):
@@ -335,6 +360,7 @@
         self._server = server
         self._peer = ""
         self._min_delay_s = math.inf
+        self._is_refused = False
         self._request_tasks: dict[int, asyncio.Task[None]] = {}
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -343,6 +369,8 @@
 
     def handle_frame(self, frame: list[Any]) -> None:
         kind, number, name, payload, sent_at = frame
+        if self._is_refused:
+            return
         delay = read_clock() - sent_at
         self._min_delay_s = min(self._min_delay_s, delay)
         if kind == CANCEL:
@@ -350,6 +378,10 @@
             if task is not None:
                 task.cancel()
             return
+        if name == "expect":
+            if payload != self._server.node:
+                self._refuse()
+            return
         if name == "hello":
             self._peer = payload[0]
             self._server.on_greeting(payload)
@@ -363,6 +395,13 @@
         self._request_tasks[number] = task
         task.add_done_callback(lambda _: self._request_tasks.pop(number, None))
 
+    def _refuse(self) -> None:
+        """Close the connection of a daemon that expects another one at this address."""
+        self._is_refused = True
+        self.send([OTHER_NODE, 0, self._server.node])
+        if self.transport is not None:
+            self.transport.close()
+
     async def _handle_request(
         self, number: int, name: str, payload: Any, delivery: Delivery
     ) -> None:
@@ -389,6 +428,8 @@
     ----------
     on_greeting
         Called with the greeting of each daemon that connects.
+    node
+        Name of this daemon; connections that expect another one are refused.
 
     Attributes
     ----------
@@ -399,8 +440,9 @@
         iterations of the event loop for each request.
     """
 
-    def __init__(self, on_greeting: Callable[[list[str]], None]) -> None:
+    def __init__(self, on_greeting: Callable[[list[str]], None], node: str) -> None:
         self.on_greeting = on_greeting
+        self.node = node
         self.handlers: dict[str, Callable[[Any, Delivery], Awaitable[Any]]] = {}
         self.instant_handlers: dict[str, Callable[[Any, Delivery], Any]] = {}
         self.connections: set[_ServerProtocol] = set()
--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -148,7 +148,7 @@
         ],
     ) -> None:
         self.own = own
-        self.server = PeerServer(self._handle_greeting)
+        self.server = PeerServer(self._handle_greeting, own.node)
         self.server.instant_handlers["ping"] = self._handle_ping
         self.server.handlers["sync"] = self._handle_sync
         self.server.handlers["push"] = self._handle_push
--- a/persimmondock/tests/test_mesh.py
+++ b/persimmondock/tests/test_mesh.py
@@ -31,6 +31,7 @@
     encode_member,
 )
 from persimmondock._tasks.store_follower import PartitionFollower
+from persimmondock.tests.builders import NETWORK
 from persimmondock.tests.test_store_follower import ScriptedLog
 
 FAILURE_DOMAINS = ("recife", "salvador", "natal")
@@ -234,3 +235,31 @@
 def test_a_malformed_members_record_raises_an_error_with_the_daemons_name(data: bytes) -> None:
     with pytest.raises(ValueError, match="'node-9'"):
         decode_member("node-9", data)
+
+
+async def test_a_daemon_at_the_address_of_a_lost_witness_confirms_nothing_in_its_name() -> None:
+    """Guards against a majority of witnesses that is one daemon, and against a leader that is gone.
+
+    Another VM got the address of a lost one, whose record is still in the store. Its replies to
+    heartbeats counted as those of the lost daemon.
+    """
+    follower = PartitionFollower(ScriptedLog(), Partition("t"), lambda _: None)
+    address = f"{NETWORK}173:18300"
+    replies: list[str] = []
+    successor = Mesh(
+        attrs.evolve(make_member(9), address=address), [follower], GateStatus, lambda *_: None
+    )
+    own = attrs.evolve(make_member(0), address=f"{NETWORK}174:18300")
+    mesh = Mesh(own, [follower], GateStatus, lambda node, *_: replies.append(node))
+    await successor.server.start(address)
+    lost = attrs.evolve(make_member(3), address=address)
+    mesh.update_members([KeyedEntry(0, lost.node, encode_member(lost))])
+    task = asyncio.create_task(mesh.run())
+    await asyncio.sleep(1.0)
+    mesh.update_members([KeyedEntry(1, successor.own.node, encode_member(successor.own))])
+    await asyncio.sleep(1.0)
+    alive = [peer.member.node for peer in mesh.list_alive(read_clock())]
+    task.cancel()
+    mesh.close()
+    successor.close()
+    assert set(replies) == set(alive) == {successor.own.node}
--- a/persimmondock/tests/test_peer_stream.py
+++ b/persimmondock/tests/test_peer_stream.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from persimmondock._adapters import peer_stream
 from persimmondock._adapters.peer_stream import (
     Delivery,
     PeerClient,
@@ -23,7 +24,7 @@
     """A server whose requests take a given time, and a client that is connected to it."""
 
     def __init__(self) -> None:
-        self.server = PeerServer(lambda _: None)
+        self.server = PeerServer(lambda _: None, "node-2")
         self.server.handlers["call"] = self._handle_call
         self.runs: list[Any] = []
         self.cancelled: list[Any] = []
@@ -126,3 +127,23 @@
     request.cancel()
     await asyncio.sleep(0.1)
     assert harness.cancelled == [5.0]
+
+
+async def test_a_daemon_at_the_address_of_another_one_handles_none_of_its_requests(
+    harness: PeerHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that are run by another VM which got the address of a lost one."""
+    monkeypatch.setattr(peer_stream, "MAX_RECONNECT_DELAY_S", 0.1)
+    former = harness.client
+    former.close()
+    harness.client = PeerClient(GREETING, "node-3", ADDRESS)
+    while not harness.client.connected:
+        await asyncio.sleep(0)
+    with pytest.raises(PeerRequestError) as raised:
+        await harness.call(0.0)
+    assert not raised.value.sent
+    assert harness.runs == []
+    harness.server.node = "node-3"
+    await asyncio.sleep(0.2)
+    await harness.wait_until_connected()
+    assert await harness.call(0.0) == ["done", 0.0]
