Write a daemon's record again when the store has another one

A daemon that was started with another address could stay unreachable for the others for good.

Cause: the record of a daemon is written without a condition, once. A write of its former process that got no answer may be carried out later (PROTOCOL), after that of the present one, and nothing looked at the record again.

Evidence: test_a_late_write_of_an_earlier_process_does_not_replace_the_record, in virtual time, failed before (the former address stayed) and passes now; the two tests beside it show that a sound record costs no further write.

Why it works: the daemon follows the partition of members anyway, and writes its record whenever the store has another one. After a write it waits until its copy has that record, so that it writes once.

--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -42,7 +42,7 @@
 STOP_MARGIN_S = 0.7  # reserve before the process is killed
 READINESS_DRAIN_S = 2.3  # callers move away after two failed readiness checks, a second apart
 RELOADABLE_FIELDS = ("bounds",)
-ASSIGNMENTS_INDEX = 2  # index in Sidecar._followers
+MEMBERS_INDEX, ASSIGNMENTS_INDEX = 1, 2  # indices in Sidecar._followers
 
 
 @attrs.frozen
@@ -173,7 +173,7 @@
             self.keeper.run(),
             self.control.run(),
             self.gate.watch_limit(),
-            self._register_member(),
+            self._maintain_member_record(),
         ]
         for coroutine in coroutines:
             task = asyncio.create_task(coroutine)
@@ -343,27 +343,25 @@
         self.gate.bounds = settings.bounds
         self.dispatcher.bounds = settings.bounds
 
-    async def _register_member(self) -> None:
-        """Write this daemon's record to the store unless it is up to date."""
-        members_follower = self._followers[1]
+    async def _maintain_member_record(self) -> None:
+        """Write this daemon's record to the store whenever the store has another one.
+
+        A write of an earlier process of this daemon, which may have had another address, may be
+        carried out after that of this process.
+        """
+        follower, node = self._followers[MEMBERS_INDEX], self.mesh.own.node
         value = encode_member(self.mesh.own)
         while True:
-            if (
-                members_follower.replica.confirmed_by_store
-                and members_follower.replica.get(self.mesh.own.node) != value
-            ):
-                outcome = await self._log.write(
-                    members_follower.partition, [(self.mesh.own.node, value)], None
-                )
+            replica = follower.replica
+            if replica.confirmed_by_store and replica.get(node) != value:
+                outcome = await self._log.write(follower.partition, [(node, value)], None)
                 if isinstance(outcome, Written):
                     logger.info("event=member_written offset={}", outcome.offset)
-                    return
-                logger.info("event=member_not_written outcome={!r}", outcome)
-            elif members_follower.replica.confirmed_by_store:
-                return
-            await asyncio.sleep(
-                MEMBER_RETRY_S if members_follower.replica.confirmed_by_store else POLL_INTERVAL_S
-            )
+                    while replica.end <= outcome.offset:
+                        await asyncio.sleep(POLL_INTERVAL_S)
+                else:
+                    logger.info("event=member_not_written outcome={!r}", outcome)
+            await asyncio.sleep(MEMBER_RETRY_S if replica.confirmed_by_store else POLL_INTERVAL_S)
 
     def _stop_on_failure(self, task: asyncio.Task[None]) -> None:
         """Stop the daemon when a task fails with an unexpected error."""
