Use a successor although its start seems to be earlier than its predecessor's

A backend server that started after its VM's clock had been set back was ignored for good: its announcements counted as late ones of an earlier process. Its daemon went on with the process that had ended. Under the same id the successor even ran requests, while its draining was acknowledged and not obeyed.

Cause: LocalBackend told a late announcement from a successor by the time of the start alone, and that is a reading of a clock.

Evidence: test_a_successor_whose_clock_was_set_back_is_used (another id, the same id), in virtual time, failed before and passes now; three more cases hold that late announcements beside present ones, a bundle of late ones, and late ones around a time in which the daemon stood still change nothing.

Why it works: a process that has ended sends nothing more, so what is late of it ends within seconds, while a successor goes on announcing itself and the known process is silent. An incarnation with an earlier start replaces the known one after four announcements with growing numbers over 5 s without one of the known one. The time until then, in which keys are granted to the known one, is for the check of the instance at the address.

--- a/persimmondock/_domain/backend_report.py
+++ b/persimmondock/_domain/backend_report.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import enum
+import math
 
 import attrs
 
 from persimmondock._domain.holdings import ReportedHoldings
 
+# A backend server announces itself every 0.9 s or so; announcements of one that has ended come late
+# by seconds, but not for as long as this while the present one is silent.
+SILENT_AFTER_S = 5.0
+MIN_ANNOUNCEMENTS = 4  # this daemon may have stood still for most of that time
+
 
 class AnnouncementError(ValueError):
     """Raised for an invalid announcement; the message names the field."""
@@ -55,6 +61,26 @@
     GONE = "gone"
 
 
+@attrs.define
+class _Candidate:
+    """An incarnation that started before the known one by its clock, but may be its successor.
+
+    Parameters
+    ----------
+    heard_at
+        Instant of its first announcement.
+    sequence
+        Number of its newest announcement.
+    count
+        Number of its announcements.
+    """
+
+    incarnation: tuple[str, int]
+    heard_at: float
+    sequence: int = -1
+    count: int = 0
+
+
 @attrs.define
 class LocalBackend:
     """State of the backend server beside this daemon.
@@ -69,14 +95,18 @@
     unknown_departed
         Instant in Unix milliseconds at which an instance that is not known withdrew its
         announcement. Late announcements of it are ignored if it was started before.
+    heard_at
+        Instant of the newest announcement.
     """
 
     announcement: BackendAnnouncement | None = None
     departed: set[tuple[str, int]] = attrs.field(factory=set)
     unknown_departed: dict[str, int] = attrs.field(factory=dict)
+    heard_at: float = -math.inf
+    _candidate: _Candidate | None = None
 
-    def apply_announcement(self, announcement: BackendAnnouncement) -> Change:
-        """Apply an announcement and return its effect."""
+    def apply_announcement(self, announcement: BackendAnnouncement, now: float) -> Change:
+        """Apply an announcement that arrives at an instant, and return its effect."""
         incarnation = (announcement.instance, announcement.born_ms)
         current = self.announcement
         if incarnation in self.departed and not announcement.draining:
@@ -84,20 +114,42 @@
         if announcement.born_ms <= self.unknown_departed.get(announcement.instance, -1):
             return Change.STALE
         if current is None or incarnation != (current.instance, current.born_ms):
-            if current is not None and announcement.born_ms < current.born_ms:
+            if (
+                current is not None
+                and announcement.born_ms < current.born_ms
+                and not self._outlasts_known(announcement, now)
+            ):
                 return Change.STALE
-            self.announcement = announcement
+            self.announcement, self.heard_at = announcement, now
             if announcement.draining:
                 self.departed.add(incarnation)
             return Change.NEW_INCARNATION
         if announcement.sequence < current.sequence:
             return Change.STALE
-        self.announcement = announcement
+        self.announcement, self.heard_at = announcement, now
         if announcement.draining and incarnation not in self.departed:
             self.departed.add(incarnation)
             return Change.DRAINING
         return Change.NONE
 
+    def _outlasts_known(self, announcement: BackendAnnouncement, now: float) -> bool:
+        """Return whether an incarnation goes on announcing itself while the known one is silent.
+
+        The clock by which it started may have been set back since the start of the known one.
+        """
+        incarnation = (announcement.instance, announcement.born_ms)
+        candidate = self._candidate
+        if (
+            candidate is None
+            or candidate.incarnation != incarnation
+            or candidate.heard_at <= self.heard_at
+        ):
+            candidate = self._candidate = _Candidate(incarnation, now)
+        if announcement.sequence > candidate.sequence:
+            candidate.sequence = announcement.sequence
+            candidate.count += 1
+        return candidate.count >= MIN_ANNOUNCEMENTS and now - candidate.heard_at >= SILENT_AFTER_S
+
     def mark_departed(self, instance: str, now_ms: int) -> Change:
         """Record that an instance withdrew its announcement.
 
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -232,10 +232,10 @@
 
     def handle_announcement(self, announcement: BackendAnnouncement) -> Change:
         """Apply an announcement of the backend server."""
-        change = self.backend.apply_announcement(announcement)
+        now = read_clock()
+        change = self.backend.apply_announcement(announcement, now)
         if change is Change.STALE:
             return change
-        now = read_clock()
         if announcement.cold_s > 0:
             self._arrival_limit.cold_until = now + announcement.cold_s
         elif change is not Change.NEW_INCARNATION:
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -29,6 +29,7 @@
     make_range,
     make_report,
 )
+from persimmondock.tests.virtual_time import run_in_virtual_time
 
 LOST = MayHaveRun(Reason.BACKEND_LOST)
 DOWN = NotRun(Reason.BACKEND_DOWN, 200)
@@ -160,6 +161,64 @@
     assert isinstance(await harness.ask(), Answered)
 
 
+@pytest.mark.parametrize("instance", ["i-2", "i-1"])
+def test_a_successor_whose_clock_was_set_back_is_used(instance: str) -> None:
+    """Guards against ignoring a backend server for good because its start seems to be earlier."""
+
+    async def run() -> list[BackendIncarnation | None]:
+        harness, seen = GateHarness(), []
+        await asyncio.sleep(0.4)
+        for sequence in range(1, 10):
+            harness.gate.handle_announcement(
+                make_report(instance=instance, born_ms=900, sequence=sequence)
+            )
+            seen.append(harness.gate.incarnation)
+            await asyncio.sleep(0.9)
+        return seen
+
+    seen = run_in_virtual_time(run())
+    assert seen[:6] == [BackendIncarnation("node-1", "i-1", 1000)] * 6
+    assert seen[6:] == [BackendIncarnation("node-1", instance, 900)] * 3
+
+
+def test_late_announcements_of_a_former_incarnation_change_nothing_beside_present_ones() -> None:
+    async def run() -> set[BackendIncarnation | None]:
+        harness, seen = GateHarness(), set()
+        for sequence in range(2, 40):
+            harness.gate.handle_announcement(make_report(sequence=sequence))
+            await asyncio.sleep(0.45)
+            harness.gate.handle_announcement(
+                make_report(instance="i-0", born_ms=900, sequence=sequence)
+            )
+            seen.add(harness.gate.incarnation)
+            await asyncio.sleep(0.45)
+        return seen
+
+    assert run_in_virtual_time(run()) == {BackendIncarnation("node-1", "i-1", 1000)}
+
+
+@pytest.mark.parametrize(
+    "waits_s",
+    [
+        pytest.param((6.0, 0.1, 0.1, 0.1, 0.1), id="all at once"),
+        pytest.param((0.1, 0.9, 6.0), id="the daemon stood still in between"),
+    ],
+)
+def test_announcements_that_were_held_up_are_of_no_successor(waits_s: tuple[float, ...]) -> None:
+    """The backend server is silent for a while, and what was held up of its predecessor comes."""
+
+    async def run() -> BackendIncarnation | None:
+        harness = GateHarness()
+        for sequence, wait_s in enumerate(waits_s):
+            await asyncio.sleep(wait_s)
+            harness.gate.handle_announcement(
+                make_report(instance="i-0", born_ms=900, sequence=sequence)
+            )
+        return harness.gate.incarnation
+
+    assert run_in_virtual_time(run()) == BackendIncarnation("node-1", "i-1", 1000)
+
+
 async def test_a_successor_that_is_first_heard_of_while_it_drains_gets_no_requests(
     harness: GateHarness,
 ) -> None:
