Plan keys for an incarnation that stays though its start seems to be earlier

Keys of a service whose backend servers were all replaced after their clocks had been set back, or whose only one was, had no owner until one started with a later time.

Cause: the planner took a status with an earlier start than that of the owner for one from before the assignment, for as long as the owner had keys.

Evidence: test_an_incarnation_whose_clock_was_set_back_gets_the_keys_of_its_predecessor, in virtual time, failed before (no plan at all) and passes now; test_a_stale_status_does_not_end_a_newer_incarnation holds as it was.

Why it works: the leader gets the statuses of its service every 0.5 s, so one that names the same incarnation for 2.5 s is no old one. The predecessor is not taken for ended by that: it stays a former owner whose daemon has to confirm the release.

--- a/persimmondock/_domain/assignment.py
+++ b/persimmondock/_domain/assignment.py
@@ -257,6 +257,14 @@
     return incarnation.node == other.node and incarnation.born_ms < other.born_ms
 
 
+def find_newest_starts(assignment: Assignment) -> dict[str, int]:
+    """Return the latest start in Unix milliseconds of the owners beside each daemon."""
+    starts: dict[str, int] = {}
+    for item in assignment.ranges:
+        starts[item.owner.node] = max(starts.get(item.owner.node, 0), item.owner.born_ms)
+    return starts
+
+
 def count_moved_ranges(current: Assignment, ranges: tuple[KeyRange, ...]) -> int:
     """Return the number of ranges whose first key currently has another owner."""
     before = (current.find_range(item.first) for item in ranges)
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -21,6 +21,7 @@
     count_moved_ranges,
     decode_assignment,
     encode_assignment,
+    find_newest_starts,
     merge_ranges,
     plan_assignment,
 )
@@ -105,6 +106,8 @@
         self._max_rows = max_rows
         self._started_at = read_clock()
         self._unavailable_since: dict[str, float] = {}
+        # Daemons whose status names an incarnation that started before the one that owns keys.
+        self._earlier_since: dict[str, float] = {}
         self._written_at = -math.inf
         self._witnesses_changed_at = read_clock()
         self._lease_checked_at = -math.inf
@@ -302,6 +305,14 @@
                 self._unavailable_since.pop(key_range.owner.node, None)
             else:
                 self._unavailable_since.setdefault(key_range.owner.node, now)
+        newest_born_ms = find_newest_starts(current) if current is not None else {}
+        earlier = {
+            node
+            for node, (status, _) in statuses.items()
+            if status.incarnation is not None
+            and status.incarnation.born_ms < newest_born_ms.get(node, 0)
+        }
+        self._earlier_since = {node: self._earlier_since.get(node, now) for node in earlier}
 
     def _is_leader(self, now: float) -> bool:
         """Return whether this daemon writes the assignment.
@@ -321,17 +332,19 @@
         """Return the incarnations that may own keys.
 
         These are the ones whose gates accept work, and current owners until they have been
-        unavailable for OWNER_LOST_AFTER_S.
+        unavailable for OWNER_LOST_AFTER_S. A status with an earlier start than that of the owner
+        counts once it has stood for as long: the known status of a daemon may be older than the
+        assignment, and a clock may have been set back between two starts.
         """
-        newest_born_ms: dict[str, int] = {}
-        for key_range in current.ranges:
-            born_ms = newest_born_ms.get(key_range.owner.node, 0)
-            newest_born_ms[key_range.owner.node] = max(born_ms, key_range.owner.born_ms)
+        newest_born_ms = find_newest_starts(current)
         owners = [
             EligibleOwner(status.incarnation)
-            for status, failure_domain in statuses.values()
+            for node, (status, failure_domain) in statuses.items()
             if status.incarnation is not None
-            and status.incarnation.born_ms >= newest_born_ms.get(status.incarnation.node, 0)
+            and (
+                status.incarnation.born_ms >= newest_born_ms.get(node, 0)
+                or now - self._earlier_since.get(node, now) >= OWNER_LOST_AFTER_S
+            )
             and status.accepts_work
             and not self._is_evacuated(failure_domain)
         ]
--- a/persimmondock/tests/test_key_control.py
+++ b/persimmondock/tests/test_key_control.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import attrs
 import pytest
 
 from persimmondock._adapters.clock import read_clock
-from persimmondock._domain.assignment import Assignment
+from persimmondock._domain.assignment import Assignment, EligibleOwner, plan_assignment
 from persimmondock._domain.gate_status import GateStatus
 from persimmondock._domain.key_loads import KeyLoads
 from persimmondock._domain.range_lease import RangeLease
@@ -18,6 +20,7 @@
 from persimmondock.tests.fake_backend import FakeBackend
 from persimmondock.tests.sites import SERVICE, make_assignment, make_incarnation, make_range
 from persimmondock.tests.test_store_follower import ScriptedLog
+from persimmondock.tests.virtual_time import run_in_virtual_time
 
 
 @attrs.define
@@ -120,6 +123,27 @@
     assert make_incarnation(2, 1) not in harness.list_owners(current)
 
 
+def test_an_incarnation_whose_clock_was_set_back_gets_the_keys_of_its_predecessor(
+    harness: ControlHarness,
+) -> None:
+    """Guards against keys without an owner when the only backend server seems to start earlier."""
+    predecessor, successor = make_incarnation(1, born_ms=5), make_incarnation(1, born_ms=2)
+    current = make_assignment(attrs.evolve(make_range(0, 9, 1), owner=predecessor))
+    harness.control.assignments[SERVICE] = current
+    harness.status = make_status(1, born_ms=2)
+
+    async def run() -> None:
+        assert harness.list_owners(current) == set()
+        await asyncio.sleep(OWNER_LOST_AFTER_S)
+        owners = [EligibleOwner(owner) for owner in harness.list_owners(current)]
+        ranges = plan_assignment(current, owners, frozenset())
+        assert ranges is not None
+        # Nothing proves that the predecessor has ended, so its daemon is asked.
+        assert [(r.owner, r.former_owners) for r in ranges] == [(successor, (predecessor,))]
+
+    run_in_virtual_time(run())
+
+
 def test_a_newer_incarnation_proves_that_the_earlier_one_has_ended(
     harness: ControlHarness,
 ) -> None:
