Show a release that a late heartbeat of an ended process confirms

On sites that grant in heartbeats, a daemon that has just started answers for what its earlier process granted. It takes the first heartbeat that it gets for the word of the process at the address. One that was held up on its way may be of a process that has ended, while the earlier daemon has granted the keys to the successor: two owners for up to the term of a grant.

Tried: to believe only a heartbeat that follows an answered one. That passes here and fails test_a_handover_is_sent_until_the_range_is_reported, since the same question is asked before this daemon's own backend server takes keys back. There a wrong answer does no harm. Left to the keeper, which has to tell the two questions apart (RangeKeeper.handle_release and _request_release).

--- a/persimmondock/tests/test_heartbeat_grants.py
+++ b/persimmondock/tests/test_heartbeat_grants.py
@@ -221,6 +221,22 @@
     assert await reply == [True, "data"]
 
 
+async def test_a_restarted_daemon_does_not_believe_a_single_heartbeat_that_keys_are_free(
+    harness: HeartbeatHarness,
+) -> None:
+    """Guards against a release that is confirmed by a late heartbeat of a process that has ended.
+
+    The earlier process of the daemon has granted the keys to the successor of that process.
+    """
+    await harness.follow(make_assignment(make_range(0, 9, 2, fence=2), offset=2))
+    reply = asyncio.create_task(harness.keeper.handle_release([0, 9, 2, 2], PEER))
+    await harness.beat()
+    await asyncio.sleep(0.1)
+    assert not reply.done()
+    await harness.beat()
+    assert await reply == [True, ""]
+
+
 async def test_a_restarted_daemon_renews_what_is_held_without_asking_former_owners(
     harness: HeartbeatHarness,
 ) -> None:
