Heed the start that a leave notice names

A late leave notice of a former process took its successor of the same id out of use for good, as the notice was matched by the id alone.

Cause: the start of a process (born) in the body of a leave notice was not read.

Evidence: test_a_late_leave_notice_of_a_former_process_does_not_end_its_successor and test_a_leave_notice_that_names_a_start_outlives_a_clock_that_was_set_back; neither can be written against the code before, which has no such argument. A notice without a body is applied as before.

Why it works: the notice is recorded for the process that it names; the log line backend_left shows that start.

--- a/persimmondock/_domain/backend_report.py
+++ b/persimmondock/_domain/backend_report.py
@@ -150,15 +150,24 @@
             candidate.count += 1
         return candidate.count >= MIN_ANNOUNCEMENTS and now - candidate.heard_at >= SILENT_AFTER_S
 
-    def mark_departed(self, instance: str, now_ms: int) -> Change:
+    def mark_departed(self, instance: str, now_ms: int, born_ms: int | None = None) -> Change:
         """Record that an instance withdrew its announcement.
 
         Parameters
         ----------
         now_ms
             Current time in Unix milliseconds.
+        born_ms
+            Start of its process in Unix milliseconds, or None if the notice does not say.
         """
         current = self.announcement
+        if born_ms is not None:
+            self.departed.add((instance, born_ms))
+            is_current = current is not None and (current.instance, current.born_ms) == (
+                instance,
+                born_ms,
+            )
+            return Change.GONE if is_current else Change.STALE
         if current is None or current.instance != instance:
             self.unknown_departed[instance] = now_ms
             return Change.STALE
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -360,9 +360,9 @@
         if self.backend.mark_draining() is Change.DRAINING:
             self._refuse_all_waiting(Reason.DRAINING)
 
-    def handle_leave(self, instance: str, now_ms: int) -> Change:
-        """Apply a backend server's notice that it is leaving, at a time in Unix milliseconds."""
-        change = self.backend.mark_departed(instance, now_ms)
+    def handle_leave(self, instance: str, now_ms: int, born_ms: int | None = None) -> Change:
+        """Apply a backend server's notice that it is leaving; see `LocalBackend.mark_departed`."""
+        change = self.backend.mark_departed(instance, now_ms, born_ms)
         if change is Change.GONE:
             self._refuse_all_waiting(Reason.DRAINING)
         return change
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -265,10 +265,15 @@
             incarnation, announcement.sequence, announcement.holdings, may_wait
         )
 
-    def handle_leave(self, instance: str) -> None:
+    def handle_leave(self, instance: str, born_ms: int | None) -> None:
         """Apply the backend server's notice that it is leaving."""
-        change = self.gate.handle_leave(instance, int(1000 * time.time()))
-        logger.info("event=backend_left change={} instance={}", change.value, instance)
+        change = self.gate.handle_leave(instance, int(1000 * time.time()), born_ms)
+        logger.info(
+            "event=backend_left change={} instance={} born_ms={}",
+            change.value,
+            instance,
+            "-" if born_ms is None else born_ms,
+        )
 
     def _apply_site(self) -> None:
         self.gate.policy = self.site.find_policy(self.settings.service)
--- a/persimmondock/platform/_discovery.py
+++ b/persimmondock/platform/_discovery.py
@@ -71,6 +71,15 @@
     return json.dumps(reply, separators=(",", ":")).encode()
 
 
+def find_start(body: bytes) -> int | None:
+    """Return the start that a leave notice names in Unix milliseconds, or None if it names none."""
+    try:
+        data = json.loads(body)
+        return _read_whole_number(data, "born") if isinstance(data, dict) else None
+    except (ValueError, AnnouncementError):
+        return None
+
+
 def parse_instance(path: str) -> str:
     """Return the name of the instance in a request path.
 
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -129,7 +129,8 @@
                 granted = await self._sidecar.grant_holdings(announcement)
                 return ServerResponse(200, JSON_FIELDS, _discovery.encode_reply(granted))
             if request.method == "DELETE":
-                self._sidecar.handle_leave(_discovery.parse_instance(request.path))
+                instance = _discovery.parse_instance(request.path)
+                self._sidecar.handle_leave(instance, _discovery.find_start(request.body))
                 return ServerResponse(200, JSON_FIELDS, b"{}")
         except AnnouncementError as error:
             logger.warning("event=report_refused path={} detail={!r}", request.path, str(error))
--- a/persimmondock/tests/platform/test_words.py
+++ b/persimmondock/tests/platform/test_words.py
@@ -51,6 +51,21 @@
 }
 
 
+@pytest.mark.parametrize(
+    ("body", "born_ms"),
+    [
+        (b"", None),
+        (b"{}", None),
+        (b"[1]", None),
+        (b"\xff", None),
+        (b'{"born": "7"}', None),
+        (b'{"born": 7, "sequence": 3}', 7),
+    ],
+)
+def test_a_leave_notice_may_name_the_start_of_its_process(body: bytes, born_ms: int | None) -> None:
+    assert _discovery.find_start(body) == born_ms
+
+
 def test_platform_names_are_used_only_in_the_adapter() -> None:
     outside = [
         path
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -322,6 +322,27 @@
     assert isinstance(await harness.ask(), Answered)
 
 
+async def test_a_late_leave_notice_of_a_former_process_does_not_end_its_successor(
+    harness: GateHarness,
+) -> None:
+    """Guards against a backend server that is never used after it started again under its name."""
+    harness.gate.handle_announcement(make_report(born_ms=2000))
+    assert harness.gate.handle_leave("i-1", now_ms=5000, born_ms=1000) is Change.STALE
+    assert isinstance(await harness.ask(), Answered)
+    assert harness.gate.handle_leave("i-1", now_ms=5000, born_ms=2000) is Change.GONE
+    assert await harness.ask() == NotRun(Reason.DRAINING, 300)
+
+
+async def test_a_leave_notice_that_names_a_start_outlives_a_clock_that_was_set_back() -> None:
+    harness = GateHarness()
+    harness.gate.backend = LocalBackend()
+    harness.gate.handle_leave("i-9", now_ms=500, born_ms=1000)
+    late = make_report(instance="i-9", born_ms=1000, sequence=7)
+    assert harness.gate.handle_announcement(late) is Change.STALE
+    again = make_report(instance="i-9", born_ms=900, sequence=1)
+    assert harness.gate.handle_announcement(again) is Change.NEW_INCARNATION
+
+
 class HandoverHarness(GateHarness):
     """A gate whose backend server is to get keys 0 to 9 from a former owner."""
 
