--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -232,10 +232,10 @@
 
     def handle_announcement(self, announcement: BackendAnnouncement) -> Change:
         """Apply an announcement of the backend server."""
-        change = self.backend.apply_announcement(announcement)
+        now = read_clock()
+        change = self.backend.apply_announcement(announcement, now)
         if change is Change.STALE:
             return change
-        now = read_clock()
         if announcement.cold_s > 0:
             self._arrival_limit.cold_until = now + announcement.cold_s
         elif change is not Change.NEW_INCARNATION:
@@ -362,9 +362,9 @@
         if self.backend.mark_draining() is Change.DRAINING:
             self._refuse_all_waiting(Reason.DRAINING)
 
-    def handle_leave(self, instance: str, now_ms: int) -> Change:
-        """Apply a backend server's notice that it is leaving, at a time in Unix milliseconds."""
-        change = self.backend.mark_departed(instance, now_ms)
+    def handle_leave(self, instance: str, now_ms: int, born_ms: int | None = None) -> Change:
+        """Apply a backend server's notice that it is leaving; see `LocalBackend.mark_departed`."""
+        change = self.backend.mark_departed(instance, now_ms, born_ms)
         if change is Change.GONE:
             self._refuse_all_waiting(Reason.DRAINING)
         return change
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -29,6 +29,7 @@
     make_range,
     make_report,
 )
+from persimmondock.tests.virtual_time import run_in_virtual_time
 
 LOST = MayHaveRun(Reason.BACKEND_LOST)
 DOWN = NotRun(Reason.BACKEND_DOWN, 200)
@@ -175,6 +176,77 @@
     assert isinstance(await harness.ask(), Answered)
 
 
+@pytest.mark.parametrize("instance", ["i-2", "i-1"])
+def test_a_successor_whose_clock_was_set_back_is_used(instance: str) -> None:
+    """Guards against ignoring a backend server for good because its start seems to be earlier."""
+
+    async def run() -> list[BackendIncarnation | None]:
+        harness, seen = GateHarness(), []
+        await asyncio.sleep(0.4)
+        for sequence in range(1, 10):
+            harness.gate.handle_announcement(
+                make_report(instance=instance, born_ms=900, sequence=sequence)
+            )
+            seen.append(harness.gate.incarnation)
+            await asyncio.sleep(0.9)
+        return seen
+
+    seen = run_in_virtual_time(run())
+    assert seen[:6] == [BackendIncarnation("node-1", "i-1", 1000)] * 6
+    assert seen[6:] == [BackendIncarnation("node-1", instance, 900)] * 3
+
+
+def test_late_announcements_of_a_former_incarnation_change_nothing_beside_present_ones() -> None:
+    async def run() -> set[BackendIncarnation | None]:
+        harness, seen = GateHarness(), set()
+        for sequence in range(2, 40):
+            harness.gate.handle_announcement(make_report(sequence=sequence))
+            await asyncio.sleep(0.45)
+            harness.gate.handle_announcement(
+                make_report(instance="i-0", born_ms=900, sequence=sequence)
+            )
+            seen.add(harness.gate.incarnation)
+            await asyncio.sleep(0.45)
+        return seen
+
+    assert run_in_virtual_time(run()) == {BackendIncarnation("node-1", "i-1", 1000)}
+
+
+@pytest.mark.parametrize(
+    "waits_s",
+    [
+        pytest.param((6.0, 0.1, 0.1, 0.1, 0.1), id="all at once"),
+        pytest.param((0.1, 0.9, 6.0), id="the daemon stood still in between"),
+    ],
+)
+def test_announcements_that_were_held_up_are_of_no_successor(waits_s: tuple[float, ...]) -> None:
+    """The backend server is silent for a while, and what was held up of its predecessor comes."""
+
+    async def run() -> BackendIncarnation | None:
+        harness = GateHarness()
+        for sequence, wait_s in enumerate(waits_s):
+            await asyncio.sleep(wait_s)
+            harness.gate.handle_announcement(
+                make_report(instance="i-0", born_ms=900, sequence=sequence)
+            )
+        return harness.gate.incarnation
+
+    assert run_in_virtual_time(run()) == BackendIncarnation("node-1", "i-1", 1000)
+
+
+async def test_a_successor_that_is_first_heard_of_while_it_drains_gets_no_requests(
+    harness: GateHarness,
+) -> None:
+    """Guards against requests to a replaced backend server after its draining was acknowledged.
+
+    Its earlier announcements were lost. Only those of the first incarnation that a daemon heard of
+    counted as draining at once.
+    """
+    harness.gate.handle_announcement(make_report(instance="i-2", born_ms=2000, draining=True))
+    assert await harness.ask() == NotRun(Reason.DRAINING, 300)
+    assert harness.server.runs == [] and not harness.gate.is_open
+
+
 async def test_a_backend_server_that_refuses_connections_is_down_until_it_announces(
     harness: GateHarness,
 ) -> None:
@@ -265,6 +337,27 @@
     assert isinstance(await harness.ask(), Answered)
 
 
+async def test_a_late_leave_notice_of_a_former_process_does_not_end_its_successor(
+    harness: GateHarness,
+) -> None:
+    """Guards against a backend server that is never used after it started again under its name."""
+    harness.gate.handle_announcement(make_report(born_ms=2000))
+    assert harness.gate.handle_leave("i-1", now_ms=5000, born_ms=1000) is Change.STALE
+    assert isinstance(await harness.ask(), Answered)
+    assert harness.gate.handle_leave("i-1", now_ms=5000, born_ms=2000) is Change.GONE
+    assert await harness.ask() == NotRun(Reason.DRAINING, 300)
+
+
+async def test_a_leave_notice_that_names_a_start_outlives_a_clock_that_was_set_back() -> None:
+    harness = GateHarness()
+    harness.gate.backend = LocalBackend()
+    harness.gate.handle_leave("i-9", now_ms=500, born_ms=1000)
+    late = make_report(instance="i-9", born_ms=1000, sequence=7)
+    assert harness.gate.handle_announcement(late) is Change.STALE
+    again = make_report(instance="i-9", born_ms=900, sequence=1)
+    assert harness.gate.handle_announcement(again) is Change.NEW_INCARNATION
+
+
 class HandoverHarness(GateHarness):
     """A gate whose backend server is to get keys 0 to 9 from a former owner."""
 
--- a/persimmondock/tests/test_virtual_network.py
+++ b/persimmondock/tests/test_virtual_network.py
@@ -38,6 +38,7 @@
 from persimmondock.tests.virtual_time import run_in_virtual_time
 
 ADDRESS = "10.0.0.1:80"
+INSTANCE = "i-1"
 HEALTH_REQUEST = render_request("GET", HEALTH_PATH, [("Host", ADDRESS)], b"")
 
 
@@ -46,7 +47,7 @@
 
     async def start() -> None:
         network = VirtualNetwork()
-        await test(network, ServerProcess(network, ADDRESS, "i-1"))
+        await test(network, ServerProcess(network, ADDRESS, INSTANCE))
 
     run_in_virtual_time(start())
 
@@ -54,7 +55,7 @@
 async def grant(
     client: PlatformBackend, fence: int, first: int = 0, last: int = 9, hold_s: float = 3.0
 ) -> GrantOutcome:
-    return await client.grant(first, last, fence, lambda: hold_s, "")
+    return await client.grant(INSTANCE, first, last, fence, lambda: hold_s, "")
 
 
 def test_a_killed_process_resets_its_connections_and_its_address_refuses_new_ones() -> None:
@@ -95,7 +96,7 @@
         assert await grant(client, 2) == GrantAccepted()
         (span,) = process.spans
         assert span.end - span.start == pytest.approx(4.0, abs=0.01)
-        assert await client.release(0, 4, 2) == ReleaseDone("handover-0")
+        assert await client.release(INSTANCE, 0, 4, 2) == ReleaseDone("handover-0")
         assert [(held.first, held.last) for held in process.list_held()] == [(5, 9)]
         await asyncio.sleep(3.1)
         assert process.list_held() == []
--- a/persimmondock/tests/virtual_fleet.py
+++ b/persimmondock/tests/virtual_fleet.py
@@ -363,7 +363,7 @@
         if vm.server is not server:
             return
         if vm.daemon is not None:
-            vm.daemon.context.run(vm.daemon.sidecar.handle_leave, server.instance)
+            vm.daemon.context.run(vm.daemon.sidecar.handle_leave, server.instance, server.born_ms)
         self.kill_server(vm)
         self.start_server(vm, announced_after_s)
 
