--- a/persimmondock/tests/test_mesh.py
+++ b/persimmondock/tests/test_mesh.py
@@ -263,3 +263,34 @@
     mesh.close()
     successor.close()
     assert set(replies) == set(alive) == {successor.own.node}
+
+
+async def test_daemons_at_the_addresses_of_lost_readers_do_not_count_as_readers() -> None:
+    """Guards against a failure domain in which nobody reads configurations from the store.
+
+    Both readers were lost, and other VMs of the domain got their addresses.
+    """
+    follower = PartitionFollower(ScriptedLog(), Partition("t"), lambda _: None)
+    follower.store_answers = True
+    mesh = Mesh(
+        attrs.evolve(make_member(6), address=f"{NETWORK}177:18300"),
+        [follower],
+        GateStatus,
+        lambda *_: None,
+    )
+    successors = []
+    for number, lost in ((9, 0), (12, 3)):
+        address = f"{NETWORK}{175 + lost // 3}:18300"
+        member = attrs.evolve(make_member(number), address=address)
+        successors.append(Mesh(member, [follower], GateStatus, lambda *_: None))
+        await successors[-1].server.start(address)
+        former = attrs.evolve(make_member(lost), address=address)
+        entries = [(0, former.node, former), (1, member.node, member)]
+        mesh.update_members([KeyedEntry(n, node, encode_member(m)) for n, node, m in entries])
+    task = asyncio.create_task(mesh.run())
+    await asyncio.sleep(1.0)
+    alive, is_reader = len(mesh.list_alive(read_clock())), mesh.is_reader()
+    task.cancel()
+    for each in (mesh, *successors):
+        each.close()
+    assert (alive, is_reader) == (2, True)
