Plan no keys for a backend server of another service

The planner had given 25 ranges to the backend servers at the reused addresses, which belong to another service. Nothing more was planned after that, since these owners never report their ranges as granted.

Cause: two faults. The status came in the name of a lost daemon, and the planner took the incarnation of each status of its service's daemons without looking at the service in the status.

Evidence: test_a_backend_server_of_another_service_gets_no_keys failed before and passes now.

Why it works: a status that names another service makes no owner, whichever way it came.

--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -340,7 +340,8 @@
         owners = [
             EligibleOwner(status.incarnation)
             for node, (status, failure_domain) in statuses.items()
-            if status.incarnation is not None
+            if status.service == self._service
+            and status.incarnation is not None
             and (
                 status.incarnation.born_ms >= newest_born_ms.get(node, 0)
                 or now - self._earlier_since.get(node, now) >= OWNER_LOST_AFTER_S
--- a/persimmondock/tests/test_key_control.py
+++ b/persimmondock/tests/test_key_control.py
@@ -123,6 +123,16 @@
     assert make_incarnation(2, 1) not in harness.list_owners(current)
 
 
+def test_a_backend_server_of_another_service_gets_no_keys(harness: ControlHarness) -> None:
+    """Guards against keys that nobody serves because their owner belongs to another service.
+
+    The status of a daemon may name another service than its record, as after a change of its VM.
+    """
+    current = make_assignment(make_range(0, 9, 1))
+    harness.add_peer(2, make_status(2, service="elsewhere"))
+    assert harness.list_owners(current) == {make_incarnation(1)}
+
+
 def test_an_incarnation_whose_clock_was_set_back_gets_the_keys_of_its_predecessor(
     harness: ControlHarness,
 ) -> None:
