Test that checked requests and health answers do not pass to a successor

Both hold already: the request test fails without the check of the incarnation right before the send; the health answer is stopped by two checks.

--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -352,7 +352,8 @@
         """Write this daemon's record to the store whenever the store has another one.
 
         A write of an earlier process of this daemon, which may have had another address, may be
-        carried out after that of this process.
+        carried out after that of this process: the epochs by which the store refuses it are times
+        of a clock that may have been set back.
         """
         follower, node = self._followers[MEMBERS_INDEX], self.mesh.own.node
         value = encode_member(self.mesh.own)
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -343,6 +343,30 @@
     assert harness.gate.handle_announcement(again) is Change.NEW_INCARNATION
 
 
+async def test_a_request_that_waits_for_a_connection_is_not_sent_to_a_successor(
+    harness: GateHarness,
+) -> None:
+    """Guards against requests that were checked for one process and reach the next one."""
+    request = asyncio.create_task(harness.ask())
+    await asyncio.sleep(0)
+    harness.gate.handle_announcement(make_report(born_ms=2000))
+    assert await request == NotRun(Reason.BACKEND_DOWN, 300)
+    assert harness.server.runs == []
+
+
+async def test_a_health_answer_of_a_former_process_says_nothing_of_its_successor(
+    harness: GateHarness,
+) -> None:
+    harness.gate.notice = KnownNotice(max_per_s=2.0)
+    harness.server.notice = BackendNotice(0.5, leaving=True)
+    check = asyncio.create_task(harness.gate._check_limit())
+    await asyncio.sleep(0)
+    harness.gate.handle_announcement(make_report(born_ms=2000))
+    await check
+    assert harness.server.health_checks
+    assert harness.gate.notice == KnownNotice() and harness.gate.is_open
+
+
 class HandoverHarness(GateHarness):
     """A gate whose backend server is to get keys 0 to 9 from a former owner."""
 
--- a/persimmondock/tests/test_sidecar.py
+++ b/persimmondock/tests/test_sidecar.py
@@ -104,7 +104,7 @@
     """Guards against a daemon that nobody reaches because its record has a former address.
 
     The earlier process of the daemon got no answer to its write, and the store carried it out after
-    that of the present process.
+    that of the present process, whose epoch was lower as the clock had been set back.
     """
     log = MemoryLog()
     former = encode_member(Member("node-1", "127.0.0.9:2", "recife", SERVICE))
