End a stand-in's handlers with its connections

Cause: a stop waits SHUTDOWN_TIMEOUT_S for each running handler, on a future that the timeout cancels. A handler that ends in the same turn of the event loop sets the result of the cancelled future (RequestHandler._handle_request, aiohttp 3.14.5).

Change: a stand-in stops listening and closes its connections first. With handler_cancellation their handlers are cancelled then, so that no future is waited for when the server shuts down. The soak's store ends in the same way.

--- a/persimmondock/soak/site.py
+++ b/persimmondock/soak/site.py
@@ -16,6 +16,7 @@
 
 from persimmondock.soak.checks import Observations, ObservedRun, OwnershipSpan, Span
 from persimmondock.soak.proxy import Proxy
+from persimmondock.standins.connections import close_server
 from persimmondock.standins.site_backend import ANNOUNCE_INTERVAL_S, SiteBackend
 from persimmondock.standins.site_messages import (
     ANNOUNCE_PORT,
@@ -262,4 +263,4 @@
         for vm in self.vms:
             await vm.close()
         if self._runner is not None:
-            await self._runner.cleanup()
+            await close_server(self._runner)
--- a/persimmondock/standins/site_backend.py
+++ b/persimmondock/standins/site_backend.py
@@ -16,6 +16,8 @@
 import attrs
 from aiohttp import web
 
+from persimmondock.standins.connections import close_server
+
 ANNOUNCE_INTERVAL_S = 0.2
 RELEASING_INTERVAL_S = 0.1  # between announcements while keys are being released
 MAX_REPLY_BYTES = 4096
@@ -155,7 +157,7 @@
         if self._announce_task is not None:
             self._announce_task.cancel()
         if self._runner is not None:
-            await self._runner.cleanup()
+            await close_server(self._runner)
 
     async def _announce(self) -> None:
         url = f"http://{self.daemon_address}/-/instances/{self.instance}"
