Stand-in: crashes, late grants, remembered fencing tokens, false health answers

The stand-in could not play what OWNER needs: a process that ends with all its connections at once, a successor that listens before it announces itself, and grants that are carried out without an answer.

Change: SiteBackend.crash resets all connections; announce_after_s delays the first announcement; LateGrants leaves a share of grants unanswered and carries them out 2 to 12 s later, counted from their arrival, while the process lives. Fencing tokens are remembered by key also when a late grant is carried out after its time, and in replies to heartbeats, where a row with a lower token is not accepted. A health check for another instance gets 421 with X-Instance-Id, and health checks may be reset, hang or fail. The reset is shared with the soak's proxy, which drops what is buffered now instead of sending it first.

--- a/persimmondock/soak/proxy.py
+++ b/persimmondock/soak/proxy.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
+
+from persimmondock.standins.connections import reset_connection
 
 CHUNK_BYTES = 65_536
 DELAY_S = 0.25  # above the latency target of short requests, below the timeouts of store calls
@@ -44,12 +44,7 @@
     def reset_all(self) -> None:
         """Reset all open connections."""
         for writer in list(self._writers):
-            sock = writer.get_extra_info("socket")
-            if sock is not None and sock.fileno() >= 0:
-                # With a linger time of 0 s, close() sends RST instead of FIN.
-                linger = struct.pack("ii", 1, 0)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.close()
+            reset_connection(writer.transport)
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
--- a/persimmondock/standins/site_backend.py
+++ b/persimmondock/standins/site_backend.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import json
+import random
 import time
 import uuid
 from typing import Any
@@ -16,7 +17,11 @@
 import attrs
 from aiohttp import web
 
-from persimmondock.standins.connections import close_server
+from persimmondock.standins.connections import (
+    close_server,
+    reset_connection,
+    reset_handled_connection,
+)
 
 ANNOUNCE_INTERVAL_S = 0.2
 RELEASING_INTERVAL_S = 0.1  # between announcements while keys are being released
@@ -25,6 +30,7 @@
 POLL_INTERVAL_S = 0.005
 # Running requests are aborted, as when a process ends; aiohttp treats 0 as no time limit.
 SHUTDOWN_TIMEOUT_S = 0.005
+HEALTH_FAULTS = ("reset", "hang", "503")
 
 
 @attrs.frozen
@@ -70,6 +76,32 @@
     headers: dict[str, str]
 
 
+@attrs.frozen
+class LateGrants:
+    """Decides which grants get no answer and are carried out later.
+
+    Parameters
+    ----------
+    ratio
+        Share of the grants.
+    generator
+        Sequence that decides.
+    min_s, max_s
+        Bounds of the time from the arrival of a grant to its execution; shorter times are likelier.
+    """
+
+    ratio: float
+    generator: random.Random
+    min_s: float = 2.0
+    max_s: float = 12.0
+
+    def draw_delay_s(self) -> float | None:
+        """Return how late the next grant is carried out, or None if it is answered."""
+        if self.generator.random() >= self.ratio:
+            return None
+        return self.generator.triangular(self.min_s, self.max_s, self.min_s)
+
+
 @attrs.define
 class SiteBackend:
     """One instance of a backend server, from its start to its stop.
@@ -102,6 +134,12 @@
         Value of the header by which all answers to requests name a limit; empty for none.
     leaving
         Whether all answers to requests say that the server leaves.
+    announce_after_s
+        Time from the start to the first announcement, in seconds.
+    late_grants
+        Decides which grants are late; None if all are answered.
+    health_fault
+        One of ``HEALTH_FAULTS``, which all health checks meet; empty for none.
     """
 
     service: str
@@ -125,12 +163,18 @@
     health_checks: int = 0
     limit: str = ""
     leaving: bool = False
+    announce_after_s: float = 0.0
+    late_grants: LateGrants | None = None
+    health_fault: str = ""
     _active_keys: list[int] = attrs.field(factory=list)
     _freed: list[list[Any]] = attrs.field(factory=list)
     _releasing: list[HeldRange] = attrs.field(factory=list)
+    # Highest fencing token that was granted, by range of keys.
+    _seen_fences: dict[tuple[int, int], int] = attrs.field(factory=dict)
     _sequence: int = 0
     _runner: web.AppRunner | None = None
     _announce_task: asyncio.Task[None] | None = None
+    _late_tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     async def start(self) -> None:
         """Listen, and announce the instance until it is stopped."""
@@ -152,16 +196,28 @@
 
     async def stop(self) -> None:
         """Stop without waiting for running requests."""
+        self._end_tasks()
+        if self._runner is not None:
+            await close_server(self._runner)
+
+    async def crash(self) -> None:
+        """Reset all connections and stop, as when the process is killed."""
+        self._end_tasks()
+        if self._runner is not None:
+            await close_server(self._runner, reset_handled_connection)
+
+    def _end_tasks(self) -> None:
         if self.ended_at is None:
             self.ended_at = time.monotonic()
         if self._announce_task is not None:
             self._announce_task.cancel()
-        if self._runner is not None:
-            await close_server(self._runner)
+        for task in self._late_tasks:
+            task.cancel()
 
     async def _announce(self) -> None:
         url = f"http://{self.daemon_address}/-/instances/{self.instance}"
         timeout = aiohttp.ClientTimeout(total=ANNOUNCE_TIMEOUT_S)
+        await asyncio.sleep(self.announce_after_s)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 self._sequence += 1
@@ -215,7 +271,11 @@
     def _apply_holdings(self, reply: dict[str, Any], sent_at: float) -> bool:
         """Hold what a reply lists and release the rest; return whether anything was released."""
         now, until = time.monotonic(), sent_at + reply["hold_s"]
-        rows = [(row[0], row[1], row[2]) for row in reply["holds"]]
+        rows = [
+            (first, last, fence)
+            for first, last, fence, _ in reply["holds"]
+            if self._accept_fence(first, last, fence)
+        ]
         result, released = [], []
         for held in self.held_ranges:
             if not held.start <= now < held.end:
@@ -238,12 +298,40 @@
 
     async def _grant(self, request: web.Request) -> web.Response:
         data = await request.json()
+        arrived_at = time.monotonic()
+        delay_s = self.late_grants.draw_delay_s() if self.late_grants is not None else None
+        if delay_s is None:
+            return web.Response(status=200 if self._apply_grant(data, arrived_at) else 409)
+        task = asyncio.create_task(self._apply_late_grant(data, arrived_at, delay_s))
+        self._late_tasks.add(task)
+        task.add_done_callback(self._late_tasks.discard)
+        return await _leave_unanswered()
+
+    async def _apply_late_grant(
+        self, data: dict[str, Any], arrived_at: float, delay_s: float
+    ) -> None:
+        await asyncio.sleep(delay_s)
+        self._apply_grant(data, arrived_at)
+
+    def _apply_grant(self, data: dict[str, Any], arrived_at: float) -> bool:
+        """Hold keys for a time counted from the arrival of their grant; return if that is valid."""
         first, last, fence = data["from"], data["target"], data["fence"]
-        if any(h.fence > fence and h.first <= last and first <= h.last for h in self.held_ranges):
-            return web.Response(status=409)
-        now = time.monotonic()
-        self.held_ranges.append(HeldRange(first, last, fence, now, now + data["hold_s"]))
-        return web.Response()
+        if not self._accept_fence(first, last, fence):
+            return False
+        now, until = time.monotonic(), arrived_at + data["hold_s"]
+        if until > now:
+            self.held_ranges.append(HeldRange(first, last, fence, now, until))
+        return True
+
+    def _accept_fence(self, first: int, last: int, fence: int) -> bool:
+        """Remember a fencing token unless a higher one was seen on one of the keys."""
+        seen = self._seen_fences
+        if any(
+            other > fence and low <= last and first <= high for (low, high), other in seen.items()
+        ):
+            return False
+        seen[first, last] = fence
+        return True
 
     async def _release(self, request: web.Request) -> web.Response:
         """Stop holding a key range; answer when no request for its keys is running."""
@@ -269,10 +357,24 @@
         now = time.monotonic()
         return any(h.first <= key <= h.last and h.start <= now < h.end for h in self.held_ranges)
 
-    async def _show_health(self, _: web.Request) -> web.Response:
+    async def _show_health(self, request: web.Request) -> web.Response:
         self.health_checks += 1
-        headers = {"X-Instance-Id": self.instance} | self._build_notice_headers()
-        return web.Response(status=503 if self.draining or self.leaving else 200, headers=headers)
+        headers = {"X-Instance-Id": self.instance}
+        match self.health_fault:
+            case "reset":
+                if request.transport is not None:
+                    reset_connection(request.transport)
+                return await _leave_unanswered()
+            case "hang":
+                return await _leave_unanswered()
+        if self._is_for_other_instance(request):
+            return web.Response(status=421, headers=headers)
+        failing = self.draining or self.leaving or bool(self.health_fault)
+        headers |= self._build_notice_headers()
+        return web.Response(status=503 if failing else 200, headers=headers)
+
+    def _is_for_other_instance(self, request: web.Request) -> bool:
+        return request.headers.get("X-Expected-Instance", self.instance) != self.instance
 
     def _build_notice_headers(self) -> dict[str, str]:
         headers = {"Server-Limit": self.limit} if self.limit else {}
@@ -282,7 +384,7 @@
         attempt = request.headers.get("X-Attempt-Id", "")
         key = int(request.headers.get("X-Shard-Key", "-1"))
         response_headers = {"X-Attempt-Id": attempt}
-        if request.headers.get("X-Expected-Instance", self.instance) != self.instance:
+        if self._is_for_other_instance(request):
             return web.Response(status=421, headers={"X-Instance-Id": self.instance})
         if self.keyed and not self._holds_key(key):
             return web.Response(status=421, headers={"X-Not-Executed": "1"})
@@ -299,3 +401,9 @@
         response_headers["X-Server-Signature"] = f"signed-by-{self.instance}"
         response_headers |= self._build_notice_headers()
         return web.Response(body=b"answer to " + attempt.encode() + body, headers=response_headers)
+
+
+async def _leave_unanswered() -> web.Response:
+    """Wait until the client closes the connection, which cancels the handler."""
+    while True:
+        await asyncio.sleep(ANNOUNCE_TIMEOUT_S)
