Soak rule OWNER: no process takes a key under a token that is not above others

Two processes that hold a key at the same time were found only if their grants overlapped. A grant for a process that has ended and that reaches its successor breaks the rule as well before anybody else holds the key: it has the token of the process that ended, so a later owner's grants cannot be told from it.

Change: the fencing token of each period of ownership is recorded, and a period that begins under a token that is not above all with which other processes had the key is reported, once for each process, range and token.

--- a/persimmondock/soak/checks.py
+++ b/persimmondock/soak/checks.py
@@ -6,7 +6,8 @@
 Rules
 -----
 OWNER
-    No two instances of backend servers own a key at the same time.
+    No two processes of backend servers own a key at the same time, and none takes a key under a
+    fencing token that is not above all under which other processes had it.
 TWICE
     A request that is not safe runs at most once.
 REFUSED
@@ -144,17 +145,20 @@
 
 @attrs.frozen
 class OwnershipSpan:
-    """A period in which an instance of a backend server owned keys.
+    """A period in which a process of a backend server owned keys.
 
     Parameters
     ----------
     first, last
         Range of the keys, both included.
+    fence
+        Fencing token under which it had them.
     """
 
     backend: str
     first: int
     last: int
+    fence: int
     start: float
     end: float
 
@@ -246,6 +250,7 @@
     """Return all breaches of the rules, in order of time."""
     breaches = [
         *find_double_owners(observations.ownership_spans),
+        *find_stale_owners(observations.ownership_spans),
         *check_calls(observations),
         *check_drains_and_evacuations(observations),
         *check_retry_budget(observations.runs, observations.calls),
@@ -294,6 +299,32 @@
     return found
 
 
+def find_stale_owners(ownership_spans: list[OwnershipSpan]) -> list[Breach]:
+    """Return a breach for each range that was taken under a token that is not above all others.
+
+    A process may renew its own ownership. One that ended and its successor at the same address are
+    different processes.
+    """
+    found: dict[tuple[str, int, int, int], Breach] = {}
+    seen: dict[tuple[str, int, int], int] = {}  # highest fencing token, by process and range
+    for span in sorted(ownership_spans, key=lambda span: span.start):
+        others = [
+            (fence, max(first, span.first), backend)
+            for (backend, first, last), fence in seen.items()
+            if backend != span.backend and first <= span.last and span.first <= last
+        ]
+        if others and max(others)[0] >= span.fence:
+            fence, key, backend = max(others)
+            detail = f"{span.backend} under token {span.fence}, {backend} had it under {fence}"
+            found.setdefault(
+                (span.backend, span.first, span.last, span.fence),
+                Breach("OWNER", span.start, f"key {key}", detail),
+            )
+        taken = (span.backend, span.first, span.last)
+        seen[taken] = max(span.fence, seen.get(taken, span.fence))
+    return list(found.values())
+
+
 def check_calls(observations: Observations) -> list[Breach]:
     """Check that calls run at most once unless safe, and are answered correctly and in time."""
     runs: dict[str, list[ObservedRun]] = defaultdict(list)
--- a/persimmondock/soak/site.py
+++ b/persimmondock/soak/site.py
@@ -250,7 +250,9 @@
                     for run in backend.runs
                 ]
                 self.observations.ownership_spans += [
-                    OwnershipSpan(name, hold.first, hold.last, hold.start, min(hold.end, end))
+                    OwnershipSpan(
+                        name, hold.first, hold.last, hold.fence, hold.start, min(hold.end, end)
+                    )
                     for hold in backend.held_ranges
                     if hold.start < min(hold.end, end)
                 ]
--- a/persimmondock/tests/soak/test_checks.py
+++ b/persimmondock/tests/soak/test_checks.py
@@ -67,8 +67,8 @@
 
 def test_double_owner_is_found_in_overlapping_ranges() -> None:
     ownership_spans = [
-        OwnershipSpan("vm-1/i", 0, 99, 1.0, 4.0),
-        OwnershipSpan("vm-2/i", 50, 150, 3.0, 6.0),
+        OwnershipSpan("vm-1/i", 0, 99, 1, 1.0, 4.0),
+        OwnershipSpan("vm-2/i", 50, 150, 2, 3.0, 6.0),
     ]
     breaches = find_breaches(Observations(ownership_spans=ownership_spans))
     assert [(breach.rule, breach.subject) for breach in breaches] == [("OWNER", "key 50")]
@@ -77,19 +77,59 @@
 @pytest.mark.parametrize(
     "second",
     [
-        OwnershipSpan("vm-1/i", 50, 150, 3.0, 6.0),
-        OwnershipSpan("vm-2/i", 100, 150, 3.0, 6.0),
-        OwnershipSpan("vm-2/i", 50, 150, 4.0, 6.0),
+        OwnershipSpan("vm-1/i", 50, 150, 1, 3.0, 6.0),
+        OwnershipSpan("vm-2/i", 100, 150, 1, 3.0, 6.0),
+        OwnershipSpan("vm-2/i", 50, 150, 2, 4.0, 6.0),
     ],
     ids=["renewed", "other keys", "afterwards"],
 )
 def test_ownership_without_conflict_has_no_breach(second: OwnershipSpan) -> None:
     assert (
-        find_rules(Observations(ownership_spans=[OwnershipSpan("vm-1/i", 0, 99, 1.0, 4.0), second]))
+        find_rules(
+            Observations(ownership_spans=[OwnershipSpan("vm-1/i", 0, 99, 1, 1.0, 4.0), second])
+        )
         == []
     )
 
 
+FORMER = OwnershipSpan("vm-1/i", 0, 99, 5, 1.0, 2.0)
+
+
+@pytest.mark.parametrize(
+    ("later", "subjects"),
+    [
+        ([OwnershipSpan("vm-1/j", 50, 150, 5, 3.0, 4.0)], ["key 50"]),
+        ([OwnershipSpan("vm-2/i", 0, 20, 4, 3.0, 4.0)], ["key 0"]),
+        ([OwnershipSpan("vm-1/j", 0, 99, 5, t, t + 0.5) for t in (3.0, 3.5)], ["key 0"]),
+        (
+            [OwnershipSpan("vm-2/i", 0, 9, 6, 3.0, 4.0), attrs.evolve(FORMER, start=5.0, end=6.0)],
+            ["key 0"],
+        ),
+        ([OwnershipSpan("vm-1/j", 50, 150, 6, 3.0, 4.0)], []),
+        ([OwnershipSpan("vm-2/i", 100, 150, 4, 3.0, 4.0)], []),
+        ([attrs.evolve(FORMER, start=1.5, end=2.5)], []),
+        ([OwnershipSpan("vm-1/i", 0, 9, 4, 3.0, 4.0)], []),
+    ],
+    ids=[
+        "successor",
+        "lower token",
+        "renewed by a successor",
+        "taken back",
+        "higher token",
+        "other keys",
+        "renewed",
+        "same process",
+    ],
+)
+def test_a_key_taken_under_a_token_that_is_not_above_all_others_is_found(
+    later: list[OwnershipSpan], subjects: list[str]
+) -> None:
+    """Guards the soak against missing a grant for one process that reaches its successor."""
+    breaches = find_breaches(Observations(ownership_spans=[FORMER, *later]))
+    assert [breach.subject for breach in breaches] == subjects
+    assert {breach.rule for breach in breaches} <= {"OWNER"}
+
+
 def test_run_after_drain_or_evacuation_bound_is_found() -> None:
     drained = [Span("vm-1/i", 7.0, 12.0)]
     assert find_rules(Observations([CALL], [RUN], drained=drained)) == ["DRAIN"]
