Soak crashes of backend servers, late grants and false health answers

Change: events of a random sequence of their own, so that the other events of a seed stay as they were. A crash resets all connections of a backend server, also behind its proxy, which refuses new ones until a new process listens 0.1 to 1 s later; that announces itself up to 0.8 s after it listens, in one of five crashes with the identifier that the former process had. For 2 to 6 s a share of grants is unanswered and late, and for up to 5 s health checks are reset, not answered or fail. Processes are told apart by their start, since identifiers come again.

--- a/persimmondock/soak/plan.py
+++ b/persimmondock/soak/plan.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from persimmondock.standins.site_backend import HEALTH_FAULTS
+
 FIRST_EVENT_AT_S = 3.0  # after callers start
 SETTLING_TIME_S = 10.0  # for takeovers and cold starts to finish before the last check of service
 MEAN_EVENT_INTERVAL_S = 0.8  # most events last longer, so that they overlap
@@ -19,6 +21,13 @@
 LIMITS = ("0", "0.3", "2", "2", "5")  # a backend server gets about ten requests a second
 LIMIT_DURATIONS_S = (5.0, 7.0, 9.0)
 MEAN_NOTICE_INTERVAL_S = 3.0
+CRASH_KINDS = ("crash_backend", "crash_keeping_id", "late_grants", "fail_health")
+CRASH_WEIGHTS = (4, 1, 2, 1)
+CRASH_DURATIONS_S = (0.1, 0.3, 0.4, 0.7, 1.0)
+MAX_ANNOUNCEMENT_DELAY_S = 0.8
+LATE_GRANT_DURATIONS_S = (2.0, 4.0, 6.0)
+LATE_GRANT_RATIOS = ("0.2", "0.5")
+MEAN_CRASH_INTERVAL_S = 1.5
 PATH_MODES = ("delay", "reset", "silent", "one_way")
 
 
@@ -31,14 +40,15 @@
     at_s
         Start in seconds after callers start.
     kind
-        One of ``VM_KINDS``, ``PATH_KINDS``, ``SITE_KINDS`` and ``NOTICE_KINDS``.
+        One of ``VM_KINDS``, ``PATH_KINDS``, ``SITE_KINDS``, ``NOTICE_KINDS`` and ``CRASH_KINDS``.
     vm
         Number of the VM; 0 if the event concerns the whole site.
     for_s
         Duration in seconds.
     mode
-        One of ``PATH_MODES``, the fault that a proxy injects, or one of ``LIMITS``, which a backend
-        server names; empty for other kinds of events.
+        One of ``PATH_MODES``, the fault that a proxy injects; one of ``LIMITS``, which a backend
+        server names; seconds from the start of a crashed backend server to its announcement; the
+        share of grants that are late; one of ``HEALTH_FAULTS``. Empty for other kinds of events.
     """
 
     at_s: float
@@ -62,6 +72,7 @@
         events.append(Event(round(at_s, 2), kind, vm, for_s, mode))
         at_s += generator.expovariate(1 / MEAN_EVENT_INTERVAL_S)
     events += draw_notices(seed, duration_s, vms)
+    events += draw_crashes(seed, duration_s, vms)
     return tuple(sorted(events, key=lambda event: event.at_s))
 
 
@@ -80,3 +91,27 @@
         events.append(Event(round(at_s, 2), kind, generator.randint(1, vms), for_s, mode))
         at_s += generator.expovariate(1 / MEAN_NOTICE_INTERVAL_S)
     return events
+
+
+def draw_crashes(seed: int, duration_s: float, vms: int) -> list[Event]:
+    """Return crashes of backend servers, and times of late grants and of false health answers.
+
+    They have a sequence of their own, so that the other events of a seed stay the same.
+    """
+    generator = random.Random(f"crashes {seed}")
+    events = []
+    at_s = FIRST_EVENT_AT_S
+    while at_s < duration_s - SETTLING_TIME_S:
+        (kind,) = generator.choices(CRASH_KINDS, CRASH_WEIGHTS)
+        match kind:
+            case "late_grants":
+                for_s = generator.choice(LATE_GRANT_DURATIONS_S)
+                mode = generator.choice(LATE_GRANT_RATIOS)
+            case "fail_health":
+                for_s, mode = generator.choice(DURATIONS_S), generator.choice(HEALTH_FAULTS)
+            case _:
+                for_s = generator.choice(CRASH_DURATIONS_S)
+                mode = f"{generator.uniform(0.0, MAX_ANNOUNCEMENT_DELAY_S):.2f}"
+        events.append(Event(round(at_s, 2), kind, generator.randint(1, vms), for_s, mode))
+        at_s += generator.expovariate(1 / MEAN_CRASH_INTERVAL_S)
+    return events
--- a/persimmondock/soak/runner.py
+++ b/persimmondock/soak/runner.py
@@ -12,6 +12,7 @@
 
 from persimmondock.soak.checks import Breach, Call, LimitSpan, Notice, Span, find_breaches
 from persimmondock.soak.site import SoakSite
+from persimmondock.standins.site_backend import LateGrants
 from persimmondock.standins.site_messages import (
     CALLER_PORT,
     GRACE_S,
@@ -189,6 +190,10 @@
             await self._disturb_path(vm, event)
         elif event.kind == "name_limit":
             await self._name_limit(vm, event)
+        elif event.kind == "late_grants":
+            await self._delay_grants(vm, event)
+        elif event.kind == "fail_health":
+            await self._fail_health(vm, event)
         elif not vm.busy:
             vm.busy = True
             try:
@@ -248,6 +253,9 @@
                 vm.send_signal(signal.SIGHUP)
             case "restart_backend":
                 await vm.replace_backend()
+            case "crash_backend" | "crash_keeping_id":
+                keeps_id = event.kind == "crash_keeping_id"
+                await vm.crash_backend(event.for_s, float(event.mode), keeps_id)
             case "drain_backend":
                 vm.backend.draining = True
                 await asyncio.sleep(DRAIN_FOR_S)
@@ -266,11 +274,25 @@
         await asyncio.sleep(event.for_s)
         backend.limit = ""
         self._site.observations.limits.append(
-            LimitSpan(
-                f"{vm.name}/{backend.instance}", started_at, time.monotonic(), float(event.mode)
-            )
+            LimitSpan(vm.name_process(backend), started_at, time.monotonic(), float(event.mode))
         )
 
+    async def _delay_grants(self, vm: SoakVm, event: Event) -> None:
+        """Have backend servers leave grants unanswered, also those that are started meanwhile."""
+        if vm.backend.late_grants is not None:
+            return
+        generator = random.Random(f"{self._random.random()} {event.at_s}")
+        vm.backend.late_grants = LateGrants(float(event.mode), generator)
+        await asyncio.sleep(event.for_s)
+        vm.backend.late_grants = None
+
+    async def _fail_health(self, vm: SoakVm, event: Event) -> None:
+        """Have the present backend server fail all health checks."""
+        backend = vm.backend
+        backend.health_fault = event.mode
+        await asyncio.sleep(event.for_s)
+        backend.health_fault = ""
+
     async def _terminate(self, vm: SoakVm) -> None:
         """Stop the daemon by SIGTERM, or kill it after its grace period, and start it again."""
         started_at = time.monotonic()
--- a/persimmondock/soak/site.py
+++ b/persimmondock/soak/site.py
@@ -8,7 +8,7 @@
 import sys
 import time
 from pathlib import Path
-from typing import IO
+from typing import IO, Any
 
 import attrs
 import yaml
@@ -108,12 +108,43 @@
 
     async def replace_backend(self) -> None:
         """Stop the backend server and start a new instance of it."""
-        old = self.backend
-        self.former_backends.append(old)
-        await old.stop()
-        self.backend = make_backend(self.service, self.address, self.failure_domain, self.grants)
+        await self.backend.stop()
+        await self._start_successor()
+
+    async def crash_backend(self, down_s: float, announce_after_s: float, keeps_id: bool) -> None:
+        """Crash the backend server and start a new process at its address.
+
+        Parameters
+        ----------
+        down_s
+            Time until the new process listens, in which connections are refused.
+        announce_after_s
+            Time from then until it announces itself.
+        keeps_id
+            Whether it has the identifier of the process that crashed.
+        """
+        instance = self.backend.instance
+        self.backend_proxy.close()
+        await self.backend.crash()
+        await asyncio.sleep(down_s)
+        changes: dict[str, Any] = {"instance": instance} if keeps_id else {}
+        await self._start_successor(announce_after_s=announce_after_s, **changes)
+        await self.backend_proxy.start()
+
+    async def _start_successor(self, **changes: Any) -> None:
+        former = self.backend
+        self.former_backends.append(former)
+        self.backend = attrs.evolve(
+            make_backend(self.service, self.address, self.failure_domain, self.grants),
+            late_grants=former.late_grants,
+            **changes,
+        )
         await self.backend.start()
 
+    def name_process(self, backend: SiteBackend) -> str:
+        """Return a name of one process of the backend server, which ends with its identifier."""
+        return f"{self.name}/{backend.born_ms}/{backend.instance}"
+
     async def close(self) -> None:
         """Stop the daemon, the backend server and the proxies."""
         await self.kill_daemon()
@@ -244,7 +275,7 @@
         for vm in self.vms:
             for backend in (*vm.former_backends, vm.backend):
                 end = backend.ended_at or now
-                name = f"{vm.name}/{backend.instance}"
+                name = vm.name_process(backend)
                 self.observations.runs += [
                     ObservedRun(run.attempt, name, vm.number, vm.failure_domain, vm.service, run.at)
                     for run in backend.runs
--- a/persimmondock/tests/soak/test_proxy.py
+++ b/persimmondock/tests/soak/test_proxy.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from persimmondock.soak.proxy import DELAY_S, Proxy
+from persimmondock.soak.proxy import DELAY_S, MODE_POLL_S, Proxy
 from persimmondock.tests.builders import NETWORK
 
 LISTEN, TARGET = f"{NETWORK}150:8301", f"{NETWORK}150:8401"
@@ -80,3 +80,24 @@
         proxy.set_mode("reset")
         with pytest.raises(ConnectionResetError):
             await reader.read(1)
+
+
+async def test_a_closed_proxy_ends_connections_and_serves_again_once_started() -> None:
+    """A backend server that crashes takes the daemon's connections with it."""
+    proxy = Proxy(LISTEN, TARGET)
+    async with open_proxied_connection(proxy) as (reader, writer, received):
+        proxy.set_mode("silent")
+        assert not await is_answered(reader, writer)
+        proxy.close()
+        with pytest.raises(ConnectionResetError):
+            await reader.read(1)
+        host, _, port = LISTEN.rpartition(":")
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(host, int(port))
+        proxy.set_mode("")
+        await proxy.start()
+        reader, writer = await asyncio.open_connection(host, int(port))
+        assert await is_answered(reader, writer)
+        await asyncio.sleep(2 * MODE_POLL_S)
+        assert bytes(received) == b"x"
+        writer.close()
