Give each request of the soak a path of its own

Seen: once in three runs of four crashes at once, RECOVER: no key was served for 15 s after the last event. All refusals had reason=suspected_poison.

Cause: all requests of a route had the same path, body and caller, so that two crashes under any of them made daemons refuse all of them, as is right for a request that comes again and crashes its server each time.

Change: the path ends with the identifier of the attempt.

--- a/persimmondock/soak/runner.py
+++ b/persimmondock/soak/runner.py
@@ -125,8 +125,9 @@
         status, whole, error, notice = 0, False, "", Notice()
         version_written_at, sent_at = self._site.version_written_at, time.monotonic()
         try:
-            # POST, because aiohttp repeats a GET by itself after a lost connection.
-            url = f"http://{vm.address}:{CALLER_PORT}{path}1"
+            # POST, because aiohttp repeats a GET by itself after a lost connection. Each request
+            # has a path of its own: equal ones that run during crashes are refused as the cause.
+            url = f"http://{vm.address}:{CALLER_PORT}{path}{attempt}"
             async with self._session.post(url, headers=headers) as response:
                 whole = await response.read() == b"answer to " + attempt.encode()
                 status = response.status
