Show grants that reach the successor of a crashed backend server

Three tests with crashes of all keyed backend servers at once, while the store is down and no other owner can be named, and with announcements 0.8 s after the new processes listen: one with new identifiers, one with the former ones, and one with grants in heartbeats.

--- a/persimmondock/tests/soak/test_soak.py
+++ b/persimmondock/tests/soak/test_soak.py
@@ -69,6 +69,28 @@
     assert "REFUSED" in await run_soak(tmp_path, plan, "refusal")
 
 
+def plan_crashes(kind: str) -> tuple[Event, ...]:
+    """Return crashes of all servers with keys while no other owner can be named for the keys."""
+    crashes = [Event(0.7, kind, vm, 0.1 * vm, "0.8") for vm in range(1, VMS - 1)]
+    return (Event(0.5, "store_down", 0, 2.5), *crashes, Event(4.0, "reload", 1))
+
+
+async def test_a_grant_does_not_reach_the_successor_of_a_crashed_server(tmp_path: Path) -> None:
+    """Guards against keys under the token of a process that ended at the same address."""
+    assert await run_soak(tmp_path, plan_crashes("crash_backend")) <= TIMED_RULES
+
+
+async def test_a_grant_does_not_reach_a_successor_with_the_same_identifier(tmp_path: Path) -> None:
+    """Guards against telling processes apart by an identifier that comes again."""
+    assert await run_soak(tmp_path, plan_crashes("crash_keeping_id")) <= TIMED_RULES
+
+
+@pytest.mark.parametrize("kind", ["crash_backend", "crash_keeping_id"])
+async def test_a_reply_does_not_grant_keys_to_a_successor(tmp_path: Path, kind: str) -> None:
+    """Guards against keys under an old token where they are granted in replies to heartbeats."""
+    assert await run_soak(tmp_path, plan_crashes(kind), grants="heartbeat") <= TIMED_RULES
+
+
 @pytest.mark.parametrize(
     ("arguments", "message"),
     [
