--- a/persimmondock/standins/site_backend.py
+++ b/persimmondock/standins/site_backend.py
@@ -297,6 +297,8 @@
         return bool(self._releasing)
 
     async def _grant(self, request: web.Request) -> web.Response:
+        if self._is_for_other_instance(request):
+            return self._refuse_for_other_instance()
         data = await request.json()
         arrived_at = time.monotonic()
         delay_s = self.late_grants.draw_delay_s() if self.late_grants is not None else None
@@ -335,6 +337,8 @@
 
     async def _release(self, request: web.Request) -> web.Response:
         """Stop holding a key range; answer when no request for its keys is running."""
+        if self._is_for_other_instance(request):
+            return self._refuse_for_other_instance()
         data = await request.json()
         first, last = data["from"], data["target"]
         now = time.monotonic()
@@ -368,7 +372,7 @@
             case "hang":
                 return await _leave_unanswered()
         if self._is_for_other_instance(request):
-            return web.Response(status=421, headers=headers)
+            return self._refuse_for_other_instance()
         failing = self.draining or self.leaving or bool(self.health_fault)
         headers |= self._build_notice_headers()
         return web.Response(status=503 if failing else 200, headers=headers)
@@ -376,6 +380,9 @@
     def _is_for_other_instance(self, request: web.Request) -> bool:
         return request.headers.get("X-Expected-Instance", self.instance) != self.instance
 
+    def _refuse_for_other_instance(self) -> web.Response:
+        return web.Response(status=421, headers={"X-Instance-Id": self.instance})
+
     def _build_notice_headers(self) -> dict[str, str]:
         headers = {"Server-Limit": self.limit} if self.limit else {}
         return headers | {"Server-Leaving": "1"} if self.leaving else headers
@@ -385,7 +392,7 @@
         key = int(request.headers.get("X-Shard-Key", "-1"))
         response_headers = {"X-Attempt-Id": attempt}
         if self._is_for_other_instance(request):
-            return web.Response(status=421, headers={"X-Instance-Id": self.instance})
+            return self._refuse_for_other_instance()
         if self.keyed and not self._holds_key(key):
             return web.Response(status=421, headers={"X-Not-Executed": "1"})
         body = await request.read()
--- a/persimmondock/tests/standins/test_site_backend.py
+++ b/persimmondock/tests/standins/test_site_backend.py
@@ -207,6 +207,21 @@
         assert not any(held.first == 50 for held in backend.held_ranges)
 
 
+@pytest.mark.parametrize("call", ["grant", "release"])
+async def test_a_call_for_another_instance_is_refused(call: str) -> None:
+    async with run_backend(keyed=True) as backend, aiohttp.ClientSession() as session:
+        assert await grant(0, 99, 5) == 200
+        body = {"from": 0, "target": 99, "fence": 6, "hold_s": 5.0}
+        for instance, status in (("i-other", 421), (backend.instance, 200)):
+            held_ranges = list(backend.held_ranges)
+            headers = {"X-Expected-Instance": instance}
+            async with session.post(
+                f"http://{ADDRESS}/-/{call}", json=body, headers=headers
+            ) as response:
+                assert response.status == status
+            assert (backend.held_ranges == held_ranges) is (status == 421)
+
+
 # Health.
 
 
