Play evacuations, late grants and heartbeat grants on the virtual fleet

The property test also evacuates failure domains and keeps daemons down for up to 4 s, and one VM gets half of the faults, so that keys move away from running processes. An example moves keys while grants are late.

Backend servers may take their grants in the replies to heartbeats; a reply that is open when its process is killed is dropped.

--- a/persimmondock/properties/test_incarnations.py
+++ b/persimmondock/properties/test_incarnations.py
@@ -9,10 +9,12 @@
 from hypothesis import Phase, example, given, settings
 from hypothesis import strategies as st
 
+from persimmondock._domain.site import GrantMode, GrantsByCall, GrantsInHeartbeats
 from persimmondock.tests.virtual_fleet import VirtualFleet
 from persimmondock.tests.virtual_network import Health, find_reused_tokens, find_shared_holds
 from persimmondock.tests.virtual_time import run_in_virtual_time
 
+# An owner is lost, its keys are taken over, and earlier grants of a restarted daemon expire.
 RECOVERY_S = 10.0
 TERM_S = 3.5  # longer than a grant lasts, late or not
 
@@ -24,7 +26,8 @@
     Parameters
     ----------
     for_s
-        Time until the fault ends, as a crash with the start of the next process.
+        Time until the fault ends, as a crash with the start of the next process; other faults last
+        a few times as long.
     announced_after_s
         Time from the start of a process to its first announcement, or delay of an announcement.
     late_s
@@ -49,17 +52,20 @@
             "crash",
             "replace",
             "late_grants",
+            "late_grants",
             "lost_connections",
             "late_announcement",
             "health",
             "restart_daemon",
+            "evacuate",
+            "evacuate",
         ]
     ),
-    at_s=st.floats(0.0, 6.0),
-    vm=st.integers(0, 3),
+    at_s=st.floats(0.0, 5.0),
+    vm=st.sampled_from([1, 1, 1, 0, 2, 3]),
     for_s=st.floats(0.1, 1.0),
     announced_after_s=st.floats(0.0, 2.0),
-    late_s=st.floats(2.0, 12.0),
+    late_s=st.floats(2.0, 3.0) | st.floats(2.0, 12.0),
     health=st.sampled_from([Health.RESET, Health.UNANSWERED, Health.FAILING]),
 )
 
@@ -73,37 +79,46 @@
             await fleet.crash_server(vm, fault.for_s, fault.announced_after_s, keeps_name)
             await asyncio.sleep(fault.announced_after_s)
         case "replace":
-            await fleet.replace_server(vm, fault.for_s, fault.announced_after_s)
+            await fleet.replace_server(vm, 4 * fault.for_s, fault.announced_after_s)
             await asyncio.sleep(fault.announced_after_s)
         case "late_grants":
             vm.behavior.late_s = fault.late_s
-            await asyncio.sleep(2 * fault.for_s)
+            await asyncio.sleep(3 * fault.for_s)
             vm.behavior.late_s = 0.0
         case "lost_connections":
             if vm.server is not None:
                 vm.server.close_idle_connections()
         case "late_announcement":
             if vm.server is not None:
-                await fleet.announce_late(vm, vm.server, fault.announced_after_s)
+                await fleet.announce(vm, vm.server, delay_s=fault.announced_after_s)
         case "health":
             vm.behavior.health = fault.health
             await asyncio.sleep(3 * fault.for_s)
             vm.behavior.health = Health.ANSWERED
         case "restart_daemon":
-            await fleet.restart_daemon(vm, fault.for_s)
+            await fleet.restart_daemon(vm, 4 * fault.for_s)
+        case "evacuate":
+            await fleet.evacuate(vm.failure_domain, 3 * fault.for_s)
 
 
 async def play(
-    faults: list[Fault], vms: int, request_interval_s: float, seed: int, keeps_name: bool = False
+    faults: list[Fault],
+    vms: int,
+    request_interval_s: float,
+    seed: int,
+    keeps_name: bool = False,
+    grant_mode: GrantMode = GrantsByCall(),  # noqa: B008
 ) -> list[str]:
     """Return what was wrong at the backend servers while faults were played and after them."""
-    fleet = VirtualFleet(vms, request_interval_s=request_interval_s, seed=seed)
+    fleet = VirtualFleet(
+        vms, request_interval_s=request_interval_s, grant_mode=grant_mode, seed=seed
+    )
     await fleet.start()
     await asyncio.gather(*(apply_fault(fleet, fault, keeps_name) for fault in faults))
     try:
         await fleet.wait_until_held(RECOVERY_S)
     except TimeoutError:
-        return [f"keys {fleet.list_free()} are not held {RECOVERY_S} s after the last fault"]
+        return [f"keys {fleet.list_free()} are not held {RECOVERY_S:g} s after the last fault"]
     await asyncio.sleep(TERM_S)
     fleet.close()
     return find_shared_holds(fleet.processes) + find_reused_tokens(fleet.processes)
@@ -119,18 +134,26 @@
 )
 
 
-# The keys of the crashed process are moved while the next one is not announced yet.
-MOVED_MEANWHILE = {
-    "faults": [Fault("crash", 1.66, 1, 0.4, 0.05, 2.0, Health.ANSWERED)],
-    "vms": 3,
-    "request_interval_s": 0.2,
-    "seed": 1,
-}
+def make_run(*faults: Fault) -> dict[str, Any]:
+    """Return a run with faults of vm-1 among three VMs."""
+    return {"faults": list(faults), "vms": 3, "request_interval_s": 0.2, "seed": 1}
+
+
+def make_fault(kind: str, at_s: float, for_s: float, announced_after_s: float = 0.0) -> Fault:
+    """Return a fault of vm-1."""
+    return Fault(kind, at_s, 1, for_s, announced_after_s, 2.0, Health.ANSWERED)
+
+
+MOVED_BEFORE_ANNOUNCEMENT = make_run(make_fault("crash", 1.66, 0.4, 0.05))
+MOVED_WHILE_GRANTS_ARE_LATE = make_run(
+    make_fault("late_grants", 1.0, 0.5), make_fault("evacuate", 2.0, 1.0)
+)
 
 
 @settings(max_examples=200, phases=[Phase.explicit, Phase.generate])
 @given(run=RUNS)
-@example(run=MOVED_MEANWHILE)
+@example(run=MOVED_BEFORE_ANNOUNCEMENT)
+@example(run=MOVED_WHILE_GRANTS_ARE_LATE)
 def test_no_two_processes_hold_a_key_and_no_token_is_used_twice(run: dict[str, Any]) -> None:
     """Guards against orders for one process of a backend server that reach another one."""
     assert run_in_virtual_time(play(**run)) == []
@@ -138,7 +161,18 @@
 
 @settings(max_examples=200, phases=[Phase.explicit, Phase.generate])
 @given(run=RUNS)
-@example(run=MOVED_MEANWHILE)
+@example(run=MOVED_BEFORE_ANNOUNCEMENT)
 def test_processes_that_keep_their_name_are_told_apart(run: dict[str, Any]) -> None:
     """Guards against the same where a process starts again under the name that it had."""
     assert run_in_virtual_time(play(**run, keeps_name=True)) == []
+
+
+@settings(max_examples=100, phases=[Phase.explicit, Phase.generate])
+@given(run=RUNS, keeps_name=st.booleans())
+@example(run=MOVED_BEFORE_ANNOUNCEMENT, keeps_name=True)
+def test_replies_to_heartbeats_reach_no_other_process(
+    run: dict[str, Any], keeps_name: bool
+) -> None:
+    """Guards against the same where replies to heartbeats grant the keys."""
+    mode = GrantsInHeartbeats()
+    assert run_in_virtual_time(play(**run, keeps_name=keeps_name, grant_mode=mode)) == []
--- a/persimmondock/tests/test_grants_to_successors.py
+++ b/persimmondock/tests/test_grants_to_successors.py
@@ -10,9 +10,12 @@
 
 from persimmondock._adapters.clock import read_clock
 from persimmondock._domain.assignment import BackendIncarnation
+from persimmondock._domain.holdings import GrantedRow, ReportedHoldings, ReportedRow
 from persimmondock._domain.range_lease import RangeLease
+from persimmondock._domain.site import GrantsInHeartbeats
 from persimmondock._tasks.range_keeper import RangeKeeper
-from persimmondock.tests.sites import make_assignment, make_range
+from persimmondock.tests.fake_backend import FakeBackend
+from persimmondock.tests.sites import make_assignment, make_incarnation, make_range
 from persimmondock.tests.virtual_fleet import VirtualFleet
 from persimmondock.tests.virtual_network import (
     ServerBehavior,
@@ -144,33 +147,83 @@
     assert faults == []
 
 
-async def move_keys(crash_after_s: float, down_s: float, announced_after_s: float) -> VirtualFleet:
-    """Crash a backend server; the planner moves its keys while the next process starts."""
+async def start_fleet(run_for_s: float) -> VirtualFleet:
     fleet = VirtualFleet()
     await fleet.start()
-    await asyncio.sleep(crash_after_s)
+    await asyncio.sleep(run_for_s)
+    return fleet
+
+
+async def measure_move(crash_after_s: float) -> float:
+    """Return the seconds from a crash until the planner gives the keys to other VMs."""
+    fleet = await start_fleet(crash_after_s)
+    crashed_at, offset = read_clock(), fleet.find_assignment_offset()
+    fleet.kill_server(fleet.vms[1])
+    while fleet.find_assignment_offset() == offset:
+        await asyncio.sleep(0.001)
+    fleet.close()
+    return read_clock() - crashed_at
+
+
+async def move_keys(crash_after_s: float, down_s: float, announced_after_s: float) -> list[str]:
+    """Crash a backend server, and return what is wrong when the next process has its keys."""
+    fleet = await start_fleet(crash_after_s)
     await fleet.crash_server(fleet.vms[1], down_s, announced_after_s)
     await asyncio.sleep(announced_after_s + TERM_S)
     assert fleet.list_free() == []
     fleet.close()
-    return fleet
+    return find_shared_holds(fleet.processes) + find_reused_tokens(fleet.processes)
 
 
-@pytest.mark.parametrize(
-    ("down_s", "announced_after_s"), [(0.4, 0.005), (0.4, 0.05), (0.5, 0.005), (0.5, 0.05)]
-)
-def test_keys_that_move_while_a_process_starts_have_one_holder(
-    down_s: float, announced_after_s: float
-) -> None:
+def find_faults_of_moves(announced_after_s: float) -> list[tuple[float, float, str]]:
+    """Return the faults of crashes that end shortly before the keys are moved."""
+    faults = []
+    # A grant is renewed each second.
+    for crash_after_s in [1.0 + 0.1 * number for number in range(11)]:
+        moved_after_s = run_in_virtual_time(measure_move(crash_after_s))
+        for earlier_s in [0.005 * number for number in range(-2, 7)]:
+            down_s = moved_after_s - announced_after_s - earlier_s
+            if down_s >= 0.1:
+                found = run_in_virtual_time(move_keys(crash_after_s, down_s, announced_after_s))
+                faults += [(crash_after_s, down_s, fault) for fault in found]
+    return faults
+
+
+@pytest.mark.parametrize("announced_after_s", [0.005, 0.05])
+def test_keys_that_move_while_a_process_starts_have_one_holder(announced_after_s: float) -> None:
     """Guards against two holders after a crash that is shorter than the move of the keys.
 
     Other VMs got the keys as soon as the next process was announced, which held them too.
     """
-    faults = []
-    for number in range(24):
-        # The next process listens from 2.0 s on, and the keys are moved at about 2.1 s.
-        crash_after_s = 2.0 - down_s + 0.005 * number
-        fleet = run_in_virtual_time(move_keys(crash_after_s, down_s, announced_after_s))
-        found = find_shared_holds(fleet.processes) + find_reused_tokens(fleet.processes)
-        faults += [(crash_after_s, fault) for fault in found]
-    assert faults == []
+    assert find_faults_of_moves(announced_after_s) == []
+
+
+def test_an_open_reply_to_a_former_process_grants_nothing() -> None:
+    """Guards against grants in a reply to a process that ended, which its successor waits for.
+
+    The heartbeats of both have the same sequence number, which starts anew with each process.
+    """
+
+    async def run() -> None:
+        keeper = RangeKeeper(FakeBackend(), RangeLease(), "node-1", GrantsInHeartbeats())
+        former, successor = make_incarnation(1, born_ms=1), make_incarnation(1, born_ms=2)
+        holds = ReportedHoldings((ReportedRow(0, 9, 1),))
+        keeper.update_incarnation(former)
+        keeper.update_assignment(make_assignment(make_range(0, 9, 1)), 1)
+        keeper.lease.confirm_by_store(1, read_clock())
+        await keeper.grant_holdings(former, 1, ReportedHoldings(), True)
+        open_reply = asyncio.create_task(keeper.grant_holdings(former, 2, holds, True))
+        await asyncio.sleep(0.1)
+        assert not open_reply.done()
+
+        keeper.update_incarnation(successor)
+        key_range = make_range(0, 9, 1, fence=2)
+        key_range = attrs.evolve(key_range, owner=successor)
+        keeper.update_assignment(make_assignment(key_range, offset=2), 2)
+        keeper.lease.confirm_by_store(2, read_clock())
+        granted = await keeper.grant_holdings(successor, 2, ReportedHoldings(), True)
+        assert await open_reply is None
+        assert granted is not None
+        assert granted.rows == (GrantedRow(0, 9, 2),)
+
+    run_in_virtual_time(run())
--- a/persimmondock/tests/test_virtual_network.py
+++ b/persimmondock/tests/test_virtual_network.py
@@ -15,6 +15,7 @@
     HttpPool,
     render_request,
 )
+from persimmondock._domain.holdings import GrantedHoldings, GrantedRow, ReportedRow
 from persimmondock._domain.verdict import Answered, NotRun, Reason
 from persimmondock._ports.backend import (
     GrantAccepted,
@@ -178,3 +179,23 @@
         assert len(find_reused_tokens(network.processes)) == 1
 
     run(check)
+
+
+def test_a_reply_to_a_heartbeat_replaces_what_is_held() -> None:
+    async def check(network: VirtualNetwork, process: ServerProcess) -> None:
+        sent_at = read_clock()
+        process.apply_reply(GrantedHoldings((GrantedRow(0, 99, 1),), 3.0), sent_at)
+        assert process.report_holdings().rows == (ReportedRow(0, 99, 1),)
+        await asyncio.sleep(0.1)
+        rows = (GrantedRow(10, 19, 1), GrantedRow(90, 120, 2))
+        process.apply_reply(GrantedHoldings(rows, 3.0), sent_at)
+        holdings = process.report_holdings()
+        assert sorted(holdings.rows, key=lambda row: row.first) == [
+            ReportedRow(10, 19, 1),
+            ReportedRow(90, 120, 2),
+        ]
+        assert [(freed.first, freed.last) for freed in holdings.freed] == [(0, 9), (20, 89)]
+        await asyncio.sleep(2.95)
+        assert process.report_holdings().rows == ()
+
+    run(check)
--- a/persimmondock/tests/virtual_fleet.py
+++ b/persimmondock/tests/virtual_fleet.py
@@ -24,8 +24,9 @@
     encode_assignment,
 )
 from persimmondock._domain.backend_report import BackendAnnouncement
+from persimmondock._domain.holdings import ReportedHoldings
 from persimmondock._domain.replica import KeyedEntry
-from persimmondock._domain.site import NodeSettings
+from persimmondock._domain.site import GrantMode, GrantsByCall, NodeSettings
 from persimmondock._ports.keyed_log import (
     Conflict,
     Partition,
@@ -46,10 +47,18 @@
 
 STORE_CALL_S = 0.004
 ANNOUNCE_S = 0.87
+RELEASING_INTERVAL_S = 0.1
+ACK_TIMEOUT_S = 1.0
 DOMAINS = ("recife", "fortaleza", "salvador")
 PARTITIONS = SitePartitions(Partition("operator"), Partition("members"), Partition("assignments"))
 CONFIG_KEY = "config"
-CODEC = OperatorCodec(CONFIG_KEY, lambda _: make_table(keyed=True), lambda _: None)
+ASSIGNMENT_KEY = ASSIGNMENT_KEY_PREFIX + SERVICE
+EVACUATION_PREFIX = "evacuate/"
+CODEC = OperatorCodec(
+    CONFIG_KEY,
+    lambda _: make_table(keyed=True),
+    lambda key: key.removeprefix(EVACUATION_PREFIX) if key.startswith(EVACUATION_PREFIX) else None,
+)
 # The daemon whose code runs, if any; tasks inherit it.
 RUNNING_DAEMON: contextvars.ContextVar[DaemonProcess | None] = contextvars.ContextVar(
     "RUNNING_DAEMON", default=None
@@ -115,7 +124,7 @@
 class DaemonProcess:
     """One process of a daemon; everything that it started ends with it."""
 
-    def __init__(self, vm: VirtualVm, log: VirtualLog) -> None:
+    def __init__(self, vm: VirtualVm, log: VirtualLog, grant_mode: GrantMode) -> None:
         # In the order of their start, so that runs can be repeated.
         self.tasks: dict[asyncio.Task[Any], None] = {}
         self.is_running = True
@@ -129,6 +138,7 @@
             ready_address="",
             announce_address="",
             peer_address=vm.peer_address,
+            grant_mode=grant_mode,
         )
         self.context = contextvars.copy_context()
         self.context.run(RUNNING_DAEMON.set, self)
@@ -194,6 +204,8 @@
         Ranges that each VM owns at the start.
     request_interval_s
         Mean time between the requests that a gate gets.
+    grant_mode
+        How backend servers get their grants.
     """
 
     def __init__(
@@ -201,6 +213,7 @@
         count: int = 3,
         ranges_each: int = 2,
         request_interval_s: float = 0.2,
+        grant_mode: GrantMode = GrantsByCall(),  # noqa: B008
         seed: int = 1,
     ) -> None:
         self.network = VirtualNetwork()
@@ -212,6 +225,7 @@
         ]
         self._ranges_each = ranges_each
         self._request_interval_s = request_interval_s
+        self._grant_mode = grant_mode
         self._tasks: list[asyncio.Task[Any]] = []
         asyncio.get_running_loop().set_task_factory(_create_task)
 
@@ -235,11 +249,9 @@
             )
             for n in range(count)
         ]
-        witnesses = frozenset(vm.name for vm in self.vms[: len(self.vms) - 1 | 1])
+        witnesses = frozenset(vm.name for vm in self.vms[: (len(self.vms) - 1) | 1])
         first = Assignment(SERVICE, tuple(ranges), witnesses)
-        self.log.append(
-            PARTITIONS.assignments, ASSIGNMENT_KEY_PREFIX + SERVICE, encode_assignment(first)
-        )
+        self.log.append(PARTITIONS.assignments, ASSIGNMENT_KEY, encode_assignment(first))
         for vm in self.vms:
             await self.start_daemon(vm)
             self._tasks.append(asyncio.create_task(self._send_requests(vm)))
@@ -267,6 +279,10 @@
             position = max(position, span.last + 1)
         return [*free, (position, KEY_COUNT - 1)] if position < KEY_COUNT else free
 
+    def find_assignment_offset(self) -> int:
+        """Return the offset of the newest assignment."""
+        return self.log.find_newest(PARTITIONS.assignments, ASSIGNMENT_KEY).offset
+
     def find_incarnation(self, vm: VirtualVm) -> BackendIncarnation:
         """Return the incarnation of a VM's present backend server."""
         assert vm.server is not None
@@ -276,7 +292,7 @@
 
     async def start_daemon(self, vm: VirtualVm) -> None:
         """Start a daemon that remembers nothing."""
-        vm.daemon = DaemonProcess(vm, self.log)
+        vm.daemon = DaemonProcess(vm, self.log, self._grant_mode)
         await vm.daemon.create_task(vm.daemon.sidecar.start())
 
     async def restart_daemon(self, vm: VirtualVm, down_s: float) -> None:
@@ -302,18 +318,35 @@
     async def _announce(self, vm: VirtualVm, server: ServerProcess, after_s: float) -> None:
         await asyncio.sleep(after_s)
         while server.is_running:
-            self.announce(vm, server)
-            await asyncio.sleep(ANNOUNCE_S)
+            sent_at = read_clock()
+            await self.announce(vm, server)
+            next_at = sent_at + (RELEASING_INTERVAL_S if server.releasing else ANNOUNCE_S)
+            await asyncio.sleep(max(0.0, next_at - read_clock()))
 
-    def announce(self, vm: VirtualVm, server: ServerProcess, draining: bool = False) -> None:
-        """Hand an announcement to the daemon, if it runs."""
-        self._deliver(vm, self._build_announcement(vm, server, draining))
-
-    async def announce_late(self, vm: VirtualVm, server: ServerProcess, delay_s: float) -> None:
-        """Hand an announcement to the daemon some time after the server has sent it."""
-        announcement = self._build_announcement(vm, server, draining=False)
+    async def announce(
+        self, vm: VirtualVm, server: ServerProcess, draining: bool = False, delay_s: float = 0.0
+    ) -> None:
+        """Send an announcement and apply its reply; none is expected to one that is delayed."""
+        sent_at = read_clock()
+        announcement = self._build_announcement(vm, server, draining)
         await asyncio.sleep(delay_s)
-        self._deliver(vm, announcement)
+        daemon = vm.daemon
+        if daemon is None:
+            return
+        accepted = daemon.context.run(daemon.sidecar.handle_announcement, announcement)
+        if not accepted or delay_s > 0 or isinstance(self._grant_mode, GrantsByCall):
+            return
+        reply = daemon.create_task(daemon.sidecar.grant_holdings(announcement))
+        # The daemon drops its reply when the connection of a killed process ends.
+        server.on_kill.append(reply.cancel)
+        await asyncio.wait([reply], timeout=ACK_TIMEOUT_S)
+        server.on_kill.remove(reply.cancel)
+        if not reply.done():
+            reply.cancel()
+        elif not reply.cancelled() and server.is_running:
+            del server.freed[: len(announcement.holdings.freed)]
+            if (granted := reply.result()) is not None:
+                server.apply_reply(granted, sent_at)
 
     def _build_announcement(
         self, vm: VirtualVm, server: ServerProcess, draining: bool
@@ -327,12 +360,13 @@
             sequence=vm.sequence,
             born_ms=server.born_ms,
             draining=draining,
+            holdings=(
+                ReportedHoldings()
+                if isinstance(self._grant_mode, GrantsByCall)
+                else server.report_holdings()
+            ),
         )
 
-    def _deliver(self, vm: VirtualVm, announcement: BackendAnnouncement) -> None:
-        if vm.daemon is not None:
-            vm.daemon.context.run(vm.daemon.sidecar.handle_announcement, announcement)
-
     def kill_server(self, vm: VirtualVm) -> None:
         """Kill the backend server."""
         if vm.server is not None:
@@ -358,7 +392,7 @@
             return
         if vm.announcing is not None:
             vm.announcing.cancel()
-        self.announce(vm, server, draining=True)
+        vm.announcing = asyncio.create_task(self.announce(vm, server, draining=True))
         await asyncio.sleep(drain_s)
         if vm.server is not server:
             return
@@ -367,6 +401,12 @@
         self.kill_server(vm)
         self.start_server(vm, announced_after_s)
 
+    async def evacuate(self, failure_domain: str, for_s: float) -> None:
+        """Evacuate a failure domain for some time; its backend servers go on running."""
+        self.log.append(PARTITIONS.operator, EVACUATION_PREFIX + failure_domain, b"1")
+        await asyncio.sleep(for_s)
+        self.log.append(PARTITIONS.operator, EVACUATION_PREFIX + failure_domain, b"")
+
     # Requests.
 
     async def _send_requests(self, vm: VirtualVm) -> None:
--- a/persimmondock/tests/virtual_network.py
+++ b/persimmondock/tests/virtual_network.py
@@ -19,6 +19,12 @@
 import attrs
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._domain.holdings import (
+    GrantedHoldings,
+    ReleasedRange,
+    ReportedHoldings,
+    ReportedRow,
+)
 from persimmondock.platform._backend import PlatformBackend
 
 HOP_S = 0.0003
@@ -257,10 +263,14 @@
         Instant at which it was killed, or infinity.
     spans
         Everything that it has held.
+    releasing, freed
+        Ranges that replies to heartbeats left out: those with running requests, and those without.
     requests
         Instants and keys of the requests that it began.
     health_checks
         Instants of the requests to the health path.
+    on_kill
+        Called when the end of the process is known to those that it was connected to.
     """
 
     def __init__(
@@ -277,8 +287,11 @@
         self.born_ms = int(1000 * self.started_at)
         self.ended_at = math.inf
         self.spans: list[HoldSpan] = []
+        self.releasing: list[ReportedRow] = []
+        self.freed: list[ReleasedRange] = []
         self.requests: list[tuple[float, int]] = []
         self.health_checks: list[float] = []
+        self.on_kill: list[Callable[[], object]] = []
         self._connections: dict[_ServerConnection, None] = {}
         self._seen: dict[tuple[int, int], int] = {}
         self._running: list[int] = []
@@ -297,6 +310,8 @@
         for connection in list(self._connections):
             connection.transport.drop()
         self._connections.clear()
+        for callback in self.on_kill:
+            asyncio.get_running_loop().call_later(HOP_S, callback)
 
     def close_idle_connections(self) -> None:
         """Close the connections on which no request is open."""
@@ -356,6 +371,34 @@
         while any(first <= key <= last for key in self._running):
             await asyncio.sleep(HOP_S)
 
+    # Heartbeats.
+
+    def report_holdings(self) -> ReportedHoldings:
+        """Return what a heartbeat says about the keys."""
+        for row in list(self.releasing):
+            if not any(row.overlaps(key, key) for key in self._running):
+                self.releasing.remove(row)
+                self.freed.append(ReleasedRange(row.first, row.last, f"handover-{row.first}"))
+        held = [ReportedRow(span.first, span.last, span.fence) for span in self.list_held()]
+        return ReportedHoldings((*held, *self.releasing), tuple(self.freed))
+
+    def apply_reply(self, granted: GrantedHoldings, sent_at: float) -> None:
+        """Hold what the reply to a heartbeat grants, from its sending on, and release the rest."""
+        kept = sorted((row.first, row.last) for row in granted.rows)
+        left_out = []
+        for span in self.list_held():
+            position = span.first
+            for first, last in [*kept, (span.last + 1, span.last + 1)]:
+                end = min(first - 1, span.last)
+                if position <= end:
+                    left_out.append(ReportedRow(position, end, span.fence))
+                position = max(position, last + 1)
+        for row in left_out:
+            self._cut(self.list_held(), row.first, row.last)
+        self.releasing += left_out
+        for row in granted.rows:
+            self.carry_out_grant(row.first, row.last, row.fence, granted.hold_s, sent_at)
+
     # Requests.
 
     async def answer(self, target: str, fields: dict[str, str], body: bytes) -> bytes | None:
