Say in the reply to a forwarded request that its backend server was replaced

A backend server could be drained for its whole life because its predecessor had said that it leaves.

Cause: a daemon that knew no status of a gate yet put an answer down to the incarnation in the status of the reply. The status is taken after the answer, so it may name the successor of the process that answered.

Evidence: test_an_answer_of_a_replaced_backend_server_is_not_put_down_to_its_successor failed before (the leaving was told of i-2) and passes now.

Why it works: only the gate knows whether its backend server was replaced while the request was there, so it says so. The reply has a third item in that case alone; in all others it is the same as before for daemons of older versions.

--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -343,12 +343,13 @@
             return MayHaveRun(Reason.DEADLINE_PASSED)
         finally:
             self._in_flight_by_node[node] -= 1
-        verdict, status = reply
+        verdict, status, *replaced = reply
         peer.status = unpack_status(status)
         peer.heard_at = read_clock()
         self.record_status_update(node)
         result = unpack_verdict(verdict)
-        if isinstance(result, Answered) and incarnation in (None, peer.status.incarnation):
+        is_same = not replaced and incarnation in (None, peer.status.incarnation)
+        if isinstance(result, Answered) and is_same:
             self._record_notice(peer, result.answer, sent_at)
         return result
 
@@ -386,8 +387,12 @@
         self._gate.apply_told_notice(unpack_told(payload))
 
     async def _handle_call(self, payload: Any, delivered: Delivery) -> Any:
-        """Run a request that another daemon forwarded to the local gate."""
-        now = read_clock()
+        """Run a request that another daemon forwarded to the local gate.
+
+        The reply has a third item if the backend server was replaced meanwhile: the status is not
+        that of the one that answered.
+        """
+        now, incarnation = read_clock(), self._gate.incarnation
         verdict: Verdict
         if delivered.age_s > MAX_CALL_AGE_S:
             logger.info("event=late_call peer={} age_s={:.2f}", delivered.peer, delivered.age_s)
@@ -395,7 +400,8 @@
         else:
             verdict = await self._gate.run(unpack_request(payload, now, delivered.age_s))
         status: GateStatus = self._gate.describe()
-        return [pack_verdict(verdict), status.pack()]
+        reply = [pack_verdict(verdict), status.pack()]
+        return reply if status.incarnation == incarnation else [*reply, True]
 
 
 def _log_unanswered(
--- a/persimmondock/tests/test_dispatcher.py
+++ b/persimmondock/tests/test_dispatcher.py
@@ -13,7 +13,7 @@
 from persimmondock._adapters.peer_stream import Delivery, PeerRequestError
 from persimmondock._domain.assignment import Assignment
 from persimmondock._domain.backend_notice import ToldNotice, unpack_told
-from persimmondock._domain.forwarding import pack_verdict
+from persimmondock._domain.forwarding import pack_verdict, unpack_verdict
 from persimmondock._domain.gate_choice import GateCandidate, compute_weights
 from persimmondock._domain.gate_status import GateStatus
 from persimmondock._domain.range_lease import RangeLease
@@ -42,6 +42,7 @@
     make_forwarded,
     make_incarnation,
     make_range,
+    make_report,
     make_route,
 )
 from persimmondock.tests.test_store_follower import ScriptedLog
@@ -60,6 +61,7 @@
     calls: int = 0
     connected: bool = True
     told: list[Any] = attrs.field(factory=list)
+    reply: list[Any] | None = None
 
     def send(self, kind: str, payload: Any, on_reply: Any) -> None:
         assert kind == "notice"
@@ -71,7 +73,7 @@
         self.calls += 1
         if isinstance(verdict, PeerRequestError):
             raise verdict
-        return [pack_verdict(verdict), make_status().pack()]
+        return self.reply or [pack_verdict(verdict), make_status().pack()]
 
 
 @attrs.define
@@ -314,6 +316,33 @@
     assert len(link.told) == 1
 
 
+async def test_an_answer_of_a_replaced_backend_server_is_not_put_down_to_its_successor(
+    harness: DispatcherHarness,
+) -> None:
+    """Guards against a successor that gets no requests because its predecessor said it leaves.
+
+    The caller's daemon has just started and knows no status of the gate, so that the one in the
+    reply is the first.
+    """
+    gate = harness.dispatcher._gate
+    gate._server.work_s = 0.1  # type: ignore[attr-defined]
+    gate.handle_announcement(make_report())
+    payload = make_forwarded(read_clock()).pack(read_clock())
+    call = asyncio.create_task(harness.dispatcher._handle_call(payload, Delivery("node-9", 0.0)))
+    await asyncio.sleep(0.05)
+    gate.handle_announcement(make_report(instance="i-2", born_ms=2000))
+    reply = await call
+    leaving = Answered(Answer(200, (Header("Server-Leaving", "1"), SIGNATURE), b""))
+    assert unpack_verdict(reply[0]) == DONE
+    reply[0] = pack_verdict(leaving)
+    link = make_owner(harness, leaving)
+    link.reply = reply
+    for _ in range(2):
+        harness.mesh.peers["node-1"].status = make_status(incarnation=None)
+        assert await harness.ask() == leaving
+    assert link.told == []
+
+
 async def test_an_answer_is_not_put_down_to_an_incarnation_that_came_after_it(
     harness: DispatcherHarness,
 ) -> None:
