--- a/persimmondock/tests/test_sidecar.py
+++ b/persimmondock/tests/test_sidecar.py
@@ -1,4 +1,4 @@
-"""A daemon's record in the store."""
+"""A daemon's record in the store, and the announcements that it accepts."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 import attrs
+import pytest
 
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._domain.site import NodeSettings
@@ -20,7 +21,7 @@
 from persimmondock._tasks.mesh import Member, encode_member
 from persimmondock._tasks.sidecar import OperatorCodec, Sidecar, SitePartitions
 from persimmondock.tests.fake_backend import FakeBackend
-from persimmondock.tests.sites import SERVICE, make_table
+from persimmondock.tests.sites import SERVICE, make_report, make_table
 from persimmondock.tests.virtual_time import run_in_virtual_time
 
 MEMBERS = Partition("members")
@@ -122,3 +123,13 @@
     log = MemoryLog({MEMBERS.topic: [("node-1", OWN_RECORD)]})
     assert play(log, None) == OWN_RECORD
     assert log.writes == 0
+
+
+@pytest.mark.parametrize("changes", [{"service": "elsewhere"}, {"address": "127.0.0.9:1"}, {}])
+async def test_announcements_of_another_service_or_address_are_refused(
+    changes: dict[str, str],
+) -> None:
+    """Guards against requests to a backend server whose VM got the address of a lost one."""
+    sidecar = make_sidecar(MemoryLog())
+    assert sidecar.handle_announcement(make_report(**changes)) is (not changes)
+    assert (sidecar.gate.incarnation is None) is bool(changes)
