Show how late a configuration comes into use, and by which way

The log had a line when a version came into use and nothing of how late that was or from whom it came, so that readers that are gone, a waiting read that is dead and a daemon without processor looked alike.

configuration_delay_s counts from the first sign of newer records: heartbeat replies carry the age of the newest operators' record, appended to the list of ages, which daemons of earlier versions index and do not unpack. configuration_delay_worst_s is the worst of a daemon and its live peers. configuration_fetched is logged when the records came neither by a waiting read nor from a reader; its at_most_s bounds the time in which no daemon had read them yet, which no gauge can show.

--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -44,6 +44,12 @@
     ),
     "ready": MetricSpec(Gauge, "1 while callers may be sent here"),
     "configuration_version": MetricSpec(Gauge, "Version of the routes in force, or -1"),
+    "configuration_delay_s": MetricSpec(
+        Gauge, "Seconds by which the newest operators' records came late here, or are late so far"
+    ),
+    "configuration_delay_worst_s": MetricSpec(
+        Gauge, "The same for the worst of this daemon and its live peers"
+    ),
     "in_flight": MetricSpec(Gauge, "Requests that the backend server here works on"),
     "queued": MetricSpec(Gauge, "Requests that wait for a slot here"),
     "slots": MetricSpec(Gauge, "Requests that may run here at the same time now"),
--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -14,6 +14,7 @@
 from persimmondock._adapters.peer_stream import Delivery, PeerClient, PeerRequestError, PeerServer
 from persimmondock._domain.gate_status import GateStatus, unpack_status
 from persimmondock._domain.replica import KeyedEntry
+from persimmondock._tasks.store_follower import Source
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -30,6 +31,7 @@
 READERS_PER_DOMAIN = 2  # daemons of each failure domain that read new records from the store
 SYNC_DELAY_S = 0.2  # a copy that lags for longer fetches the records from a peer
 SYNC_TIMEOUT_S = 1.0
+OPERATOR_INDEX = 0  # index of the operators' records among the copies
 
 
 @attrs.frozen
@@ -62,6 +64,8 @@
         Instant at which the latest heartbeat was sent.
     interval_s
         Seconds between heartbeats.
+    configuration_delay_s
+        Delay with which it got the newest operators' records, from the latest heartbeat.
     """
 
     member: Member
@@ -73,6 +77,7 @@
     unanswered_since: float = math.inf
     last_heartbeat_at: float = -math.inf
     interval_s: float = HEARTBEAT_INTERVAL_S
+    configuration_delay_s: float = 0.0
 
     @property
     def timeout_s(self) -> float:
@@ -341,7 +346,10 @@
     def _record_heartbeat_reply(self, peer: Peer, reply: Any, sent_at: float) -> None:
         now = read_clock()
         was_alive = peer.is_alive(now)
-        ends, may_witness, store_answers, status, confirmation_ages = reply
+        ends, may_witness, store_answers, status, ages = reply
+        # Daemons of earlier versions send the ages of confirmations only.
+        confirmation_ages = ages[: len(self._followers)]
+        record_age_s, delay_s = ages[len(self._followers) :] or (0.0, 0.0)
         peer.heard_at = now
         peer.replica_ends = tuple(ends)
         peer.store_answers = store_answers
@@ -353,7 +361,22 @@
         )
         for index, end in enumerate(peer.replica_ends):
             if end > self._followers[index].replica.end:
+                age_s = record_age_s if index == OPERATOR_INDEX else 0.0
+                self._followers[index].record_newer(end, now - age_s)
                 self._request_missing(peer, index, end, now)
+        self._record_configuration_delay(peer, delay_s, now)
+
+    def _record_configuration_delay(self, peer: Peer, delay_s: float, now: float) -> None:
+        """Record how late a peer got the operators' records, or how late it is now."""
+        own = self._followers[OPERATOR_INDEX]
+        if peer.replica_ends[OPERATOR_INDEX] < own.replica.end:
+            delay_s = max(delay_s, own.compute_record_age(now))
+        peer.configuration_delay_s = delay_s
+
+    def compute_worst_configuration_delay(self, now: float) -> float:
+        """Return the longest delay with which this daemon or a live peer got operators' records."""
+        delays = [peer.configuration_delay_s for peer in self.list_alive(now)]
+        return max([self._followers[OPERATOR_INDEX].compute_delay(now), *delays])
 
     def _request_missing(self, peer: Peer, index: int, end: int, now: float) -> None:
         """Request missing records from a peer once the copy has lagged for SYNC_DELAY_S.
@@ -388,13 +411,19 @@
         peer = self.peers.get(node)
         for index, end in enumerate(ends):
             if peer is not None and end > self._followers[index].replica.end:
+                self._followers[index].record_newer(end, now)
                 self._request_missing(peer, index, end, now)
+        operator = self._followers[OPERATOR_INDEX]
         return [
             [follower.replica.end for follower in self._followers],
             all(follower.replica.confirmed_by_store for follower in self._followers),
             self._followers[-1].store_answers,
             self._describe().pack(),
-            [follower.compute_confirmation_age(now) for follower in self._followers],
+            [
+                *(follower.compute_confirmation_age(now) for follower in self._followers),
+                operator.compute_record_age(now),
+                operator.compute_delay(now),
+            ],
         ]
 
     async def _handle_push(self, payload: Any, delivered: Delivery) -> None:
@@ -406,7 +435,7 @@
             if peer is not None:
                 await self._sync(peer, index)
             return
-        follower.apply_from_peer((KeyedEntry(*entry) for entry in entries), end)
+        follower.apply_from_peer((KeyedEntry(*entry) for entry in entries), end, Source.PUSH)
 
     async def _handle_sync(self, payload: Any, _: Delivery) -> Any:
         index, offset = payload
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -20,10 +20,10 @@
 from persimmondock._tasks.backend_gate import BackendGate
 from persimmondock._tasks.dispatcher import Dispatcher
 from persimmondock._tasks.key_control import KeyControl
-from persimmondock._tasks.mesh import Member, Mesh, encode_member
+from persimmondock._tasks.mesh import OPERATOR_INDEX, Member, Mesh, encode_member
 from persimmondock._tasks.range_keeper import RangeKeeper, find_max_rows
 from persimmondock._tasks.site_state import SiteState
-from persimmondock._tasks.store_follower import PartitionFollower
+from persimmondock._tasks.store_follower import IMMEDIATE_SOURCES, PartitionFollower
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -116,7 +116,7 @@
             self._apply_site,
         )
         self._followers = (
-            PartitionFollower(log, partitions.operator, self.site.update),
+            PartitionFollower(log, partitions.operator, self._update_site),
             PartitionFollower(log, partitions.members, self._update_members, None, MEMBER_BATCH_S),
             PartitionFollower(
                 log, partitions.assignments, self._update_assignments, self._record_store_read
@@ -270,6 +270,17 @@
         change = self.gate.handle_leave(instance, int(1000 * time.time()))
         logger.info("event=backend_left change={} instance={}", change.value, instance)
 
+    def _update_site(self, changed: list[Any]) -> None:
+        self.site.update(changed)
+        growth = self._followers[OPERATOR_INDEX].growth
+        if growth is not None and growth.source not in IMMEDIATE_SOURCES:
+            logger.info(
+                "event=configuration_fetched source={} delay_s={:.2f} at_most_s={:.2f}",
+                growth.source.value,
+                growth.delay_s,
+                growth.at_most_s,
+            )
+
     def _apply_site(self) -> None:
         self.gate.policy = self.site.find_policy(self.settings.service)
         self.gate.set_evacuated(self.site.is_evacuated(self.settings.failure_domain))
@@ -311,6 +322,10 @@
         table = self.site.table
         sink.set_gauge("ready", self.is_ready)
         sink.set_gauge("configuration_version", table.version if table is not None else -1)
+        sink.set_gauge("configuration_delay_s", self._followers[OPERATOR_INDEX].compute_delay(now))
+        sink.set_gauge(
+            "configuration_delay_worst_s", self.mesh.compute_worst_configuration_delay(now)
+        )
         sink.set_gauge("in_flight", status.running)
         sink.set_gauge("queued", status.waiting)
         sink.set_gauge("slots", status.slots)
--- a/persimmondock/_tasks/store_follower.py
+++ b/persimmondock/_tasks/store_follower.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import math
 from typing import TYPE_CHECKING
 
+import attrs
 from loguru import logger
 
 from persimmondock._adapters.clock import read_clock
@@ -19,9 +21,55 @@
 MIN_RETRY_S = 0.25
 MAX_RETRY_S = 1.0
 READER_CHECK_INTERVAL_S = 0.25  # a daemon that becomes a reader starts within this time
+IMMEDIATE_READ_S = 0.3  # a read that took longer waited for its records, or the store is slow
 BATCH_S = 0.05  # records written within this time are read by one call
 
 
+class Source(enum.Enum):
+    """Where records came from."""
+
+    WAITING_READ = "waiting_read"
+    READ = "read"
+    SNAPSHOT = "newest"
+    PUSH = "push"
+    SYNC = "sync"
+
+
+@attrs.frozen
+class Growth:
+    """How a copy got its newest records.
+
+    Parameters
+    ----------
+    delay_s
+        Seconds for which the records are known to have existed before this copy had them: since a
+        peer had them, or 0 if no sign of them came earlier.
+    at_most_s
+        Seconds since this copy was last known to be the newest.
+    """
+
+    source: Source
+    delay_s: float
+    at_most_s: float
+
+
+@attrs.define
+class _NewerRecords:
+    """Records that peers have and this copy lacks.
+
+    Parameters
+    ----------
+    since
+        Earliest instant at which a peer is known to have had some of them.
+    """
+
+    end: int
+    since: float
+
+
+IMMEDIATE_SOURCES = frozenset({Source.WAITING_READ, Source.PUSH})
+
+
 class PartitionFollower:
     """Keeps a copy of one partition up to date.
 
@@ -50,6 +98,9 @@
         self.confirmed_at = -math.inf
         self.is_reader: Callable[[], bool] = lambda: True
         self.push_records: Callable[[int, list[KeyedEntry], int], None] = lambda *_: None
+        self.growth: Growth | None = None
+        self._grown_at = math.inf
+        self._newer: _NewerRecords | None = None
         self._confirmed_end = -1
         self._log = log
         self._on_change = on_change
@@ -107,15 +158,50 @@
         self._record_store_answer(isinstance(outcome, Records))
         if not isinstance(outcome, Records):
             return False
-        self._apply(outcome.entries, outcome.end, outcome.whole, sent_at)
+        self._apply(outcome, sent_at, Source.READ)
         return True
 
-    def apply_from_peer(self, entries: Iterable[KeyedEntry], end: int) -> None:
+    def apply_from_peer(
+        self, entries: Iterable[KeyedEntry], end: int, source: Source = Source.SYNC
+    ) -> None:
         """Apply records received from a peer."""
+        start = self.replica.end
         changed = self.replica.apply(entries, end)
+        self._record_growth(start, source)
         if changed:
             self._on_change(changed)
 
+    def record_newer(self, end: int, since: float) -> None:
+        """Record that a peer had records up to ``end`` at the instant ``since``."""
+        if end <= self.replica.end:
+            return
+        if self._newer is None:
+            self._newer = _NewerRecords(end, since)
+        self._newer.end = max(self._newer.end, end)
+        self._newer.since = min(self._newer.since, since)
+
+    def _record_growth(self, start: int, source: Source) -> None:
+        """Record how the copy got the records from offset ``start`` to its end."""
+        if self.replica.end <= start:
+            return
+        now = read_clock()
+        self._grown_at = now if self._newer is None else self._newer.since
+        at_most_s = 0.0 if source in IMMEDIATE_SOURCES else now - self.confirmed_at
+        delay_s = now - self._grown_at
+        self.growth = Growth(source, delay_s, max(delay_s, at_most_s))
+        if self._newer is not None and self.replica.end >= self._newer.end:
+            self._newer = None
+
+    def compute_delay(self, now: float) -> float:
+        """Return the seconds that the newest records known of came late, or are late so far."""
+        if self._newer is not None:
+            return now - self._newer.since
+        return self.growth.delay_s if self.growth is not None else 0.0
+
+    def compute_record_age(self, now: float) -> float:
+        """Return the seconds since the newest record of this copy is known to exist, at least 0."""
+        return max(0.0, now - self._grown_at)
+
     async def _read_once(self) -> bool:
         sent_at = read_clock()
         if not self.replica.confirmed_by_store:
@@ -123,8 +209,10 @@
             if not isinstance(newest, Records):
                 logger.debug("event=store_read_failed detail={!r}", newest)
                 return False
+            start = self.replica.end
             changed = self.replica.apply_snapshot(newest.entries, newest.end)
             self.replica.confirmed_by_store = True
+            self._record_growth(start, Source.SNAPSHOT)
             if changed:
                 self._on_change(changed)
             self._record_partition_end(newest.end, sent_at)
@@ -141,19 +229,19 @@
         if not isinstance(outcome, Records):
             logger.debug("event=store_read_failed detail={!r}", outcome)
             return False
-        self._apply(outcome.entries, outcome.end, outcome.whole, sent_at)
+        waited = wait_s > 0 and read_clock() - sent_at > IMMEDIATE_READ_S
+        self._apply(outcome, sent_at, Source.WAITING_READ if waited else Source.READ)
         return True
 
-    def _apply(
-        self, entries: tuple[KeyedEntry, ...], end: int, whole: bool, sent_at: float
-    ) -> None:
+    def _apply(self, records: Records, sent_at: float, source: Source) -> None:
         start = self.replica.end
-        changed = self.replica.apply(entries, end)
+        changed = self.replica.apply(records.entries, records.end)
+        self._record_growth(start, source)
         if changed:
             self._on_change(changed)
-            self.push_records(start, changed, end)
-        if whole:
-            self._record_partition_end(end, sent_at)
+            self.push_records(start, changed, records.end)
+        if records.whole:
+            self._record_partition_end(records.end, sent_at)
 
     def _record_partition_end(self, end: int, sent_at: float) -> None:
         if end != self.replica.end:
--- a/persimmondock/tests/test_store_follower.py
+++ b/persimmondock/tests/test_store_follower.py
@@ -18,7 +18,8 @@
     WriteOutcome,
     Written,
 )
-from persimmondock._tasks.store_follower import PartitionFollower
+from persimmondock._tasks.store_follower import Growth, PartitionFollower, Source
+from persimmondock.tests.virtual_time import run_in_virtual_time
 
 PARTITION = Partition("t")
 
@@ -117,3 +118,44 @@
     assert follower.replica.get("a") == b"v"
     assert not follower.replica.confirmed_by_store
     await stop(task)
+
+
+def test_the_delay_of_records_counts_from_the_first_sign_of_them(
+    changed: list[KeyedEntry],
+) -> None:
+    async def scenario() -> None:
+        follower, task = await follow(ScriptedLog([Records((), 3)]), changed)
+        now = asyncio.get_running_loop().time()
+        follower.record_newer(5, now - 0.5)
+        follower.record_newer(4, now)
+        await asyncio.sleep(1.0)
+        assert follower.compute_delay(now + 1.0) == pytest.approx(1.5)
+        follower.apply_from_peer([make_entry(3, "a")], 4)
+        assert follower.compute_delay(now + 1.0) == pytest.approx(1.5)
+        follower.apply_from_peer([make_entry(4, "a")], 5)
+        assert follower.growth == Growth(Source.SYNC, pytest.approx(1.5), pytest.approx(1.5))
+        await asyncio.sleep(1.0)
+        assert follower.compute_delay(now + 2.0) == pytest.approx(1.5)
+        follower.apply_from_peer([make_entry(5, "a")], 6, Source.PUSH)
+        assert follower.compute_delay(now + 2.0) == 0.0
+        await stop(task)
+
+    run_in_virtual_time(scenario())
+
+
+def test_a_read_that_did_not_wait_bounds_the_delay_by_the_last_confirmation(
+    changed: list[KeyedEntry],
+) -> None:
+    async def scenario() -> None:
+        log = ScriptedLog([Records((), 3)])
+        follower, task = await follow(log, changed)
+        await asyncio.sleep(4.0)
+        log.reads.append(Records((make_entry(3, "a"),), 4))
+        await follower.confirm_now()
+        assert follower.growth is not None
+        assert follower.growth.source is Source.READ
+        assert follower.growth.delay_s == 0.0
+        assert follower.growth.at_most_s == pytest.approx(4.3)
+        await stop(task)
+
+    run_in_virtual_time(scenario())
