Let a daemon read the store when nothing shows that its copy is the newest

Cause: whether a copy is the newest was inferred from readers that live, not from reads. Peers took a reader's place when it had not replied for 2.5 s, and a reader that waits up to 20 s for an answer that does not come counts as one that reads. The replies told of the assignments only, so a reader that could not read the operators' records was not replaced at all.

Change: heartbeats pass on how long ago a read of any daemon showed that a copy is the newest; the first reader of a domain waits for 0.5 s at a time, so that this stays young. A copy for which nothing has shown it for the bound less 0.6 s is read from the store, by whichever daemon has it, and a waiting read is given up.

The field is appended where daemons of earlier versions do not look.

--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -64,6 +64,8 @@
         Instant at which the latest heartbeat was sent.
     interval_s
         Seconds between heartbeats.
+    reads_operator
+        Whether the store answered its latest read of the operators' records.
     configuration_delay_s
         Delay with which it got the newest operators' records, from the latest heartbeat.
     """
@@ -77,6 +79,7 @@
     unanswered_since: float = math.inf
     last_heartbeat_at: float = -math.inf
     interval_s: float = HEARTBEAT_INTERVAL_S
+    reads_operator: bool = True
     configuration_delay_s: float = 0.0
 
     @property
@@ -89,6 +92,28 @@
         return self.client.connected and now - self.heard_at < self.timeout_s
 
 
+@attrs.frozen
+class CopyStatus:
+    """What a heartbeat reply tells about the copy of the operators' records.
+
+    Parameters
+    ----------
+    record_age_s
+        Seconds since its newest record is known to exist.
+    delay_s
+        Seconds by which its newest records came late.
+    known_age_s
+        Seconds since a read of any daemon showed that it is the newest, or None.
+    store_answers
+        Whether the store answered the daemon's latest read of these records.
+    """
+
+    record_age_s: float = 0.0
+    delay_s: float = 0.0
+    known_age_s: float | None = None
+    store_answers: bool = True
+
+
 @attrs.define
 class _Lag:
     """How far the copy of one partition is behind those of peers.
@@ -225,10 +250,15 @@
         """Return whether this daemon reads new records from the store and pushes them to peers."""
         return self._count_preceding_readers() < READERS_PER_DOMAIN
 
+    def is_first_reader(self) -> bool:
+        """Return whether no daemon of the own failure domain precedes this one as a reader."""
+        return self._count_preceding_readers() == 0
+
     def push_records(self, index: int, start: int, changed: list[KeyedEntry], end: int) -> None:
         """Push records read from the store to the live peers of the own failure domain.
 
-        All readers do so, since one of them may be cut off; peers ignore records they have.
+        All readers do so, since one of them may be cut off, and so do the next ones in line when
+        their copy was stale. Peers ignore records they have.
 
         Parameters
         ----------
@@ -237,13 +267,18 @@
         start, end
             End offsets of the copy before and after the records.
         """
-        if not self.is_reader():
+        was_stale = self._followers[index].read_while_stale
+        if not self.is_reader() and not (was_stale and self._is_reader_candidate()):
             return
         payload = [index, start, [[e.offset, e.key, e.value] for e in changed], end]
         for peer in self.list_alive(read_clock()):
             if peer.member.failure_domain == self.own.failure_domain:
                 self._create_task(self._send_to_peer(peer, "push", payload))
 
+    def _is_reader_candidate(self) -> bool:
+        """Return whether few daemons of the own failure domain precede this one."""
+        return sum(node < self.own.node for node in self._reader_candidates) < READER_CANDIDATES
+
     def _count_preceding_readers(self) -> int:
         """Return how many daemons of the own failure domain precede this one as readers."""
         now = read_clock()
@@ -251,6 +286,7 @@
             peer.member.failure_domain == self.own.failure_domain
             and peer.member.node < self.own.node
             and peer.store_answers
+            and peer.reads_operator
             and peer.is_alive(now)
             for peer in self.peers.values()
         )
@@ -320,9 +356,9 @@
         node = peer.member.node
         if node in self.priority_peers:
             return HEARTBEAT_INTERVAL_S
-        if node in self._reader_candidates:
-            return READER_HEARTBEAT_INTERVAL_S
         scaled_interval_s = HEARTBEAT_INTERVAL_S * len(self.peers) / FULL_RATE_PEERS
+        if node in self._reader_candidates:
+            scaled_interval_s = min(READER_HEARTBEAT_INTERVAL_S, scaled_interval_s)
         return min(MAX_HEARTBEAT_INTERVAL_S, max(HEARTBEAT_INTERVAL_S, scaled_interval_s))
 
     def _create_task(self, work: Any) -> None:
@@ -349,7 +385,8 @@
         ends, may_witness, store_answers, status, ages = reply
         # Daemons of earlier versions send the ages of confirmations only.
         confirmation_ages = ages[: len(self._followers)]
-        record_age_s, delay_s = ages[len(self._followers) :] or (0.0, 0.0)
+        copy = CopyStatus(*(ages[len(self._followers) :] or [[]])[0])
+        peer.reads_operator = copy.store_answers
         peer.heard_at = now
         peer.replica_ends = tuple(ends)
         peer.store_answers = store_answers
@@ -361,10 +398,15 @@
         )
         for index, end in enumerate(peer.replica_ends):
             if end > self._followers[index].replica.end:
-                age_s = record_age_s if index == OPERATOR_INDEX else 0.0
+                age_s = copy.record_age_s if index == OPERATOR_INDEX else 0.0
                 self._followers[index].record_newer(end, now - age_s)
                 self._request_missing(peer, index, end, now)
-        self._record_configuration_delay(peer, delay_s, now)
+        if copy.known_age_s is not None:
+            operator = self._followers[OPERATOR_INDEX]
+            operator.record_confirmation(
+                peer.replica_ends[OPERATOR_INDEX], sent_at - copy.known_age_s
+            )
+        self._record_configuration_delay(peer, copy.delay_s, now)
 
     def _record_configuration_delay(self, peer: Peer, delay_s: float, now: float) -> None:
         """Record how late a peer got the operators' records, or how late it is now."""
@@ -381,12 +423,13 @@
     def _request_missing(self, peer: Peer, index: int, end: int, now: float) -> None:
         """Request missing records from a peer once the copy has lagged for SYNC_DELAY_S.
 
-        Until then the store or a reader usually delivers them. A heartbeat of a peer that lags too
-        does not reset the lag.
+        Until then the store or a reader usually delivers them, unless the copy is stale. A
+        heartbeat of a peer that lags too does not reset the lag.
         """
         lag = self._lags.get(index)
-        if lag is None or self._followers[index].replica.end >= lag.end:
-            lag = self._lags[index] = _Lag(end, now)
+        follower = self._followers[index]
+        if lag is None or follower.replica.end >= lag.end:
+            lag = self._lags[index] = _Lag(end, -math.inf if follower.is_stale(now) else now)
         lag.end = max(lag.end, end)
         if now - lag.since >= SYNC_DELAY_S:
             lag.since = now
@@ -414,6 +457,12 @@
                 self._followers[index].record_newer(end, now)
                 self._request_missing(peer, index, end, now)
         operator = self._followers[OPERATOR_INDEX]
+        copy = CopyStatus(
+            operator.compute_record_age(now),
+            operator.compute_delay(now),
+            operator.compute_known_age(now),
+            operator.store_answers,
+        )
         return [
             [follower.replica.end for follower in self._followers],
             all(follower.replica.confirmed_by_store for follower in self._followers),
@@ -421,8 +470,7 @@
             self._describe().pack(),
             [
                 *(follower.compute_confirmation_age(now) for follower in self._followers),
-                operator.compute_record_age(now),
-                operator.compute_delay(now),
+                attrs.astuple(copy),
             ],
         ]
 
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -23,7 +23,11 @@
 from persimmondock._tasks.mesh import OPERATOR_INDEX, Member, Mesh, encode_member
 from persimmondock._tasks.range_keeper import RangeKeeper, find_max_rows
 from persimmondock._tasks.site_state import SiteState
-from persimmondock._tasks.store_follower import IMMEDIATE_SOURCES, PartitionFollower
+from persimmondock._tasks.store_follower import (
+    IMMEDIATE_SOURCES,
+    STALE_MARGIN_S,
+    PartitionFollower,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -116,7 +120,12 @@
             self._apply_site,
         )
         self._followers = (
-            PartitionFollower(log, partitions.operator, self._update_site),
+            PartitionFollower(
+                log,
+                partitions.operator,
+                self._update_site,
+                max_age_s=settings.bounds.apply_s - STALE_MARGIN_S,
+            ),
             PartitionFollower(log, partitions.members, self._update_members, None, MEMBER_BATCH_S),
             PartitionFollower(
                 log, partitions.assignments, self._update_assignments, self._record_store_read
@@ -126,6 +135,7 @@
             settings.node, settings.peer_address, settings.failure_domain, settings.service
         )
         self.mesh = Mesh(own, self._followers, self.gate.describe, self._record_heartbeat)
+        self._followers[OPERATOR_INDEX].is_poller = self.mesh.is_first_reader
         for index, follower in enumerate(self._followers):
             follower.is_reader = self.mesh.is_reader
             follower.push_records = functools.partial(self.mesh.push_records, index)
@@ -355,6 +365,7 @@
         self.settings = attrs.evolve(
             self.settings, **{name: getattr(settings, name) for name in RELOADABLE_FIELDS}
         )
+        self._followers[OPERATOR_INDEX].max_age_s = settings.bounds.apply_s - STALE_MARGIN_S
         self.gate.bounds = settings.bounds
         self.dispatcher.bounds = settings.bounds
 
--- a/persimmondock/_tasks/store_follower.py
+++ b/persimmondock/_tasks/store_follower.py
@@ -20,6 +20,9 @@
 READ_WAIT_S = 20.0  # each return of a waiting read is a billed call
 MIN_RETRY_S = 0.25
 MAX_RETRY_S = 1.0
+MAX_STALE_RETRY_S = 4.0  # of daemons that are no readers; in a large site these are most
+POLL_WAIT_S = 0.5
+STALE_MARGIN_S = 0.6  # for the next check and a read without waiting from a slow store
 READER_CHECK_INTERVAL_S = 0.25  # a daemon that becomes a reader starts within this time
 IMMEDIATE_READ_S = 0.3  # a read that took longer waited for its records, or the store is slow
 BATCH_S = 0.05  # records written within this time are read by one call
@@ -82,6 +85,20 @@
         instant at which the read was sent.
     batch_s
         Seconds between reads, so that one read can return several records.
+    max_age_s
+        Seconds after which this daemon reads by itself if no read of any daemon has shown that the
+        copy is the newest.
+
+    Attributes
+    ----------
+    is_reader
+        Returns whether this daemon reads new records from the store.
+    is_poller
+        Returns whether its reads wait briefly, which shows others that the copy is the newest.
+    read_while_stale
+        Whether the copy was stale when the latest read was sent.
+    push_records
+        Called with records that the store returned, and the end offsets before and after them.
     """
 
     def __init__(
@@ -91,12 +108,15 @@
         on_change: Callable[[list[KeyedEntry]], None],
         on_confirmed: Callable[[int, float], None] | None = None,
         batch_s: float = BATCH_S,
+        max_age_s: float = math.inf,
     ) -> None:
         self.partition = partition
         self.replica = Replica()
         self.store_answers = False
         self.confirmed_at = -math.inf
+        self.max_age_s = max_age_s
         self.is_reader: Callable[[], bool] = lambda: True
+        self.is_poller: Callable[[], bool] = lambda: False
         self.push_records: Callable[[int, list[KeyedEntry], int], None] = lambda *_: None
         self.growth: Growth | None = None
         self._grown_at = math.inf
@@ -106,24 +126,22 @@
         self._on_change = on_change
         self._on_confirmed = on_confirmed
         self._batch_s = batch_s
+        self._known_end, self._known_at = -1, -math.inf
+        self._received_at = -math.inf
         self._read: asyncio.Task[bool] | None = None
-        self._read_abandoned = False
+        self._read_waits = False
+        self.read_while_stale = False
 
     async def run(self) -> None:
         """Read until cancelled."""
         retry_delay_s = MIN_RETRY_S
         while True:
-            if self.replica.confirmed_by_store and self.store_answers and not self.is_reader():
+            if self.replica.confirmed_by_store and self.store_answers and not self._may_read():
                 # Readers push new records; heartbeats reveal missing ones.
                 await asyncio.sleep(READER_CHECK_INTERVAL_S)
                 continue
-            self._read = asyncio.create_task(self._read_once())
-            self._read_abandoned = False
-            try:
-                answered = await self._read
-            except asyncio.CancelledError:
-                if not self._read_abandoned:
-                    raise
+            answered = await self._finish_read(asyncio.create_task(self._read_once()))
+            if answered is None:
                 continue
             self._record_store_answer(answered)
             if answered:
@@ -131,7 +149,33 @@
                 await asyncio.sleep(self._batch_s)
             else:
                 await asyncio.sleep(retry_delay_s)
-                retry_delay_s = min(MAX_RETRY_S, 2 * retry_delay_s)
+                max_retry_s = MAX_RETRY_S if self.is_reader() else MAX_STALE_RETRY_S
+                retry_delay_s = min(max_retry_s, 2 * retry_delay_s)
+
+    def _may_read(self) -> bool:
+        return self.is_reader() or self.is_stale(read_clock())
+
+    async def _finish_read(self, read: asyncio.Task[bool]) -> bool | None:
+        """Return whether the store answered, or None if the read was abandoned.
+
+        A waiting read is abandoned when the copy becomes stale, since its connection may be dead.
+        """
+        self._read = read
+        check_interval_s = READER_CHECK_INTERVAL_S if self.max_age_s < math.inf else None
+        try:
+            while not read.done():
+                await asyncio.wait({read}, timeout=check_interval_s)
+                if not read.done() and self._read_waits and self.is_stale(read_clock()):
+                    logger.info(
+                        "event=read_abandoned topic={} part={} offset={}",
+                        self.partition.topic,
+                        self.partition.number,
+                        self.replica.end,
+                    )
+                    self.restart_read()
+        finally:
+            read.cancel()
+        return None if read.cancelled() else read.result()
 
     def record_failed_write(self) -> None:
         """Record a failed write as evidence that the store does not answer."""
@@ -148,9 +192,25 @@
     def restart_read(self) -> None:
         """Cancel a waiting read, whose connection may be dead, and start another one."""
         if self._read is not None:
-            self._read_abandoned = True
             self._read.cancel()
 
+    def record_confirmation(self, end: int, at: float) -> None:
+        """Record that the partition ended at ``end`` at the instant ``at``, as a read showed."""
+        if (end, at) > (self._known_end, self._known_at):
+            self._known_end, self._known_at = end, at
+
+    def compute_known_age(self, now: float) -> float | None:
+        """Return the seconds since any daemon's read showed this copy to be the newest, or None."""
+        return now - self._known_at if self._known_end == self.replica.end else None
+
+    def is_stale(self, now: float) -> bool:
+        """Return whether nothing has shown for ``max_age_s`` seconds that this copy is the newest.
+
+        A copy that has just grown counts as new.
+        """
+        known_at = self._known_at if self._known_end == self.replica.end else -math.inf
+        return now - max(known_at, self._received_at) > self.max_age_s
+
     async def confirm_now(self) -> bool:
         """Confirm this copy by a read that does not wait; return whether the store answered."""
         sent_at = read_clock()
@@ -184,7 +244,7 @@
         """Record how the copy got the records from offset ``start`` to its end."""
         if self.replica.end <= start:
             return
-        now = read_clock()
+        now = self._received_at = read_clock()
         self._grown_at = now if self._newer is None else self._newer.since
         at_most_s = 0.0 if source in IMMEDIATE_SOURCES else now - self.confirmed_at
         delay_s = now - self._grown_at
@@ -202,8 +262,16 @@
         """Return the seconds since the newest record of this copy is known to exist, at least 0."""
         return max(0.0, now - self._grown_at)
 
+    def _choose_wait(self, now: float) -> float:
+        """Return how many seconds a read waits for a record."""
+        if not self.store_answers or self.is_stale(now):
+            # The answer has to show soon whether the store answers, or whether a record is missing.
+            return 0.0
+        return POLL_WAIT_S if self.is_poller() else READ_WAIT_S
+
     async def _read_once(self) -> bool:
         sent_at = read_clock()
+        self._read_waits = False
         if not self.replica.confirmed_by_store:
             newest = await self._log.read_newest(self.partition)
             if not isinstance(newest, Records):
@@ -217,8 +285,9 @@
                 self._on_change(changed)
             self._record_partition_end(newest.end, sent_at)
             return True
-        # After a failure, read without waiting until the store has answered.
-        wait_s = READ_WAIT_S if self.store_answers else 0.0
+        wait_s = self._choose_wait(sent_at)
+        self._read_waits = wait_s > 0
+        self.read_while_stale = self.is_stale(sent_at)
         outcome = await self._log.read_from(self.partition, self.replica.end, wait_s)
         if isinstance(outcome, RecordsCompacted):
             logger.info(
@@ -229,8 +298,12 @@
         if not isinstance(outcome, Records):
             logger.debug("event=store_read_failed detail={!r}", outcome)
             return False
-        waited = wait_s > 0 and read_clock() - sent_at > IMMEDIATE_READ_S
+        waited_s = read_clock() - sent_at
+        waited = wait_s > 0 and waited_s > IMMEDIATE_READ_S
         self._apply(outcome, sent_at, Source.WAITING_READ if waited else Source.READ)
+        if not outcome.entries and waited_s >= wait_s:
+            # The store looked again at the end of the wait.
+            self.record_confirmation(outcome.end, sent_at + wait_s)
         return True
 
     def _apply(self, records: Records, sent_at: float, source: Source) -> None:
@@ -246,6 +319,7 @@
     def _record_partition_end(self, end: int, sent_at: float) -> None:
         if end != self.replica.end:
             return
+        self.record_confirmation(end, sent_at)
         self._confirmed_end = end
         self.confirmed_at = max(self.confirmed_at, sent_at)
         if self._on_confirmed is not None:
--- a/persimmondock/tests/test_mesh.py
+++ b/persimmondock/tests/test_mesh.py
@@ -146,7 +146,7 @@
 def test_a_heartbeat_tells_for_how_long_a_peer_has_had_newer_records() -> None:
     mesh = make_mesh(3, 6)
     ahead, now = mesh.peers[name_node(0)], read_clock()
-    ahead.client.reply = [[5], True, True, GateStatus().pack(), [None, 0.4, 0.0]]  # type: ignore[attr-defined]
+    ahead.client.reply = [[5], True, True, GateStatus().pack(), [None, [0.4, 0.0]]]  # type: ignore[attr-defined]
     mesh._send_heartbeat(ahead, now)
     mesh._followers[0].apply_from_peer([], 5)
     assert mesh._followers[0].compute_delay(now) == pytest.approx(0.4, abs=0.2)
@@ -157,7 +157,7 @@
     mesh._followers[0].apply_from_peer([], 5, Source.PUSH)
     mesh._followers[0]._grown_at -= 0.7
     late, behind = mesh.peers[name_node(0)], mesh.peers[name_node(1)]
-    late.client.reply = [[5], True, True, GateStatus().pack(), [None, 0.9, 0.3]]  # type: ignore[attr-defined]
+    late.client.reply = [[5], True, True, GateStatus().pack(), [None, [0.9, 0.3]]]  # type: ignore[attr-defined]
     mesh._send_heartbeat(late, read_clock())
     assert mesh.compute_worst_configuration_delay(read_clock()) == pytest.approx(0.3, abs=0.2)
     behind.client.reply = make_reply(4)  # type: ignore[attr-defined]
