Let an unreadable part of a configuration hold back no other part

What callers would see: none of a new version's routes, on any daemon, as soon as one part of it is read more strictly here than the platform asks.

Cause: the first part that could not be read refused the whole version, though the store accepts valid configurations only, so that what cannot be read is misread here.

What still cannot be read is logged with its place and holds back itself only: a route is in the table without services, and its requests get 503, since a shorter prefix may lead to a service that must not run them and the former route is out of force; a service keeps its former policy, since without one its keys have no owners. Without a body or a version there is nothing to use, as before.

--- a/persimmondock/_domain/routing_table.py
+++ b/persimmondock/_domain/routing_table.py
@@ -33,6 +33,8 @@
         Latency objective in seconds.
     priority
         Priority number of the requests; lower numbers go first.
+    shares
+        Services that get the requests; none if the route could not be read.
     max_attempts
         Largest number of backend servers that may run one request.
     """
@@ -100,12 +102,18 @@
         first counts.
     services
         Policies by name of the service.
+    unreadable_parts
+        Places in the configuration that could not be read, with the reasons.
+    unreadable_services
+        Names of services whose policies could not be read.
     """
 
     version: int
     hosts: Mapping[str, tuple[RoutePolicy, ...]]
     services: Mapping[str, ServicePolicy]
     limits: ClientLimits = attrs.field(factory=ClientLimits)
+    unreadable_parts: tuple[str, ...] = ()
+    unreadable_services: frozenset[str] = frozenset()
 
     _by_prefix: Mapping[str, Mapping[str, RoutePolicy]] = attrs.field(
         init=False, repr=False, eq=False
--- a/persimmondock/_tasks/site_state.py
+++ b/persimmondock/_tasks/site_state.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
 from loguru import logger
 
 from persimmondock._domain.routing_table import RoutingTable, WeightedRoundRobin
@@ -80,9 +81,21 @@
         if self.table is not None and table.version <= self.table.version:
             logger.info("event=configuration_old version={}", table.version)
             return
-        self.table = table
+        for part in table.unreadable_parts:
+            logger.error(
+                "event=configuration_part_unreadable version={} detail={!r}", table.version, part
+            )
+        self.table = self._keep_unreadable_services(table)
         logger.info("event=configuration version={} hosts={}", table.version, len(table.hosts))
 
+    def _keep_unreadable_services(self, table: RoutingTable) -> RoutingTable:
+        """Return a table with the former policies of services whose new ones are unreadable."""
+        if self.table is None or not table.unreadable_services:
+            return table
+        former = self.table.services
+        kept = {name: former[name] for name in table.unreadable_services if name in former}
+        return attrs.evolve(table, services={**kept, **table.services})
+
     def find_policy(self, service: str) -> ServicePolicy | None:
         """Return the policy of a service, or None if there is none."""
         return self.table.services.get(service) if self.table is not None else None
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -148,6 +148,9 @@
         if route is None:
             logger.info("event=no_route host={} path={}", host, request.target)
             return ServerResponse(404)
+        if not route.shares:
+            logger.info("event=route_unreadable host={} path={}", host, request.target)
+            return self._refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_S)
         fields = _headers.read_caller_fields(request.headers)
         forwarded = self._build_request(request, fields, route, received_at)
         verdict = await self._sidecar.dispatcher.dispatch(forwarded, route)
--- a/persimmondock/tests/platform/test_ingress.py
+++ b/persimmondock/tests/platform/test_ingress.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 from types import SimpleNamespace
 from typing import cast
@@ -11,10 +12,13 @@
 import pytest
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.http_server import ServerRequest
 from persimmondock._domain.site import NodeSettings
 from persimmondock._tasks.sidecar import Sidecar
 from persimmondock.platform._ingress import Ingress
+from persimmondock.platform._operator import decode_configuration
 from persimmondock.tests.builders import NETWORK
+from persimmondock.tests.live_site import make_config
 
 ADDRESS = f"{NETWORK}170"
 REQUEST = b"GET /a HTTP/1.1\r\nHost: board.example\r\n\r\n"
@@ -40,6 +44,17 @@
     return Ingress(cast("Sidecar", sidecar))
 
 
+async def test_requests_of_an_unreadable_route_are_refused() -> None:
+    """A shorter prefix may lead to a service that must not run them."""
+    config = make_config(1, service=None)
+    config["virtual_hosts"][0]["paths"].append({"path_prefix": "/", "service": "recepcao"})
+    ingress = make_ingress()
+    ingress._sidecar.site.table = decode_configuration(json.dumps(config).encode())
+    request = ServerRequest("GET", "/assign/x", (("Host", "board.example"),), b"")
+    response = await ingress._handle_request(request)
+    assert response.status == 503
+
+
 async def read_until_closed(sock: socket.socket) -> bytes:
     """Return the bytes received until the connection is closed."""
     loop = asyncio.get_running_loop()
