Give up a plan when the assignment changes while loads are collected

Cause: a plan begins with the current assignment and waits for loads in between; its write was conditional on the end of the copy at the time of the write. When another leader wrote meanwhile, the condition held and the older assignment replaced the newer one, with the older tokens.

The new test failed before (the old plan was written) and passes now.

Why it works: the comparison and the reading of the end happen in one turn of the event loop, so that the end belongs to the assignment of the plan.

--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -208,6 +208,10 @@
             return
         if ranges is None:
             ranges = current.ranges
+        if self.assignments.get(self._service, current) != current:
+            # Another daemon wrote one while loads were collected. The store's check of the end
+            # would not notice, since this daemon's copy has that record by now.
+            return
         ranges = self._drop_former_owners(current, ranges, statuses, ended)
         await self._write(current, ranges, witnesses, now)
 
--- a/persimmondock/tests/test_key_control.py
+++ b/persimmondock/tests/test_key_control.py
@@ -192,6 +192,41 @@
     assert [entry.former_owners for entry in ranges] == [(), (make_incarnation(2),)]
 
 
+async def test_a_plan_is_given_up_when_the_assignment_changes_while_loads_are_collected(
+    harness: ControlHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against keys that go back to a former owner under its old token.
+
+    Two daemons lead for a moment when the store answers again. One of them wrote its plan, made on
+    the assignment before, after that of the other one, and undid it.
+    """
+    key_range = make_range(0, 9, 1, former_owners=(make_incarnation(2),))
+    current = make_assignment(key_range)
+    harness.control.assignments[SERVICE] = current
+    harness.follower.replica.confirmed_by_store = True
+    harness.status = make_status(1, capacity_per_s=10.0)
+    harness.add_peer(2, make_status(2, capacity_per_s=10.0))
+    written = []
+
+    async def collect_loads(_: object) -> list[dict[int, float]]:
+        if not written:
+            moved = make_assignment(make_range(0, 9, 2, fence=2), offset=2)
+            harness.control.assignments[SERVICE] = moved
+        return []
+
+    async def write(current: Assignment, *_: object) -> None:
+        written.append(current.offset)
+
+    monkeypatch.setattr(harness.control, "_collect_loads", collect_loads)
+    monkeypatch.setattr(harness.control, "_write", write)
+    await harness.control._plan()
+    assert written == []
+    harness.control.assignments[SERVICE] = current
+    written.append(-1)
+    await harness.control._plan()
+    assert written == [-1, current.offset]
+
+
 def test_a_store_read_confirms_the_lease_though_only_other_services_wrote(
     harness: ControlHarness,
 ) -> None:
