Release what a process holds that seems to be replaced by an earlier one

On a site that grants by calls, a daemon could confirm that keys are free which a living process of its backend server held: two holders for up to the term of a grant.

Cause: since an incarnation with an earlier start replaces the known one after 5 s of the known one's silence. Silence of announcements is no proof of an end: calls and grants may go on meanwhile. The keeper then forgot all grants to the known process, as it does when a later one follows.

Evidence: the new test failed before (the release was confirmed at once, nothing was released) and passes now. In a site that grants in heartbeats the grants of a silent process have expired by then.

Change: after such a change the keeper treats what was granted before as it does after a restart of the daemon. Cost: where a clock was set back, keys that move to another VM wait up to the term of a grant more; the same VM takes its own keys as before after the release.

--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -183,8 +183,11 @@
             task.cancel()
         self._acquiring.clear()
         self._channel.reset()
-        if previous is not None and previous.instance == incarnation.instance:
-            # The new process may have taken grants for the earlier one, which has the same name.
+        if previous is not None and (
+            previous.instance == incarnation.instance or incarnation.born_ms < previous.born_ms
+        ):
+            # The new process may have taken grants for the earlier one, which has the same name,
+            # or the one that started later may live on: its announcements may only be held up.
             self._started_at = read_clock()
         self._reconcile()
 
--- a/persimmondock/tests/test_range_keeper.py
+++ b/persimmondock/tests/test_range_keeper.py
@@ -202,6 +202,28 @@
     harness.task.cancel()
 
 
+async def test_grants_to_a_process_that_seems_to_be_replaced_by_an_earlier_one_are_released(
+    harness: KeeperHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against two holders when a process that holds keys is silent but has not ended.
+
+    Announcements of an earlier process went on coming late, so that this one counts as present.
+    """
+    monkeypatch.setattr(range_keeper, "GRANT_DURATION_S", 0.4)
+    present, earlier = make_incarnation(1, born_ms=5), make_incarnation(1, born_ms=2)
+    harness.keeper._started_at -= 1.0
+    harness.keeper.update_incarnation(present)
+    await harness.follow(make_assignment(attrs.evolve(make_range(0, 9, 1), owner=present)))
+    assert (0, 9) in harness.backend.holds
+    harness.keeper.update_incarnation(earlier)
+    harness.keeper.update_assignment(make_assignment(make_range(0, 9, 2, fence=2), offset=2), 2)
+    reply = asyncio.create_task(harness.keeper.handle_release([0, 9, 2, 2], PEER))
+    await asyncio.sleep(0.1)
+    assert not reply.done()
+    assert harness.backend.releases == [(0, 9)]
+    assert (await reply)[0]
+
+
 async def test_a_refused_connection_shows_that_nothing_holds_keys() -> None:
     harness = KeeperHarness()
     harness.backend.refused = True
