Tell a peer that lags which keys are left, not only which records are new

What users would see: a failure domain that stays evacuated for one daemon, for good, after the evacuation was taken back.

Cause: a daemon that has started, or has lost its place in the history, copies the newest record of each key. A key that was deleted before is in none of its records, so a peer that lags and asks it for what is new keeps the key, takes the end offset over and never reads the deletion.

Change: before the records, a copy that is not empty asks for the keys that the peer has, and drops others below the peer's end. Deletions between the two answers are among the records. A peer of an earlier version does not know the request; its records are used as before.

--- a/persimmondock/_domain/replica.py
+++ b/persimmondock/_domain/replica.py
@@ -55,13 +55,23 @@
     def apply_snapshot(self, entries: Iterable[KeyedEntry], end: int) -> list[KeyedEntry]:
         """Apply the newest record of every key; keys that are not listed were deleted."""
         listed = list(entries)
-        present = {entry.key for entry in listed}
-        dropped = [
+        dropped = self._list_unlisted({entry.key for entry in listed}, end)
+        return self.apply([*listed, *dropped], end)
+
+    def drop_unlisted(self, keys: Iterable[str], end: int) -> list[KeyedEntry]:
+        """Drop the keys that another replica, which ends at ``end``, does not have."""
+        return self.apply(self._list_unlisted(set(keys), end), self.end)
+
+    def _list_unlisted(self, keys: set[str], end: int) -> list[KeyedEntry]:
+        return [
             KeyedEntry(end - 1, known.key, b"")
             for known in self.entries.values()
-            if known.value and known.key not in present and known.offset < end
+            if known.value and known.key not in keys and known.offset < end
         ]
-        return self.apply([*listed, *dropped], end)
+
+    def list_keys(self) -> list[str]:
+        """Return the keys that have a value."""
+        return [entry.key for entry in self.entries.values() if entry.value]
 
     def list_since(self, offset: int) -> list[KeyedEntry]:
         """Return the entries that a replica that ends at ``offset`` lacks, by offset."""
--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -181,6 +181,7 @@
         self.server = PeerServer(self._handle_greeting)
         self.server.instant_handlers["ping"] = self._handle_ping
         self.server.handlers["sync"] = self._handle_sync
+        self.server.handlers["keys"] = self._handle_keys
         self.server.handlers["push"] = self._handle_push
         self.priority_peers: frozenset[str] = frozenset()
         self.has_requests_at: Callable[[str], bool] = lambda _: False
@@ -437,17 +438,32 @@
 
     async def _sync(self, peer: Peer, index: int) -> None:
         follower = self._followers[index]
+        offset = follower.replica.end
         try:
             async with asyncio.timeout(SYNC_TIMEOUT_S):
-                reply = await peer.client.request("sync", [index, follower.replica.end])
+                if offset > 0:
+                    await self._drop_deleted(peer, index)
+                entries, end = await peer.client.request("sync", [index, offset])
         except (PeerRequestError, TimeoutError) as error:
             logger.debug("event=sync_failed peer={} error={!r}", peer.member.node, error)
             return
-        entries, end = reply
         logger.info("event=synced peer={} part={} offset={}", peer.member.node, index, end)
         follower.apply_from_peer((KeyedEntry(*entry) for entry in entries), end)
         follower.restart_read()
 
+    async def _drop_deleted(self, peer: Peer, index: int) -> None:
+        """Drop keys that were deleted before the peer had them; its records cannot tell of these.
+
+        Deletions after the peer's answer are among its records.
+        """
+        try:
+            end, keys = await peer.client.request("keys", [index])
+        except PeerRequestError as error:
+            # Daemons of earlier versions do not know this request.
+            logger.debug("event=keys_not_told peer={} error={!r}", peer.member.node, error)
+            return
+        self._followers[index].drop_unlisted(keys, end)
+
     def _handle_ping(self, payload: Any, _: Delivery) -> Any:
         node, ends = payload
         now = read_clock()
@@ -490,3 +506,8 @@
         replica = self._followers[index].replica
         entries = [[e.offset, e.key, e.value] for e in replica.list_since(offset)]
         return [entries, replica.end]
+
+    async def _handle_keys(self, payload: Any, _: Delivery) -> Any:
+        (index,) = payload
+        replica = self._followers[index].replica
+        return [replica.end, replica.list_keys()]
--- a/persimmondock/_tasks/store_follower.py
+++ b/persimmondock/_tasks/store_follower.py
@@ -231,6 +231,12 @@
         if changed:
             self._on_change(changed)
 
+    def drop_unlisted(self, keys: Iterable[str], end: int) -> None:
+        """Drop the keys that a peer, whose copy ends at ``end``, does not have."""
+        changed = self.replica.drop_unlisted(keys, end)
+        if changed:
+            self._on_change(changed)
+
     def record_newer(self, end: int, since: float) -> None:
         """Record that a peer had records up to ``end`` at the instant ``since``."""
         if end <= self.replica.end:
