--- a/persimmondock/soak/command.py
+++ b/persimmondock/soak/command.py
@@ -4,6 +4,7 @@
 
 import shutil
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 from cleo.helpers import option
@@ -67,6 +68,8 @@
             f"seed {seed}: {len(plan)} events, {runner.summary}, host late by up to "
             f"{runner.max_wakeup_delay_s:.2f} s, {len(breaches)} broken"
         )
+        for rule, count in sorted(Counter(breach.rule for breach in breaches).items()):
+            self.show(f"{rule}: {count}")
         for breach in breaches[:MAX_SHOWN_ITEMS]:
             for line in render_breach(breach, runner.started_at, plan):
                 self.show(line)
