--- a/persimmondock/soak/command.py
+++ b/persimmondock/soak/command.py
@@ -19,7 +19,7 @@
 from persimmondock.standins.site_messages import GRANT_MODES
 
 MAX_VMS = 240  # a VM's number is the last octet of its address; the store's is 250
-MAX_SHOWN_ITEMS = 6
+MAX_SHOWN_ITEMS = 6  # breaches of each rule, and events before each
 
 
 class SoakCommand(BaseCommand):
@@ -68,11 +68,12 @@
             f"seed {seed}: {len(plan)} events, {runner.summary}, host late by up to "
             f"{runner.max_wakeup_delay_s:.2f} s, {len(breaches)} broken"
         )
-        for rule, count in sorted(Counter(breach.rule for breach in breaches).items()):
+        counts = Counter(breach.rule for breach in breaches)
+        for rule, count in sorted(counts.items()):
             self.show(f"{rule}: {count}")
-        for breach in breaches[:MAX_SHOWN_ITEMS]:
-            for line in render_breach(breach, runner.started_at, plan):
-                self.show(line)
+            for breach in [item for item in breaches if item.rule == rule][:MAX_SHOWN_ITEMS]:
+                for line in render_breach(breach, runner.started_at, plan):
+                    self.show(line)
         if breaches or self.option("out"):
             self.show(f"logs: {folder}")
         else:
