--- a/persimmondock/_adapters/peer_stream.py
+++ b/persimmondock/_adapters/peer_stream.py
@@ -191,12 +191,7 @@
         self._close_if_done()
 
     def _handle_refusal(self, node: str) -> None:
-        logger.warning(
-            "event=peer_mistaken peer={} address={} answered_by={}",
-            self._client.node,
-            self._client.address,
-            node,
-        )
+        self._client.record_mistake(node)
         self.is_refused = True
         self.close()
         self._fail_pending(PeerRequestError(f"{node} is at the address", sent=False))
@@ -231,6 +226,7 @@
         self._greeting = greeting
         self._last_number = 0
         self._protocol: _ClientProtocol | None = None
+        self._mistaken_for = ""
         self._retired: set[_ClientProtocol] = set()
         self._task = asyncio.create_task(self._run_connection())
         self._disconnected = asyncio.Event()
@@ -316,6 +312,17 @@
             self._disconnected.set()
             protocol.retire()
 
+    def record_mistake(self, node: str) -> None:
+        """Log that another daemon is at the address, once for each that is met in a row."""
+        if node != self._mistaken_for:
+            logger.warning(
+                "event=peer_mistaken peer={} address={} answered_by={}",
+                self.node,
+                self.address,
+                node,
+            )
+        self._mistaken_for = node
+
     def handle_disconnect(self, protocol: _ClientProtocol) -> None:
         """Open a new connection after the loss of the current one."""
         self._retired.discard(protocol)
