--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -88,8 +88,8 @@
         self._held_changed = asyncio.Event()
         self._released: list[ReleasedRange] = []
         self._takeovers: dict[int, Takeover] = {}
-        # Since when all grants to the backend server's address are known.
-        self._started_at = read_clock()
+        # Grants to the backend server's address from before may be unknown to this keeper.
+        self._grants_known_since = read_clock()
         self._is_paused = False
         self._channel: CallGrants | HeartbeatGrants
         match grant_mode:
@@ -188,7 +188,7 @@
         ):
             # The new process may have taken grants for the earlier one, which has the same name,
             # or the one that started later may live on: its announcements may only be held up.
-            self._started_at = read_clock()
+            self._grants_known_since = read_clock()
         self._reconcile()
 
     def pause_grants(self, incarnation: BackendIncarnation | None) -> None:
@@ -396,7 +396,7 @@
         now = read_clock()
         if now < self._channel.find_possible_until(first, last):
             return False
-        if now < self._started_at + GRANT_DURATION_S * (1 + CLOCK_TOLERANCE):
+        if now < self._grants_known_since + GRANT_DURATION_S * (1 + CLOCK_TOLERANCE):
             # Grants of an earlier process of this daemon may not have expired yet.
             return await self._channel.release_for_predecessor(first, last, fence)
         return True
--- a/persimmondock/tests/test_range_keeper.py
+++ b/persimmondock/tests/test_range_keeper.py
@@ -167,7 +167,7 @@
     """
     monkeypatch.setattr(range_keeper, "GRANT_DURATION_S", 0.4)
     harness = KeeperHarness()
-    harness.keeper._started_at -= 1.0
+    harness.keeper._grants_known_since -= 1.0
     harness.keeper.update_incarnation(make_incarnation(1))
     new = make_incarnation(1, born_ms=2)
     if same_name:
@@ -211,7 +211,7 @@
     """
     monkeypatch.setattr(range_keeper, "GRANT_DURATION_S", 0.4)
     present, earlier = make_incarnation(1, born_ms=5), make_incarnation(1, born_ms=2)
-    harness.keeper._started_at -= 1.0
+    harness.keeper._grants_known_since -= 1.0
     harness.keeper.update_incarnation(present)
     await harness.follow(make_assignment(attrs.evolve(make_range(0, 9, 1), owner=present)))
     assert (0, 9) in harness.backend.holds
