Soak: a daemon whose grants name no instance is caught

With "instance" a daemon's grants name nobody and are not paused.

test_invalid_option_is_reported names the variants, so its text has one more.

--- a/persimmondock/soak/broken.py
+++ b/persimmondock/soak/broken.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from persimmondock._adapters.clock import read_clock
 from persimmondock._domain.backend_report import LocalBackend
@@ -11,11 +11,15 @@
 from persimmondock._domain.verdict import MayHaveRun, NotRun, Verdict
 from persimmondock._tasks.backend_gate import BackendGate
 from persimmondock._tasks.dispatcher import _Attempts
+from persimmondock._tasks.range_keeper import RangeKeeper
 from persimmondock.platform.__main__ import main as run_platform
+from persimmondock.platform._backend import PlatformBackend
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
+    from persimmondock._ports.backend import GrantOutcome
+
 LEASE_EXTENSION_S = 60.0
 
 
@@ -50,12 +54,24 @@
     BackendGate._list_bounds = lambda self, now: ()  # type: ignore[method-assign]
 
 
+def _grant_to_any_instance() -> None:
+    """Grant keys to whichever process listens at the backend server's address."""
+    grant = PlatformBackend.grant
+
+    async def grant_to_any(self: PlatformBackend, _: str, *order: Any) -> GrantOutcome:
+        return await grant(self, "", *order)
+
+    PlatformBackend.grant = grant_to_any  # type: ignore[method-assign,assignment]
+    RangeKeeper.pause_grants = lambda self, incarnation: None  # type: ignore[method-assign]
+
+
 BREAKS: Mapping[str, Callable[[], None]] = {
     "lease": _extend_lease_unconfirmed,
     "takeover": _take_over_without_wait,
     "drain": _ignore_drain,
     "refusal": _report_sent_as_not_run,
     "limit": _ignore_limits,
+    "instance": _grant_to_any_instance,
 }
 
 
--- a/persimmondock/tests/soak/test_soak.py
+++ b/persimmondock/tests/soak/test_soak.py
@@ -80,6 +80,11 @@
     assert await run_soak(tmp_path, plan_crashes("crash_backend")) <= TIMED_RULES
 
 
+async def test_a_grant_that_names_no_instance_is_detected(tmp_path: Path) -> None:
+    """Guards the soak against missing grants that reach the successor of a process."""
+    assert "OWNER" in await run_soak(tmp_path, plan_crashes("crash_backend"), "instance")
+
+
 async def test_a_grant_does_not_reach_a_successor_with_the_same_identifier(tmp_path: Path) -> None:
     """Guards against telling processes apart by an identifier that comes again."""
     assert await run_soak(tmp_path, plan_crashes("crash_keeping_id")) <= TIMED_RULES
@@ -97,7 +102,10 @@
         ("--vms 3", "--vms: must be at least 4, not 3"),
         ("--vms 900", "--vms: must be at most 240, not 900"),
         ("--network 300", "--network: must be at most 255, not 300"),
-        ("--break x", "--break: expected one of lease, takeover, drain, refusal, limit, not 'x'"),
+        (
+            "--break x",
+            "--break: expected one of lease, takeover, drain, refusal, limit, instance, not 'x'",
+        ),
     ],
 )
 def test_invalid_option_is_reported(monkeypatch, capfd, arguments, message) -> None:
