Split the gate of a backend server: limits on sends, slots and queue, lost requests

What may be sent (cold and named limits, the recovery after them) is in send_limits, what runs and what waits in slot_pool, what was lost before a crash beside the crash suspects. No change of behaviour: the tests of the gate, the dispatcher, the queue and the limits pass with no other change than the places of three attributes.

--- a/persimmondock/_domain/crash_suspects.py
+++ b/persimmondock/_domain/crash_suspects.py
@@ -12,9 +12,12 @@
 
 import attrs
 
+from persimmondock._domain.assignment import BackendIncarnation
+
 CRASHES_TO_REFUSE = 2  # below the three crashes that one request may cause at most
 SUSPECT_TTL_S = 120.0  # callers send such requests again within minutes
 MAX_SUSPECTS = 1_024
+CRASH_WINDOW_S = 6.0  # only a restart proves a crash, and it is announced seconds later
 
 
 def compute_fingerprint(caller_service: str, method: str, target: str, body: bytes) -> int:
@@ -80,3 +83,28 @@
         self._suspects[fingerprint] = _Suspect(crashes, now + SUSPECT_TTL_S)
         if len(self._suspects) > MAX_SUSPECTS:
             del self._suspects[min(self._suspects, key=lambda key: self._suspects[key].expires_at)]
+
+
+@attrs.define
+class LostRequests:
+    """Requests of one incarnation whose connection ended without a response.
+
+    Parameters
+    ----------
+    fingerprints
+        Instant of the loss and fingerprint of each request.
+    """
+
+    incarnation: BackendIncarnation | None = None
+    fingerprints: list[tuple[float, int]] = attrs.field(factory=list)
+
+    def add(self, incarnation: BackendIncarnation, fingerprint: int, now: float) -> None:
+        """Add a request of an incarnation, and forget those of former ones."""
+        if self.incarnation != incarnation:
+            self.incarnation, self.fingerprints = incarnation, []
+        self.fingerprints.append((now, fingerprint))
+
+    def take_recent(self, now: float) -> list[int]:
+        """Remove all requests and return the fingerprints of those lost shortly before."""
+        lost, self.fingerprints = self.fingerprints, []
+        return [fingerprint for at, fingerprint in lost if now - at < CRASH_WINDOW_S]
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -190,7 +190,7 @@
         now = read_clock()
         # The local backend server sends its calls through this daemon too; those made by retried
         # requests count as retries.
-        repeat_share = self._gate.compute_repeat_share()
+        repeat_share = self._gate.pool.compute_repeat_share()
         self._get_budget(request.service).record_request(now, repeat_share)
         owner_wait_s = OWNER_WAIT_SHARE * route.objective_s
         owner_wait_until, previous_runs = now + owner_wait_s, 0
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -297,7 +297,7 @@
             )
 
     def _apply_site(self) -> None:
-        self.gate.policy = self.site.find_policy(self.settings.service)
+        self.gate.limits.policy = self.site.find_policy(self.settings.service)
         self.gate.set_evacuated(self.site.is_evacuated(self.settings.failure_domain))
 
     def _update_members(self, changed: list[Any]) -> None:
@@ -371,7 +371,7 @@
             self.settings, **{name: getattr(settings, name) for name in RELOADABLE_FIELDS}
         )
         self._followers[OPERATOR_INDEX].max_age_s = settings.bounds.apply_s - STALE_MARGIN_S
-        self.gate.bounds = settings.bounds
+        self.gate.limits.bounds = settings.bounds
         self.dispatcher.bounds = settings.bounds
 
     async def _maintain_member_record(self) -> None:
--- a/persimmondock/soak/broken.py
+++ b/persimmondock/soak/broken.py
@@ -9,9 +9,9 @@
 from persimmondock._domain.backend_report import LocalBackend
 from persimmondock._domain.range_lease import RangeLease, Takeover
 from persimmondock._domain.verdict import MayHaveRun, NotRun, Verdict
-from persimmondock._tasks.backend_gate import BackendGate
 from persimmondock._tasks.dispatcher import _Attempts
 from persimmondock._tasks.range_keeper import RangeKeeper
+from persimmondock._tasks.send_limits import SendLimits
 from persimmondock.platform import _backend
 from persimmondock.platform.__main__ import main as run_platform
 from persimmondock.platform._headers import EXPECTED_INSTANCE
@@ -50,7 +50,7 @@
 
 def _ignore_limits() -> None:
     """Keep sending requests to a backend server whatever limit it names."""
-    BackendGate._list_bounds = lambda self, now: ()  # type: ignore[method-assign]
+    SendLimits.list_bounds = lambda self, now: ()  # type: ignore[method-assign]
 
 
 def _disable_method(owner: type, name: str) -> None:
--- a/persimmondock/tests/platform/test_daemon.py
+++ b/persimmondock/tests/platform/test_daemon.py
@@ -25,7 +25,7 @@
         node = site.nodes[0]
         bounds = attrs.evolve(node.settings.bounds, cold_factor=9.0)
         node.daemon.sidecar.reload(attrs.evolve(node.settings, bounds=bounds, service="x"))
-        assert node.daemon.sidecar.gate.bounds.cold_factor == 9.0
+        assert node.daemon.sidecar.gate.limits.bounds.cold_factor == 9.0
         assert node.daemon.sidecar.settings.service == "painel"
 
 
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -42,7 +42,7 @@
         self.server = FakeBackend()
         keeper = RangeKeeper(self.server, RangeLease(), "node-1")
         self.gate = BackendGate("node-1", SiteBounds(), self.server, keeper, NoMetrics())
-        self.gate.policy = ServicePolicy(SERVICE, cold_per_s=10.0)
+        self.gate.limits.policy = ServicePolicy(SERVICE, cold_per_s=10.0)
         if announced:
             self.gate.handle_announcement(make_report())
 
@@ -131,7 +131,7 @@
     A VM returns while the store is unavailable, and others send requests to it at once. The backend
     server announced its cold start 0.7 s before, but no configuration with its limit was loaded.
     """
-    harness.gate.policy = None
+    harness.gate.limits.policy = None
     harness.gate.handle_announcement(make_report(instance="i-2", born_ms=2000, cold_s=2.0))
     verdicts_task = asyncio.create_task(harness.ask_many(40))
     await asyncio.sleep(0.9)
@@ -372,7 +372,7 @@
 async def test_a_health_answer_of_a_former_process_says_nothing_of_its_successor(
     harness: GateHarness,
 ) -> None:
-    harness.gate.notice = KnownNotice(max_per_s=2.0)
+    harness.gate.limits.notice = KnownNotice(max_per_s=2.0)
     harness.server.notice = BackendNotice(0.5, leaving=True)
     check = asyncio.create_task(harness.gate._check_limit())
     await asyncio.sleep(0)
--- a/persimmondock/tests/virtual_site.py
+++ b/persimmondock/tests/virtual_site.py
@@ -153,7 +153,7 @@
         self.mesh = Mesh(own, [], lambda: self.gate.describe(), lambda *_: None)
         keeper = HeldKeys(node.server, RangeLease(), node.name)
         self.gate = BackendGate(node.name, SiteBounds(), node.server, keeper, NoMetrics())
-        self.gate.policy = ServicePolicy(SERVICE)
+        self.gate.limits.policy = ServicePolicy(SERVICE)
         self.dispatcher = Dispatcher(
             node.service, SiteBounds(), self.mesh, self.gate, site.control, NoMetrics()
         )
