Version of the protocol between daemons, optional fields, the interface of answers in pieces

A server tells the version that it speaks and a client that hears of one tells its own; requests and statuses carry new fields by name in a map that daemons of the former version never get, so that an upgrade under load cuts nothing (test_optional_fields, test_peer_stream).

--- a/persimmondock/_adapters/peer_stream.py
+++ b/persimmondock/_adapters/peer_stream.py
@@ -10,6 +10,9 @@
 The smallest difference on a connection counts as its normal delay, which includes the offset
 between the two clocks. The amount by which a request exceeds it is the request's age.
 
+A server tells the version of the protocol that it speaks, and a client that hears of one tells its
+own. Daemons of earlier versions say nothing and count as version 0.
+
 A client names the daemon that it wants first. The address may belong to another daemon by now,
 which then refuses the connection and handles nothing that was sent on it.
 """
@@ -40,8 +43,10 @@
 
 # Kinds of frames. The client sends [kind, number, kind of request, payload, time of sending], the
 # server [kind, number, payload]; the number is that of the request. A server that is not the one
-# expected sends OTHER_NODE with its own name and closes the connection.
-REQUEST, REPLY, CANCEL, FAILED, OTHER_NODE = 0, 1, 2, 3, 4
+# expected sends OTHER_NODE with its own name and closes the connection. VERSION carries that of the
+# server, and is a kind of request of the client.
+REQUEST, REPLY, CANCEL, FAILED, OTHER_NODE, VERSION = 0, 1, 2, 3, 4, 5
+PROTOCOL_VERSION = 1
 
 
 class PeerRequestError(Exception):
@@ -68,10 +73,13 @@
         Name that the sending daemon gave in its greeting.
     age_s
         Seconds that it took longer than the fastest frame of its connection.
+    version
+        Version of the protocol that the sender speaks.
     """
 
     peer: str
     age_s: float
+    version: int = 0
 
 
 class _FrameProtocol(asyncio.Protocol):
@@ -154,6 +162,7 @@
         self._pending: dict[int, _PendingRequest] = {}
         self._retired = False
         self.is_refused = False
+        self.version = 0
 
     def send_request(self, number: int, kind: str, payload: Any, request: _PendingRequest) -> None:
         """Send a request."""
@@ -184,6 +193,10 @@
         if kind == OTHER_NODE:
             self._handle_refusal(payload)
             return
+        if kind == VERSION:
+            self.version = min(PROTOCOL_VERSION, int(payload))
+            self.send([REQUEST, 0, "version", PROTOCOL_VERSION, read_clock()])
+            return
         request = self._pending.pop(number, None)
         if request is not None:
             is_reply = kind == REPLY
@@ -236,6 +249,11 @@
         """Whether a connection is open."""
         return self._protocol is not None
 
+    @property
+    def version(self) -> int:
+        """Version of the protocol that both ends speak, or 0 while no connection is open."""
+        return self._protocol.version if self._protocol is not None else 0
+
     async def request(self, kind: str, payload: Any, outlives_silence: bool = False) -> Any:
         """Send a request and return its reply.
 
@@ -366,6 +384,7 @@
         super().__init__()
         self._server = server
         self._peer = ""
+        self._version = 0
         self._min_delay_s = math.inf
         self._is_refused = False
         self._request_tasks: dict[int, asyncio.Task[None]] = {}
@@ -373,6 +392,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self._server.connections.add(self)
+        self.send([VERSION, 0, PROTOCOL_VERSION])
 
     def handle_frame(self, frame: list[Any]) -> None:
         kind, number, name, payload, sent_at = frame
@@ -393,7 +413,10 @@
             self._peer = payload[0]
             self._server.on_greeting(payload)
             return
-        delivery = Delivery(self._peer, delay - self._min_delay_s)
+        if name == "version":
+            self._version = min(PROTOCOL_VERSION, int(payload))
+            return
+        delivery = Delivery(self._peer, delay - self._min_delay_s, self._version)
         instant_handler = self._server.instant_handlers.get(name)
         if instant_handler is not None:
             self.send([REPLY, number, instant_handler(payload, delivery)])
--- a/persimmondock/_domain/forwarding.py
+++ b/persimmondock/_domain/forwarding.py
@@ -7,6 +7,7 @@
 import attrs
 
 from persimmondock._domain.crash_suspects import compute_fingerprint
+from persimmondock._domain.optional_fields import pack_optional, read_optional
 from persimmondock._domain.verdict import (
     Answer,
     Answered,
@@ -40,6 +41,8 @@
         Instant at which the latency objective is missed.
     repeat
         Whether an earlier attempt of the same request may have reached a backend server.
+    tenant
+        Name of the tenant that sent the request, or empty if it belongs to none.
     """
 
     attempt: str
@@ -56,15 +59,22 @@
     deadline: float
     objective_at: float
     repeat: bool = False
+    tenant: str = ""
 
     @property
     def fingerprint(self) -> int:
         """Hash that is the same for all attempts of the request."""
         return compute_fingerprint(self.caller_service, self.method, self.target, self.body)
 
-    def pack(self, now: float) -> list[Any]:
-        """Return data for msgpack, with remaining times for instants, since clocks differ."""
-        return [
+    def pack(self, now: float, version: int = 0) -> list[Any]:
+        """Return data for msgpack, with remaining times for instants, since clocks differ.
+
+        Parameters
+        ----------
+        version
+            Version of the protocol that the receiver speaks.
+        """
+        data = [
             self.attempt,
             self.service,
             self.route,
@@ -80,16 +90,22 @@
             self.objective_at - now,
             self.repeat,
         ]
+        return [*data, pack_optional(self, OPTIONAL_FIELDS)] if version else data
 
 
-# Without `deadline`, `objective_at` and `repeat`, which `unpack_request` handles separately.
-PACKED_FIELDS = tuple(field.name for field in attrs.fields(ForwardedRequest))[:-3]
+OPTIONAL_FIELDS = ("tenant",)
+# The last three are `deadline`, `objective_at` and `repeat`, which `unpack_request` handles
+# separately.
+PACKED_COUNT = len(attrs.fields(ForwardedRequest)) - len(OPTIONAL_FIELDS)
+PACKED_FIELDS = tuple(field.name for field in attrs.fields(ForwardedRequest))[: PACKED_COUNT - 3]
 
 
 def unpack_request(data: list[Any], received_at: float, age_s: float) -> ForwardedRequest:
     """Return the request of packed data that took ``age_s`` seconds longer than usual to arrive."""
-    *fields, remaining_s, objective_remaining_s, repeat = data
+    *fields, remaining_s, objective_remaining_s, repeat = data[:PACKED_COUNT]
     values: dict[str, Any] = dict(zip(PACKED_FIELDS, fields, strict=True))
+    for optional in data[PACKED_COUNT : PACKED_COUNT + 1]:
+        values.update(read_optional(optional, OPTIONAL_FIELDS))
     values["headers"] = tuple((name, value) for name, value in values["headers"])
     return ForwardedRequest(
         **values,
--- a/persimmondock/_domain/gate_status.py
+++ b/persimmondock/_domain/gate_status.py
@@ -7,6 +7,9 @@
 import attrs
 
 from persimmondock._domain.assignment import BackendIncarnation
+from persimmondock._domain.optional_fields import pack_optional, read_optional
+
+OPTIONAL_FIELDS: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -45,10 +48,16 @@
     granted_offset: int = -1
     capacity_per_s: float = 0.0
 
-    def pack(self) -> list[Any]:
-        """Return the fields in order, as data for msgpack."""
+    def pack(self, version: int = 0) -> list[Any]:
+        """Return the fields in order, as data for msgpack.
+
+        Parameters
+        ----------
+        version
+            Version of the protocol that the receiver speaks.
+        """
         incarnation = None if self.incarnation is None else [*attrs.astuple(self.incarnation)]
-        return [
+        data = [
             self.service,
             incarnation,
             self.slots,
@@ -59,11 +68,21 @@
             self.granted_offset,
             round(self.capacity_per_s, 1),
         ]
+        return [*data, pack_optional(self, OPTIONAL_FIELDS)] if version else data
+
+
+PACKED_COUNT = len(attrs.fields(GateStatus)) - len(OPTIONAL_FIELDS)
 
 
 def unpack_status(data: list[Any]) -> GateStatus:
     """Return the status of packed data."""
-    service, incarnation, *rest = data
+    service, incarnation, *rest = data[:PACKED_COUNT]
+    optional: dict[str, Any] = {}
+    for packed in data[PACKED_COUNT : PACKED_COUNT + 1]:
+        optional = read_optional(packed, OPTIONAL_FIELDS)
     return GateStatus(
-        service, None if incarnation is None else BackendIncarnation(*incarnation), *rest
+        service,
+        None if incarnation is None else BackendIncarnation(*incarnation),
+        *rest,
+        **optional,
     )
--- /dev/null
+++ b/persimmondock/_ports/answer_body.py
@@ -0,0 +1,33 @@
+"""Interface to the body of an answer that is read in pieces."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+
+class AnswerCutError(Exception):
+    """The answer ended before its whole body arrived; what was read of it is incomplete."""
+
+
+class AnswerBody(Protocol):
+    """Body of an answer, in pieces that are produced as fast as they are read.
+
+    Attributes
+    ----------
+    length
+        Bytes of the whole body.
+    """
+
+    length: int
+
+    async def read(self) -> bytes:
+        """Return the next piece, or no bytes after the last one.
+
+        Raises
+        ------
+        AnswerCutError
+            If the body is cut short.
+        """
+
+    def close(self) -> None:
+        """Stop reading; the source frees what it holds. Has no effect after the last piece."""
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -333,7 +333,9 @@
             async with asyncio.timeout(request.deadline - read_clock() + REPLY_GRACE_S):
                 # A request that is not idempotent cannot be tried elsewhere.
                 reply = await peer.client.request(
-                    "call", request.pack(read_clock()), outlives_silence=not request.idempotent
+                    "call",
+                    request.pack(read_clock(), peer.client.version),
+                    outlives_silence=not request.idempotent,
                 )
         except PeerRequestError as error:
             if error.sent:
@@ -400,7 +402,7 @@
         else:
             verdict = await self._gate.run(unpack_request(payload, now, delivered.age_s))
         status: GateStatus = self._gate.describe()
-        reply = [pack_verdict(verdict), status.pack()]
+        reply = [pack_verdict(verdict), status.pack(delivered.version)]
         return reply if status.incarnation == incarnation else [*reply, True]
 
 
--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -464,7 +464,7 @@
             return
         self._followers[index].drop_unlisted(keys, end)
 
-    def _handle_ping(self, payload: Any, _: Delivery) -> Any:
+    def _handle_ping(self, payload: Any, delivered: Delivery) -> Any:
         node, ends = payload
         now = read_clock()
         peer = self.peers.get(node)
@@ -483,7 +483,7 @@
             [follower.replica.end for follower in self._followers],
             all(follower.replica.confirmed_by_store for follower in self._followers),
             self._followers[-1].store_answers,
-            self._describe().pack(),
+            self._describe().pack(delivered.version),
             [
                 *(follower.compute_confirmation_age(now) for follower in self._followers),
                 attrs.astuple(copy),
--- a/persimmondock/tests/test_dispatcher.py
+++ b/persimmondock/tests/test_dispatcher.py
@@ -10,7 +10,7 @@
 import pytest
 
 from persimmondock._adapters.clock import read_clock
-from persimmondock._adapters.peer_stream import Delivery, PeerRequestError
+from persimmondock._adapters.peer_stream import PROTOCOL_VERSION, Delivery, PeerRequestError
 from persimmondock._domain.assignment import Assignment
 from persimmondock._domain.backend_notice import ToldNotice, unpack_told
 from persimmondock._domain.forwarding import pack_verdict, unpack_verdict
@@ -60,6 +60,7 @@
     verdicts: list[Verdict | PeerRequestError]
     calls: int = 0
     connected: bool = True
+    version: int = PROTOCOL_VERSION
     told: list[Any] = attrs.field(factory=list)
     reply: list[Any] | None = None
 
--- a/persimmondock/tests/test_peer_stream.py
+++ b/persimmondock/tests/test_peer_stream.py
@@ -9,6 +9,7 @@
 
 from persimmondock._adapters import peer_stream
 from persimmondock._adapters.peer_stream import (
+    PROTOCOL_VERSION,
     Delivery,
     PeerClient,
     PeerRequestError,
@@ -147,3 +148,32 @@
     await asyncio.sleep(0.2)
     await harness.wait_until_connected()
     assert await harness.call(0.0) == ["done", 0.0]
+
+
+async def test_both_ends_learn_the_version_that_the_other_speaks(harness: PeerHarness) -> None:
+    versions = []
+
+    async def record_version(_: Any, delivered: Delivery) -> Any:
+        versions.append(delivered.version)
+
+    harness.server.handlers["record"] = record_version
+    while harness.client.version == 0:
+        await asyncio.sleep(0)
+    await harness.client.request("record", None)
+    assert (harness.client.version, versions) == (PROTOCOL_VERSION, [PROTOCOL_VERSION])
+
+
+async def test_a_daemon_that_tells_no_version_is_served_as_an_earlier_one(
+    harness: PeerHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an upgrade under load that cuts requests of daemons of the former version."""
+    sent: list[list[Any]] = []
+    monkeypatch.setattr(peer_stream._ServerProtocol, "send", lambda _, frame: sent.append(frame))
+    former = PeerClient(GREETING, "node-2", ADDRESS)
+    async with asyncio.timeout(3.0):
+        while not former.connected:
+            await asyncio.sleep(0.01)
+    await asyncio.sleep(0.05)
+    assert sent == [[peer_stream.VERSION, 0, PROTOCOL_VERSION]]
+    assert former.version == 0
+    former.close()
--- a/persimmondock/tests/virtual_site.py
+++ b/persimmondock/tests/virtual_site.py
@@ -15,7 +15,7 @@
 import msgpack
 
 from persimmondock._adapters.clock import read_clock
-from persimmondock._adapters.peer_stream import Delivery, PeerRequestError
+from persimmondock._adapters.peer_stream import PROTOCOL_VERSION, Delivery, PeerRequestError
 from persimmondock._domain.assignment import Assignment, BackendIncarnation, KeyRange
 from persimmondock._domain.backend_notice import BackendNotice
 from persimmondock._domain.backend_report import BackendAnnouncement
@@ -221,6 +221,7 @@
     source: VirtualNode
     target: VirtualNode
     connected: bool = True
+    version: int = PROTOCOL_VERSION
 
     def _find_process(self) -> DaemonProcess:
         process = self.target.process
@@ -238,7 +239,7 @@
             await asyncio.sleep(self.target.frozen_until - read_clock())
         if self.target.process is not process:
             raise PeerRequestError("reset", sent=True)
-        delivery = Delivery(self.source.name, read_clock() - sent_at - HOP_S)
+        delivery = Delivery(self.source.name, read_clock() - sent_at - HOP_S, self.version)
         handler = process.mesh.server.handlers[kind]
         task = process.start(handler(msgpack.unpackb(data), delivery))
         try:
@@ -264,7 +265,9 @@
                 await asyncio.sleep(self.target.frozen_until - read_clock())
             handler = process.mesh.server.instant_handlers.get(kind)
             if self.target.process is process and handler is not None:
-                on_reply(handler(msgpack.unpackb(data), Delivery(self.source.name, 0.0)))
+                on_reply(
+                    handler(msgpack.unpackb(data), Delivery(self.source.name, 0.0, self.version))
+                )
 
         if self.source.process is not None:
             self.source.process.start(deliver())
