--- a/persimmondock/tests/test_heartbeat_grants.py
+++ b/persimmondock/tests/test_heartbeat_grants.py
@@ -250,6 +250,7 @@
 
 
 async def test_a_handover_is_sent_until_the_range_is_reported(harness: HeartbeatHarness) -> None:
+    await harness.beat(freed=((0, 9, "data"),))
     await harness.beat(freed=((0, 9, "data"),))
     former = (make_incarnation(1, born_ms=0),)
     key_range = make_range(0, 9, 1, fence=2, former_owners=former)
