--- a/persimmondock/tests/test_membership.py
+++ b/persimmondock/tests/test_membership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from persimmondock._domain.effects import Send
 from persimmondock._domain.leases import LeaseTiming
 from persimmondock._domain.membership import Identity, Membership
@@ -29,6 +31,17 @@
     simulation.check_all_served()
 
 
+@pytest.mark.parametrize("seed", [1, 5, 12, 29, 39, 55, 57, 59, 67, 74])
+def test_five_daemons_restarted_at_once_rejoin(seed: int) -> None:
+    """Guards against probes of unjoined daemons that keep all witnesses from voting."""
+    simulation = Simulation(seed, 5)
+    simulation.run(START_UP_S)
+    for number in range(simulation.daemons):
+        simulation.start(number)
+    simulation.run(START_UP_S)
+    simulation.check_all_served()
+
+
 def test_a_daemon_cut_from_its_peers_gets_no_slices_and_writes_nothing() -> None:
     simulation = make_simulation()
     simulation.parts[0] = 1
