HTTP server: time of a request's first byte, and bodies of responses in pieces

Callers saw objective, deadline and X-Timeout-Ms start when a request's turn came on its connection, not when it arrived. ServerRequest.received_at is the time of its first byte; the ingress uses it.

ServerResponse.stream sends a body in pieces as fast as the client reads it. A body that is cut, ends early or is longer than it said cuts the connection, so that it never looks complete; a client that leaves or does not read closes the source.

--- a/persimmondock/_adapters/http_server.py
+++ b/persimmondock/_adapters/http_server.py
@@ -18,10 +18,13 @@
 
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.sockets import set_socket_options
+from persimmondock._ports.answer_body import AnswerCutError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from persimmondock._ports.answer_body import AnswerBody
+
 LISTEN_BACKLOG = 1024
 CHECK_INTERVAL_S = 0.5
 MAX_PIPELINED = 8  # reading pauses with more requests waiting on one connection
@@ -52,12 +55,19 @@
 
 @attrs.frozen
 class ServerRequest:
-    """A complete request."""
+    """A complete request.
+
+    Parameters
+    ----------
+    received_at
+        Time at which the first byte of the request arrived, by `read_clock`.
+    """
 
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    received_at: float = attrs.field(factory=read_clock)
 
     @property
     def path(self) -> str:
@@ -74,18 +84,22 @@
 
 @attrs.frozen
 class ServerResponse:
-    """A complete response; the server adds the fields that concern the connection.
+    """A response; the server adds the fields that concern the connection.
 
     Parameters
     ----------
     close
         Whether the connection ends after this response.
+    stream
+        The body, if it is sent in pieces. The server closes it, and cuts the connection if the
+        pieces do not add up to its length.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     close: bool = False
+    stream: AnswerBody | None = None
 
 
 class HttpServer:
@@ -184,6 +198,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._header_bytes = 0
+        self._received_at = 0.0
 
     # Callbacks of asyncio.
 
@@ -235,7 +250,8 @@
     def on_message_begin(self) -> None:
         self._reset_message()
         self._in_message = self._in_header = True
-        self._deadline = read_clock() + self._server.limits.header_timeout_s
+        self._received_at = read_clock()
+        self._deadline = self._received_at + self._server.limits.header_timeout_s
 
     def on_url(self, url: bytes) -> None:
         self._target += url
@@ -267,6 +283,7 @@
             self._target.decode("latin-1"),
             tuple(self._headers),
             b"".join(self._body),
+            self._received_at,
         )
         self._body = []
         self._waiting.append((request, bool(self._parser.should_keep_alive())))
@@ -284,6 +301,8 @@
                 keep_alive = keep_alive and not response.close and not is_last
                 self._write(_render_response(request.method, response, keep_alive))
                 self._deadline = read_clock() + self._server.limits.idle_timeout_s
+                if response.stream is not None:
+                    await self._send_pieces(request.method, response, response.stream)
                 if not keep_alive:
                     self._waiting.clear()
                     self._close()
@@ -304,6 +323,27 @@
             logger.opt(exception=error).error("event=handler_failed target={}", request.target)
             return ServerResponse(500)
 
+    async def _send_pieces(self, method: str, response: ServerResponse, stream: AnswerBody) -> None:
+        """Send the body of a response as fast as the client reads it."""
+        missing = stream.length if _has_body(method, response.status) else 0
+        try:
+            while missing > 0:
+                await self._writable.wait()
+                piece = await stream.read()
+                missing -= len(piece)
+                if not piece or missing < 0:
+                    raise AnswerCutError(f"{missing} bytes are missing")
+                self._write(piece)
+                self._deadline = read_clock() + self._server.limits.idle_timeout_s
+        except AnswerCutError as error:
+            logger.info("event=answer_cut detail={!r}", str(error))
+            self.abort()
+        except Exception as error:
+            logger.opt(exception=error).error("event=answer_cut")
+            self.abort()
+        finally:
+            stream.close()
+
     def _refuse(self, status: int) -> None:
         """Refuse the request that is being received, after those before it are answered."""
         self._refused = True
@@ -341,10 +381,14 @@
 def _render_response(method: str, response: ServerResponse, keep_alive: bool) -> bytes:
     lines = [f"HTTP/1.1 {response.status} {REASONS.get(response.status, '')}"]
     lines += [f"{name}: {value}" for name, value in response.headers]
-    has_body = response.status not in NO_BODY_STATUSES
-    if has_body:
-        lines.append(f"Content-Length: {len(response.body)}")
+    if response.status not in NO_BODY_STATUSES:
+        length = len(response.body) if response.stream is None else response.stream.length
+        lines.append(f"Content-Length: {length}")
     if not keep_alive:
         lines.append("Connection: close")
     head = "\r\n".join([*lines, "", ""]).encode("latin-1")
-    return head + response.body if has_body and method != "HEAD" else head
+    return head + response.body if _has_body(method, response.status) else head
+
+
+def _has_body(method: str, status: int) -> bool:
+    return method != "HEAD" and status not in NO_BODY_STATUSES
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -140,7 +140,6 @@
     # Callers.
 
     async def _handle_request(self, request: ServerRequest) -> ServerResponse:
-        received_at = read_clock()
         table = self._sidecar.site.table
         if table is None:
             return self._refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_S)
@@ -153,7 +152,7 @@
             logger.info("event=route_unreadable host={} path={}", host, request.target)
             return self._refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_S)
         fields = _headers.read_caller_fields(request.headers)
-        forwarded = self._build_request(request, fields, route, received_at)
+        forwarded = self._build_request(request, fields, route)
         verdict = await self._sidecar.dispatcher.dispatch(forwarded, route)
         deadline_passed = read_clock() + DEADLINE_MARGIN_S >= forwarded.deadline
         return self._render_verdict(verdict, forwarded.attempt, deadline_passed)
@@ -163,7 +162,6 @@
         request: ServerRequest,
         fields: _headers.CallerFields,
         route: RoutePolicy,
-        received_at: float,
     ) -> ForwardedRequest:
         site = self._sidecar.site
         service = site.choose_service(route)
@@ -181,8 +179,8 @@
             idempotent=route.idempotent,
             priority=route.priority,
             caller_service=self._sidecar.settings.service,
-            deadline=received_at + min(timeout_s, route.timeout_s),
-            objective_at=received_at + route.objective_s,
+            deadline=request.received_at + min(timeout_s, route.timeout_s),
+            objective_at=request.received_at + route.objective_s,
         )
 
     def _refuse(self, reason: Reason, retry_after_s: float) -> ServerResponse:
