HTTP server: idempotent requests of one connection run side by side

A request whose route is not idempotent begins when those before it are answered on a connection that stays open. A closing answer drops what has not begun; what has begun is answered first. Received bytes are parsed 16 KiB at a time, so that a pipeline without end is bounded too.

A request that is already past its deadline when its turn comes is refused without visiting a gate. A body larger than allowed that ends in the same packet as the next request begins is refused; it was skipped, so that the next answer took its place.

--- a/persimmondock/_adapters/http_server.py
+++ b/persimmondock/_adapters/http_server.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import math
-from collections import deque
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -18,6 +17,7 @@
 
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.sockets import set_socket_options
+from persimmondock._domain.pipeline import Exchange, Pipeline, PipelineLimits
 from persimmondock._ports.answer_body import AnswerCutError
 
 if TYPE_CHECKING:
@@ -27,7 +27,7 @@
 
 LISTEN_BACKLOG = 1024
 CHECK_INTERVAL_S = 0.5
-MAX_PIPELINED = 8  # reading pauses with more requests waiting on one connection
+PARSE_BYTES = 16 * 1024  # bounds the requests that are parsed before reading can pause
 NO_BODY_STATUSES = frozenset({204, 304})
 REASONS = {status.value: status.phrase for status in HTTPStatus}
 
@@ -45,12 +45,15 @@
     idle_timeout_s
         Seconds without any byte from the client, or without the client reading, after which the
         connection is closed unless a request is running.
+    pipeline
+        Bounds on requests that a client sends before earlier ones are answered.
     """
 
     header_bytes: int = 64 * 1024
     body_bytes: int = 64 * 1024 * 1024
     header_timeout_s: float = 5.0
     idle_timeout_s: float = 15.0
+    pipeline: PipelineLimits = attrs.field(factory=PipelineLimits)
 
 
 @attrs.frozen
@@ -89,7 +92,7 @@
     Parameters
     ----------
     close
-        Whether the connection ends after this response.
+        Whether the connection ends after this response and those to requests that have begun.
     stream
         The body, if it is sent in pieces. The server closes it, and cuts the connection if the
         pieces do not add up to its length.
@@ -102,6 +105,9 @@
     stream: AnswerBody | None = None
 
 
+NO_REQUEST = ServerRequest("GET", "", (), b"", 0.0)  # in place of one that cannot be read
+
+
 class HttpServer:
     """Listens on one address and passes each request to a handler.
 
@@ -109,15 +115,20 @@
     ----------
     handle
         Returns the response to a request; it is cancelled when the client disconnects.
+    may_overlap
+        Returns whether a request may run beside others of its connection, and may be sent again
+        if the connection closes before its response. By default no request may.
     """
 
     def __init__(
         self,
         handle: Callable[[ServerRequest], Awaitable[ServerResponse]],
         limits: ServerLimits | None = None,
+        may_overlap: Callable[[ServerRequest], bool] | None = None,
     ) -> None:
         self.handle = handle
         self.limits = limits or ServerLimits()
+        self.may_overlap = may_overlap or (lambda _: False)
         self.closing = False
         self.connections: set[_Connection] = set()
         self._listener: asyncio.Server | None = None
@@ -167,6 +178,14 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def count_pipelined(self) -> int:
+        """Return the number of requests behind others of their connections."""
+        return sum(max(0, len(connection.pipeline) - 1) for connection in self.connections)
+
+    def count_held_bytes(self) -> int:
+        """Return the bytes of requests that wait and of responses behind unfinished ones."""
+        return sum(connection.pipeline.held_bytes for connection in self.connections)
+
     async def _close_expired(self) -> None:
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
@@ -176,20 +195,25 @@
 
 
 class _Connection(asyncio.Protocol):
-    """One connection of a client, whose requests are served one after the other."""
+    """One connection of a client, whose requests are answered in the order of their arrival."""
 
     def __init__(self, server: HttpServer) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._waiting: deque[tuple[ServerRequest, bool]] = deque()
-        self._task: asyncio.Task[None] | None = None
-        self._writable = asyncio.Event()
-        self._writable.set()
+        self.pipeline: Pipeline[ServerRequest, ServerResponse] = Pipeline(
+            server.limits.pipeline, server.may_overlap
+        )
+        self._tasks: dict[Exchange[ServerRequest, ServerResponse], asyncio.Task[None]] = {}
+        self._unparsed = memoryview(b"")
+        self._arrived_at = 0.0
+        self._reading = self._writable = True
+        self._unsent_bytes = 0
+        self._advanced = asyncio.Event()
         self._deadline = math.inf
         self._in_message = False
         self._in_header = False
-        self._refused = False
+        self._must_continue = False
         self._reset_message()
 
     def _reset_message(self) -> None:
@@ -198,7 +222,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._header_bytes = 0
-        self._received_at = 0.0
+        self._received_at = self._arrived_at
 
     # Callbacks of asyncio.
 
@@ -209,49 +233,81 @@
         self._deadline = read_clock() + self._server.limits.idle_timeout_s
 
     def data_received(self, data: bytes) -> None:
-        if self._refused:
+        if self.pipeline.ended:
             return
-        limits = self._server.limits
+        self._arrived_at = read_clock()
         if not self._in_header:
-            self._deadline = read_clock() + limits.idle_timeout_s
+            self._deadline = self._arrived_at + self._server.limits.idle_timeout_s
+        if len(data) <= PARSE_BYTES:
+            self._parse(data)
+        else:
+            self._unparsed = memoryview(data)
+            self._parse_waiting()
+        self._update_reading()
+
+    def pause_writing(self) -> None:
+        self._writable = False
+
+    def resume_writing(self) -> None:
+        self._writable = True
+        self._advance()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._server.connections.discard(self)
+        self._transport = None
+        self.pipeline.end()
+        for task in list(self._tasks.values()):
+            task.cancel()
+
+    # Parsing.
+
+    def _parse_waiting(self) -> None:
+        """Parse what was received, until the pipeline is full."""
+        while self._unparsed and not self.pipeline.is_full and not self.pipeline.ended:
+            part, self._unparsed = self._unparsed[:PARSE_BYTES], self._unparsed[PARSE_BYTES:]
+            self._parse(part)
+
+    def _parse(self, data: bytes | memoryview) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             # The request is complete; what follows it would be in another protocol.
-            self._refused = True
+            self.pipeline.end()
         except httptools.HttpParserError as error:
-            logger.info("event=bad_request detail={!r}", str(error))
-            self._refuse(400)
+            self._refuse(400, str(error))
             return
         if self._in_header:
             self._header_bytes += len(data)
-        if self._header_bytes > limits.header_bytes:
-            self._refuse(431)
-        elif self._body_bytes > limits.body_bytes:
-            self._refuse(413)
-        elif len(self._waiting) > MAX_PIPELINED and self._transport is not None:
+            if self._header_bytes > self._server.limits.header_bytes:
+                self._refuse(431, "header too large")
+        elif self._body_bytes > self._server.limits.body_bytes:
+            self._refuse(413, "body too large")
+
+    def _update_reading(self) -> None:
+        """Read from the connection unless the pipeline is full."""
+        must_read = not self.pipeline.is_full
+        if self._transport is None or self._reading == must_read:
+            return
+        self._reading = must_read
+        if not must_read:
+            logger.info(
+                "event=pipeline_full requests={} held_bytes={}",
+                len(self.pipeline),
+                self.pipeline.held_bytes,
+            )
             self._transport.pause_reading()
-
-    def pause_writing(self) -> None:
-        self._writable.clear()
-
-    def resume_writing(self) -> None:
-        self._writable.set()
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self._server.connections.discard(self)
-        self._transport = None
-        self._writable.set()
-        if self._task is not None:
-            self._task.cancel()
+            return
+        limits = self._server.limits
+        allowed_s = limits.header_timeout_s if self._in_header else limits.idle_timeout_s
+        self._deadline = read_clock() + allowed_s
+        self._transport.resume_reading()
 
     # Callbacks of httptools.
 
     def on_message_begin(self) -> None:
         self._reset_message()
         self._in_message = self._in_header = True
-        self._received_at = read_clock()
-        self._deadline = self._received_at + self._server.limits.header_timeout_s
+        self._deadline = read_clock() + self._server.limits.header_timeout_s
 
     def on_url(self, url: bytes) -> None:
         self._target += url
@@ -263,20 +319,22 @@
         self._in_header = False
         self._header_bytes = 0
         self._deadline = read_clock() + self._server.limits.idle_timeout_s
-        if self._task is None and any(
+        self._must_continue = any(
             name.lower() == "expect" and value.lower() == "100-continue"
             for name, value in self._headers
-        ):
-            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        )
+        self._tell_to_continue()
 
     def on_body(self, data: bytes) -> None:
         self._body_bytes += len(data)
+        self._must_continue = False
         if self._body_bytes <= self._server.limits.body_bytes:
             self._body.append(data)
 
     def on_message_complete(self) -> None:
-        self._in_message = False
+        self._in_message = self._must_continue = False
         if self._body_bytes > self._server.limits.body_bytes:
+            self._refuse(413, "body too large")
             return
         request = ServerRequest(
             self._parser.get_method().decode("latin-1"),
@@ -286,35 +344,35 @@
             self._received_at,
         )
         self._body = []
-        self._waiting.append((request, bool(self._parser.should_keep_alive())))
-        if self._task is None:
-            self._task = asyncio.get_running_loop().create_task(self._serve())
+        self.pipeline.add(request, self._body_bytes)
+        if not self._parser.should_keep_alive():
+            self.pipeline.end()
+        self._begin_requests()
 
     # Serving.
 
-    async def _serve(self) -> None:
+    def _begin_requests(self) -> None:
+        while self._writable and (exchange := self.pipeline.begin_next()) is not None:
+            task = asyncio.get_running_loop().create_task(self._serve(exchange))
+            self._tasks[exchange] = task
+
+    async def _serve(self, exchange: Exchange[ServerRequest, ServerResponse]) -> None:
         try:
-            while self._waiting and self._transport is not None:
-                request, keep_alive = self._waiting.popleft()
-                response = await self._handle(request)
-                is_last = self._server.closing and not self._waiting
-                keep_alive = keep_alive and not response.close and not is_last
-                self._write(_render_response(request.method, response, keep_alive))
-                self._deadline = read_clock() + self._server.limits.idle_timeout_s
-                if response.stream is not None:
-                    await self._send_pieces(request.method, response, response.stream)
-                if not keep_alive:
-                    self._waiting.clear()
-                    self._close()
-                    return
-                # `check_deadline` closes the connection of a client that does not read.
-                await self._writable.wait()
-                if self._transport is not None:
-                    self._transport.resume_reading()
+            response = await self._handle(exchange.request)
+            if response.close:
+                self.pipeline.stop()
+            if response.stream is None:
+                exchange.answer = response
+                self.pipeline.set_held(exchange, len(response.body))
+            else:
+                await self._send_pieces(exchange, response, response.stream)
+        except asyncio.CancelledError:
+            # No other response may take the place of the one that will not come.
+            self.abort()
+            raise
         finally:
-            self._task = None
-        if self._refused:
-            self._close()
+            del self._tasks[exchange]
+        self._advance()
 
     async def _handle(self, request: ServerRequest) -> ServerResponse:
         try:
@@ -323,43 +381,92 @@
             logger.opt(exception=error).error("event=handler_failed target={}", request.target)
             return ServerResponse(500)
 
-    async def _send_pieces(self, method: str, response: ServerResponse, stream: AnswerBody) -> None:
-        """Send the body of a response as fast as the client reads it."""
+    def _advance(self) -> None:
+        """Send the responses that are due, and begin the requests that may run now."""
+        while self._writable and (response := self.pipeline.find_first_answer()) is not None:
+            exchange = self.pipeline.pop()
+            is_last = self._closes_when_empty and not len(self.pipeline)
+            self._write(_render_response(exchange.request.method, response, not is_last))
+        if self._transport is None:
+            return
+        if self._closes_when_empty and not len(self.pipeline):
+            self._transport.close()
+            return
+        self._advanced.set()
+        self._advanced.clear()
+        self._begin_requests()
+        self._tell_to_continue()
+        if not self._reading:
+            self._parse_waiting()
+            self._update_reading()
+
+    @property
+    def _closes_when_empty(self) -> bool:
+        return self.pipeline.ended or self._server.closing
+
+    async def _send_pieces(
+        self,
+        exchange: Exchange[ServerRequest, ServerResponse],
+        response: ServerResponse,
+        stream: AnswerBody,
+    ) -> None:
+        """Send the body of a response as fast as the client reads it.
+
+        While responses before it are unfinished, as many pieces are read as the pipeline may hold,
+        so that the source is done with a small body.
+        """
+        method = exchange.request.method
         missing = stream.length if _has_body(method, response.status) else 0
+        held: list[bytes] = []
+        has_begun = False
         try:
-            while missing > 0:
-                await self._writable.wait()
-                piece = await stream.read()
+            while not (self.pipeline.is_first(exchange) and self._writable):
+                if missing and self.pipeline.held_bytes < self._server.limits.pipeline.held_bytes:
+                    held.append(await _read_piece(stream, missing))
+                    missing -= len(held[-1])
+                    self.pipeline.set_held(exchange, exchange.held_bytes + len(held[-1]))
+                else:
+                    await self._advanced.wait()
+            has_begun = True
+            is_last = self._closes_when_empty and len(self.pipeline) == 1
+            self._write(_render_response(method, response, not is_last) + b"".join(held))
+            held.clear()
+            self.pipeline.set_held(exchange, 0)
+            while missing:
+                while not self._writable:
+                    await self._advanced.wait()
+                piece = await _read_piece(stream, missing)
                 missing -= len(piece)
-                if not piece or missing < 0:
-                    raise AnswerCutError(f"{missing} bytes are missing")
                 self._write(piece)
-                self._deadline = read_clock() + self._server.limits.idle_timeout_s
-        except AnswerCutError as error:
-            logger.info("event=answer_cut detail={!r}", str(error))
-            self.abort()
+            self.pipeline.pop()
         except Exception as error:
-            logger.opt(exception=error).error("event=answer_cut")
-            self.abort()
+            _log_cut(error)
+            if has_begun:
+                self.abort()
+            else:
+                exchange.answer = ServerResponse(502)
         finally:
             stream.close()
 
-    def _refuse(self, status: int) -> None:
+    def _tell_to_continue(self) -> None:
+        """Tell a client that waits for it to send the body of its request."""
+        if self._must_continue and not len(self.pipeline):
+            self._must_continue = False
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _refuse(self, status: int, detail: str) -> None:
         """Refuse the request that is being received, after those before it are answered."""
-        self._refused = True
-        self._body.clear()
-        if self._task is not None:
+        if self.pipeline.ended:
             return
-        self._write(_render_response("GET", ServerResponse(status), keep_alive=False))
-        self._close()
+        logger.info("event=bad_request status={} detail={!r}", status, detail)
+        self._body.clear()
+        self.pipeline.add_refusal(NO_REQUEST, ServerResponse(status))
+        self._advance()
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None:
             self._transport.write(data)
-
-    def _close(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
+            self._deadline = read_clock() + self._server.limits.idle_timeout_s
 
     def abort(self) -> None:
         """Close the connection and discard unsent data."""
@@ -368,16 +475,43 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is running or partly received."""
-        if self._task is None and not self._in_message:
-            self._close()
+        if not len(self.pipeline) and not self._in_message and self._transport is not None:
+            self._transport.close()
 
     def check_deadline(self, now: float) -> None:
         """Close the connection if the client has been idle or slow for too long."""
-        is_running = self._task is not None and self._writable.is_set()
+        if self._transport is None:
+            return
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes < self._unsent_bytes:
+            self._deadline = now + self._server.limits.idle_timeout_s
+        self._unsent_bytes = unsent_bytes
+        is_running = len(self.pipeline) > 0 and self._writable
         if now >= self._deadline and not is_running:
             self.abort()
 
 
+async def _read_piece(stream: AnswerBody, missing: int) -> bytes:
+    """Return the next piece of a body of which so many bytes are missing.
+
+    Raises
+    ------
+    AnswerCutError
+        If the body is cut short or is longer than it said.
+    """
+    piece = await stream.read()
+    if not piece or len(piece) > missing:
+        raise AnswerCutError(f"{len(piece)} bytes where {missing} are missing")
+    return piece
+
+
+def _log_cut(error: Exception) -> None:
+    if isinstance(error, AnswerCutError):
+        logger.info("event=answer_cut detail={!r}", str(error))
+    else:
+        logger.opt(exception=error).error("event=answer_cut")
+
+
 def _render_response(method: str, response: ServerResponse, keep_alive: bool) -> bytes:
     lines = [f"HTTP/1.1 {response.status} {REASONS.get(response.status, '')}"]
     lines += [f"{name}: {value}" for name, value in response.headers]
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -188,6 +188,9 @@
         self, request: ForwardedRequest, route: RoutePolicy, attempts: _Attempts
     ) -> Verdict:
         now = read_clock()
+        if now >= request.deadline:
+            # It waited for requests before it on its connection.
+            return NotRun(Reason.DEADLINE_PASSED, PEER_RETRY_MS)
         # The local backend server sends its calls through this daemon too; those made by retried
         # requests count as retries.
         repeat_share = self._gate.pool.compute_repeat_share()
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -62,7 +62,7 @@
         settings = self._sidecar.settings
         await self._listen(settings.announce_address, self._handle_announcement)
         await self._listen(settings.ready_address, self._handle_readiness)
-        await self._listen(settings.caller_address, self._handle_request)
+        await self._listen(settings.caller_address, self._handle_request, self._may_overlap)
         await self._listen_for_metrics()
 
     async def _listen_for_metrics(self) -> None:
@@ -95,10 +95,13 @@
         await asyncio.gather(*(server.close(within_s) for server in self._http_servers))
 
     async def _listen(
-        self, address: str, handler: Callable[[ServerRequest], Awaitable[ServerResponse]]
+        self,
+        address: str,
+        handler: Callable[[ServerRequest], Awaitable[ServerResponse]],
+        may_overlap: Callable[[ServerRequest], bool] | None = None,
     ) -> None:
         # Callers reuse a connection for four fifths of the idle timeout, which is 15 s by default.
-        server = HttpServer(handler, ServerLimits())
+        server = HttpServer(handler, ServerLimits(), may_overlap)
         await server.listen(address)
         self._http_servers.append(server)
 
@@ -139,16 +142,26 @@
 
     # Callers.
 
-    async def _handle_request(self, request: ServerRequest) -> ServerResponse:
+    def _may_overlap(self, request: ServerRequest) -> bool:
+        """Return whether a request may run beside others of its connection."""
+        route = self._find_route(request)
+        return route is not None and route.idempotent
+
+    def _find_route(self, request: ServerRequest) -> RoutePolicy | None:
         table = self._sidecar.site.table
-        if table is None:
-            return self._refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_S)
         host = (request.find_header("host") or "").partition(":")[0]
-        route = table.find_route(host.lower(), request.path)
+        return table.find_route(host.lower(), request.path) if table is not None else None
+
+    async def _handle_request(self, request: ServerRequest) -> ServerResponse:
+        if self._sidecar.site.table is None:
+            return self._refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_S)
+        route = self._find_route(request)
         if route is None:
+            host = request.find_header("host")
             logger.info("event=no_route host={} path={}", host, request.target)
             return ServerResponse(404)
         if not route.shares:
+            host = request.find_header("host")
             logger.info("event=route_unreadable host={} path={}", host, request.target)
             return self._refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_S)
         fields = _headers.read_caller_fields(request.headers)
