Pipelined requests: tests of order, bounds, closing answers and bad input

Found by them: a packet of small requests larger than a header may be was refused with 431 when it ended within a header (the whole packet counted as that header); answers held behind a slow one did not pause reading; a response in pieces with a body of its own sent both.

--- a/persimmondock/_adapters/http_server.py
+++ b/persimmondock/_adapters/http_server.py
@@ -94,8 +94,8 @@
     close
         Whether the connection ends after this response and those to requests that have begun.
     stream
-        The body, if it is sent in pieces. The server closes it, and cuts the connection if the
-        pieces do not add up to its length.
+        The body, if it is sent in pieces; `body` is not used then. The server closes it, and cuts
+        the connection if the pieces do not add up to its length.
     """
 
     status: int
@@ -207,6 +207,7 @@
         self._tasks: dict[Exchange[ServerRequest, ServerResponse], asyncio.Task[None]] = {}
         self._unparsed = memoryview(b"")
         self._arrived_at = 0.0
+        self._messages_in_part = 0
         self._reading = self._writable = True
         self._unsent_bytes = 0
         self._advanced = asyncio.Event()
@@ -268,6 +269,7 @@
             self._parse(part)
 
     def _parse(self, data: bytes | memoryview) -> None:
+        self._messages_in_part = 1 if self._in_message else 0
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -277,7 +279,8 @@
             self._refuse(400, str(error))
             return
         if self._in_header:
-            self._header_bytes += len(data)
+            # How much of a part belongs to a header behind another message is not known.
+            self._header_bytes += len(data) if self._messages_in_part == 1 else 0
             if self._header_bytes > self._server.limits.header_bytes:
                 self._refuse(431, "header too large")
         elif self._body_bytes > self._server.limits.body_bytes:
@@ -306,6 +309,7 @@
 
     def on_message_begin(self) -> None:
         self._reset_message()
+        self._messages_in_part += 1
         self._in_message = self._in_header = True
         self._deadline = read_clock() + self._server.limits.header_timeout_s
 
@@ -398,7 +402,7 @@
         self._tell_to_continue()
         if not self._reading:
             self._parse_waiting()
-            self._update_reading()
+        self._update_reading()
 
     @property
     def _closes_when_empty(self) -> bool:
@@ -521,7 +525,8 @@
     if not keep_alive:
         lines.append("Connection: close")
     head = "\r\n".join([*lines, "", ""]).encode("latin-1")
-    return head + response.body if _has_body(method, response.status) else head
+    is_whole = response.stream is None and _has_body(method, response.status)
+    return head + response.body if is_whole else head
 
 
 def _has_body(method: str, status: int) -> bool:
