--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -62,7 +62,7 @@
         settings = self._sidecar.settings
         await self._listen(settings.announce_address, self._handle_announcement)
         await self._listen(settings.ready_address, self._handle_readiness)
-        await self._listen(settings.caller_address, self._handle_request)
+        await self._listen(settings.caller_address, self._handle_request, self._may_overlap)
         await self._listen_for_metrics()
 
     async def _listen_for_metrics(self) -> None:
@@ -95,10 +95,13 @@
         await asyncio.gather(*(server.close(within_s) for server in self._http_servers))
 
     async def _listen(
-        self, address: str, handler: Callable[[ServerRequest], Awaitable[ServerResponse]]
+        self,
+        address: str,
+        handler: Callable[[ServerRequest], Awaitable[ServerResponse]],
+        may_overlap: Callable[[ServerRequest], bool] | None = None,
     ) -> None:
         # Callers reuse a connection for four fifths of the idle timeout, which is 15 s by default.
-        server = HttpServer(handler, ServerLimits())
+        server = HttpServer(handler, ServerLimits(), may_overlap)
         await server.listen(address)
         self._http_servers.append(server)
 
@@ -139,21 +142,30 @@
 
     # Callers.
 
-    async def _handle_request(self, request: ServerRequest) -> ServerResponse:
-        received_at = read_clock()
+    def _may_overlap(self, request: ServerRequest) -> bool:
+        """Return whether a request may run beside others of its connection."""
+        route = self._find_route(request)
+        return route is not None and route.idempotent
+
+    def _find_route(self, request: ServerRequest) -> RoutePolicy | None:
         table = self._sidecar.site.table
-        if table is None:
-            return self._refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_S)
         host = (request.find_header("host") or "").partition(":")[0]
-        route = table.find_route(host.lower(), request.path)
+        return table.find_route(host.lower(), request.path) if table is not None else None
+
+    async def _handle_request(self, request: ServerRequest) -> ServerResponse:
+        if self._sidecar.site.table is None:
+            return self._refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_S)
+        route = self._find_route(request)
         if route is None:
+            host = request.find_header("host")
             logger.info("event=no_route host={} path={}", host, request.target)
             return ServerResponse(404)
         if not route.shares:
+            host = request.find_header("host")
             logger.info("event=route_unreadable host={} path={}", host, request.target)
             return self._refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_S)
         fields = _headers.read_caller_fields(request.headers)
-        forwarded = self._build_request(request, fields, route, received_at)
+        forwarded = self._build_request(request, fields, route)
         verdict = await self._sidecar.dispatcher.dispatch(forwarded, route)
         deadline_passed = read_clock() + DEADLINE_MARGIN_S >= forwarded.deadline
         return self._render_verdict(verdict, forwarded.attempt, deadline_passed)
@@ -163,7 +175,6 @@
         request: ServerRequest,
         fields: _headers.CallerFields,
         route: RoutePolicy,
-        received_at: float,
     ) -> ForwardedRequest:
         site = self._sidecar.site
         service = site.choose_service(route)
@@ -181,8 +192,8 @@
             idempotent=route.idempotent,
             priority=route.priority,
             caller_service=self._sidecar.settings.service,
-            deadline=received_at + min(timeout_s, route.timeout_s),
-            objective_at=received_at + route.objective_s,
+            deadline=request.received_at + min(timeout_s, route.timeout_s),
+            objective_at=request.received_at + route.objective_s,
         )
 
     def _refuse(self, reason: Reason, retry_after_s: float) -> ServerResponse:
