Downloads may be repeated like other safe requests

Callers of routes of type `download` saw their requests fail with the first backend server that failed: such routes counted as not idempotent, so nothing was sent again or given up early. The route type is compared with a set now; an unknown type stays not idempotent.

--- a/persimmondock/platform/_operator.py
+++ b/persimmondock/platform/_operator.py
@@ -18,7 +18,7 @@
 
 CONFIG_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
-IDEMPOTENT_ROUTE_TYPE = "safe"
+IDEMPOTENT_ROUTE_TYPES = frozenset({"safe", "download"})
 DEFAULT_TIMEOUT_S = 30.0
 UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, OverflowError)
 
@@ -149,7 +149,7 @@
         name=_get(item, "name", prefix),
         path_prefix=prefix,
         # A request may be repeated only where the route says so.
-        idempotent=item.get("route_type") == IDEMPOTENT_ROUTE_TYPE,
+        idempotent=_get(item, "route_type", "") in IDEMPOTENT_ROUTE_TYPES,
         timeout_s=timeout_s,
         objective_s=float(_get(item, "target_latency_s", timeout_s)),
         shares=shares,
--- a/persimmondock/tests/platform/test_words.py
+++ b/persimmondock/tests/platform/test_words.py
@@ -121,6 +121,28 @@
     assert table.services["painel"].keyed and not table.services["recepcao"].keyed
 
 
+@pytest.mark.parametrize(
+    ("route_type", "idempotent"),
+    [("safe", True), ("download", True), ("unsafe", False), ("new", False), (["safe"], None)],
+)
+def test_downloads_may_be_repeated_like_safe_requests(
+    route_type: object, idempotent: bool | None
+) -> None:
+    """Guards against downloads that fail with their first backend server.
+
+    Downloads counted as requests that may run once, so none was retried or given up early.
+    """
+    config = make_config(1, route_type=route_type)
+    route = _operator.decode_configuration(json.dumps(config).encode()).find_route(
+        "board.example", "/assign/x"
+    )
+    assert route is not None
+    if idempotent is None:
+        assert not route.shares
+    else:
+        assert route.idempotent == idempotent
+
+
 def test_the_longest_prefix_wins() -> None:
     config = make_config(1, path_prefix="/view/deep/")
     table = _operator.decode_configuration(json.dumps(config).encode())
