Answers in pieces between daemons, from the backend server to the caller

Callers of small requests waited behind downloads: an answer of up to 540 kB was collected whole at the gate, sent in one frame, and collected whole at the front; heartbeats, lease confirmations and small answers of that daemon waited behind it for up to 0.9 s of a 5 Mbit/s link.

An answer of more than 16 kB with a length is passed on while it arrives. Its first part is held back until then, so that a backend server that fails can still be replaced by another. Between daemons of version 1 it travels in pieces of 5 ms of the link, which take turns, within a window that the reader opens; smaller frames are counted but never wait. The slot is held until the backend server has sent its last byte or the stream ends, at the latest at the caller's deadline. Daemons of the former version get whole answers as before.

--- a/persimmondock/_adapters/http_exchange.py
+++ b/persimmondock/_adapters/http_exchange.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import re
 from collections import deque
 from typing import TYPE_CHECKING
@@ -16,6 +17,7 @@
 import attrs
 import httptools
 
+from persimmondock._adapters.buffered_body import BufferedBody, HeldBytes
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.sockets import set_socket_options
 
@@ -28,6 +30,10 @@
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 MAX_HEAD_BYTES = 64 * 1024  # of a response, its interim responses and its trailers
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024  # of all incomplete responses of one server
+STREAM_WINDOW_BYTES = 128 * 1024  # of one streamed body that may wait for its reader
+MAX_HELD_BYTES = 4 * 1024 * 1024  # of all streamed bodies; above it the smaller window applies
+MIN_STREAM_WINDOW_BYTES = 16 * 1024
+RECEIVE_BYTES = 256 * 1024  # most that asyncio receives at once
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -70,11 +76,20 @@
 
 @attrs.frozen
 class HttpResponse:
-    """A complete response."""
+    """A response.
+
+    Parameters
+    ----------
+    body
+        The whole body; empty if it is read from ``stream``.
+    stream
+        The body, if the sender of the request asked to stream bodies of its size.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    stream: BufferedBody | None = None
 
     def find_header(self, name: str) -> str | None:
         """Return the first value of a header, given by its lower-case name, or None."""
@@ -98,6 +113,8 @@
     ----------
     buffered
         Size of all incomplete responses of the server, which is limited.
+    held
+        Size of all streamed bodies of the server that wait for their readers.
 
     Attributes
     ----------
@@ -112,9 +129,16 @@
         close it.
     """
 
-    def __init__(self, buffered: BufferedBytes | None = None) -> None:
+    def __init__(
+        self, buffered: BufferedBytes | None = None, held: HeldBytes | None = None
+    ) -> None:
         self.usable = True
-        self._buffered = buffered or BufferedBytes()
+        self._buffered = buffered if buffered is not None else BufferedBytes()
+        self._held = held if held is not None else HeldBytes()
+        self._stream: BufferedBody | None = None
+        self._stream_pieces: list[bytes] = []
+        self._stream_complete = self._stream_keeps_alive = False
+        self._stream_over = math.inf
         self._received = 0
         self._head_bytes = 0
         self.exchange_count = 0
@@ -131,14 +155,20 @@
         self._headers: list[tuple[str, str]] = []
         self._body: list[bytes] = []
         self._until_eof = False
+        self._length = 0
         self._in_message = False
         self._in_body = False
         self._keep_alive = False
 
     async def exchange(
-        self, data: bytes, accept: Callable[[HttpResponse], bool] | None = None
+        self,
+        data: bytes,
+        accept: Callable[[HttpResponse], bool] | None = None,
+        stream_over: float = math.inf,
     ) -> HttpResponse:
-        """Send a request and return its complete response.
+        """Send a request and return its response, complete or with a streamed body.
+
+        The connection may be used again once a streamed body was received.
 
         Parameters
         ----------
@@ -147,6 +177,9 @@
         accept
             Returns whether a response belongs to this request; one that does not, such as a late
             response to an earlier request, is dropped.
+        stream_over
+            Bytes of body above which a response with a ``Content-Length`` is returned when so much
+            of it was received. Responses with a 5xx status are always complete.
 
         Raises
         ------
@@ -159,7 +192,8 @@
         self._received = self._head_bytes = 0
         self.exchange_count += 1
         self._responses.clear()
-        self._accept = accept or _accept_any
+        self._accept, self._stream_over = accept or _accept_any, stream_over
+        self._stream, self._stream_complete = None, False
         self._parser = httptools.HttpResponseParser(self)
         self._waiter = asyncio.get_running_loop().create_future()
         self._transport.write(data)
@@ -173,7 +207,9 @@
             self._forget_received()
         if self._transport.get_write_buffer_size():
             # The server responded before it had received the whole request.
-            self.abort()
+            if response.stream is None:
+                self.abort()
+            self.usable = False
         self.idle_since = read_clock()
         return response
 
@@ -195,19 +231,29 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; bytes outside of a request close the connection."""
-        if self._waiter is None or self._waiter.done() or self._parser is None:
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        if self._parser is None or not (is_waiting or self._stream is not None):
             self.abort()
             return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail(InvalidResponseError(repr(error), sent=True))
+            if self._stream is not None:
+                self._fail_stream(error)
+            else:
+                self._fail(InvalidResponseError(repr(error), sent=True))
+            return
+        if self._stream is not None:
+            self._pass_on_stream(self._stream)
             return
+        assert self._waiter is not None
         self._received += len(data)
         self._buffered.count += len(data)
         if not self._in_body:
             self._head_bytes += len(data)
         self._deliver_response()
+        if not self._waiter.done():
+            self._begin_stream()
         if self._waiter.done():
             return
         if self._head_bytes > MAX_HEAD_BYTES:
@@ -231,6 +277,9 @@
         if self._waiter is not None and not self._waiter.done():
             detail = repr(error) if error else "closed by the server"
             self._waiter.set_exception(ConnectionLostError(detail, sent=True))
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            stream.cut(repr(error) if error else "closed by the server")
 
     # Callbacks of httptools.
 
@@ -248,24 +297,29 @@
     def on_headers_complete(self) -> None:
         """Determine whether the body ends with the connection."""
         self._in_body = True
-        names = {name.lower() for name, _ in self._headers}
-        self._until_eof = (
-            self._status not in NO_BODY_STATUSES
-            and self._status >= 200
-            and "content-length" not in names
-            and "transfer-encoding" not in names
-        )
+        values = {name.lower(): value for name, value in self._headers}
+        has_body = self._status not in NO_BODY_STATUSES and self._status >= 200
+        if has_body and "transfer-encoding" not in values:
+            self._until_eof = "content-length" not in values
+            # The parser has checked that the length is a number.
+            self._length = int(values.get("content-length", "0"))
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body."""
-        self._body.append(data)
+        if self._stream is not None and not self._stream_complete:
+            self._stream_pieces.append(data)
+        else:
+            self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Complete a response; interim responses are dropped."""
         assert self._parser is not None
         # The parser loses the fields of the response when this callback returns.
         self._keep_alive = bool(self._parser.should_keep_alive())
-        if self._status >= 200:
+        if self._stream is not None and not self._stream_complete:
+            self._stream_complete = True
+            self._stream_keeps_alive = self._check_keep_alive(self._build_response())
+        elif self._status >= 200:
             self._responses.append(self._build_response())
         self._in_message = self._in_body = False
 
@@ -306,6 +360,71 @@
             self.idle_limit_s = float(found.group(1)) - IDLE_MARGIN_S
         return True
 
+    # Streamed bodies.
+
+    def _begin_stream(self) -> None:
+        """Return a response to its request before its body is complete, if it is large enough."""
+        if (
+            not self._in_body
+            or self._responses
+            or self._status >= 500
+            or self._length <= self._stream_over
+            or sum(map(len, self._body)) < self._stream_over
+        ):
+            return
+        stream = BufferedBody(self._length, self._held)
+        response = HttpResponse(self._status, tuple(self._headers), b"", stream)
+        if not self._accept(response):
+            return
+        stream.on_read = self._resume_stream
+        stream.on_abandoned = self.abort
+        self._stream, self._stream_pieces, self._body = stream, self._body, []
+        self._pass_on_stream(stream)
+        assert self._waiter is not None
+        self._waiter.set_result(response)
+
+    def _pass_on_stream(self, stream: BufferedBody) -> None:
+        """Pass received pieces to the reader; reading pauses while its window is full."""
+        pieces, self._stream_pieces = self._stream_pieces, []
+        if self._stream_complete:
+            if self._in_message or self._responses or not self._stream_keeps_alive:
+                self.usable = False
+            self._stream = None
+            self._responses.clear()
+            self.idle_since = read_clock()
+        for piece in pieces:
+            stream.feed(piece)
+        if self._stream is not None and self._is_window_full(stream):
+            assert self._transport is not None
+            self._transport.pause_reading()
+
+    def _is_window_full(self, stream: BufferedBody) -> bool:
+        if stream.waiting_bytes >= STREAM_WINDOW_BYTES:
+            return True
+        return (
+            self._held.count >= MAX_HELD_BYTES and stream.waiting_bytes >= MIN_STREAM_WINDOW_BYTES
+        )
+
+    def _resume_stream(self, _: int) -> None:
+        stream, transport = self._stream, self._transport
+        if stream is None or transport is None or transport.is_closing():
+            return
+        if not transport.is_reading() and not self._is_window_full(stream):
+            transport.resume_reading()
+
+    def _fail_stream(self, error: httptools.HttpParserError) -> None:
+        """Cut a streamed body; bytes after a complete one only end the connection."""
+        stream = self._stream
+        assert stream is not None
+        self.usable = False
+        if self._stream_complete:
+            self._in_message = True
+            self._pass_on_stream(stream)
+        else:
+            self._stream = None
+            stream.cut(repr(error))
+        self.abort()
+
     def _forget_received(self) -> None:
         self._buffered.count -= self._received
         self._received = 0
@@ -335,6 +454,8 @@
     ----------
     connections_opened
         Number of attempts to open a connection.
+    held
+        Size of all streamed bodies that wait for their readers.
     """
 
     def __init__(self, address: str, limit: int) -> None:
@@ -344,6 +465,7 @@
         self._idle: deque[HttpConnection] = deque()
         self._busy: set[HttpConnection] = set()
         self._buffered = BufferedBytes()
+        self.held = HeldBytes()
         self.connections_opened = 0
 
     async def acquire(self, max_idle_s: float = DEFAULT_MAX_IDLE_S) -> HttpConnection:
@@ -396,7 +518,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: HttpConnection(self._buffered), self._host, self._port
+                    lambda: HttpConnection(self._buffered, self.held), self._host, self._port
                 )
         except TimeoutError as error:
             raise ConnectFailedError("connecting timed out", refused=False) from error
--- a/persimmondock/_adapters/peer_stream.py
+++ b/persimmondock/_adapters/peer_stream.py
@@ -5,6 +5,10 @@
 cancel it. Both ends detect a silent connection by missing heartbeats and close it, which pynng's
 sockets do not support.
 
+A reply may have a body that follows in pieces, no more of them than the client has opened its
+window for. Pieces of all replies take turns on the link, and wait until the socket has sent most of
+what was written before, so that other frames wait behind few of them.
+
 A frame that waited in a buffer while a VM was paused is late. Each request carries the time at
 which it was sent, by the sender's clock, and the receiver subtracts that time from its own clock.
 The smallest difference on a connection counts as its normal delay, which includes the offset
@@ -20,6 +24,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import math
 import struct
 from typing import TYPE_CHECKING, Any
@@ -28,24 +33,33 @@
 import msgpack
 from loguru import logger
 
+from persimmondock._adapters.buffered_body import BufferedBody
 from persimmondock._adapters.clock import read_clock
-from persimmondock._adapters.sockets import set_socket_options
+from persimmondock._adapters.piece_link import PieceLink
+from persimmondock._adapters.sockets import keep_send_queue_short, set_socket_options
+from persimmondock._ports.answer_body import AnswerCutError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from persimmondock._ports.answer_body import AnswerBody
+
 CONNECT_TIMEOUT_S = 1.0  # a peer in another failure domain responds within a few milliseconds
 RECONNECT_DELAY_S = 0.25  # VMs are back within 1.5 s of a power loss
 MAX_RECONNECT_DELAY_S = 2.0
 MAX_FRAME_BYTES = 72 * 1024 * 1024
 MAX_WRITE_BUFFER_BYTES = 8 * 1024 * 1024
+STREAM_WINDOW_BYTES = 64 * 1024  # of one body that the client has not read
+PIECE_BUFFER_BYTES = 16 * 1024  # of unsent data above which no pieces are written
 LENGTH_PREFIX = struct.Struct(">I")
 
 # Kinds of frames. The client sends [kind, number, kind of request, payload, time of sending], the
 # server [kind, number, payload]; the number is that of the request. A server that is not the one
 # expected sends OTHER_NODE with its own name and closes the connection. VERSION carries that of the
-# server, and is a kind of request of the client.
-REQUEST, REPLY, CANCEL, FAILED, OTHER_NODE, VERSION = 0, 1, 2, 3, 4, 5
+# server, and is a kind of request of the client. From version 1 on a server may send HEAD, with a
+# reply and the length of its body, then PIECE until the body is complete, or FAILED. The client
+# sends WINDOW with the number of bytes that it has read, in place of a payload.
+REQUEST, REPLY, CANCEL, FAILED, OTHER_NODE, VERSION, HEAD, PIECE, WINDOW = range(9)
 PROTOCOL_VERSION = 1
 
 
@@ -63,6 +77,23 @@
         self.sent = sent
 
 
+@attrs.frozen
+class StreamedReply:
+    """A reply with a body that is sent in pieces.
+
+    Parameters
+    ----------
+    body
+        Closed by the server after the last piece.
+    end_at
+        Instant at which the server gives up sending.
+    """
+
+    payload: Any
+    body: AnswerBody
+    end_at: float = math.inf
+
+
 @attrs.frozen
 class Delivery:
     """Sender and age of a received request.
@@ -126,6 +157,10 @@
             return
         data = msgpack.packb(frame)
         self.transport.write(LENGTH_PREFIX.pack(len(data)) + data)
+        self.record_written(len(data))
+
+    def record_written(self, size: int) -> None:
+        """Record the size of a frame that was written."""
 
     def close(self) -> None:
         """Close the connection and discard unsent data."""
@@ -160,6 +195,7 @@
         super().__init__()
         self._client = client
         self._pending: dict[int, _PendingRequest] = {}
+        self._bodies: dict[int, BufferedBody] = {}
         self._retired = False
         self.is_refused = False
         self.version = 0
@@ -171,12 +207,21 @@
 
     def cancel_request(self, number: int) -> None:
         """Have the peer cancel a request, unless its reply has arrived."""
-        if self._pending.pop(number, None) is not None:
-            self.send([CANCEL, number, None, None, read_clock()])
-            self._close_if_done()
+        body = self._bodies.get(number)
+        if body is not None:
+            body.close()
+        elif self._pending.pop(number, None) is not None:
+            self._send_cancel(number)
+
+    def _send_cancel(self, number: int) -> None:
+        self.send([CANCEL, number, None, None, read_clock()])
+        self._close_if_done()
 
     def retire(self) -> None:
-        """Keep the connection only for the requests that outlive the peer's silence."""
+        """Keep the connection only for the requests that outlive the peer's silence.
+
+        Replies that have begun cannot be had elsewhere, so their bodies are waited for too.
+        """
         self._retired = True
         for number, request in list(self._pending.items()):
             if not request.outlives_silence:
@@ -185,7 +230,7 @@
         self._close_if_done()
 
     def _close_if_done(self) -> None:
-        if self._retired and not self._pending:
+        if self._retired and not self._pending and not self._bodies:
             self.close()
 
     def handle_frame(self, frame: list[Any]) -> None:
@@ -197,12 +242,63 @@
             self.version = min(PROTOCOL_VERSION, int(payload))
             self.send([REQUEST, 0, "version", PROTOCOL_VERSION, read_clock()])
             return
+        if kind == PIECE or number in self._bodies:
+            self._handle_piece(kind, number, payload)
+            return
         request = self._pending.pop(number, None)
-        if request is not None:
+        if request is not None and kind == HEAD:
+            self._begin_body(number, request, *payload)
+        elif request is not None:
             is_reply = kind == REPLY
             request.on_reply(payload if is_reply else PeerRequestError(str(payload), sent=True))
         self._close_if_done()
 
+    def _begin_body(self, number: int, request: _PendingRequest, payload: Any, length: int) -> None:
+        if isinstance(length, bool) or not isinstance(length, int) or length <= 0:
+            raise ValueError(f"a body must have a positive length, not {length!r}")
+        body = BufferedBody(length)
+        unreported = 0
+
+        def open_window(size: int) -> None:
+            nonlocal unreported
+            unreported += size
+            if 2 * unreported >= STREAM_WINDOW_BYTES and not body.is_received:
+                self.send([WINDOW, number, None, unreported, read_clock()])
+                unreported = 0
+
+        def cancel() -> None:
+            self._bodies.pop(number, None)
+            self._send_cancel(number)
+
+        body.on_read, body.on_abandoned = open_window, cancel
+        self._bodies[number] = body
+        request.on_reply(StreamedReply(payload, body))
+
+    def _handle_piece(self, kind: int, number: int, piece: Any) -> None:
+        """Add a piece to its body, or cut the body if the peer has; a closed body has no number.
+
+        Raises
+        ------
+        TypeError
+            If the piece is not bytes.
+        """
+        body = self._bodies.get(number)
+        if body is None:
+            return
+        if kind != PIECE:
+            body.cut(f"by the peer: {piece}")
+        elif not isinstance(piece, bytes):
+            raise TypeError(f"a piece must be bytes, not {piece!r}")
+        elif body.waiting_bytes + len(piece) > STREAM_WINDOW_BYTES:
+            body.cut(f"{len(piece)} bytes exceed the window of {STREAM_WINDOW_BYTES}")
+        else:
+            body.feed(piece)
+        if body.is_received:
+            del self._bodies[number]
+            if kind == PIECE and not body.is_complete:
+                self._send_cancel(number)
+            self._close_if_done()
+
     def _handle_refusal(self, node: str) -> None:
         self._client.record_mistake(node)
         self.is_refused = True
@@ -217,6 +313,9 @@
         pending, self._pending = self._pending, {}
         for request in pending.values():
             request.on_reply(error)
+        bodies, self._bodies = self._bodies, {}
+        for body in bodies.values():
+            body.cut(str(error))
 
 
 class PeerClient:
@@ -255,7 +354,7 @@
         return self._protocol.version if self._protocol is not None else 0
 
     async def request(self, kind: str, payload: Any, outlives_silence: bool = False) -> Any:
-        """Send a request and return its reply.
+        """Send a request and return its reply, a `StreamedReply` if its body follows in pieces.
 
         Parameters
         ----------
@@ -379,10 +478,43 @@
                 await asyncio.sleep(MAX_RECONNECT_DELAY_S)
 
 
+class _Window:
+    """Bytes of one body that the client is ready to hold."""
+
+    def __init__(self) -> None:
+        self._left = STREAM_WINDOW_BYTES
+        self._opened = asyncio.Event()
+
+    def open(self, size: int) -> None:
+        """Add bytes that the client has read.
+
+        Raises
+        ------
+        ValueError
+            If the client cannot have read so much.
+        """
+        if isinstance(size, bool) or not isinstance(size, int) or size <= 0:
+            raise ValueError(f"a window must open by a positive number of bytes, not {size!r}")
+        if self._left + size > STREAM_WINDOW_BYTES:
+            raise ValueError(f"a window of {STREAM_WINDOW_BYTES} bytes opened by {size} too many")
+        self._left += size
+        self._opened.set()
+
+    async def take(self, size: int) -> None:
+        """Wait until the window is open for ``size`` bytes, and use them."""
+        while self._left < size:
+            self._opened.clear()
+            await self._opened.wait()
+        self._left -= size
+
+
 class _ServerProtocol(_FrameProtocol):
     def __init__(self, server: PeerServer) -> None:
         super().__init__()
         self._server = server
+        self._windows: dict[int, _Window] = {}
+        self._writable = asyncio.Event()
+        self._writable.set()
         self._peer = ""
         self._version = 0
         self._min_delay_s = math.inf
@@ -392,8 +524,22 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self._server.connections.add(self)
+        assert self.transport is not None
+        self.transport.set_write_buffer_limits(high=PIECE_BUFFER_BYTES)
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            keep_send_queue_short(sock, PIECE_BUFFER_BYTES)
         self.send([VERSION, 0, PROTOCOL_VERSION])
 
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
+    def record_written(self, size: int) -> None:
+        self._server.link.record(size)
+
     def handle_frame(self, frame: list[Any]) -> None:
         kind, number, name, payload, sent_at = frame
         if self._is_refused:
@@ -405,6 +551,11 @@
             if task is not None:
                 task.cancel()
             return
+        if kind == WINDOW:
+            window = self._windows.get(number)
+            if window is not None:
+                window.open(payload)
+            return
         if name == "expect":
             if payload != self._server.node:
                 self._refuse()
@@ -443,7 +594,39 @@
             logger.error("event=peer_request_failed kind={} error={!r}", name, error)
             self.send([FAILED, number, repr(error)])
             return
-        self.send([REPLY, number, reply])
+        if isinstance(reply, StreamedReply):
+            await self._send_streamed(number, reply)
+        else:
+            self.send([REPLY, number, reply])
+
+    async def _send_streamed(self, number: int, reply: StreamedReply) -> None:
+        body, link = reply.body, self._server.link
+        window = self._windows[number] = _Window()
+        missing = body.length
+        end_in_s = None if reply.end_at == math.inf else reply.end_at - read_clock()
+        try:
+            self.send([HEAD, number, [reply.payload, body.length]])
+            async with asyncio.timeout(end_in_s):
+                while missing:
+                    data = await body.read()
+                    if not data or len(data) > missing:
+                        raise AnswerCutError(f"{len(data)} bytes where {missing} are missing")
+                    missing -= len(data)
+                    for start in range(0, len(data), link.rate.piece_bytes):
+                        piece = data[start : start + link.rate.piece_bytes]
+                        await window.take(len(piece))
+                        await self._writable.wait()
+                        await link.send_in_turn(
+                            functools.partial(self.send, [PIECE, number, piece])
+                        )
+        except (AnswerCutError, TimeoutError) as error:
+            self.send([FAILED, number, repr(error)])
+        except Exception as error:
+            logger.error("event=peer_request_failed kind=piece error={!r}", error)
+            self.send([FAILED, number, repr(error)])
+        finally:
+            del self._windows[number]
+            body.close()
 
     def connection_lost(self, error: Exception | None) -> None:
         self._server.connections.discard(self)
@@ -468,6 +651,8 @@
     instant_handlers
         Functions that return the reply at once, by kind of request. They save a task and two
         iterations of the event loop for each request.
+    link
+        Turns of the pieces that are sent on all connections.
     """
 
     def __init__(self, on_greeting: Callable[[list[str]], None], node: str) -> None:
@@ -476,6 +661,7 @@
         self.handlers: dict[str, Callable[[Any, Delivery], Awaitable[Any]]] = {}
         self.instant_handlers: dict[str, Callable[[Any, Delivery], Any]] = {}
         self.connections: set[_ServerProtocol] = set()
+        self.link = PieceLink()
         self._server: asyncio.Server | None = None
 
     async def start(self, address: str) -> None:
--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -42,6 +42,11 @@
     "backend_ms": MetricSpec(
         Histogram, "Seconds that requests took at the backend server here", ("verdict",)
     ),
+    "streams": MetricSpec(
+        Counter, "Large answers that were sent in pieces, by what sent them here", ("place", "end")
+    ),
+    "answer_streams": MetricSpec(Gauge, "Large answers that are being sent in pieces"),
+    "answer_stream_bytes": MetricSpec(Gauge, "Bytes of them that wait here for their readers"),
     "ready": MetricSpec(Gauge, "1 while callers may be sent here"),
     "configuration_version": MetricSpec(Gauge, "Version of the routes in force, or -1"),
     "configuration_delay_s": MetricSpec(
--- a/persimmondock/_adapters/sockets.py
+++ b/persimmondock/_adapters/sockets.py
@@ -4,6 +4,8 @@
 
 import socket
 
+from loguru import logger
+
 # A dead peer is detected within KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -20,3 +22,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def keep_send_queue_short(sock: socket.socket, max_bytes: int) -> None:
+    """Have the kernel hold at most ``max_bytes`` that were not sent yet, where it can."""
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, max_bytes)
+    except OSError as error:
+        logger.debug("event=send_queue_not_limited error={!r}", error)
--- a/persimmondock/_domain/site.py
+++ b/persimmondock/_domain/site.py
@@ -74,6 +74,8 @@
         ``host:port`` at which other daemons reach this one.
     grant_mode
         How backend servers get their grants of keys.
+    bandwidth_mbps
+        Mbit/s of the VM's link; 0 if unknown.
     """
 
     node: str
@@ -87,3 +89,4 @@
     peer_address: str
     bounds: SiteBounds = attrs.field(factory=SiteBounds)
     grant_mode: GrantMode = attrs.field(factory=GrantsByCall)
+    bandwidth_mbps: float = 0.0
--- a/persimmondock/_domain/verdict.py
+++ b/persimmondock/_domain/verdict.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import enum
-from typing import TypeAlias
+from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
 
+if TYPE_CHECKING:
+    from persimmondock._ports.answer_body import AnswerBody
+
 
 class Reason(enum.StrEnum):
     """Why a request was refused, or why its outcome is unknown."""
@@ -56,16 +59,25 @@
 
 @attrs.frozen
 class Answer:
-    """The complete answer of a backend server."""
+    """The answer of a backend server.
+
+    Parameters
+    ----------
+    body
+        The whole body; empty if it is read from ``stream``.
+    stream
+        The body, if it is large. Whoever holds the answer closes it.
+    """
 
     status: int
     headers: tuple[Header, ...]
     body: bytes
+    stream: AnswerBody | None = None
 
 
 @attrs.frozen
 class Answered:
-    """The request ran; holds its complete answer."""
+    """The request ran; holds its answer."""
 
     answer: Answer
 
--- a/persimmondock/_ports/answer_body.py
+++ b/persimmondock/_ports/answer_body.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 
 class AnswerCutError(Exception):
@@ -31,3 +34,22 @@
 
     def close(self) -> None:
         """Stop reading; the source frees what it holds. Has no effect after the last piece."""
+
+
+class ReceivedBody(AnswerBody, Protocol):
+    """Body that arrives from elsewhere and waits here for its reader.
+
+    Attributes
+    ----------
+    waiting_bytes
+        Bytes that wait.
+    """
+
+    waiting_bytes: int
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole body has arrived."""
+
+    def call_when_received(self, callback: Callable[[], None]) -> None:
+        """Call back once the whole body has arrived, or it is cut or closed."""
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
+import attrs
 from loguru import logger
 
 from persimmondock._adapters.clock import read_clock
@@ -22,6 +23,7 @@
 from persimmondock._domain.gate_status import GateStatus
 from persimmondock._domain.key_loads import KeyLoads
 from persimmondock._domain.verdict import (
+    Answer,
     Answered,
     MayHaveRun,
     NotRun,
@@ -29,6 +31,7 @@
     Verdict,
     name_verdict,
 )
+from persimmondock._tasks.answer_streams import AnswerStreams, find_stream
 from persimmondock._tasks.send_limits import SendLimits
 from persimmondock._tasks.slot_pool import SlotPool
 
@@ -37,6 +40,7 @@
 
     from persimmondock._adapters.peer_stream import Delivery
     from persimmondock._domain.site import SiteBounds
+    from persimmondock._ports.answer_body import AnswerBody, ReceivedBody
     from persimmondock._ports.backend import BackendServer
     from persimmondock._ports.metrics import MetricSink
     from persimmondock._tasks.range_keeper import RangeKeeper
@@ -44,6 +48,7 @@
 MIN_REMAINING_S = 0.01  # a request with less time left would miss its deadline
 ASSUMED_COLD_S = 5.0  # announcements come at least every 1.5 s, but may be delayed by seconds
 REFUSED_RETRY_MS = 300
+STREAM_GRACE_S = 0.1  # after the deadline, for the rest of an answer to reach its caller
 GATEWAY_TIMEOUT = 504  # status that the backend server itself returns at the time limit
 # A limited backend server that answers nothing for so long is asked whether the limit still holds.
 LIMIT_CHECK_INTERVAL_S = 2.0
@@ -73,6 +78,8 @@
         Bounds on what the backend server is sent, by its service's policy and its own notices.
     pool
         Requests that run, and those that wait for a slot.
+    streams
+        Large answers of the backend server that are on their way to callers.
     evacuated
         Whether operators have evacuated the failure domain.
     leaving
@@ -107,6 +114,7 @@
         self.pool = SlotPool(self.limits, lambda: self.slots)
         self._told_early: list[ToldNotice] = []
         self._limit_checked_at = 0.0
+        self.streams = AnswerStreams("gate", metrics)
         self._awaiting_handover = 0
         self.loads = KeyLoads()
         self.suspects = CrashSuspects()
@@ -159,8 +167,12 @@
         )
 
     def count_in_flight(self) -> int:
-        """Return the number of requests that are running, queued, or wait for their key."""
-        return len(self.pool.running) + self.pool.waiting + self._awaiting_handover
+        """Return the number of requests that wait, are running, or whose answers are being sent.
+
+        An answer that is still being received counts twice.
+        """
+        waiting = self.pool.waiting + self._awaiting_handover
+        return len(self.pool.running) + waiting + len(self.streams)
 
     # Events.
 
@@ -339,10 +351,29 @@
         admitted = await self.pool.acquire(request, now)
         if isinstance(admitted, NotRun):
             return admitted
+        verdict: Verdict | None = None
         try:
-            return await self._send(request, admitted)
+            verdict = await self._send(request, admitted)
         finally:
-            self.pool.release(admitted)
+            if verdict is None or find_stream(verdict) is None:
+                self.pool.release(admitted)
+        match verdict:
+            case Answered(answer=Answer(stream=stream) as answer) if stream is not None:
+                held = self._hold_slot(request, admitted, stream)
+                return Answered(attrs.evolve(answer, stream=held))
+        return verdict
+
+    def _hold_slot(self, request: ForwardedRequest, number: int, stream: AnswerBody) -> AnswerBody:
+        """Keep the slot of a request until its answer is received; return the stream to send."""
+        body = cast("ReceivedBody", stream)
+
+        def release() -> None:
+            if body.is_complete:
+                self.pool.record_time(request, number)
+            self.pool.release(number)
+
+        body.call_when_received(release)
+        return self.streams.open(body, request.attempt, request.deadline + STREAM_GRACE_S)
 
     async def _send(self, request: ForwardedRequest, number: int) -> Verdict:
         incarnation = self.incarnation
@@ -386,7 +417,9 @@
     ) -> None:
         match verdict:
             case Answered(answer=answer):
-                if answer.status < 500 or answer.status == GATEWAY_TIMEOUT:
+                if answer.stream is None and (
+                    answer.status < 500 or answer.status == GATEWAY_TIMEOUT
+                ):
                     self.pool.record_time(request, number)
                 if self.suspects and self.suspects.record_answered(request.fingerprint):
                     self.broadcast_suspects({request.fingerprint: 0})
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -5,13 +5,13 @@
 import asyncio
 import random
 from collections import Counter
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 import attrs
 from loguru import logger
 
 from persimmondock._adapters.clock import read_clock
-from persimmondock._adapters.peer_stream import Delivery, PeerRequestError
+from persimmondock._adapters.peer_stream import Delivery, PeerRequestError, StreamedReply
 from persimmondock._domain.assignment import BackendIncarnation
 from persimmondock._domain.backend_notice import (
     BackendNotice,
@@ -38,12 +38,14 @@
     Verdict,
     name_verdict,
 )
+from persimmondock._tasks.answer_streams import AnswerStreams, collect_answer, find_stream
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from persimmondock._domain.routing_table import RoutePolicy
     from persimmondock._domain.site import SiteBounds
+    from persimmondock._ports.answer_body import ReceivedBody
     from persimmondock._ports.metrics import MetricSink
     from persimmondock._tasks.backend_gate import BackendGate
     from persimmondock._tasks.key_control import KeyControl
@@ -54,6 +56,7 @@
 REPLY_GRACE_S = 0.12  # the backend server and its gate respond at the deadline by themselves
 MAX_GATES_TRIED = 4  # each refusal costs a round trip of a few ms
 MAX_CALL_AGE_S = 1.0  # the caller of an older request has given up
+PIECES_VERSION = 1  # of the protocol between daemons, from which on answers may come in pieces
 NO_OWNER_RETRY_MS = 300
 PEER_RETRY_MS = 100
 
@@ -129,6 +132,8 @@
 
     Attributes
     ----------
+    streams
+        Large answers from other daemons that are on their way to callers.
     is_evacuated
         Returns whether operators have evacuated a failure domain.
     read_notice
@@ -150,6 +155,7 @@
         self._gate = gate
         self._control = control
         self._metrics = metrics
+        self.streams = AnswerStreams("front", metrics)
         self._in_flight_by_node: Counter[str] = Counter()
         self._in_flight_at_status: Counter[str] = Counter()
         self._budgets: dict[str, SharedBudget] = {}
@@ -348,11 +354,18 @@
             return MayHaveRun(Reason.DEADLINE_PASSED)
         finally:
             self._in_flight_by_node[node] -= 1
+        stream = None
+        if isinstance(reply, StreamedReply):
+            body = cast("ReceivedBody", reply.body)
+            stream = self.streams.open(body, request.attempt, request.deadline + REPLY_GRACE_S)
+            reply = reply.payload
         verdict, status, *replaced = reply
         peer.status = unpack_status(status)
         peer.heard_at = read_clock()
         self.record_status_update(node)
         result = unpack_verdict(verdict)
+        if isinstance(result, Answered) and stream is not None:
+            result = Answered(attrs.evolve(result.answer, stream=stream))
         is_same = not replaced and incarnation in (None, peer.status.incarnation)
         if isinstance(result, Answered) and is_same:
             self._record_notice(peer, result.answer, sent_at)
@@ -398,15 +411,23 @@
         that of the one that answered.
         """
         now, incarnation = read_clock(), self._gate.incarnation
+        end_at = now
         verdict: Verdict
         if delivered.age_s > MAX_CALL_AGE_S:
             logger.info("event=late_call peer={} age_s={:.2f}", delivered.peer, delivered.age_s)
             verdict = NotRun(Reason.DEADLINE_PASSED, PEER_RETRY_MS)
         else:
-            verdict = await self._gate.run(unpack_request(payload, now, delivered.age_s))
+            request = unpack_request(payload, now, delivered.age_s)
+            end_at = request.deadline + REPLY_GRACE_S
+            verdict = await self._gate.run(request)
+        if isinstance(verdict, Answered) and delivered.version < PIECES_VERSION:
+            verdict = await collect_answer(verdict.answer)
         status: GateStatus = self._gate.describe()
-        reply = [pack_verdict(verdict), status.pack(delivered.version)]
-        return reply if status.incarnation == incarnation else [*reply, True]
+        reply: list[Any] = [pack_verdict(verdict), status.pack(delivered.version)]
+        if status.incarnation != incarnation:
+            reply.append(True)
+        stream = find_stream(verdict)
+        return reply if stream is None else StreamedReply(reply, stream, end_at)
 
 
 def _log_unanswered(
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -14,6 +14,7 @@
 from persimmondock._adapters.clock import read_clock
 from persimmondock._domain.assignment import BackendIncarnation
 from persimmondock._domain.backend_report import BackendAnnouncement, Change
+from persimmondock._domain.link_budget import LinkRate, convert_bandwidth
 from persimmondock._domain.range_lease import RangeLease
 from persimmondock._ports.keyed_log import Written
 from persimmondock._ports.metrics import NoMetrics
@@ -139,6 +140,7 @@
         for index, follower in enumerate(self._followers):
             follower.is_reader = self.mesh.is_reader
             follower.push_records = functools.partial(self.mesh.push_records, index)
+        self.mesh.server.link.rate = LinkRate(convert_bandwidth(settings.bandwidth_mbps))
         self.mesh.server.handlers["release"] = self.keeper.handle_release
         self.mesh.server.handlers["loads"] = self.gate.handle_loads
         self.mesh.server.handlers["suspects"] = self._handle_suspects
@@ -343,6 +345,9 @@
         )
         sink.set_gauge("in_flight", status.running)
         sink.set_gauge("queued", status.waiting)
+        streams = (self.gate.streams, self.dispatcher.streams)
+        sink.set_gauge("answer_streams", sum(map(len, streams)))
+        sink.set_gauge("answer_stream_bytes", sum(item.waiting_bytes for item in streams))
         sink.set_gauge("slots", status.slots)
         sink.set_gauge("gate_open", status.accepts_work)
         limit_per_s = self.gate.notice.max_per_s
--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
     HttpResponse,
     render_request,
 )
+from persimmondock._domain.link_budget import LARGE_ANSWER_BYTES
 from persimmondock._domain.verdict import (
     Answer,
     Answered,
@@ -42,6 +44,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmondock._adapters.buffered_body import BufferedBody
     from persimmondock._domain.backend_notice import BackendNotice
     from persimmondock._domain.forwarding import ForwardedRequest
 
@@ -96,10 +99,16 @@
             except ConnectFailedError as error:
                 reason = Reason.BACKEND_DOWN if error.refused else Reason.BACKEND_UNREACHABLE
                 return NotRun(reason, RETRY_AFTER_MS)
+            stream = None
             try:
-                verdict = await self._exchange(connection, request, instance, check, record_notice)
+                verdict, stream = await self._exchange(
+                    connection, request, instance, check, record_notice
+                )
             finally:
-                self._pool.release(connection)
+                if stream is None:
+                    self._pool.release(connection)
+            if stream is not None:
+                stream.call_when_received(functools.partial(self._pool.release, connection))
             if verdict != NOT_SENT:
                 return verdict
         return verdict
@@ -111,26 +120,27 @@
         instance: str,
         check: Callable[[], NotRun | None],
         record_notice: Callable[[BackendNotice], None],
-    ) -> Verdict:
+    ) -> tuple[Verdict, BufferedBody | None]:
+        """Return the verdict, and the body of its answer if that is still being received."""
         refusal = check()
         if refusal is not None:
-            return refusal
+            return refusal, None
         remaining_s = request.deadline - read_clock()
         fields = _headers.build_backend_fields(request, instance, remaining_s)
         data = render_request(request.method, request.target, fields, request.body)
         try:
             async with asyncio.timeout(remaining_s + RESPONSE_GRACE_S):
                 response = await connection.exchange(
-                    data, lambda response: _headers.may_belong_to(response, request.attempt)
+                    data,
+                    lambda response: _headers.may_belong_to(response, request.attempt),
+                    LARGE_ANSWER_BYTES,
                 )
         except TimeoutError:
-            return MayHaveRun(Reason.DEADLINE_PASSED)
+            return MayHaveRun(Reason.DEADLINE_PASSED), None
         except ConnectionLostError as error:
-            if not error.sent:
-                return NOT_SENT
-            return MayHaveRun(Reason.BACKEND_LOST)
+            return MayHaveRun(Reason.BACKEND_LOST) if error.sent else NOT_SENT, None
         except ExchangeError:
-            return MayHaveRun(Reason.ANSWER_INVALID)
+            return MayHaveRun(Reason.ANSWER_INVALID), None
         # On the first request of a connection there is no earlier one whose response may be late.
         is_first_request = connection.exchange_count == 1
         verdict = _classify_response(response, request.attempt, instance, is_first_request)
@@ -138,7 +148,10 @@
             notice = _headers.read_notice(response.headers)
             if notice is not None:
                 record_notice(notice)
-        return verdict
+        if response.stream is not None and not isinstance(verdict, Answered):
+            response.stream.close()
+            return verdict, None
+        return verdict, response.stream
 
     async def grant(
         self,
@@ -306,7 +319,7 @@
     headers = tuple(
         Header(name, value) for name, value in _headers.select_response_fields(response)
     )
-    return Answered(Answer(response.status, headers, response.body))
+    return Answered(Answer(response.status, headers, response.body, response.stream))
 
 
 def _speaks_for_instance(verdict: Verdict) -> bool:
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -208,7 +208,7 @@
         match verdict:
             case Answered(answer=answer):
                 fields = tuple((header.name, header.value) for header in answer.headers)
-                return ServerResponse(answer.status, fields, answer.body, close)
+                return ServerResponse(answer.status, fields, answer.body, close, answer.stream)
             case NotRun(retry_after_ms=retry_after_ms) if retry_after_ms:
                 headers.append(("Retry-After", f"{retry_after_ms / 1000:.3f}"))
         if attempt:
--- a/persimmondock/platform/_settings.py
+++ b/persimmondock/platform/_settings.py
@@ -94,6 +94,7 @@
             peer_address=f"{address}:{peer_port}",
             bounds=self._read_bounds(),
             grant_mode=self._read_grant_mode(),
+            bandwidth_mbps=self._read_number("self.limits.bandwidth_mbps", 0.0),
         )
 
     def _read_grant_mode(self) -> GrantMode:
