--- a/persimmondock/_adapters/peer_stream.py
+++ b/persimmondock/_adapters/peer_stream.py
@@ -245,17 +245,28 @@
         if kind == PIECE or number in self._bodies:
             self._handle_piece(kind, number, payload)
             return
+        if kind == HEAD:
+            self._begin_body(number, *payload)
+            return
         request = self._pending.pop(number, None)
-        if request is not None and kind == HEAD:
-            self._begin_body(number, request, *payload)
-        elif request is not None:
+        if request is not None:
             is_reply = kind == REPLY
             request.on_reply(payload if is_reply else PeerRequestError(str(payload), sent=True))
         self._close_if_done()
 
-    def _begin_body(self, number: int, request: _PendingRequest, payload: Any, length: int) -> None:
+    def _begin_body(self, number: int, payload: Any, length: int) -> None:
+        """Reply to a request whose body follows; one that was cancelled has no number.
+
+        Raises
+        ------
+        ValueError
+            If the length cannot be that of a body in pieces.
+        """
         if isinstance(length, bool) or not isinstance(length, int) or length <= 0:
             raise ValueError(f"a body must have a positive length, not {length!r}")
+        request = self._pending.pop(number, None)
+        if request is None:
+            return
         body = BufferedBody(length)
         unreported = 0
 
