--- a/persimmondock/standins/site_backend.py
+++ b/persimmondock/standins/site_backend.py
@@ -116,6 +116,8 @@
         Whether keys are granted in the replies to heartbeats, and not by calls.
     work_s
         Duration of a request, in seconds.
+    answer_bytes
+        Size up to which answers are filled.
     born_ms
         Time of the start, in Unix milliseconds.
     cancelled
@@ -150,6 +152,7 @@
     grants_in_heartbeats: bool = False
     slots: int = 8
     work_s: float = 0.01
+    answer_bytes: int = 0
     instance: str = attrs.field(factory=lambda: f"i-{uuid.uuid4().hex[:8]}")
     born_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
     draining: bool = False
@@ -407,7 +410,8 @@
             self._active_keys.remove(key)
         response_headers["X-Server-Signature"] = f"signed-by-{self.instance}"
         response_headers |= self._build_notice_headers()
-        return web.Response(body=b"answer to " + attempt.encode() + body, headers=response_headers)
+        answer = b"answer to " + attempt.encode() + body
+        return web.Response(body=answer.ljust(self.answer_bytes, b"."), headers=response_headers)
 
 
 async def _leave_unanswered() -> web.Response:
