A gate takes no more downloads than its link can send in time

Callers of downloads all waited longer than their objective once the links of their service were full: nine machines of 5 Mbit/s send 56 answers of 90 kB a second, whatever is asked of them. It refuses a request from another daemon whose answer would miss its latency objective behind those that are expected or under way, with the time at which the link will be free; requests with small answers go on. The status of a gate tells its wait, and fronts count it for routes with large answers.

--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -45,6 +45,9 @@
     "streams": MetricSpec(
         Counter, "Large answers that were sent in pieces, by what sent them here", ("place", "end")
     ),
+    "link_wait_s": MetricSpec(
+        Gauge, "Seconds that the link takes for large answers that are expected or under way"
+    ),
     "answer_streams": MetricSpec(Gauge, "Large answers that are being sent in pieces"),
     "answer_stream_bytes": MetricSpec(Gauge, "Bytes of them that wait here for their readers"),
     "ready": MetricSpec(Gauge, "1 while callers may be sent here"),
--- a/persimmondock/_domain/gate_choice.py
+++ b/persimmondock/_domain/gate_choice.py
@@ -24,6 +24,8 @@
         Mean service time of a request in seconds; 0 if unknown.
     same_domain
         Whether the gate is in the failure domain of this daemon.
+    link_wait_s
+        Seconds that a large answer waits for the gate's link; 0 for requests with small answers.
     """
 
     node: str
@@ -31,6 +33,7 @@
     load: int
     service_s: float
     same_domain: bool
+    link_wait_s: float = 0.0
 
 
 def compute_cost(candidate: GateCandidate, default_service_s: float) -> float:
@@ -43,6 +46,7 @@
     utilization = candidate.load / slots
     queued_per_slot = max(0, candidate.load + 1 - slots) / slots
     cost = service_s * (1.0 + FULL_LOAD_SLOWDOWN * min(1.0, utilization) ** 2 + queued_per_slot)
+    cost += candidate.link_wait_s
     return cost * SAME_DOMAIN_COST_FACTOR if candidate.same_domain else cost
 
 
--- a/persimmondock/_domain/gate_status.py
+++ b/persimmondock/_domain/gate_status.py
@@ -9,7 +9,7 @@
 from persimmondock._domain.assignment import BackendIncarnation
 from persimmondock._domain.optional_fields import pack_optional, read_optional
 
-OPTIONAL_FIELDS: tuple[str, ...] = ()
+OPTIONAL_FIELDS = ("link_wait_s",)
 
 
 @attrs.frozen
@@ -36,6 +36,8 @@
         else -1.
     capacity_per_s
         Requests per second that the backend server can currently answer; 0 if unknown.
+    link_wait_s
+        Seconds that the VM's link takes for the large answers that are expected or under way.
     """
 
     service: str = ""
@@ -47,6 +49,7 @@
     service_s: float = 0.0
     granted_offset: int = -1
     capacity_per_s: float = 0.0
+    link_wait_s: float = 0.0
 
     def pack(self, version: int = 0) -> list[Any]:
         """Return the fields in order, as data for msgpack.
--- a/persimmondock/_domain/link_budget.py
+++ b/persimmondock/_domain/link_budget.py
@@ -21,6 +21,7 @@
 MAX_PIECE_BYTES = 16 * 1024
 LARGE_ANSWER_BYTES = 16 * 1024  # smaller answers are sent whole and not budgeted
 EWMA_WEIGHT = 0.1
+OWN_SIZE_FACTOR = 2.0  # leaves time for an answer above the mean of its route
 MIN_RETRY_MS = 100
 MAX_RETRY_MS = 5_000
 
@@ -59,19 +60,6 @@
         return max(0.0, self._free_at - now - BURST_S)
 
 
-@attrs.define
-class _Route:
-    """Recent answers of one route.
-
-    Parameters
-    ----------
-    mean_bytes
-        Mean size, of small answers too.
-    """
-
-    mean_bytes: float
-
-
 @attrs.define
 class LinkBudget:
     """Large answers that are expected or under way on a link.
@@ -86,7 +74,7 @@
     """
 
     bytes_per_s: float = math.inf
-    _routes: dict[str, _Route] = attrs.field(factory=dict)
+    _mean_bytes: dict[str, float] = attrs.field(factory=dict)
     _expected: dict[Hashable, float] = attrs.field(factory=dict)
 
     @property
@@ -99,44 +87,40 @@
         """Seconds that the link takes for what is expected or under way."""
         return self.queued_bytes / self.bytes_per_s
 
+    def learn(self, route: str, size: int) -> None:
+        """Record the size of an answer, small ones included."""
+        mean_bytes = self._mean_bytes.get(route, size)
+        self._mean_bytes[route] = mean_bytes + EWMA_WEIGHT * (size - mean_bytes)
+
     def is_large(self, route: str) -> bool:
         """Return whether the answers of a route are large in the mean."""
-        known = self._routes.get(route)
-        return known is not None and known.mean_bytes > LARGE_ANSWER_BYTES
+        return self._mean_bytes.get(route, 0) > LARGE_ANSWER_BYTES
 
-    def find_refusal_ms(self, route: str, now: float, deadline: float) -> int | None:
-        """Return the retry delay if an answer cannot be sent by its deadline, or None if it can.
+    def find_refusal_ms(
+        self, route: str, now: float, objective_at: float, deadline: float
+    ) -> int | None:
+        """Return the retry delay if an answer cannot be sent in time, or None if it can.
 
-        Parameters
-        ----------
-        deadline
-            Instant by which the whole answer has to be sent.
+        It is in time at the latency objective, or at the deadline if the objective is missed even
+        on an idle link. An idle link refuses nothing.
         """
-        if not self.is_large(route) or not math.isfinite(self.bytes_per_s):
+        if not self._expected or not self.is_large(route):
             return None
-        own_s = self._routes[route].mean_bytes / self.bytes_per_s
-        late_s = now + self.wait_s + own_s - deadline
-        if late_s <= 0 or not self._expected:
-            # A link without other answers is never refused: nothing would be gained by waiting.
+        own_s = OWN_SIZE_FACTOR * self._mean_bytes[route] / self.bytes_per_s
+        in_time_at = objective_at if now + own_s < objective_at else deadline
+        late_s = now + self.wait_s + own_s - in_time_at
+        if late_s <= 0:
             return None
         return round(min(MAX_RETRY_MS, max(MIN_RETRY_MS, 1000 * late_s)))
 
     def reserve(self, request: Hashable, route: str) -> None:
         """Expect the answer to a request."""
         if self.is_large(route):
-            self._expected[request] = self._routes[route].mean_bytes
-
-    def record_size(self, request: Hashable, route: str, size: int) -> None:
-        """Record the size of an answer whose header has arrived."""
-        known = self._routes.get(route)
-        if known is None:
-            self._routes[route] = _Route(size)
-        else:
-            known.mean_bytes += EWMA_WEIGHT * (size - known.mean_bytes)
-        if size > LARGE_ANSWER_BYTES:
-            self._expected[request] = size
-        else:
-            self._expected.pop(request, None)
+            self._expected[request] = self._mean_bytes[route]
+
+    def record_length(self, request: Hashable, size: int) -> None:
+        """Record the size of a large answer whose header has arrived."""
+        self._expected[request] = size
 
     def record_sent(self, request: Hashable, size: int) -> None:
         """Record that a part of an answer was sent."""
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -32,6 +32,7 @@
     name_verdict,
 )
 from persimmondock._tasks.answer_streams import AnswerStreams, find_stream
+from persimmondock._tasks.link_admission import LinkAdmission
 from persimmondock._tasks.send_limits import SendLimits
 from persimmondock._tasks.slot_pool import SlotPool
 
@@ -80,6 +81,8 @@
         Requests that run, and those that wait for a slot.
     streams
         Large answers of the backend server that are on their way to callers.
+    link
+        Large answers that are sent to other daemons.
     evacuated
         Whether operators have evacuated the failure domain.
     leaving
@@ -115,6 +118,7 @@
         self._told_early: list[ToldNotice] = []
         self._limit_checked_at = 0.0
         self.streams = AnswerStreams("gate", metrics)
+        self.link = LinkAdmission(metrics)
         self._awaiting_handover = 0
         self.loads = KeyLoads()
         self.suspects = CrashSuspects()
@@ -164,6 +168,7 @@
             service_s=self.limits.compute_reported_service_s(slots, times.mean_s),
             granted_offset=self._keeper.find_granted_offset(),
             capacity_per_s=self.limits.estimate_rate(self.slots, times.slow_mean_s, now),
+            link_wait_s=round(self.link.budget.wait_s, 3),
         )
 
     def count_in_flight(self) -> int:
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -288,13 +288,16 @@
             node = key_range.owner.node
             known = node == self._mesh.own.node or node in self._mesh.peers
             return node if known and node not in attempts.tried else None
-        candidates = self._list_candidates(request.service, attempts.tried)
+        is_large = self._gate.link.budget.is_large(request.route)
+        candidates = self._list_candidates(request.service, attempts.tried, is_large)
         if not candidates:
             return None
         weights = compute_weights(candidates)
         return self._random.choices(candidates, weights)[0].node
 
-    def _list_candidates(self, service: str, tried: set[str]) -> list[GateCandidate]:
+    def _list_candidates(
+        self, service: str, tried: set[str], is_large: bool = False
+    ) -> list[GateCandidate]:
         now = read_clock()
         own = self._mesh.own
         found = []
@@ -308,7 +311,10 @@
                 continue
             if self.is_evacuated(member.failure_domain) or peer.status.service != service:
                 continue
-            found.append(self._make_candidate(peer, own.failure_domain))
+            candidate = self._make_candidate(peer, own.failure_domain)
+            if is_large:
+                candidate = attrs.evolve(candidate, link_wait_s=peer.status.link_wait_s)
+            found.append(candidate)
         return found
 
     def _make_candidate(self, peer: Peer, own_failure_domain: str) -> GateCandidate:
@@ -366,6 +372,8 @@
         result = unpack_verdict(verdict)
         if isinstance(result, Answered) and stream is not None:
             result = Answered(attrs.evolve(result.answer, stream=stream))
+        if isinstance(result, Answered):
+            self._gate.link.learn(request, result.answer)
         is_same = not replaced and incarnation in (None, peer.status.incarnation)
         if isinstance(result, Answered) and is_same:
             self._record_notice(peer, result.answer, sent_at)
@@ -419,7 +427,7 @@
         else:
             request = unpack_request(payload, now, delivered.age_s)
             end_at = request.deadline + REPLY_GRACE_S
-            verdict = await self._gate.run(request)
+            verdict = await self._gate.link.run(request, self._gate.run)
         if isinstance(verdict, Answered) and delivered.version < PIECES_VERSION:
             verdict = await collect_answer(verdict.answer)
         status: GateStatus = self._gate.describe()
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -140,7 +140,9 @@
         for index, follower in enumerate(self._followers):
             follower.is_reader = self.mesh.is_reader
             follower.push_records = functools.partial(self.mesh.push_records, index)
-        self.mesh.server.link.rate = LinkRate(convert_bandwidth(settings.bandwidth_mbps))
+        bytes_per_s = convert_bandwidth(settings.bandwidth_mbps)
+        self.mesh.server.link.rate = LinkRate(bytes_per_s)
+        self.gate.link.budget.bytes_per_s = bytes_per_s
         self.mesh.server.handlers["release"] = self.keeper.handle_release
         self.mesh.server.handlers["loads"] = self.gate.handle_loads
         self.mesh.server.handlers["suspects"] = self._handle_suspects
@@ -346,6 +348,7 @@
         sink.set_gauge("in_flight", status.running)
         sink.set_gauge("queued", status.waiting)
         streams = (self.gate.streams, self.dispatcher.streams)
+        sink.set_gauge("link_wait_s", status.link_wait_s)
         sink.set_gauge("answer_streams", sum(map(len, streams)))
         sink.set_gauge("answer_stream_bytes", sum(item.waiting_bytes for item in streams))
         sink.set_gauge("slots", status.slots)
