Tenants: keys, names and limits kept by all daemons together

Callers saw: requests with a key were served for anybody, the key went on to the backend server and the caller's own X-Tenant-Id with it; no limit was kept.

The configuration's tenants are decoded into digests of keys and policies; a bad entry is refused by itself and its keys get 503. The ingress identifies the tenant, takes the key off, and ForwardedRequest.tenant carries the name to the gate.

--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -42,6 +42,10 @@
     "backend_ms": MetricSpec(
         Histogram, "Seconds that requests took at the backend server here", ("verdict",)
     ),
+    "tenant_requests": MetricSpec(
+        Counter, "Requests of a tenant that ended at this daemon", ("tenant", "outcome")
+    ),
+    "limit_questions": MetricSpec(Counter, "Questions to other daemons for room within limits"),
     "ready": MetricSpec(Gauge, "1 while callers may be sent here"),
     "configuration_version": MetricSpec(Gauge, "Version of the routes in force, or -1"),
     "configuration_delay_s": MetricSpec(
--- a/persimmondock/_domain/routing_table.py
+++ b/persimmondock/_domain/routing_table.py
@@ -9,6 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from persimmondock._domain.tenants import TenantTable
+
 DEFAULT_MAX_ATTEMPTS = 2
 DEFAULT_PRIORITY = 1
 
@@ -37,6 +39,8 @@
         Services that get the requests; none if the route could not be read.
     max_attempts
         Largest number of backend servers that may run one request.
+    public
+        Whether requests need not belong to a tenant.
     """
 
     name: str
@@ -47,6 +51,7 @@
     shares: tuple[TrafficShare, ...]
     priority: int = DEFAULT_PRIORITY
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
+    public: bool = False
 
 
 @attrs.frozen
@@ -106,6 +111,8 @@
         Places in the configuration that could not be read, with the reasons.
     unreadable_services
         Names of services whose policies could not be read.
+    tenants
+        Tenants, or None if requests need not belong to one.
     """
 
     version: int
@@ -114,6 +121,7 @@
     limits: ClientLimits = attrs.field(factory=ClientLimits)
     unreadable_parts: tuple[str, ...] = ()
     unreadable_services: frozenset[str] = frozenset()
+    tenants: TenantTable | None = None
 
     _by_prefix: Mapping[str, Mapping[str, RoutePolicy]] = attrs.field(
         init=False, repr=False, eq=False
--- a/persimmondock/_domain/verdict.py
+++ b/persimmondock/_domain/verdict.py
@@ -36,6 +36,8 @@
     BACKEND_LIMITED = "backend_limited"
     FAILURE_DOMAIN_OUT = "failure_domain_out"
     NO_CONFIGURATION = "no_configuration"
+    TENANT_LIMIT = "tenant_limit"
+    TENANT_LIMIT_UNKNOWN = "tenant_limit_unknown"
     BACKEND_LOST = "backend_lost"
     ANSWER_TRUNCATED = "answer_truncated"
     ANSWER_INVALID = "answer_invalid"
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -22,12 +22,14 @@
 from persimmondock._tasks.key_control import KeyControl
 from persimmondock._tasks.mesh import OPERATOR_INDEX, Member, Mesh, encode_member
 from persimmondock._tasks.range_keeper import RangeKeeper, find_max_rows
+from persimmondock._tasks.shared_rates import SharedRates
 from persimmondock._tasks.site_state import SiteState
 from persimmondock._tasks.store_follower import (
     IMMEDIATE_SOURCES,
     STALE_MARGIN_S,
     PartitionFollower,
 )
+from persimmondock._tasks.tenant_limits import TenantLimits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -161,6 +163,12 @@
             settings.service, settings.bounds, self.mesh, self.gate, self.control, self.metrics
         )
         self.dispatcher.is_evacuated = self.site.is_evacuated
+        self.shared_rates = SharedRates(self.mesh, self.metrics)
+        members = self._followers[MEMBERS_INDEX]
+        # A copy without the own record may lack those of others as well.
+        self.shared_rates.knows_members = lambda: members.replica.get(settings.node) is not None
+        self.shared_rates.reaches_store = lambda: members.store_answers
+        self.tenant_limits = TenantLimits(self.shared_rates, self.metrics)
         self.mesh.has_requests_at = self.dispatcher.has_requests_at
 
     @property
@@ -183,6 +191,7 @@
             self.keeper.run(),
             self.control.run(),
             self.gate.watch_limit(),
+            self.shared_rates.run(),
             self._maintain_member_record(),
         ]
         for coroutine in coroutines:
--- a/persimmondock/platform/_headers.py
+++ b/persimmondock/platform/_headers.py
@@ -12,7 +12,7 @@
 from persimmondock._domain.backend_notice import BackendNotice
 from persimmondock._domain.fields import HOP_BY_HOP_HEADERS
 from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
-from persimmondock._domain.verdict import Answer, Answered, MayHaveRun, NotRun, Verdict
+from persimmondock._domain.verdict import Answer, Answered, MayHaveRun, NotRun, Reason, Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -31,6 +31,7 @@
 INSTANCE = "x-instance-id"
 LIMIT = "server-limit"
 LEAVING = "server-leaving"
+TENANT = "X-Tenant-Id"
 MAX_KEY = 65_535
 MAX_LOGGED = 40  # characters of a value that is refused
 DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
@@ -40,6 +41,8 @@
 OVERWRITTEN_FIELDS = frozenset(
     {TIMEOUT_MS.lower(), CALLER_SERVICE.lower(), EXPECTED_INSTANCE.lower()}
 )
+# Where tenants exist, keys do not leave the daemon, and only daemons name the tenant.
+TENANT_FIELDS = frozenset({TENANT.lower(), "authorization"})
 
 
 @attrs.frozen
@@ -64,11 +67,21 @@
     forwarded: tuple[tuple[str, str], ...]
 
 
-def read_caller_fields(fields: Iterable[tuple[str, str]]) -> CallerFields:
-    """Read the header fields of a request; malformed numbers count as absent."""
+def read_caller_fields(
+    fields: Iterable[tuple[str, str]], drop_tenant: bool = False
+) -> CallerFields:
+    """Read the header fields of a request; malformed numbers count as absent.
+
+    Parameters
+    ----------
+    drop_tenant
+        Whether the fields with the key and with the name of the tenant are not forwarded.
+    """
     pairs = list(fields)
     by_name = {name.lower(): value for name, value in pairs}
     dropped = HOP_BY_HOP_FIELDS | OVERWRITTEN_FIELDS
+    if drop_tenant:
+        dropped |= TENANT_FIELDS
     if "connection" in by_name:
         dropped |= {part.strip().lower() for part in by_name["connection"].split(",")}
     timeout = by_name.get(TIMEOUT_MS.lower(), "")
@@ -96,6 +109,7 @@
         (TIMEOUT_MS, str(max(1, int(remaining_s * 1000)))),
         (EXPECTED_INSTANCE, instance),
         (CALLER_SERVICE, request.caller_service),
+        *([(TENANT, request.tenant)] if request.tenant else []),
     ]
 
 
@@ -146,10 +160,12 @@
 def choose_status(verdict: Verdict, deadline_passed: bool) -> int:
     """Return the HTTP status for a verdict.
 
-    Without a backend server's answer, only 503 guarantees that the request has not run and never
-    will; 502 and 504 mean that it may have run, 504 also that its deadline has passed.
+    Without a backend server's answer, only 503 and 429 guarantee that the request has not run and
+    never will; 502 and 504 mean that it may have run, 504 also that its deadline has passed.
     """
     match verdict:
+        case NotRun(reason=Reason.TENANT_LIMIT):
+            return 429
         case NotRun():
             return 503
         case MayHaveRun():
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -18,15 +18,17 @@
 from persimmondock._domain.backend_report import AnnouncementError
 from persimmondock._domain.forwarding import ForwardedRequest
 from persimmondock._domain.verdict import Answered, NotRun, Reason, Verdict
-from persimmondock.platform import _discovery, _headers
+from persimmondock.platform import _authentication, _discovery, _headers
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from persimmondock._domain.routing_table import RoutePolicy
+    from persimmondock._domain.tenants import Tenant
     from persimmondock._tasks.sidecar import Sidecar
     from persimmondock.platform._settings import MetricsEndpoint
 
+UNAUTHORIZED_FIELDS = (("WWW-Authenticate", "Bearer"),)
 JSON_FIELDS = (("Content-Type", "application/json"),)
 READY_PATH = "/-/readiness"
 NO_CONFIGURATION_RETRY_S = 0.5
@@ -153,20 +155,32 @@
         return table.find_route(host.lower(), request.path) if table is not None else None
 
     async def _handle_request(self, request: ServerRequest) -> ServerResponse:
-        if self._sidecar.site.table is None:
+        table = self._sidecar.site.table
+        if table is None:
             return self._refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_S)
         route = self._find_route(request)
         if route is None:
             host = request.find_header("host")
             logger.info("event=no_route host={} path={}", host, request.target)
             return ServerResponse(404)
+        tenants, tenant = table.tenants, None
+        if tenants is not None:
+            match _authentication.identify(tenants, request.headers, route.public):
+                case _authentication.Unauthorized(reason=reason):
+                    logger.info("event=unauthorized route={} reason={}", route.name, reason)
+                    return ServerResponse(401, UNAUTHORIZED_FIELDS)
+                case _authentication.Undecidable():
+                    logger.info("event=tenant_unreadable route={}", route.name)
+                    return self._refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_S)
+                case identity:
+                    tenant = identity
         if not route.shares:
             host = request.find_header("host")
             logger.info("event=route_unreadable host={} path={}", host, request.target)
             return self._refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_S)
-        fields = _headers.read_caller_fields(request.headers)
-        forwarded = self._build_request(request, fields, route)
-        verdict = await self._sidecar.dispatcher.dispatch(forwarded, route)
+        fields = _headers.read_caller_fields(request.headers, tenants is not None)
+        forwarded = self._build_request(request, fields, route, tenant)
+        verdict = await self._run(forwarded, route, tenant, table.version)
         deadline_passed = read_clock() + DEADLINE_MARGIN_S >= forwarded.deadline
         return self._render_verdict(verdict, forwarded.attempt, deadline_passed)
 
@@ -175,11 +189,13 @@
         request: ServerRequest,
         fields: _headers.CallerFields,
         route: RoutePolicy,
+        tenant: Tenant | None,
     ) -> ForwardedRequest:
         site = self._sidecar.site
         service = site.choose_service(route)
         timeout_s = fields.timeout_s if fields.timeout_s is not None else DEFAULT_TIMEOUT_S
         keyed = site.is_keyed(service)
+        priority = tenant.priority if tenant is not None else None
         return ForwardedRequest(
             attempt=fields.attempt,
             service=service,
@@ -190,12 +206,27 @@
             body=request.body,
             key=fields.key if keyed else -1,
             idempotent=route.idempotent,
-            priority=route.priority,
+            priority=route.priority if priority is None else priority,
             caller_service=self._sidecar.settings.service,
             deadline=request.received_at + min(timeout_s, route.timeout_s),
             objective_at=request.received_at + route.objective_s,
+            tenant="" if tenant is None else tenant.name,
         )
 
+    async def _run(
+        self, request: ForwardedRequest, route: RoutePolicy, tenant: Tenant | None, version: int
+    ) -> Verdict:
+        """Have a request run if its tenant's limit allows."""
+        if tenant is None:
+            return await self._sidecar.dispatcher.dispatch(request, route)
+        limits = self._sidecar.tenant_limits
+        refusal = await limits.admit(tenant, version, request)
+        if refusal is not None:
+            return refusal
+        verdict = await self._sidecar.dispatcher.dispatch(request, route)
+        limits.record_verdict(tenant, verdict)
+        return verdict
+
     def _refuse(self, reason: Reason, retry_after_s: float) -> ServerResponse:
         return self._render_verdict(NotRun(reason, int(1000 * retry_after_s)), "", False)
 
--- a/persimmondock/platform/_operator.py
+++ b/persimmondock/platform/_operator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections import defaultdict
 from typing import Any
 
@@ -15,6 +16,7 @@
     ServicePolicy,
     TrafficShare,
 )
+from persimmondock._domain.tenants import Tenant, TenantTable, compute_digest
 
 CONFIG_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
@@ -47,6 +49,7 @@
     except (ValueError, KeyError, TypeError) as error:
         raise ConfigurationUnreadableError(f"{place}: {error!r}") from error
     reader = _ConfigurationReader()
+    tenants = reader.read_tenants(config.get("tenants"))
     return RoutingTable(
         version,
         reader.read_hosts(config.get("virtual_hosts")),
@@ -54,6 +57,7 @@
         reader.read_limits(config.get("limits")),
         tuple(reader.unreadable_parts),
         frozenset(reader.unreadable_services),
+        tenants,
     )
 
 
@@ -106,6 +110,57 @@
                         hosts[name].append(_make_unreadable_route(item["path_prefix"]))
         return {name: tuple(routes) for name, routes in hosts.items()}
 
+    def read_tenants(self, items: Any) -> TenantTable | None:
+        """Return the tenants, or None if the configuration has no such part.
+
+        Of two tenants with one name the second is unreadable, and so are keys of two tenants.
+        """
+        if items is None:
+            return None
+        by_name: dict[str, Tenant] = {}
+        names: dict[bytes, str] = {}
+        unreadable: set[bytes] = set()
+        complete = isinstance(items, list)
+        for number, item in enumerate(self._list_items("tenants", items)):
+            place = f"tenants[{number}]"
+            digests = self._read_digests(f"{place}.api_keys", item)
+            complete = complete and digests is not None
+            try:
+                tenant = _read_tenant(item)
+                if tenant.name in by_name:
+                    raise ValueError(f"name {tenant.name!r} is taken")
+            except UNREADABLE as error:
+                self._record(place, error)
+                unreadable.update(digests or ())
+                continue
+            by_name[tenant.name] = tenant
+            for index, digest in enumerate(digests or ()):
+                if names.setdefault(digest, tenant.name) != tenant.name:
+                    self._record(f"{place}.api_keys[{index}]", ValueError("key of two tenants"))
+                    unreadable.add(digest)
+        for digest in unreadable:
+            names.pop(digest, None)
+        return TenantTable(by_name, names, frozenset(unreadable), complete)
+
+    def _read_digests(self, place: str, item: Any) -> list[bytes] | None:
+        """Return the digests of a tenant's keys, or None if some are missing.
+
+        Errors name places only, since a value may be a key.
+        """
+        keys = item.get("api_keys") if isinstance(item, dict) else None
+        if not isinstance(keys, list):
+            if isinstance(item, dict) and keys is None:
+                return []
+            self._record(place, TypeError("not a list"))
+            return None
+        digests = []
+        for index, key in enumerate(keys):
+            if isinstance(key, str) and key:
+                digests.append(compute_digest(key))
+            else:
+                self._record(f"{place}[{index}]", TypeError("not a non-empty string"))
+        return digests if len(digests) == len(keys) else None
+
     def read_limits(self, item: Any) -> ClientLimits:
         """Return the limits on clients."""
         try:
@@ -155,9 +210,33 @@
         shares=shares,
         priority=int(_get(item, "priority", 1)),
         max_attempts=int(_get(item, "max_attempts", 1)),
+        public=_get(item, "public", False) is True,
+    )
+
+
+def _read_tenant(item: dict[str, Any]) -> Tenant:
+    name = _check_text(item["name"])
+    # The name is sent as the value of a header field.
+    if not (name.isascii() and name.isprintable() and name.strip() == name != ""):
+        raise ValueError(f"name must be printable ASCII, not {name!r}")
+    priority = item.get("priority")
+    return Tenant(
+        name=name,
+        priority=None if priority is None else int(priority),
+        rate_per_s=_read_amount(item, "rate_per_s"),
+        burst=_read_amount(item, "burst"),
     )
 
 
+def _read_amount(item: dict[str, Any], name: str) -> float:
+    value = _get(item, name, 0)
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise TypeError(f"{name} must be a number, not {type(value).__name__}")
+    if not math.isfinite(value) or value < 0:
+        raise ValueError(f"{name} must be 0 or more, not {value!r}")
+    return float(value)
+
+
 def _make_unreadable_route(prefix: str) -> RoutePolicy:
     prefix = prefix if prefix.endswith("/") else prefix + "/"
     return RoutePolicy(prefix, prefix, False, DEFAULT_TIMEOUT_S, DEFAULT_TIMEOUT_S, ())
