--- a/persimmondock/_tasks/shared_rates.py
+++ b/persimmondock/_tasks/shared_rates.py
@@ -13,7 +13,7 @@
 
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.peer_stream import Delivery, PeerRequestError
-from persimmondock._domain.holder_ring import HolderRing, hash_name
+from persimmondock._domain.holder_ring import HOLDERS, HolderRing, hash_name
 from persimmondock._domain.shared_rate import (
     ASK_PAUSE_S,
     ASK_TIMEOUT_S,
@@ -128,7 +128,7 @@
         self._rings: deque[tuple[float, HolderRing]] = deque(maxlen=KEPT_RINGS)
         self._next_check_at = -math.inf
         self._lapsed = False
-        self._first_holder = hash_name(mesh.own.node)
+        self._next_holder = hash_name(mesh.own.node) % HOLDERS
         self.knows_members: Callable[[], bool] = lambda: True
         self.reaches_store: Callable[[], bool] = lambda: False
         mesh.server.instant_handlers["tokens"] = self._handle_question
@@ -181,9 +181,10 @@
     def _ask(self, share: _Share, limit: VersionedLimit, needed: int, now: float) -> bool:
         """Ask the next holder for tokens; return whether there are some, or an answer will come."""
         holders = self.find_holders(limit.name)
+        # Taking turns uses the parts of all holders evenly.
+        self._next_holder += 1
         for index in range(len(holders)):
-            # Different daemons begin with different holders.
-            holder = holders[(self._first_holder + index) % len(holders)]
+            holder = holders[(self._next_holder + index) % len(holders)]
             if share.paused_until.get(holder, -math.inf) > now:
                 continue
             wanted = share.tokens.compute_wanted(needed, now)
