Tenants: the front names the tenant to backend servers itself

Fields that earlier versions do not know are left out until a peer has told its version, which is so for a moment on each new connection. The name now travels among the header fields, which gates of every version pass on; ForwardedRequest.tenant stays for decisions of the gate. The test of the field runs with both versions.

--- a/persimmondock/platform/_headers.py
+++ b/persimmondock/platform/_headers.py
@@ -68,19 +68,20 @@
 
 
 def read_caller_fields(
-    fields: Iterable[tuple[str, str]], drop_tenant: bool = False
+    fields: Iterable[tuple[str, str]], tenant: str | None = None
 ) -> CallerFields:
     """Read the header fields of a request; malformed numbers count as absent.
 
     Parameters
     ----------
-    drop_tenant
-        Whether the fields with the key and with the name of the tenant are not forwarded.
+    tenant
+        Name that takes the place of the fields with the key and with a tenant's name; empty to drop
+        both, or None to forward them.
     """
     pairs = list(fields)
     by_name = {name.lower(): value for name, value in pairs}
     dropped = HOP_BY_HOP_FIELDS | OVERWRITTEN_FIELDS
-    if drop_tenant:
+    if tenant is not None:
         dropped |= TENANT_FIELDS
     if "connection" in by_name:
         dropped |= {part.strip().lower() for part in by_name["connection"].split(",")}
@@ -90,7 +91,11 @@
         attempt=by_name.get(ATTEMPT.lower(), ""),
         key=int(key) if key.isdecimal() and int(key) <= MAX_KEY else NO_KEY,
         timeout_s=int(timeout) / 1000 if timeout.isdecimal() else None,
-        forwarded=tuple((name, value) for name, value in pairs if name.lower() not in dropped),
+        forwarded=(
+            *((name, value) for name, value in pairs if name.lower() not in dropped),
+            # Gates of any version pass the field on, also before they have told their version.
+            *([(TENANT, tenant)] if tenant else []),
+        ),
     )
 
 
@@ -109,7 +114,6 @@
         (TIMEOUT_MS, str(max(1, int(remaining_s * 1000)))),
         (EXPECTED_INSTANCE, instance),
         (CALLER_SERVICE, request.caller_service),
-        *([(TENANT, request.tenant)] if request.tenant else []),
     ]
 
 
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -178,7 +178,8 @@
             host = request.find_header("host")
             logger.info("event=route_unreadable host={} path={}", host, request.target)
             return self._refuse(Reason.NO_CONFIGURATION, NO_CONFIGURATION_RETRY_S)
-        fields = _headers.read_caller_fields(request.headers, tenants is not None)
+        name = tenant.name if tenant is not None else "" if tenants is not None else None
+        fields = _headers.read_caller_fields(request.headers, name)
         forwarded = self._build_request(request, fields, route, tenant)
         verdict = await self._run(forwarded, route, tenant, table.version)
         deadline_passed = read_clock() + DEADLINE_MARGIN_S >= forwarded.deadline
--- a/persimmondock/tests/platform/test_tenants.py
+++ b/persimmondock/tests/platform/test_tenants.py
@@ -202,15 +202,20 @@
     return ("Authorization", f"Bearer {key}")
 
 
-async def test_the_key_goes_and_the_name_of_its_tenant_comes() -> None:
-    """The backend server learns whose request it is from the gate, and never the key."""
+@pytest.mark.parametrize("version", [0, 1])
+async def test_the_key_goes_and_the_name_of_its_tenant_comes(version: int) -> None:
+    """The backend server learns whose request it is, and never the key.
+
+    In a play a backend server was not told: the link to its gate was new, and until the gate had
+    told its version, fields that earlier versions do not know were left out.
+    """
     front = make_front()
     response = await front.ask("/assign/1", authorize(KEY), ("X-TENANT-ID", "other"))
     assert response.status == 200
     (request,) = front.dispatched
     assert request.tenant == "orla"
     assert request.priority == 3  # the route's is 1
-    received = unpack_request(request.pack(0.0, 1), 0.0, 0.0)
+    received = unpack_request(request.pack(0.0, version), 0.0, 0.0)
     fields = _headers.build_backend_fields(received, "i-1", 1.0)
     assert KEY not in str(fields)
     assert [value for name, value in fields if name.lower() == "x-tenant-id"] == ["orla"]
@@ -283,10 +288,10 @@
     assert (await front.ask("/assign/1", authorize(KEY))).status == 503
 
 
-def test_daemons_of_earlier_versions_get_requests_without_a_tenant() -> None:
-    """They do not know the field."""
+def test_a_gate_knows_the_tenant_unless_it_is_of_an_earlier_version() -> None:
     request = make_forwarded(0.0, tenant="orla")
     assert unpack_request(request.pack(0.0, 0), 0.0, 0.0).tenant == ""
+    assert unpack_request(request.pack(0.0, 1), 0.0, 0.0).tenant == "orla"
 
 
 async def test_nothing_that_daemons_write_or_send_holds_a_key() -> None:
