--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -50,6 +50,10 @@
     ),
     "answer_streams": MetricSpec(Gauge, "Large answers that are being sent in pieces"),
     "answer_stream_bytes": MetricSpec(Gauge, "Bytes of them that wait here for their readers"),
+    "tenant_requests": MetricSpec(
+        Counter, "Requests of a tenant that ended at this daemon", ("tenant", "outcome")
+    ),
+    "limit_questions": MetricSpec(Counter, "Questions to other daemons for room within limits"),
     "ready": MetricSpec(Gauge, "1 while callers may be sent here"),
     "configuration_version": MetricSpec(Gauge, "Version of the routes in force, or -1"),
     "configuration_delay_s": MetricSpec(
--- a/persimmondock/platform/_headers.py
+++ b/persimmondock/platform/_headers.py
@@ -12,7 +12,7 @@
 from persimmondock._domain.backend_notice import BackendNotice
 from persimmondock._domain.fields import HOP_BY_HOP_HEADERS
 from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
-from persimmondock._domain.verdict import Answer, Answered, MayHaveRun, NotRun, Verdict
+from persimmondock._domain.verdict import Answer, Answered, MayHaveRun, NotRun, Reason, Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -31,6 +31,7 @@
 INSTANCE = "x-instance-id"
 LIMIT = "server-limit"
 LEAVING = "server-leaving"
+TENANT = "X-Tenant-Id"
 MAX_KEY = 65_535
 MAX_LOGGED = 40  # characters of a value that is refused
 DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
@@ -40,6 +41,8 @@
 OVERWRITTEN_FIELDS = frozenset(
     {TIMEOUT_MS.lower(), CALLER_SERVICE.lower(), EXPECTED_INSTANCE.lower()}
 )
+# Where tenants exist, keys do not leave the daemon, and only daemons name the tenant.
+TENANT_FIELDS = frozenset({TENANT.lower(), "authorization"})
 
 
 @attrs.frozen
@@ -64,11 +67,22 @@
     forwarded: tuple[tuple[str, str], ...]
 
 
-def read_caller_fields(fields: Iterable[tuple[str, str]]) -> CallerFields:
-    """Read the header fields of a request; malformed numbers count as absent."""
+def read_caller_fields(
+    fields: Iterable[tuple[str, str]], tenant: str | None = None
+) -> CallerFields:
+    """Read the header fields of a request; malformed numbers count as absent.
+
+    Parameters
+    ----------
+    tenant
+        Name that takes the place of the fields with the key and with a tenant's name; empty to drop
+        both, or None to forward them.
+    """
     pairs = list(fields)
     by_name = {name.lower(): value for name, value in pairs}
     dropped = HOP_BY_HOP_FIELDS | OVERWRITTEN_FIELDS
+    if tenant is not None:
+        dropped |= TENANT_FIELDS
     if "connection" in by_name:
         dropped |= {part.strip().lower() for part in by_name["connection"].split(",")}
     timeout = by_name.get(TIMEOUT_MS.lower(), "")
@@ -77,7 +91,11 @@
         attempt=by_name.get(ATTEMPT.lower(), ""),
         key=int(key) if key.isdecimal() and int(key) <= MAX_KEY else NO_KEY,
         timeout_s=int(timeout) / 1000 if timeout.isdecimal() else None,
-        forwarded=tuple((name, value) for name, value in pairs if name.lower() not in dropped),
+        forwarded=(
+            *((name, value) for name, value in pairs if name.lower() not in dropped),
+            # Gates of any version pass the field on, also before they have told their version.
+            *([(TENANT, tenant)] if tenant else []),
+        ),
     )
 
 
@@ -146,10 +164,12 @@
 def choose_status(verdict: Verdict, deadline_passed: bool) -> int:
     """Return the HTTP status for a verdict.
 
-    Without a backend server's answer, only 503 guarantees that the request has not run and never
-    will; 502 and 504 mean that it may have run, 504 also that its deadline has passed.
+    Without a backend server's answer, only 503 and 429 guarantee that the request has not run and
+    never will; 502 and 504 mean that it may have run, 504 also that its deadline has passed.
     """
     match verdict:
+        case NotRun(reason=Reason.TENANT_LIMIT):
+            return 429
         case NotRun():
             return 503
         case MayHaveRun():
