Store calls: one poll for all failure domains, one lease check for all owners, fewer at the start

Most are made at the start: each daemon took itself for a reader until it knew others, and waited at the store for records of three partitions; owners asked the store to confirm a lease before there was an assignment. At rest the first reader of each failure domain polled each 0.5 s, and each owner asked each 3 s.

Change: the first reader with the lowest name polls and tells the first readers of the other domains what it saw, with its age; these wait for records, and poll 0.8 s after the last such message. An owner counts what a peer's heartbeat passes on as its own check; the first live witness checks soonest. Followers settle for 0.5 s after their first read, a daemon that starts counts known peers as readers for 1.5 s, and the member record is read back once instead of waiting for it. A counter of calls by cause (store_calls).

The virtual link tells a version now, as the client that it imitates.

--- a/persimmondock/_adapters/peer_stream.py
+++ b/persimmondock/_adapters/peer_stream.py
@@ -254,6 +254,11 @@
         """Version of the protocol that both ends speak, or 0 while no connection is open."""
         return self._protocol.version if self._protocol is not None else 0
 
+    @property
+    def is_mistaken(self) -> bool:
+        """Whether another daemon answered at the address the last time."""
+        return bool(self._mistaken_for)
+
     async def request(self, kind: str, payload: Any, outlives_silence: bool = False) -> Any:
         """Send a request and return its reply.
 
--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -62,6 +62,7 @@
     "peers_alive": MetricSpec(Gauge, "Other daemons that answered heartbeats lately"),
     "copy_end": MetricSpec(Gauge, "Offset at which the copy of a partition ends", ("partition",)),
     "store_answers": MetricSpec(Gauge, "1 while the store answers", ("partition",)),
+    "store_calls": MetricSpec(Counter, "Calls to the store", ("cause", "partition")),
     "ranges_held": MetricSpec(Gauge, "Ranges of keys granted to the backend server here"),
     "lease_left_s": MetricSpec(Gauge, "Seconds until the lease on them ends"),
 }
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -46,6 +46,7 @@
 BALANCE_INTERVAL_S = 1.0  # handovers take tenths of a second; load figures decay in 1.5 s
 LOADS_TIMEOUT_S = 0.3  # a peer that replies later is too busy to get more keys
 LEASE_CHECK_INTERVAL_S = 3.0  # while witnesses confirm; each check is a billed call
+LEASE_CHECK_STEP_S = 1.0  # by which others check later; heartbeats tell them of an earlier check
 LEASE_CHECK_RETRY_S = 0.7  # while witnesses do not confirm
 MIN_WITNESS_CHANGE_INTERVAL_S = 25.0  # longer than a lease lasts without the store
 ASSIGNMENT_KEY_PREFIX = "assign/"
@@ -153,6 +154,18 @@
             self._keeper.update_assignment(own, end)
         self._keeper.lease.confirm_by_store(end, sent_at)
 
+    def record_relayed_read(self, end: int, sent_at: float) -> None:
+        """Record a read of the store by a peer as evidence for the lease.
+
+        Parameters
+        ----------
+        sent_at
+            Instant before which the peer did not send its read.
+        """
+        if end == self._keeper.lease.offset:
+            self._lease_checked_at = max(self._lease_checked_at, sent_at)
+        self._keeper.lease.confirm_by_store(end, sent_at)
+
     async def run(self) -> None:
         """Check the lease and plan periodically until cancelled."""
         while True:
@@ -174,14 +187,32 @@
     async def _check_lease(self) -> None:
         """Ask the store to confirm the lease, sooner while witnesses do not confirm it."""
         now = read_clock()
+        current = self.assignments.get(self._service)
+        if current is None:
+            return
         remaining = self._keeper.lease.compute_end() - now
         # With more than half of the term remaining, a confirmation is less than 1.5 s old.
-        due = LEASE_CHECK_INTERVAL_S if remaining > LEASE_TERM_S - 1.5 else LEASE_CHECK_RETRY_S
+        is_confirmed = remaining > LEASE_TERM_S - 1.5
+        due = self._find_check_interval(current, now) if is_confirmed else LEASE_CHECK_RETRY_S
         if now - self._lease_checked_at >= due:
             self._lease_checked_at = now
             if not await self._follower.confirm_now():
                 self._lease_checked_at = now - LEASE_CHECK_INTERVAL_S + LEASE_CHECK_RETRY_S
 
+    def _find_check_interval(self, current: Assignment, now: float) -> float:
+        """Return the seconds between checks while witnesses confirm the lease.
+
+        The first live witness checks soonest. The replies to the heartbeats that all owners send to
+        witnesses pass its read on, so that the others check only when that does not happen.
+        """
+        if self._node not in current.witnesses:
+            return LEASE_CHECK_INTERVAL_S + 2 * LEASE_CHECK_STEP_S
+        for node in current.witnesses:
+            peer = self._mesh.peers.get(node)
+            if peer is not None and node < self._node and peer.store_answers and peer.is_alive(now):
+                return LEASE_CHECK_INTERVAL_S + LEASE_CHECK_STEP_S
+        return LEASE_CHECK_INTERVAL_S
+
     async def _plan(self) -> None:
         """Write an improved assignment if this daemon is the leader."""
         now = read_clock()
@@ -274,6 +305,7 @@
         end = self._follower.replica.end
         assignment = build_next_assignment(current, ranges, witnesses, end)
         entry = (ASSIGNMENT_KEY_PREFIX + self._service, encode_assignment(assignment))
+        self._follower.count_call("write")
         outcome = await self._log.write(self._follower.partition, [entry], end)
         moved = count_moved_ranges(current, ranges)
         logger.info(
--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -31,6 +31,8 @@
 READERS_PER_DOMAIN = 2  # daemons of each failure domain that read new records from the store
 SYNC_DELAY_S = 0.2  # a copy that lags for longer fetches the records from a peer
 SYNC_TIMEOUT_S = 1.0
+JOIN_S = 1.5  # daemons that start at the same time connect and answer within this time
+POLL_SHARING_VERSION = 1  # of the protocol between daemons, from which on polls are shared
 OPERATOR_INDEX = 0  # index of the operators' records among the copies
 
 
@@ -66,6 +68,8 @@
         Seconds between heartbeats.
     reads_operator
         Whether the store answered its latest read of the operators' records.
+    expected_until
+        Instant until which it counts as a reader without having replied, as it may be starting.
     configuration_delay_s
         Delay with which it got the newest operators' records, from the latest heartbeat.
     """
@@ -81,6 +85,7 @@
     interval_s: float = HEARTBEAT_INTERVAL_S
     reads_operator: bool = True
     configuration_delay_s: float = 0.0
+    expected_until: float = -math.inf
 
     @property
     def timeout_s(self) -> float:
@@ -130,6 +135,16 @@
     since: float
 
 
+def _may_read_store(peer: Peer, now: float) -> bool:
+    """Return whether a peer lives and the store answered its latest reads."""
+    return peer.store_answers and peer.reads_operator and peer.is_alive(now)
+
+
+def _is_expected(peer: Peer, now: float) -> bool:
+    """Return whether a peer that has not replied may be starting."""
+    return now < peer.expected_until and not peer.client.is_mistaken
+
+
 def encode_member(member: Member) -> bytes:
     """Return the value of a daemon's record."""
     data: bytes = msgpack.packb([member.address, member.failure_domain, member.service])
@@ -183,12 +198,14 @@
         self.server.handlers["sync"] = self._handle_sync
         self.server.handlers["keys"] = self._handle_keys
         self.server.handlers["push"] = self._handle_push
+        self.server.instant_handlers["poll"] = self._handle_shared_poll
         self.priority_peers: frozenset[str] = frozenset()
         self.has_requests_at: Callable[[str], bool] = lambda _: False
         self.peers: dict[str, Peer] = {}
         self._by_service: dict[str, list[Peer]] = {}
         self._reader_candidates: frozenset[str] = frozenset()
         self._followers = followers
+        followers[OPERATOR_INDEX].share_poll = self._share_poll
         self._describe = describe
         self._on_heartbeat = on_heartbeat
         self._lags: dict[int, _Lag] = {}
@@ -216,7 +233,9 @@
         self._remove_peer(member.node)
         own = self.own
         greeting = [own.node, own.address, own.failure_domain, own.service]
-        self.add_peer(Peer(member, PeerClient(greeting, member.node, member.address)))
+        peer = Peer(member, PeerClient(greeting, member.node, member.address))
+        peer.expected_until = read_clock() + JOIN_S
+        self.add_peer(peer)
         logger.info("event=peer_known peer={} address={}", member.node, member.address)
 
     def add_peer(self, peer: Peer) -> None:
@@ -286,12 +305,43 @@
         return sum(
             peer.member.failure_domain == self.own.failure_domain
             and peer.member.node < self.own.node
-            and peer.store_answers
-            and peer.reads_operator
-            and peer.is_alive(now)
+            and (_may_read_store(peer, now) or _is_expected(peer, now))
             for peer in self.peers.values()
         )
 
+    def _share_poll(self, end: int, confirmed_at: float) -> None:
+        """Tell the first readers of other failure domains what a poll of this daemon showed.
+
+        Those with higher names rely on it and do not poll the store themselves.
+        """
+        now = read_clock()
+        first: dict[str, Peer] = {}
+        for peer in self.peers.values():
+            known = first.get(peer.member.failure_domain)
+            if (known is None or peer.member.node < known.member.node) and _may_read_store(
+                peer, now
+            ):
+                first[peer.member.failure_domain] = peer
+        first.pop(self.own.failure_domain, None)
+        for peer in first.values():
+            if peer.member.node > self.own.node and peer.client.version >= POLL_SHARING_VERSION:
+                payload = [end, now - confirmed_at]
+                self._create_task(self._send_to_peer(peer, "poll", payload))
+
+    def _handle_shared_poll(self, payload: Any, delivered: Delivery) -> None:
+        """Apply what a poll of another daemon showed."""
+        end, age_s = payload
+        now = read_clock()
+        confirmed_at = now - age_s - delivered.age_s
+        operator = self._followers[OPERATOR_INDEX]
+        operator.record_confirmation(end, confirmed_at)
+        if delivered.peer < self.own.node:
+            operator.record_shared_poll(confirmed_at)
+        peer = self.peers.get(delivered.peer)
+        if peer is not None and end > operator.replica.end:
+            operator.record_newer(end, confirmed_at)
+            self._request_missing(peer, OPERATOR_INDEX, end, now)
+
     def broadcast(self, kind: str, payload: Any) -> None:
         """Send a message to all live peers without waiting for replies."""
         for peer in self.list_alive(read_clock()):
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -42,6 +42,7 @@
 
 MEMBER_RETRY_S = 0.5
 MEMBER_BATCH_S = 0.3  # all daemons of a site start and write their records within 0.3 s
+START_SETTLE_S = 0.5  # covers the records of daemons that start at the same time
 POLL_INTERVAL_S = 0.05
 STOP_MARGIN_S = 0.7  # reserve before the process is killed
 READINESS_DRAIN_S = 2.3  # callers move away after two failed readiness checks, a second apart
@@ -125,10 +126,22 @@
                 partitions.operator,
                 self._update_site,
                 max_age_s=settings.bounds.apply_s - STALE_MARGIN_S,
+                settle_s=START_SETTLE_S,
             ),
-            PartitionFollower(log, partitions.members, self._update_members, None, MEMBER_BATCH_S),
             PartitionFollower(
-                log, partitions.assignments, self._update_assignments, self._record_store_read
+                log,
+                partitions.members,
+                self._update_members,
+                None,
+                MEMBER_BATCH_S,
+                settle_s=START_SETTLE_S,
+            ),
+            PartitionFollower(
+                log,
+                partitions.assignments,
+                self._update_assignments,
+                self._record_store_read,
+                settle_s=START_SETTLE_S,
             ),
         )
         own = Member(
@@ -139,6 +152,7 @@
         for index, follower in enumerate(self._followers):
             follower.is_reader = self.mesh.is_reader
             follower.push_records = functools.partial(self.mesh.push_records, index)
+            follower.count_call = functools.partial(self._count_store_call, index)
         self.mesh.server.handlers["release"] = self.keeper.handle_release
         self.mesh.server.handlers["loads"] = self.gate.handle_loads
         self.mesh.server.handlers["suspects"] = self._handle_suspects
@@ -324,9 +338,12 @@
         end, age = ends[ASSIGNMENTS_INDEX], confirmation_ages[ASSIGNMENTS_INDEX]
         if age is not None:
             # The peer read the store at least this long before the heartbeat was sent.
-            self.keeper.lease.confirm_by_store(end, sent_at - age)
+            self.control.record_relayed_read(end, sent_at - age)
         self.keeper.record_heartbeat(node, end, may_witness, sent_at, now)
 
+    def _count_store_call(self, index: int, cause: str) -> None:
+        self.metrics.count(f"store_calls.{cause}.{index}")
+
     async def _handle_suspects(self, crashes: Any, _: Delivery) -> None:
         self.gate.suspects.merge(crashes, read_clock())
 
@@ -386,11 +403,15 @@
         while True:
             replica = follower.replica
             if replica.confirmed_by_store and replica.get(node) != value:
+                follower.count_call("write")
                 outcome = await self._log.write(follower.partition, [(node, value)], None)
                 if isinstance(outcome, Written):
                     logger.info("event=member_written offset={}", outcome.offset)
+                    # Of two daemons that start at the same time, the later writer finds the other
+                    # one by this read, and the other one learns of it by its greeting.
                     while replica.end <= outcome.offset:
-                        await asyncio.sleep(POLL_INTERVAL_S)
+                        answered = await follower.confirm_now()
+                        await asyncio.sleep(POLL_INTERVAL_S if answered else MEMBER_RETRY_S)
                 else:
                     logger.info("event=member_not_written outcome={!r}", outcome)
             await asyncio.sleep(MEMBER_RETRY_S if replica.confirmed_by_store else POLL_INTERVAL_S)
--- a/persimmondock/_tasks/store_follower.py
+++ b/persimmondock/_tasks/store_follower.py
@@ -26,6 +26,7 @@
 READER_CHECK_INTERVAL_S = 0.25  # a daemon that becomes a reader starts within this time
 IMMEDIATE_READ_S = 0.3  # a read that took longer waited for its records, or the store is slow
 BATCH_S = 0.05  # records written within this time are read by one call
+SHARED_POLL_S = 0.8  # a poll, its call, and the next check; a shared one that is older has ceased
 
 
 class Source(enum.Enum):
@@ -88,6 +89,9 @@
     max_age_s
         Seconds after which this daemon reads by itself if no read of any daemon has shown that the
         copy is the newest.
+    settle_s
+        Seconds after the first read of this process in which the copy is not read again, so that
+        this daemon knows its peers, which may read for it, before it waits at the store.
 
     Attributes
     ----------
@@ -99,6 +103,10 @@
         Whether the copy was stale when the latest read was sent.
     push_records
         Called with records that the store returned, and the end offsets before and after them.
+    share_poll
+        Called after a read of a poller with the end offset that it confirmed, and the instant.
+    count_call
+        Called with the cause of each call to the store.
     """
 
     def __init__(
@@ -109,6 +117,7 @@
         on_confirmed: Callable[[int, float], None] | None = None,
         batch_s: float = BATCH_S,
         max_age_s: float = math.inf,
+        settle_s: float = 0.0,
     ) -> None:
         self.partition = partition
         self.replica = Replica()
@@ -118,7 +127,12 @@
         self.is_reader: Callable[[], bool] = lambda: True
         self.is_poller: Callable[[], bool] = lambda: False
         self.push_records: Callable[[int, list[KeyedEntry], int], None] = lambda *_: None
+        self.share_poll: Callable[[int, float], None] = lambda *_: None
+        self.count_call: Callable[[str], None] = lambda _: None
         self.growth: Growth | None = None
+        self._settle_s = settle_s
+        self._settled_at = math.inf
+        self._shared_poll_at = -math.inf
         self._grown_at = math.inf
         self._newer: _NewerRecords | None = None
         self._confirmed_end = -1
@@ -130,6 +144,7 @@
         self._received_at = -math.inf
         self._read: asyncio.Task[bool] | None = None
         self._read_waits = False
+        self._relies_on_polls = False
         self.read_while_stale = False
 
     async def run(self) -> None:
@@ -153,19 +168,26 @@
                 retry_delay_s = min(max_retry_s, 2 * retry_delay_s)
 
     def _may_read(self) -> bool:
-        return self.is_reader() or self.is_stale(read_clock())
+        now = read_clock()
+        return self.is_stale(now) or (now >= self._settled_at and self.is_reader())
 
     async def _finish_read(self, read: asyncio.Task[bool]) -> bool | None:
         """Return whether the store answered, or None if the read was abandoned.
 
-        A waiting read is abandoned when the copy becomes stale, since its connection may be dead.
+        A waiting read is abandoned when the copy becomes stale, since its connection may be dead,
+        and when the polls cease for which this daemon relied on another one.
         """
         self._read = read
         check_interval_s = READER_CHECK_INTERVAL_S if self.max_age_s < math.inf else None
         try:
             while not read.done():
                 await asyncio.wait({read}, timeout=check_interval_s)
-                if not read.done() and self._read_waits and self.is_stale(read_clock()):
+                now = read_clock()
+                if (
+                    not read.done()
+                    and self._read_waits
+                    and (self.is_stale(now) or (self._relies_on_polls and self._must_poll(now)))
+                ):
                     logger.info(
                         "event=read_abandoned topic={} part={} offset={}",
                         self.partition.topic,
@@ -199,6 +221,13 @@
         if (end, at) > (self._known_end, self._known_at):
             self._known_end, self._known_at = end, at
 
+    def record_shared_poll(self, at: float) -> None:
+        """Record that a daemon on which this one relies polled the store at an instant."""
+        self._shared_poll_at = max(self._shared_poll_at, at)
+
+    def _must_poll(self, now: float) -> bool:
+        return self.is_poller() and now - self._shared_poll_at >= SHARED_POLL_S
+
     def compute_known_age(self, now: float) -> float | None:
         """Return the seconds since any daemon's read showed this copy to be the newest, or None."""
         return now - self._known_at if self._known_end == self.replica.end else None
@@ -214,6 +243,7 @@
     async def confirm_now(self) -> bool:
         """Confirm this copy by a read that does not wait; return whether the store answered."""
         sent_at = read_clock()
+        self.count_call("check")
         outcome = await self._log.read_from(self.partition, self.replica.end, 0.0)
         self._record_store_answer(isinstance(outcome, Records))
         if not isinstance(outcome, Records):
@@ -273,12 +303,13 @@
         if not self.store_answers or self.is_stale(now):
             # The answer has to show soon whether the store answers, or whether a record is missing.
             return 0.0
-        return POLL_WAIT_S if self.is_poller() else READ_WAIT_S
+        return POLL_WAIT_S if self._must_poll(now) else READ_WAIT_S
 
     async def _read_once(self) -> bool:
         sent_at = read_clock()
         self._read_waits = False
         if not self.replica.confirmed_by_store:
+            self.count_call("newest")
             newest = await self._log.read_newest(self.partition)
             if not isinstance(newest, Records):
                 logger.debug("event=store_read_failed detail={!r}", newest)
@@ -286,6 +317,7 @@
             start = self.replica.end
             changed = self.replica.apply_snapshot(newest.entries, newest.end)
             self.replica.confirmed_by_store = True
+            self._settled_at = min(self._settled_at, read_clock() + self._settle_s)
             self._record_growth(start, Source.SNAPSHOT)
             if changed:
                 self._on_change(changed)
@@ -294,6 +326,8 @@
         wait_s = self._choose_wait(sent_at)
         self._read_waits = wait_s > 0
         self.read_while_stale = self.is_stale(sent_at)
+        self._relies_on_polls = wait_s == READ_WAIT_S and self.is_poller()
+        self.count_call(_name_cause(wait_s, self.read_while_stale))
         outcome = await self._log.read_from(self.partition, self.replica.end, wait_s)
         if isinstance(outcome, RecordsCompacted):
             logger.info(
@@ -310,6 +344,8 @@
         if not outcome.entries and waited_s >= wait_s:
             # The store looked again at the end of the wait.
             self.record_confirmation(outcome.end, sent_at + wait_s)
+        if wait_s == POLL_WAIT_S and self._known_end == self.replica.end:
+            self.share_poll(self._known_end, self._known_at)
         return True
 
     def _apply(self, records: Records, sent_at: float, source: Source) -> None:
@@ -336,3 +372,12 @@
         if self._confirmed_end != self.replica.end:
             return None
         return now - self.confirmed_at
+
+
+def _name_cause(wait_s: float, is_stale: bool) -> str:
+    """Return the cause of a read for the counter of calls."""
+    if is_stale:
+        return "stale"
+    if wait_s == POLL_WAIT_S:
+        return "poll"
+    return "wait" if wait_s else "retry"
--- a/persimmondock/tests/sites.py
+++ b/persimmondock/tests/sites.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
@@ -29,7 +30,9 @@
     return attrs.evolve(KeyRange(first, last, make_incarnation(owner), 1), **changes)
 
 
-def make_assignment(*ranges: KeyRange, offset: int = 1, witnesses: str = "") -> Assignment:
+def make_assignment(
+    *ranges: KeyRange, offset: int = 1, witnesses: Iterable[str] = ""
+) -> Assignment:
     """Return an assignment; each letter of ``witnesses`` names one."""
     return Assignment(SERVICE, ranges, frozenset(witnesses), frozenset(), offset)
 
--- a/persimmondock/tests/virtual_mesh.py
+++ b/persimmondock/tests/virtual_mesh.py
@@ -14,7 +14,7 @@
 import attrs
 
 from persimmondock._adapters.clock import read_clock
-from persimmondock._adapters.peer_stream import Delivery, PeerRequestError
+from persimmondock._adapters.peer_stream import PROTOCOL_VERSION, Delivery, PeerRequestError
 from persimmondock._domain.gate_status import GateStatus
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._ports.keyed_log import (
@@ -156,6 +156,7 @@
     source: VirtualDaemon
     target: VirtualDaemon
     connected: bool = True
+    version: int = PROTOCOL_VERSION
     generation: int = 0
 
     def reconnect(self, _: str) -> None:
