--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -71,19 +71,21 @@
         Kind.HISTOGRAM, "Seconds that requests took at the backend server here", ("verdict",)
     ),
     "streams": MetricSpec(
-        Counter, "Large answers that were sent in pieces, by what sent them here", ("place", "end")
+        Kind.COUNTER,
+        "Large answers that were sent in pieces, by what sent them here",
+        ("place", "end"),
     ),
     "link_wait_s": MetricSpec(
-        Gauge, "Seconds that the link takes for large answers that are expected or under way"
+        Kind.GAUGE, "Seconds that the link takes for large answers that are expected or under way"
     ),
-    "answer_streams": MetricSpec(Gauge, "Large answers that are being sent in pieces"),
-    "answer_stream_bytes": MetricSpec(Gauge, "Bytes of them that wait here for their readers"),
+    "answer_streams": MetricSpec(Kind.GAUGE, "Large answers that are being sent in pieces"),
+    "answer_stream_bytes": MetricSpec(Kind.GAUGE, "Bytes of them that wait here for their readers"),
     "tenant_requests": MetricSpec(
-        Counter, "Requests of a tenant that ended at this daemon", ("tenant", "outcome")
+        Kind.COUNTER, "Requests of a tenant that ended at this daemon", ("tenant", "outcome")
+    ),
+    "limit_questions": MetricSpec(
+        Kind.COUNTER, "Questions to other daemons for room within limits"
     ),
-    "limit_questions": MetricSpec(Counter, "Questions to other daemons for room within limits"),
-    "ready": MetricSpec(Gauge, "1 while callers may be sent here"),
-    "configuration_version": MetricSpec(Gauge, "Version of the routes in force, or -1"),
     "ready": MetricSpec(Kind.GAUGE, "1 while callers may be sent here"),
     "configuration_version": MetricSpec(Kind.GAUGE, "Version of the routes in force, or -1"),
     "configuration_delay_s": MetricSpec(
