Reads are announced and asked for; a new assignment is no reason for every owner to ask the store

Now a daemon only announces that it has read; who hears it sends a heartbeat, and the reply counts from the sending of that question, as all relayed reads do.

The writer announces the read that confirms its write to the daemons of keyed services; an owner asks the store itself after 0.25 s without it.

--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -47,6 +47,7 @@
 LOADS_TIMEOUT_S = 0.3  # a peer that replies later is too busy to get more keys
 LEASE_CHECK_INTERVAL_S = 3.0  # while witnesses confirm; each check is a billed call
 LEASE_CHECK_STEP_S = 1.0  # by which others check later; heartbeats tell them of an earlier check
+CONFIRMATION_WAIT_S = 0.25  # in which owners ask the writer of an assignment for its read
 LEASE_CHECK_RETRY_S = 0.7  # while witnesses do not confirm
 MIN_WITNESS_CHANGE_INTERVAL_S = 25.0  # longer than a lease lasts without the store
 ASSIGNMENT_KEY_PREFIX = "assign/"
@@ -112,6 +113,8 @@
         self._written_at = -math.inf
         self._witnesses_changed_at = read_clock()
         self._lease_checked_at = -math.inf
+        # The newest read of another daemon; it may arrive before the records.
+        self._relayed_end, self._relayed_at = -1, -math.inf
 
     def update_assignments(self, changed: list[KeyedEntry]) -> None:
         """Apply changed assignments."""
@@ -135,7 +138,12 @@
             )
         own = self.assignments.get(self._service)
         if own is not None:
-            self._keeper.update_assignment(own, self._follower.replica.end)
+            end = self._follower.replica.end
+            self._keeper.update_assignment(own, end)
+            if self._relayed_end == end:
+                self.record_relayed_read(end, self._relayed_at)
+            wait_until = read_clock() + CONFIRMATION_WAIT_S
+            self._lease_checked_at = max(self._lease_checked_at, wait_until - LEASE_CHECK_RETRY_S)
 
     def record_store_read(self, end: int, sent_at: float) -> None:
         """Record a read of the store as evidence for the lease.
@@ -162,6 +170,8 @@
         sent_at
             Instant before which the peer did not send its read.
         """
+        if (end, sent_at) > (self._relayed_end, self._relayed_at):
+            self._relayed_end, self._relayed_at = end, sent_at
         if end == self._keeper.lease.offset:
             self._lease_checked_at = max(self._lease_checked_at, sent_at)
         self._keeper.lease.confirm_by_store(end, sent_at)
@@ -318,10 +328,19 @@
         )
         self._written_at = now
         if isinstance(outcome, (Written, Conflict)):
-            await self._follower.confirm_now()
+            if await self._follower.confirm_now():
+                self._announce_read()
         else:
             self._follower.record_failed_write()
 
+    def _announce_read(self) -> None:
+        """Have all owners of keys ask for what a read has just shown, in place of the store."""
+        self._mesh.announce_read(
+            peer
+            for peer in self._mesh.list_alive(read_clock())
+            if self._is_keyed(peer.member.service)
+        )
+
     def _list_statuses(self, now: float) -> dict[str, tuple[GateStatus, str]]:
         """Return the gate status and failure domain of each live daemon of the service."""
         statuses = {
--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -17,7 +17,7 @@
 from persimmondock._tasks.store_follower import Source
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from persimmondock._tasks.store_follower import PartitionFollower
 
@@ -32,7 +32,7 @@
 SYNC_DELAY_S = 0.2  # a copy that lags for longer fetches the records from a peer
 SYNC_TIMEOUT_S = 1.0
 JOIN_S = 1.5  # daemons that start at the same time connect and answer within this time
-POLL_SHARING_VERSION = 1  # of the protocol between daemons, from which on polls are shared
+CONFIRMATION_VERSION = 1  # of the protocol between daemons, from which on reads are passed on
 OPERATOR_INDEX = 0  # index of the operators' records among the copies
 
 
@@ -198,7 +198,7 @@
         self.server.handlers["sync"] = self._handle_sync
         self.server.handlers["keys"] = self._handle_keys
         self.server.handlers["push"] = self._handle_push
-        self.server.instant_handlers["poll"] = self._handle_shared_poll
+        self.server.instant_handlers["confirmed"] = self._handle_fresh_read
         self.priority_peers: frozenset[str] = frozenset()
         self.has_requests_at: Callable[[str], bool] = lambda _: False
         self.peers: dict[str, Peer] = {}
@@ -309,8 +309,8 @@
             for peer in self.peers.values()
         )
 
-    def _share_poll(self, end: int, confirmed_at: float) -> None:
-        """Tell the first readers of other failure domains what a poll of this daemon showed.
+    def _share_poll(self) -> None:
+        """Announce a poll of this daemon to the first readers of other failure domains.
 
         Those with higher names rely on it and do not poll the store themselves.
         """
@@ -323,24 +323,24 @@
             ):
                 first[peer.member.failure_domain] = peer
         first.pop(self.own.failure_domain, None)
-        for peer in first.values():
-            if peer.member.node > self.own.node and peer.client.version >= POLL_SHARING_VERSION:
-                payload = [end, now - confirmed_at]
-                self._create_task(self._send_to_peer(peer, "poll", payload))
-
-    def _handle_shared_poll(self, payload: Any, delivered: Delivery) -> None:
-        """Apply what a poll of another daemon showed."""
-        end, age_s = payload
-        now = read_clock()
-        confirmed_at = now - age_s - delivered.age_s
-        operator = self._followers[OPERATOR_INDEX]
-        operator.record_confirmation(end, confirmed_at)
-        if delivered.peer < self.own.node:
-            operator.record_shared_poll(confirmed_at)
+        readers = [peer for peer in first.values() if peer.member.node > self.own.node]
+        self.announce_read(readers)
+
+    def announce_read(self, peers: Iterable[Peer]) -> None:
+        """Have peers ask at once for what a read of this daemon has just shown.
+
+        They use only the reply to a question of their own, whose sending bounds its age: an
+        announcement may have waited in a buffer while a VM was paused.
+        """
+        for peer in peers:
+            if peer.client.version >= CONFIRMATION_VERSION:
+                self._create_task(self._send_to_peer(peer, "confirmed", None))
+
+    def _handle_fresh_read(self, _: Any, delivered: Delivery) -> None:
+        """Ask a peer for what its read has just shown, unless a heartbeat is pending."""
         peer = self.peers.get(delivered.peer)
-        if peer is not None and end > operator.replica.end:
-            operator.record_newer(end, confirmed_at)
-            self._request_missing(peer, OPERATOR_INDEX, end, now)
+        if peer is not None and peer.client.connected and peer.unanswered_since is math.inf:
+            self._send_heartbeat(peer, read_clock(), after_read=True)
 
     def broadcast(self, kind: str, payload: Any) -> None:
         """Send a message to all live peers without waiting for replies."""
@@ -417,11 +417,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _send_heartbeat(self, peer: Peer, sent_at: float) -> None:
+    def _send_heartbeat(self, peer: Peer, sent_at: float, after_read: bool = False) -> None:
         def record_reply(reply: Any) -> None:
             peer.unanswered_since = math.inf
             if not isinstance(reply, PeerRequestError):
-                self._record_heartbeat_reply(peer, reply, sent_at)
+                self._record_heartbeat_reply(peer, reply, sent_at, after_read)
 
         own_ends = [follower.replica.end for follower in self._followers]
         peer.unanswered_since = peer.last_heartbeat_at = sent_at
@@ -430,7 +430,9 @@
         except PeerRequestError:
             peer.unanswered_since = math.inf
 
-    def _record_heartbeat_reply(self, peer: Peer, reply: Any, sent_at: float) -> None:
+    def _record_heartbeat_reply(
+        self, peer: Peer, reply: Any, sent_at: float, after_read: bool = False
+    ) -> None:
         now = read_clock()
         was_alive = peer.is_alive(now)
         ends, may_witness, store_answers, status, ages = reply
@@ -457,6 +459,8 @@
             operator.record_confirmation(
                 peer.replica_ends[OPERATOR_INDEX], sent_at - copy.known_age_s
             )
+            if after_read and peer.member.node < self.own.node:
+                operator.record_shared_poll(sent_at - copy.known_age_s)
         self._record_configuration_delay(peer, copy.delay_s, now)
 
     def _record_configuration_delay(self, peer: Peer, delay_s: float, now: float) -> None:
--- a/persimmondock/_tasks/store_follower.py
+++ b/persimmondock/_tasks/store_follower.py
@@ -104,7 +104,7 @@
     push_records
         Called with records that the store returned, and the end offsets before and after them.
     share_poll
-        Called after a read of a poller with the end offset that it confirmed, and the instant.
+        Called after a read of a poller that confirmed this copy as the newest.
     count_call
         Called with the cause of each call to the store.
     """
@@ -127,7 +127,7 @@
         self.is_reader: Callable[[], bool] = lambda: True
         self.is_poller: Callable[[], bool] = lambda: False
         self.push_records: Callable[[int, list[KeyedEntry], int], None] = lambda *_: None
-        self.share_poll: Callable[[int, float], None] = lambda *_: None
+        self.share_poll: Callable[[], None] = lambda: None
         self.count_call: Callable[[str], None] = lambda _: None
         self.growth: Growth | None = None
         self._settle_s = settle_s
@@ -345,7 +345,7 @@
             # The store looked again at the end of the wait.
             self.record_confirmation(outcome.end, sent_at + wait_s)
         if wait_s == POLL_WAIT_S and self._known_end == self.replica.end:
-            self.share_poll(self._known_end, self._known_at)
+            self.share_poll()
         return True
 
     def _apply(self, records: Records, sent_at: float, source: Source) -> None:
--- a/persimmondock/tests/test_store_calls.py
+++ b/persimmondock/tests/test_store_calls.py
@@ -12,9 +12,18 @@
 import pytest
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.peer_stream import Delivery
+from persimmondock._domain.assignment import encode_assignment
+from persimmondock._domain.gate_status import GateStatus
 from persimmondock._domain.range_lease import LEASE_TERM_S
+from persimmondock._domain.replica import KeyedEntry
 from persimmondock._ports.keyed_log import Records
-from persimmondock._tasks.key_control import LEASE_CHECK_INTERVAL_S, LEASE_CHECK_STEP_S
+from persimmondock._tasks.key_control import (
+    ASSIGNMENT_KEY_PREFIX,
+    CONFIRMATION_WAIT_S,
+    LEASE_CHECK_INTERVAL_S,
+    LEASE_CHECK_STEP_S,
+)
 from persimmondock._tasks.mesh import JOIN_S
 from persimmondock._tasks.store_follower import POLL_WAIT_S, SHARED_POLL_S, PartitionFollower
 from persimmondock.tests.sites import SERVICE, make_assignment, make_range
@@ -123,13 +132,60 @@
     mesh = make_mesh(0, 14)
     for peer in mesh.peers.values():
         peer.client = VersionedLink(version=0 if peer.member.node == "node-0001" else 1)  # type: ignore[assignment]
-    mesh._share_poll(0, read_clock())
+    mesh._share_poll()
     await asyncio.sleep(0)
     told = [node for node, peer in mesh.peers.items() if peer.client.sent]  # type: ignore[attr-defined]
     # The first reader of one of the two other domains is of an earlier version.
     assert told == [make_member(2).node]
 
 
+async def test_an_announced_read_counts_from_the_own_question() -> None:
+    """Failure: the announcement waited in a buffer while this VM was paused.
+
+    What it says of its time cannot be known. The reply to a heartbeat that is sent now is bounded
+    by that sending.
+    """
+    mesh = make_mesh(3, 14)
+    link = VersionedLink()
+    mesh.peers["node-0000"].client = link  # type: ignore[assignment]
+    link.reply = [[0], True, True, GateStatus().pack(), [None, [0.0, 0.0, 1.5, True]]]
+    asked_at = read_clock()
+    mesh._handle_fresh_read(None, Delivery("node-0000", 0.0, 1))
+    assert [kind for kind, _ in link.sent] == ["ping"]
+    known_age_s = mesh._followers[0].compute_known_age(read_clock())
+    assert known_age_s is not None and known_age_s >= 1.5
+    assert mesh._followers[0]._shared_poll_at <= asked_at - 1.5 + 0.5
+
+
+async def test_a_read_that_a_peer_passes_on_before_the_records_confirms_the_lease() -> None:
+    """Load: each new assignment made each of 25 owners ask the store."""
+    harness = make_owner("abc")
+    lease, now = harness.control._keeper.lease, read_clock()
+    harness.control.record_relayed_read(7, now - 0.1)
+    assert lease.compute_end() < now
+    current = make_assignment(make_range(0, 9, 1), offset=7, witnesses="abc")
+    entry = KeyedEntry(6, ASSIGNMENT_KEY_PREFIX + SERVICE, encode_assignment(current))
+    harness.follower.replica.apply([entry], 7)
+    harness.control.update_assignments([entry])
+    assert lease.compute_end() == pytest.approx(now - 0.1 + LEASE_TERM_S)
+
+
+async def test_an_owner_asks_the_store_when_nobody_passes_on_a_read() -> None:
+    """Failure: the writer of an assignment is lost after its write."""
+    harness = make_owner("abc")
+    harness.follower._log.reads.append(Records((), 1))  # type: ignore[attr-defined]
+    causes: list[str] = []
+    harness.follower.count_call = causes.append
+    current = make_assignment(make_range(0, 9, 1), offset=7, witnesses="abc")
+    entry = KeyedEntry(6, ASSIGNMENT_KEY_PREFIX + SERVICE, encode_assignment(current))
+    harness.control.update_assignments([entry])
+    await harness.control._check_lease()
+    assert causes == []
+    await asyncio.sleep(CONFIRMATION_WAIT_S + 0.05)
+    await harness.control._check_lease()
+    assert causes == ["check"]
+
+
 def make_owner(witnesses: str) -> ControlHarness:
     """Return an owner whose lease the store has just confirmed."""
     harness = ControlHarness()
