--- a/persimmondock/_domain/assignment.py
+++ b/persimmondock/_domain/assignment.py
@@ -14,7 +14,7 @@
 import msgpack
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
 KEY_COUNT = 65_536
 MAX_SLICE_KEYS = 1_024  # at least 64 interleaved slices, since busy keys are often adjacent
@@ -89,6 +89,9 @@
     witnesses: frozenset[str] = frozenset()
     former_witnesses: frozenset[str] = frozenset()
     offset: int = 0
+    _by_owner: dict[BackendIncarnation, tuple[KeyRange, ...]] = attrs.field(
+        init=False, factory=dict, eq=False, repr=False
+    )
 
     def find_range(self, key: int) -> KeyRange | None:
         """Return the range that contains a key, or None."""
@@ -103,7 +106,20 @@
 
     def list_owned(self, incarnation: BackendIncarnation) -> tuple[KeyRange, ...]:
         """Return the ranges that an incarnation owns."""
-        return tuple(item for item in self.ranges if item.owner == incarnation)
+        return self._index_by_owner().get(incarnation, ())
+
+    def list_owners(self) -> Collection[BackendIncarnation]:
+        """Return each owner once."""
+        return self._index_by_owner().keys()
+
+    def _index_by_owner(self) -> dict[BackendIncarnation, tuple[KeyRange, ...]]:
+        # Each heartbeat and each forwarded request asks for the owned ranges.
+        if not self._by_owner and self.ranges:
+            groups: dict[BackendIncarnation, list[KeyRange]] = {}
+            for item in self.ranges:
+                groups.setdefault(item.owner, []).append(item)
+            self._by_owner.update((owner, tuple(items)) for owner, items in groups.items())
+        return self._by_owner
 
 
 def encode_assignment(assignment: Assignment) -> bytes:
@@ -260,8 +276,8 @@
 def find_newest_starts(assignment: Assignment) -> dict[str, int]:
     """Return the latest start in Unix milliseconds of the owners beside each daemon."""
     starts: dict[str, int] = {}
-    for item in assignment.ranges:
-        starts[item.owner.node] = max(starts.get(item.owner.node, 0), item.owner.born_ms)
+    for owner in assignment.list_owners():
+        starts[owner.node] = max(starts.get(owner.node, 0), owner.born_ms)
     return starts
 
 
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -353,13 +353,13 @@
 
     def _record_availability(self, statuses: dict[str, tuple[GateStatus, str]], now: float) -> None:
         current = self.assignments.get(self._service)
-        for key_range in current.ranges if current is not None else ():
-            known = statuses.get(key_range.owner.node)
+        for owner in current.list_owners() if current is not None else ():
+            known = statuses.get(owner.node)
             # A daemon that has just started does not know its backend server yet.
             if known is not None and known[0].incarnation is not None:
-                self._unavailable_since.pop(key_range.owner.node, None)
+                self._unavailable_since.pop(owner.node, None)
             else:
-                self._unavailable_since.setdefault(key_range.owner.node, now)
+                self._unavailable_since.setdefault(owner.node, now)
         newest_born_ms = find_newest_starts(current) if current is not None else {}
         earlier = {
             node
