--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -205,7 +205,8 @@
         self._by_service: dict[str, list[Peer]] = {}
         self._reader_candidates: frozenset[str] = frozenset()
         self._followers = followers
-        followers[OPERATOR_INDEX].share_poll = self._share_poll
+        if followers:
+            followers[OPERATOR_INDEX].share_poll = self._share_poll
         self._describe = describe
         self._on_heartbeat = on_heartbeat
         self._lags: dict[int, _Lag] = {}
