A mesh without copies starts; test of the index by owner

test_server_limits failed since the polls are shared (index out of range: its virtual daemons have no copies). The hook is set where the others are, in the sidecar and in the virtual mesh.

--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -205,7 +205,6 @@
         self._by_service: dict[str, list[Peer]] = {}
         self._reader_candidates: frozenset[str] = frozenset()
         self._followers = followers
-        followers[OPERATOR_INDEX].share_poll = self._share_poll
         self._describe = describe
         self._on_heartbeat = on_heartbeat
         self._lags: dict[int, _Lag] = {}
@@ -309,7 +308,7 @@
             for peer in self.peers.values()
         )
 
-    def _share_poll(self) -> None:
+    def share_poll(self) -> None:
         """Announce a poll of this daemon to the first readers of other failure domains.
 
         Those with higher names rely on it and do not poll the store themselves.
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -149,6 +149,7 @@
         )
         self.mesh = Mesh(own, self._followers, self.gate.describe, self._record_heartbeat)
         self._followers[OPERATOR_INDEX].is_poller = self.mesh.is_first_reader
+        self._followers[OPERATOR_INDEX].share_poll = self.mesh.share_poll
         for index, follower in enumerate(self._followers):
             follower.is_reader = self.mesh.is_reader
             follower.push_records = functools.partial(self.mesh.push_records, index)
--- a/persimmondock/tests/test_assignment.py
+++ b/persimmondock/tests/test_assignment.py
@@ -283,3 +283,18 @@
     rates = {group: 20.0 for group in range(0, 40, 3)}
     after = balance_ranges(before, make_capacities(60, 60, 60, 60), rates, most + 2) or before
     assert max(count_rows(after).values()) <= most + 2
+
+
+def test_owned_ranges_are_those_of_the_present_ranges() -> None:
+    """Load: some 300 ranges, of which each heartbeat and answer asks for those of one owner."""
+    ranges = tuple(make_range(10 * n, 10 * n + 9, n % 25) for n in range(300))
+    assignment = Assignment(SERVICE, ranges)
+    for number in (0, 7, 24, 25):
+        owner = make_incarnation(number)
+        expected = tuple(item for item in ranges if item.owner == owner)
+        assert assignment.list_owned(owner) == expected
+    assert len(assignment.list_owners()) == 25
+    changed = attrs.evolve(assignment, ranges=ranges[:1])
+    assert changed.list_owned(make_incarnation(7)) == ()
+    assert changed.list_owned(make_incarnation(0)) == ranges[:1]
+    assert Assignment(SERVICE, ranges) == assignment
--- a/persimmondock/tests/test_store_calls.py
+++ b/persimmondock/tests/test_store_calls.py
@@ -132,7 +132,7 @@
     mesh = make_mesh(0, 14)
     for peer in mesh.peers.values():
         peer.client = VersionedLink(version=0 if peer.member.node == "node-0001" else 1)  # type: ignore[assignment]
-    mesh._share_poll()
+    mesh.share_poll()
     await asyncio.sleep(0)
     told = [node for node, peer in mesh.peers.items() if peer.client.sent]  # type: ignore[attr-defined]
     # The first reader of one of the two other domains is of an earlier version.
--- a/persimmondock/tests/virtual_mesh.py
+++ b/persimmondock/tests/virtual_mesh.py
@@ -88,6 +88,7 @@
         own = Member(self.name, "", self.failure_domain, "painel")
         self.mesh = Mesh(own, self.followers, GateStatus, lambda *_: None)
         self.followers[0].is_poller = self.mesh.is_first_reader
+        self.followers[0].share_poll = self.mesh.share_poll
         for index, follower in enumerate(self.followers):
             follower.is_reader = self.mesh.is_reader
             follower.push_records = self._make_push(index)
