--- a/persimmondock/_tasks/answer_streams.py
+++ b/persimmondock/_tasks/answer_streams.py
@@ -35,15 +35,13 @@
     ----------
     on_read
         Called with the size of each piece that is read.
-    on_end
-        Called once, when the body is closed, is cut, or has expired.
     """
 
     def __init__(self, streams: AnswerStreams, body: ReceivedBody, attempt: str, end_at: float):
         self.length = body.length
         self.body = body
         self.on_read: Callable[[int], None] = lambda _: None
-        self.on_end: Callable[[], None] = lambda: None
+        self._when_ended: list[Callable[[], None]] = []
         self._streams = streams
         self._attempt = attempt
         self._read_bytes = 0
@@ -73,6 +71,13 @@
         is_complete = self._read_bytes == self.length
         self._end(StreamEnd.COMPLETE if is_complete else StreamEnd.CLOSED, "")
 
+    def call_at_end(self, callback: Callable[[], None]) -> None:
+        """Call back when the body is closed, is cut, or has expired; at once if it has."""
+        if self._ended is None:
+            self._when_ended.append(callback)
+        else:
+            callback()
+
     def _expire(self) -> None:
         self._end(StreamEnd.EXPIRED, "the caller's time is over")
 
@@ -94,7 +99,8 @@
                 detail,
             )
         self._streams.remove(self, ended)
-        self.on_end()
+        for callback in self._when_ended:
+            callback()
 
 
 class AnswerStreams:
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.http_exchange import MAX_HELD_BYTES
 from persimmondock._domain.assignment import BackendIncarnation
 from persimmondock._domain.backend_notice import (
     BackendNotice,
@@ -369,16 +370,24 @@
         return verdict
 
     def _hold_slot(self, request: ForwardedRequest, number: int, stream: AnswerBody) -> AnswerBody:
-        """Keep the slot of a request until its answer is received; return the stream to send."""
+        """Keep the slot of a request until its answer is received; return the stream to send.
+
+        While all answers hold `MAX_HELD_BYTES`, the slot is kept until the answer is sent, so that
+        no more of them are received than slots allow.
+        """
         body = cast("ReceivedBody", stream)
+        held = self.streams.open(body, request.attempt, request.deadline + STREAM_GRACE_S)
 
         def release() -> None:
             if body.is_complete:
                 self.pool.record_time(request, number)
-            self.pool.release(number)
+            if self.streams.waiting_bytes < MAX_HELD_BYTES:
+                self.pool.release(number)
+            else:
+                held.call_at_end(lambda: self.pool.release(number))
 
         body.call_when_received(release)
-        return self.streams.open(body, request.attempt, request.deadline + STREAM_GRACE_S)
+        return held
 
     async def _send(self, request: ForwardedRequest, number: int) -> Verdict:
         incarnation = self.incarnation
--- a/persimmondock/_tasks/link_admission.py
+++ b/persimmondock/_tasks/link_admission.py
@@ -75,5 +75,5 @@
         if isinstance(stream, AnswerStream):
             self.budget.record_length(token, stream.length)
             stream.on_read = lambda size: self.budget.record_sent(token, size)
-            stream.on_end = lambda: self.budget.release(token)
+            stream.call_at_end(lambda: self.budget.release(token))
         return verdict
--- a/persimmondock/tests/platform/test_settings.py
+++ b/persimmondock/tests/platform/test_settings.py
@@ -95,6 +95,23 @@
     assert repr(value) in str(caught.value)
 
 
+@pytest.mark.parametrize(
+    ("limits", "expected"),
+    [({}, 0.0), ({"bandwidth_mbps": 0}, 0.0), ({"bandwidth_mbps": 5}, 5.0), (None, 0.0)],
+)
+def test_the_bandwidth_is_read_or_unknown(tmp_path: Path, limits: object, expected: float) -> None:
+    settings = load_node_settings(write_settings(tmp_path, replace_field("self.limits", limits)))
+    assert settings.bandwidth_mbps == expected
+
+
+@pytest.mark.parametrize("value", ["fast", -5, True])
+def test_an_invalid_bandwidth_is_named_with_its_value(tmp_path: Path, value: object) -> None:
+    file = write_settings(tmp_path, replace_field("self.limits", {"bandwidth_mbps": value}))
+    with pytest.raises(SettingsError, match=r"self\.limits\.bandwidth_mbps") as caught:
+        load_node_settings(file)
+    assert repr(value) in str(caught.value)
+
+
 @pytest.mark.parametrize("text", ["a: [", "\x00", "just text"])
 def test_an_invalid_file_is_named(tmp_path: Path, text: str) -> None:
     with pytest.raises(SettingsError, match=r"settings\.yaml"):
