--- a/persimmondock/tests/test_pipelining.py
+++ b/persimmondock/tests/test_pipelining.py
@@ -3,111 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import re
 
-import attrs
 import pytest
 
-from persimmondock._adapters.http_server import (
-    PARSE_BYTES,
-    HttpServer,
-    ServerLimits,
-    ServerRequest,
-    ServerResponse,
-    _Connection,
-)
-from persimmondock._domain.pipeline import PipelineLimits
-from persimmondock._ports.answer_body import AnswerCutError
-from persimmondock.tests.memory_transport import MemoryTransport
-
-LIMITS = ServerLimits(
-    header_bytes=1000,
-    body_bytes=1000,
-    pipeline=PipelineLimits(side_by_side=4, waiting=8, held_bytes=4000),
-)
-
-
-@attrs.define
-class Piecewise:
-    """A body of three pieces of 100 bytes, which may be cut in the middle."""
-
-    cut: bool = False
-    length: int = 300
-    closed: bool = False
-    read_pieces: int = 0
-
-    async def read(self) -> bytes:
-        await asyncio.sleep(0)
-        if self.cut and self.read_pieces == 1:
-            raise AnswerCutError("reset")
-        self.read_pieces += 1
-        return b"p" * 100
-
-    def close(self) -> None:
-        self.closed = True
-
-
-@attrs.define
-class Client:
-    """A client's connection to a server whose requests end when the test says so."""
-
-    running: dict[str, asyncio.Future[ServerResponse]] = attrs.field(factory=dict)
-    requests: list[ServerRequest] = attrs.field(factory=list)
-    cancelled: list[str] = attrs.field(factory=list)
-    server: HttpServer = attrs.field(init=False)
-    transport: MemoryTransport = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        self.server = HttpServer(
-            self._handle, LIMITS, lambda request: not request.path.startswith("/once")
-        )
-        self.transport = MemoryTransport(_Connection(self.server))
-
-    async def _handle(self, request: ServerRequest) -> ServerResponse:
-        self.requests.append(request)
-        self.running[request.path] = asyncio.get_running_loop().create_future()
-        try:
-            return await self.running[request.path]
-        except asyncio.CancelledError:
-            self.cancelled.append(request.path)
-            raise
-        finally:
-            del self.running[request.path]
-
-    async def send(self, *paths: str) -> None:
-        """Send requests in one packet."""
-        self.transport.send(b"".join(make_get(path) for path in paths))
-        await settle()
-
-    async def answer(self, path: str, **fields: object) -> None:
-        """End a request with its path as the body."""
-        fields = {"body": path.encode()} | fields
-        self.running[path].set_result(ServerResponse(200, **fields))  # type: ignore[arg-type]
-        await settle()
-
-    @property
-    def bodies(self) -> list[str]:
-        """The bodies of all answers so far, or their status if there is no body."""
-        rest, found = self.transport.written, []
-        while rest:
-            head, _, rest = rest.partition(b"\r\n\r\n")
-            length = re.search(rb"Content-Length: (\d+)", head)
-            assert length is not None
-            size = int(length[1])
-            found.append(rest[:size].decode() or head.split()[1].decode())
-            rest = rest[size:]
-        return found
-
-
-async def settle() -> None:
-    """Let all tasks run until they wait."""
-    for _ in range(12):
-        await asyncio.sleep(0)
-
-
-def make_get(path: str) -> bytes:
-    """Return a request."""
-    return f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+from persimmondock._adapters.http_server import PARSE_BYTES
+from persimmondock.tests.pipelining_client import LIMITS, Client, Piecewise, make_get, settle
 
 
 async def test_requests_run_side_by_side_and_are_answered_in_order() -> None:
@@ -235,12 +135,12 @@
 async def test_a_client_that_reads_nothing_gets_nothing_more_begun() -> None:
     client = Client()
     await client.send("/a")
-    client.transport._protocol.pause_writing()
+    client.pause()
     await client.answer("/a")
     await client.send(*(f"/{number}" for number in range(20)))
     assert client.bodies == [] and client.running == {}
     assert not client.transport.reading
-    client.transport._protocol.resume_writing()
+    client.resume()
     await settle()
     assert client.bodies == ["/a"] and len(client.running) == 4
 
