Fairness between tenants where a service is short, decided at each front

By priority alone a tenant whose number is the least urgent may get nothing in a shortage, and one without a limit that sends many times its usual takes slots from all. A front now sends a tenant that it saw served less than half as often as all with the most urgent number, and puts a surge behind.

--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -46,6 +46,9 @@
         Counter, "Requests of a tenant that ended at this daemon", ("tenant", "outcome")
     ),
     "limit_questions": MetricSpec(Counter, "Questions to other daemons for room within limits"),
+    "tenants_worst_share": MetricSpec(
+        Gauge, "Share of requests lately served of the worst tenth of the tenants here"
+    ),
     "ready": MetricSpec(Gauge, "1 while callers may be sent here"),
     "configuration_version": MetricSpec(Gauge, "Version of the routes in force, or -1"),
     "configuration_delay_s": MetricSpec(
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -29,7 +29,7 @@
     STALE_MARGIN_S,
     PartitionFollower,
 )
-from persimmondock._tasks.tenant_limits import TenantLimits
+from persimmondock._tasks.tenant_admission import TenantAdmission
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -168,7 +168,7 @@
         # A copy without the own record may lack those of others as well.
         self.shared_rates.knows_members = lambda: members.replica.get(settings.node) is not None
         self.shared_rates.reaches_store = lambda: members.store_answers
-        self.tenant_limits = TenantLimits(self.shared_rates, self.metrics)
+        self.tenant_admission = TenantAdmission(self.shared_rates, self.metrics)
         self.mesh.has_requests_at = self.dispatcher.has_requests_at
 
     @property
@@ -362,6 +362,7 @@
         for index, follower in enumerate(self._followers):
             sink.set_gauge(f"copy_end.{index}", follower.replica.end)
             sink.set_gauge(f"store_answers.{index}", follower.store_answers)
+        self.tenant_admission.update_gauges()
         sink.set_gauge("ranges_held", self.keeper.count_held())
         sink.set_gauge("lease_left_s", max(0.0, self.keeper.lease.compute_end() - now))
 
--- a/persimmondock/_tasks/tenant_limits.py
+++ b/persimmondock/_tasks/tenant_admission.py
@@ -1,15 +1,18 @@
-"""Applies the limits of tenants to the requests that arrive at this daemon, and counts both."""
+"""Applies the limits of tenants and fairness between them to the requests that arrive here."""
 
 from __future__ import annotations
 
 import math
 from typing import TYPE_CHECKING
 
+import attrs
 from loguru import logger
 
+from persimmondock._adapters.clock import read_clock
 from persimmondock._domain.label_values import LabelValues
 from persimmondock._domain.shared_rate import RateLimit
-from persimmondock._domain.verdict import NotRun, Reason, Verdict, name_verdict
+from persimmondock._domain.tenant_shares import TenantShares
+from persimmondock._domain.verdict import Answered, NotRun, Reason, Verdict, name_verdict
 from persimmondock._tasks.shared_rates import (
     Admitted,
     LimitUnknown,
@@ -23,16 +26,18 @@
     from persimmondock._domain.tenants import Tenant
     from persimmondock._ports.metrics import MetricSink
 
+FAILED_FROM = 500  # status from which an answer counts as not served
 PREFIX = "tenant/"  # of the names under which daemons keep the limits of tenants
 
 
-class TenantLimits:
-    """Admits the requests of tenants within their limits."""
+class TenantAdmission:
+    """Admits the requests of tenants within their limits, and ranks them."""
 
     def __init__(self, rates: SharedRates, metrics: MetricSink) -> None:
         self._rates = rates
         self._metrics = metrics
         self._labels = LabelValues()
+        self._shares = TenantShares()
 
     async def admit(self, tenant: Tenant, version: int, request: ForwardedRequest) -> NotRun | None:
         """Return None if the limit allows a request now, or else its refusal.
@@ -71,9 +76,24 @@
         )
         return refusal
 
+    def rank(self, tenant: Tenant, request: ForwardedRequest) -> ForwardedRequest:
+        """Return an admitted request with the priority number with which it is sent."""
+        priority = self._shares.choose_priority(tenant.name, request.priority, read_clock())
+        if priority == request.priority:
+            return request
+        self._count(tenant, "raised" if priority < request.priority else "put_behind")
+        return attrs.evolve(request, priority=priority)
+
+    def update_gauges(self) -> None:
+        """Update the gauges of tenants."""
+        worst = self._shares.find_worst_share(read_clock())
+        self._metrics.set_gauge("tenants_worst_share", worst)
+
     def record_verdict(self, tenant: Tenant, verdict: Verdict) -> None:
         """Count the end of a request that was admitted; one that was not run uses no room."""
         self._count(tenant, name_verdict(verdict))
+        served = isinstance(verdict, Answered) and verdict.answer.status < FAILED_FROM
+        self._shares.record(tenant.name, served, read_clock())
         if tenant.limited and isinstance(verdict, NotRun):
             self._rates.give_back(PREFIX + tenant.name)
 
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -220,12 +220,13 @@
         """Have a request run if its tenant's limit allows."""
         if tenant is None:
             return await self._sidecar.dispatcher.dispatch(request, route)
-        limits = self._sidecar.tenant_limits
-        refusal = await limits.admit(tenant, version, request)
+        admission = self._sidecar.tenant_admission
+        refusal = await admission.admit(tenant, version, request)
         if refusal is not None:
             return refusal
-        verdict = await self._sidecar.dispatcher.dispatch(request, route)
-        limits.record_verdict(tenant, verdict)
+        ranked = admission.rank(tenant, request)
+        verdict = await self._sidecar.dispatcher.dispatch(ranked, route)
+        admission.record_verdict(tenant, verdict)
         return verdict
 
     def _refuse(self, reason: Reason, retry_after_s: float) -> ServerResponse:
--- a/persimmondock/tests/platform/test_tenants.py
+++ b/persimmondock/tests/platform/test_tenants.py
@@ -157,6 +157,9 @@
     async def admit(self, tenant: Tenant, version: int, request: ForwardedRequest) -> Any:
         return self.refusal
 
+    def rank(self, tenant: Tenant, request: ForwardedRequest) -> ForwardedRequest:
+        return request
+
     def record_verdict(self, tenant: Tenant, verdict: Verdict) -> None:
         self.verdicts.append(verdict)
 
@@ -187,7 +190,7 @@
             site=site,
             stopping=asyncio.Event(),
             dispatcher=self,
-            tenant_limits=self.limits,
+            tenant_admission=self.limits,
         )
         ingress = Ingress(cast("Any", sidecar))
         request = ServerRequest("GET", path, (("Host", HOST), *fields), b"")
