Soak: tenants, a limit that is asked for more than twice over, and two variants

Rules TENANT and QUOTA; REFUSED holds for 429 as well. The 70 requests a second of before are those of a tenant without a limit; 20 a second of a limited one come on top. Variants that pass keys on, or forget what a tenant has used, are caught.

--- a/persimmondock/_domain/holder_ring.py
+++ b/persimmondock/_domain/holder_ring.py
@@ -13,6 +13,7 @@
 
 HOLDERS = 3
 POINTS_PER_NODE = 8  # evens out the shares of the nodes
+MAX_REMEMBERED = 10_000  # names whose holders need not be found again
 
 
 def hash_name(text: str) -> int:
@@ -48,6 +49,8 @@
         """Return the holders of a name; fewer than `HOLDERS` if there are fewer nodes."""
         holders = self._chosen.get(name)
         if holders is None:
+            if len(self._chosen) >= MAX_REMEMBERED:
+                self._chosen.clear()
             holders = self._chosen[name] = self._choose(name)
         return holders
 
--- a/persimmondock/soak/broken.py
+++ b/persimmondock/soak/broken.py
@@ -12,7 +12,8 @@
 from persimmondock._tasks.dispatcher import _Attempts
 from persimmondock._tasks.range_keeper import RangeKeeper
 from persimmondock._tasks.send_limits import SendLimits
-from persimmondock.platform import _backend
+from persimmondock._tasks.shared_rates import Admitted, SharedRates, VersionedLimit
+from persimmondock.platform import _backend, _headers
 from persimmondock.platform.__main__ import main as run_platform
 from persimmondock.platform._headers import EXPECTED_INSTANCE
 
@@ -77,6 +78,20 @@
     _backend.render_request = render_without_instance  # type: ignore[attr-defined]
 
 
+def _pass_keys_on() -> None:
+    """Forward the field that holds a tenant's key."""
+    _headers.TENANT_FIELDS = frozenset()
+
+
+async def _admit_all(self: SharedRates, limit: VersionedLimit) -> Admitted:
+    return Admitted()
+
+
+def _admit_beyond_limits() -> None:
+    """Admit all requests of tenants, as if nothing had been admitted before."""
+    SharedRates.admit = _admit_all  # type: ignore[method-assign,assignment]
+
+
 BREAKS: Mapping[str, Callable[[], None]] = {
     "lease": _extend_lease_unconfirmed,
     "takeover": _take_over_without_wait,
@@ -85,6 +100,8 @@
     "limit": _ignore_limits,
     "pause": _grant_to_absent_process,
     "instance": _grant_to_any_process,
+    "key": _pass_keys_on,
+    "quota": _admit_beyond_limits,
 }
 
 
--- a/persimmondock/soak/checks.py
+++ b/persimmondock/soak/checks.py
@@ -11,7 +11,11 @@
 TWICE
     A request that is not safe runs at most once.
 REFUSED
-    A request that is not safe and is answered with ``NOT_RUN_STATUS`` has not run.
+    A request that is not safe and is answered with one of ``NOT_RUN_STATUSES`` has not run.
+TENANT
+    A backend server is told the tenant of each request, and never a tenant's key.
+QUOTA
+    Little more requests of a tenant run in any window than its limit allows, at all VMs together.
 MIXED
     An answer with status 200 is the complete answer to its own request, which has run.
 HELD
@@ -38,7 +42,7 @@
 
 import attrs
 
-NOT_RUN_STATUS = 503
+NOT_RUN_STATUSES = (429, 503)
 OWNERSHIP_TOLERANCE_S = 0.05  # difference of two clocks on one machine, plus the time of one call
 DRAIN_BOUND_S = 2.0
 EVACUATION_BOUND_S = 5.0
@@ -49,6 +53,9 @@
 RETRY_BUDGET_RATIO = 0.2  # repeats per call
 RETRY_BUDGET_ALLOWANCE = 60  # repeats per window in addition to the ratio
 RETRY_WINDOW_S = 10.0
+QUOTA_WINDOW_S = 5.0
+QUOTA_RATIO = 1.1  # of what the tenant's limit allows
+QUOTA_ALLOWANCE = 20  # requests per window in addition to the ratio
 LIMIT_BINDS_AFTER_S = 3.0
 NOTICE_KNOWN_AFTER_S = 0.5  # after a VM has passed an answer with it on
 LIMIT_WINDOW_S = 4.0
@@ -114,6 +121,8 @@
         Whether the body is the complete answer to this request.
     timeout_s
         Time limit that the caller gave.
+    tenant
+        Tenant whose key the caller sent.
     error
         ``refused``, ``cut`` or ``silent`` if ``status`` is 0: the connection was not accepted or
         was closed early, or no answer came in time.
@@ -129,11 +138,20 @@
     timeout_s: float
     error: str = ""
     notice: Notice = attrs.field(factory=Notice)
+    tenant: str = ""
 
 
 @attrs.frozen
 class ObservedRun:
-    """One run of a request on an instance of a backend server."""
+    """One run of a request on an instance of a backend server.
+
+    Parameters
+    ----------
+    tenant
+        Tenant that the backend server was told.
+    key_seen
+        Whether it was told a tenant's key.
+    """
 
     attempt: str
     backend: str
@@ -141,6 +159,8 @@
     failure_domain: str
     service: str
     at: float
+    tenant: str = ""
+    key_seen: bool = False
 
 
 @attrs.frozen
@@ -205,6 +225,8 @@
         that showed this.
     limits
         Limits that backend servers named.
+    quotas
+        Limits of tenants: requests per second, and the burst.
     unserved_keys
         Keys that were not served within the time allowed after the start or the last fault.
     """
@@ -221,6 +243,7 @@
     configuration_delays: list[Span] = attrs.field(factory=list)
     limits: list[LimitSpan] = attrs.field(factory=list)
     unserved_keys: list[Span] = attrs.field(factory=list)
+    quotas: dict[str, tuple[float, float]] = attrs.field(factory=dict)
 
     def had_daemon_outage(self, vm: int, start: float, end: float) -> bool:
         """Return whether a VM's daemon was down in a period or within ``RECONNECT_S`` before it."""
@@ -255,6 +278,7 @@
         *check_drains_and_evacuations(observations),
         *check_retry_budget(observations.runs, observations.calls),
         *check_notices(observations),
+        *check_tenants(observations),
     ]
     breaches += [
         Breach("STOP", s.end, s.subject, f"still running {s.end - s.start:.2f} s after SIGTERM")
@@ -336,7 +360,7 @@
         at, name = call.ended_at, f"request {call.attempt}"
         if not call.safe and len(matching_runs) > 1:
             found.append(Breach("TWICE", at, name, f"ran {len(matching_runs)} times"))
-        if not call.safe and call.status == NOT_RUN_STATUS and matching_runs:
+        if not call.safe and call.status in NOT_RUN_STATUSES and matching_runs:
             found.append(Breach("REFUSED", at, name, f"ran on {matching_runs[0].backend}"))
         if call.status == 200 and not (call.whole and matching_runs):
             found.append(
@@ -439,6 +463,34 @@
     return found
 
 
+def check_tenants(observations: Observations) -> list[Breach]:
+    """Check what backend servers are told of tenants, and the limits of tenants.
+
+    Counted are the requests that were both sent and run in a window.
+    """
+    calls_by_attempt = {call.attempt: call for call in observations.calls}
+    sent_and_run: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    found = []
+    for run in observations.runs:
+        call = calls_by_attempt.get(run.attempt)
+        if call is None:
+            continue
+        if run.key_seen or run.tenant != call.tenant:
+            detail = f"of {call.tenant!r} as {run.tenant!r}, key shown: {run.key_seen}"
+            found.append(Breach("TENANT", run.at, f"request {run.attempt}", detail))
+        sent_and_run[call.tenant].append((call.sent_at, run.at))
+    for tenant, (per_s, burst) in observations.quotas.items():
+        allowed = QUOTA_RATIO * (per_s * QUOTA_WINDOW_S + burst) + QUOTA_ALLOWANCE
+        for start, _ in sent_and_run[tenant]:
+            end = start + QUOTA_WINDOW_S
+            count = sum(start <= sent and ran < end for sent, ran in sent_and_run[tenant])
+            if count > allowed:
+                detail = f"{count} requests in {QUOTA_WINDOW_S:g} s, allowed {allowed:g}"
+                found.append(Breach("QUOTA", start, f"tenant {tenant}", detail))
+                break
+    return found
+
+
 def check_retry_budget(runs: list[ObservedRun], calls: list[Call]) -> list[Breach]:
     """Check that repeated runs stay within the retry budget.
 
--- a/persimmondock/soak/runner.py
+++ b/persimmondock/soak/runner.py
@@ -16,7 +16,9 @@
 from persimmondock.standins.site_messages import (
     CALLER_PORT,
     GRACE_S,
+    LIMITED_TENANT,
     NO_KEY,
+    TENANT,
     build_request_headers,
     read_answer_notice,
     set_evacuated,
@@ -29,6 +31,7 @@
     from persimmondock.soak.site import SoakVm
 
 CALLS_PER_S = 70.0
+LIMITED_CALLS_PER_S = 20.0  # of the tenant with a limit, over twice what that allows
 TIMEOUT_S = 1.5
 LATE_ANSWER_WAIT_S = 6.0  # time that a caller waits for an answer after its time limit
 START_WITHIN_S = 20.0
@@ -91,7 +94,9 @@
                 started_at = self.started_at = time.monotonic()
                 delay_task = asyncio.create_task(self._measure_wakeup_delay())
                 plan_task = asyncio.create_task(self._run_plan(started_at))
+                limited_task = asyncio.create_task(self._send_limited_requests(started_at))
                 await self._send_requests(started_at)
+                await limited_task
                 await plan_task
                 delay_task.cancel()
                 await asyncio.gather(*self._tasks)
@@ -117,10 +122,22 @@
             self._start_task(self._send_request(vm, path, key, f"s{self._request_number}"))
             await asyncio.sleep(self._random.expovariate(CALLS_PER_S))
 
-    async def _send_request(self, vm: SoakVm, path: str, key: int, attempt: str) -> int:
+    async def _send_limited_requests(self, started_at: float) -> None:
+        """Send requests of the tenant with a limit."""
+        number = 0
+        while time.monotonic() < started_at + self._duration_s:
+            vm, key = self._random.choice(self._site.vms), self._random.randrange(KEY_COUNT)
+            number += 1
+            attempt = f"l{number}"
+            self._start_task(self._send_request(vm, "/view/", key, attempt, LIMITED_TENANT))
+            await asyncio.sleep(self._random.expovariate(LIMITED_CALLS_PER_S))
+
+    async def _send_request(
+        self, vm: SoakVm, path: str, key: int, attempt: str, tenant: str = TENANT
+    ) -> int:
         """Send one request, record its result and return its status; 0 if there is none."""
         assert self._session is not None
-        headers = build_request_headers(attempt, key, TIMEOUT_S)
+        headers = build_request_headers(attempt, key, TIMEOUT_S, tenant)
         safe = path not in ("/assign/", "/keep/")
         status, whole, error, notice = 0, False, "", Notice()
         version_written_at, sent_at = self._site.version_written_at, time.monotonic()
@@ -139,7 +156,19 @@
         now = time.monotonic()
         observations = self._site.observations
         observations.calls.append(
-            Call(attempt, vm.number, safe, sent_at, now, status, whole, TIMEOUT_S, error, notice)
+            Call(
+                attempt,
+                vm.number,
+                safe,
+                sent_at,
+                now,
+                status,
+                whole,
+                TIMEOUT_S,
+                error,
+                notice,
+                tenant,
+            )
         )
         # Each version has its own route: a 404 for an older one is expected.
         is_newest_version = path == f"/version{self._site.version}/"
--- a/persimmondock/soak/site.py
+++ b/persimmondock/soak/site.py
@@ -23,11 +23,15 @@
     BACKEND_PORT,
     GRANT_MODES,
     KEYED_SERVICE,
+    LIMIT_BURST,
+    LIMIT_PER_S,
+    LIMITED_TENANT,
     SETTINGS_VARIABLE,
     STORE_PORT,
     UNKEYED_SERVICE,
     build_settings,
     publish_configuration,
+    read_tenant,
 )
 from persimmondock.standins.site_store import SiteStore
 
@@ -200,7 +204,7 @@
     ) -> None:
         self._grants = grants
         self.store = SiteStore()
-        self.observations = Observations()
+        self.observations = Observations(quotas={LIMITED_TENANT: (LIMIT_PER_S, LIMIT_BURST)})
         self.version = 1
         self.version_written_at = time.monotonic()
         self._address_prefix = f"127.90.{network}"
@@ -277,7 +281,15 @@
                 end = backend.ended_at or now
                 name = vm.name_process(backend)
                 self.observations.runs += [
-                    ObservedRun(run.attempt, name, vm.number, vm.failure_domain, vm.service, run.at)
+                    ObservedRun(
+                        run.attempt,
+                        name,
+                        vm.number,
+                        vm.failure_domain,
+                        vm.service,
+                        run.at,
+                        *read_tenant(run.headers),
+                    )
                     for run in backend.runs
                 ]
                 self.observations.ownership_spans += [
--- a/persimmondock/standins/site_messages.py
+++ b/persimmondock/standins/site_messages.py
@@ -21,6 +21,9 @@
 OPERATOR_TOPIC = "keyed.op"
 NO_KEY = -1
 GRANT_MODES = ("call", "heartbeat")
+TENANT, LIMITED_TENANT = "orla", "farol"
+TENANT_KEYS = {TENANT: "k-9fd2c07b51", LIMITED_TENANT: "k-41be8837d0"}
+LIMIT_PER_S = LIMIT_BURST = 8  # of the limited tenant
 
 
 def publish_configuration(store: SiteStore, version: int) -> None:
@@ -48,8 +51,19 @@
         {"name": KEYED_SERVICE, "sharded": True, "warmup_s": 0, "cold_per_s": 0},
         {"name": UNKEYED_SERVICE, "warmup_s": 0, "cold_per_s": 0},
     ]
+    tenants = [
+        {"name": TENANT, "api_keys": [TENANT_KEYS[TENANT]], "priority": 1},
+        {
+            "name": LIMITED_TENANT,
+            "api_keys": [TENANT_KEYS[LIMITED_TENANT]],
+            "priority": 1,
+            "rate_per_s": LIMIT_PER_S,
+            "burst": LIMIT_BURST,
+        },
+    ]
     config = {
         "version": version,
+        "tenants": tenants,
         "services": services,
         "limits": {},
         "virtual_hosts": [{"host": HOST, "paths": paths}],
@@ -62,10 +76,13 @@
     store.write(OPERATOR_TOPIC, f"evacuate/{failure_domain}", b"{}" if out else b"")
 
 
-def build_request_headers(attempt: str, key: int, timeout_s: float) -> dict[str, str]:
+def build_request_headers(
+    attempt: str, key: int, timeout_s: float, tenant: str = TENANT
+) -> dict[str, str]:
     """Return the headers of a caller's request; ``NO_KEY`` adds none for the key."""
     headers = {
         "Host": HOST,
+        "Authorization": f"Bearer {TENANT_KEYS[tenant]}",
         "X-Attempt-Id": attempt,
         "X-Timeout-Ms": str(int(1000 * timeout_s)),
     }
@@ -80,6 +97,12 @@
     return instance, "Server-Limit" in headers, "Server-Leaving" in headers
 
 
+def read_tenant(headers: Mapping[str, str]) -> tuple[str, bool]:
+    """Return which tenant a backend server was told, and whether it was told a tenant's key."""
+    key_seen = any(key in value for value in headers.values() for key in TENANT_KEYS.values())
+    return headers.get("X-Tenant-Id", ""), key_seen
+
+
 def build_settings(
     node: str, address: str, failure_domain: str, service: str, grants: str = GRANT_MODES[0]
 ) -> dict[str, Any]:
--- a/persimmondock/tests/soak/test_checks.py
+++ b/persimmondock/tests/soak/test_checks.py
@@ -41,6 +41,10 @@
     [
         ("TWICE", CALL, [RUN, make_run(at=10.15)]),
         ("REFUSED", make_call(status=503, whole=False), [RUN]),
+        ("REFUSED", make_call(status=429, whole=False), [RUN]),
+        ("TENANT", CALL, [make_run(tenant="other")]),
+        ("TENANT", make_call(tenant="orla"), [RUN]),
+        ("TENANT", CALL, [make_run(key_seen=True)]),
         ("MIXED", make_call(whole=False), [RUN]),
         ("MIXED", CALL, []),
         ("HELD", make_call(status=504, ended_at=12.6), [RUN]),
@@ -189,3 +193,13 @@
     assert find_rules(Observations(calls, runs)) == rules
     outages = [Span("vm-1", 10.5, 11.0)]
     assert find_rules(Observations(calls, runs, daemon_outages=outages)) == []
+
+
+def test_more_requests_than_a_tenants_limit_allows_are_found() -> None:
+    calls = [
+        make_call(attempt=f"a{n}", tenant="orla", safe=True, sent_at=0.1 * n) for n in range(60)
+    ]
+    runs = [make_run(attempt=f"a{n}", tenant="orla", at=0.1 * n + 0.05) for n in range(60)]
+    for per_s, rules in ((2.0, ["QUOTA"]), (6.0, [])):
+        found = find_rules(Observations(calls, runs, quotas={"orla": (per_s, 1.0)}))
+        assert [rule for rule in found if rule == "QUOTA"] == rules
--- a/persimmondock/tests/soak/test_soak.py
+++ b/persimmondock/tests/soak/test_soak.py
@@ -69,6 +69,13 @@
     assert "REFUSED" in await run_soak(tmp_path, plan, "refusal")
 
 
+@pytest.mark.parametrize(("mechanism", "rule"), [("key", "TENANT"), ("quota", "QUOTA")])
+async def test_faults_with_tenants_are_detected(tmp_path: Path, mechanism: str, rule: str) -> None:
+    """One variant passes keys on, the other forgets what a tenant has used."""
+    plan = (Event(0.5, "restart_backend", 5), Event(7.0, "reload", 1))
+    assert rule in await run_soak(tmp_path, plan, mechanism)
+
+
 def plan_crashes(*kinds: str) -> tuple[Event, ...]:
     """Return crashes of all servers with keys while no other owner can be named for the keys."""
     crashes = [Event(0.7, kinds[vm % len(kinds)], vm, 0.1 * vm, "0.8") for vm in range(1, VMS - 1)]
@@ -109,7 +116,7 @@
         (
             "--break x",
             "--break: expected one of lease, takeover, drain, refusal, limit, pause, instance, "
-            "not 'x'",
+            "key, quota, not 'x'",
         ),
     ],
 )
