--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -39,6 +39,16 @@
     ),
     "forwards": MetricSpec(Counter, "Requests sent to gates of other daemons"),
     "refusals": MetricSpec(Counter, "Requests that the gate here refused", ("reason",)),
+    "front_refusals": MetricSpec(
+        Counter,
+        "Requests refused here without being sent, for lack of room at every gate",
+        ("service", "priority"),
+    ),
+    "room_sent_share": MetricSpec(
+        Gauge,
+        "Smallest share of a priority's requests that is sent on while gates are full",
+        ("service",),
+    ),
     "backend_ms": MetricSpec(
         Histogram, "Seconds that requests took at the backend server here", ("verdict",)
     ),
--- a/persimmondock/_domain/forwarding.py
+++ b/persimmondock/_domain/forwarding.py
@@ -43,6 +43,9 @@
         Whether an earlier attempt of the same request may have reached a backend server.
     tenant
         Name of the tenant that sent the request, or empty if it belongs to none.
+    stands_for
+        Requests of its priority that callers made at its daemon for each one that is sent; more
+        than 1 while the daemon refuses requests for lack of room.
     """
 
     attempt: str
@@ -60,6 +63,7 @@
     objective_at: float
     repeat: bool = False
     tenant: str = ""
+    stands_for: float = 1.0
 
     @property
     def fingerprint(self) -> int:
@@ -93,7 +97,7 @@
         return [*data, pack_optional(self, OPTIONAL_FIELDS)] if version else data
 
 
-OPTIONAL_FIELDS = ("tenant",)
+OPTIONAL_FIELDS = ("tenant", "stands_for")
 # The last three are `deadline`, `objective_at` and `repeat`, which `unpack_request` handles
 # separately.
 PACKED_COUNT = len(attrs.fields(ForwardedRequest)) - len(OPTIONAL_FIELDS)
--- a/persimmondock/_domain/gate_choice.py
+++ b/persimmondock/_domain/gate_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import statistics
 
 import attrs
@@ -19,11 +20,14 @@
     Parameters
     ----------
     load
-        Requests that run or wait there, by its newest status and what was sent since.
+        Requests that run there or wait ahead of the request, by its newest status and what was
+        sent since.
     service_s
         Mean service time of a request in seconds; 0 if unknown.
     same_domain
         Whether the gate is in the failure domain of this daemon.
+    reported_at
+        Instant of its newest status; minus infinity if that does not tell what waits ahead.
     """
 
     node: str
@@ -31,6 +35,7 @@
     load: int
     service_s: float
     same_domain: bool
+    reported_at: float = math.inf
 
 
 def compute_cost(candidate: GateCandidate, default_service_s: float) -> float:
--- a/persimmondock/_domain/gate_queue.py
+++ b/persimmondock/_domain/gate_queue.py
@@ -38,6 +38,7 @@
     mean_s: float = 0.0
     slow_mean_s: float = 0.0
     _route_mean_s: dict[str, float] = attrs.field(factory=dict)
+    _route_spread_s: dict[str, float] = attrs.field(factory=dict)
     _answer_counts: Counter[str] = attrs.field(factory=Counter)
 
     def record(self, route: str, duration_s: float) -> None:
@@ -51,11 +52,19 @@
         self._route_mean_s[route] = _update_mean(
             previous_s, duration_s, MEAN_WEIGHT, self._answer_counts[route]
         )
+        if previous_s:
+            known_s = self._route_spread_s.get(route, 0.0)
+            off_s = abs(duration_s - previous_s)
+            self._route_spread_s[route] = known_s + MEAN_WEIGHT * (off_s - known_s)
 
     def estimate_service_s(self, route: str) -> float:
         """Return the expected service time of a request of a route, in seconds."""
         return self._route_mean_s.get(route) or self.mean_s or INITIAL_SERVICE_S
 
+    def estimate_spread_s(self, route: str) -> float:
+        """Return the mean deviation from the expected service time of a route, in seconds."""
+        return self._route_spread_s.get(route, 0.0)
+
 
 def _update_mean(mean_s: float, duration_s: float, weight: float, count: int) -> float:
     """Return the new mean; the first answers have equal weight, since they may differ tenfold."""
@@ -97,8 +106,17 @@
     def __len__(self) -> int:
         return len(self._queued)
 
+    def list_priorities(self) -> list[int]:
+        """Return the priority numbers of the requests, in their order."""
+        return [queued.priority for queued in self._queued]
+
     def estimate_wait(
-        self, priority: int, deadline: float, mean_service_s: float, slots: int
+        self,
+        priority: int,
+        deadline: float,
+        mean_service_s: float,
+        slots: int,
+        urgent_share: float = 0.0,
     ) -> float:
         """Return the expected time in the queue of a new request, in seconds.
 
@@ -107,6 +125,8 @@
         mean_service_s
             Mean service time of running requests; with ``slots`` of them, the next one ends after
             ``1 / slots`` of it on average.
+        urgent_share
+            Share of the slots that more urgent requests are going to take meanwhile.
         """
         position = (priority, deadline)
         ahead_s = sum(
@@ -114,7 +134,7 @@
             for queued in self._queued
             if (queued.priority, queued.deadline) <= position
         )
-        return (mean_service_s + ahead_s) / max(1, slots)
+        return (mean_service_s + ahead_s) / max(1, slots) / (1.0 - urgent_share)
 
     def count_ahead(self, priority: int, deadline: float) -> int:
         """Return the number of requests that would be sent before a new one."""
--- a/persimmondock/_domain/gate_status.py
+++ b/persimmondock/_domain/gate_status.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections import Counter
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
 from persimmondock._domain.assignment import BackendIncarnation
 from persimmondock._domain.optional_fields import pack_optional, read_optional
 
-OPTIONAL_FIELDS: tuple[str, ...] = ()
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+OPTIONAL_FIELDS: tuple[str, ...] = ("waiting_by_priority",)
+MAX_LEVELS = 8  # higher priority numbers count as the last level
 
 
 @attrs.frozen
@@ -36,6 +41,8 @@
         else -1.
     capacity_per_s
         Requests per second that the backend server can currently answer; 0 if unknown.
+    waiting_by_priority
+        Requests in the gate's queue by priority number, without levels at the end that are empty.
     """
 
     service: str = ""
@@ -47,6 +54,17 @@
     service_s: float = 0.0
     granted_offset: int = -1
     capacity_per_s: float = 0.0
+    waiting_by_priority: tuple[int, ...] = ()
+
+    def count_load(self, priority: int) -> int:
+        """Return the requests that run there or wait ahead of one of a priority."""
+        behind = sum(self.waiting_by_priority[clamp_level(priority) + 1 :])
+        return max(0, self.running + self.waiting - behind)
+
+    @property
+    def tells_order(self) -> bool:
+        """Whether it is known what waits at which priority."""
+        return self.waiting == 0 or bool(self.waiting_by_priority)
 
     def pack(self, version: int = 0) -> list[Any]:
         """Return the fields in order, as data for msgpack.
@@ -71,6 +89,17 @@
         return [*data, pack_optional(self, OPTIONAL_FIELDS)] if version else data
 
 
+def clamp_level(priority: int) -> int:
+    """Return the level of ``waiting_by_priority`` in which a priority number counts."""
+    return min(MAX_LEVELS - 1, max(0, priority))
+
+
+def count_levels(priorities: Iterable[int]) -> tuple[int, ...]:
+    """Return the numbers of requests by level, without levels at the end that are empty."""
+    counts = Counter(clamp_level(priority) for priority in priorities)
+    return tuple(counts[level] for level in range(max(counts, default=-1) + 1))
+
+
 PACKED_COUNT = len(attrs.fields(GateStatus)) - len(OPTIONAL_FIELDS)
 
 
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -156,6 +156,7 @@
             service_s=self.limits.compute_reported_service_s(slots, times.mean_s),
             granted_offset=self._keeper.find_granted_offset(),
             capacity_per_s=self.limits.estimate_rate(self.slots, times.slow_mean_s, now),
+            waiting_by_priority=self.pool.count_waiting_levels(),
         )
 
     def count_in_flight(self) -> int:
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections import Counter
 from typing import TYPE_CHECKING, Any
@@ -28,6 +29,7 @@
 )
 from persimmondock._domain.gate_choice import GateCandidate, compute_weights
 from persimmondock._domain.gate_status import GateStatus, unpack_status
+from persimmondock._domain.service_room import Refuse, Send, ServiceRoom
 from persimmondock._domain.shared_budget import SharedBudget
 from persimmondock._domain.verdict import (
     Answer,
@@ -59,6 +61,8 @@
 
 OWNERSHIP_UNSETTLED = frozenset({Reason.NOT_OWNER, Reason.HANDOVER_PENDING, Reason.LEASE_LAPSED})
 REFUSED_BY_BACKEND = frozenset({Reason.BACKEND_REFUSED})
+NO_ROOM = frozenset({Reason.OVERLOADED, Reason.BACKEND_LIMITED, Reason.BACKEND_COLD})
+ROOM_LOG_INTERVAL_S = 1.0
 
 
 @attrs.define
@@ -79,6 +83,10 @@
         Refusal with the shortest retry delay.
     tried
         Daemons that are not to be chosen again; cleared before a request with a key is retried.
+    sent
+        Whether the request was sent to a gate.
+    final
+        Whether no other gate is tried after one that has no room.
     """
 
     runs: int = 0
@@ -87,6 +95,8 @@
     failure: Answered | None = None
     refusal: NotRun | None = None
     tried: set[str] = attrs.field(factory=set)
+    sent: bool = False
+    final: bool = False
 
     def conclude(self) -> Verdict:
         """Return the verdict on the request as a whole."""
@@ -153,6 +163,8 @@
         self._in_flight_by_node: Counter[str] = Counter()
         self._in_flight_at_status: Counter[str] = Counter()
         self._budgets: dict[str, SharedBudget] = {}
+        self._rooms: dict[str, ServiceRoom] = {}
+        self._room_logged_at: dict[str, float] = {}
         self._random = random.Random()
         self.in_flight = 0
         self.is_evacuated: Callable[[str], bool] = lambda _: False
@@ -173,6 +185,9 @@
             raise
         finally:
             self.in_flight -= 1
+        if isinstance(verdict, NotRun) and verdict.reason in NO_ROOM and attempts.sent:
+            room, owner = self._get_room(request.service), self._find_owner(request)
+            room.record_not_taken(request.priority, read_clock(), owner)
         if isinstance(verdict, Answered):
             self._record_verdict(name_verdict(verdict), "", started)
         else:
@@ -196,6 +211,9 @@
         owner_wait_until, previous_runs = now + owner_wait_s, 0
         while True:
             node = self._choose_node(request, attempts)
+            if isinstance(node, Refuse):
+                self._refuse_here(request, node, attempts)
+                break
             if node is None:
                 if (
                     request.key != NO_KEY
@@ -205,6 +223,7 @@
                     await asyncio.sleep(OWNER_POLL_S)
                     continue
                 break
+            self._record_sent(node, request, attempts)
             verdict = await self._send(node, request, attempts)
             if not self._record_attempt(node, verdict, request, route, attempts):
                 return verdict if isinstance(verdict, Answered) else attempts.conclude()
@@ -242,6 +261,11 @@
                     return self._spend_retry(request, now)
                 if request.key != NO_KEY:
                     return reason in OWNERSHIP_UNSETTLED or reason is Reason.PEER_UNREACHABLE
+                if reason in NO_ROOM:
+                    room = self._get_room(request.service)
+                    room.record_refusal(node, request.priority, now)
+                    if attempts.final:
+                        return False
                 return len(attempts.tried) < MAX_GATES_TRIED
             case MayHaveRun():
                 attempts.runs += 1
@@ -269,45 +293,108 @@
 
     # Choosing a gate.
 
-    def _choose_node(self, request: ForwardedRequest, attempts: _Attempts) -> str | None:
+    def _choose_node(self, request: ForwardedRequest, attempts: _Attempts) -> str | Refuse | None:
         """Return the daemon whose gate gets the request next, or None if there is none."""
+        now = read_clock()
         if request.key != NO_KEY:
-            assignment = self._control.assignments.get(request.service)
-            key_range = assignment.find_range(request.key) if assignment is not None else None
-            if key_range is None:
+            node = self._find_owner(request)
+            if node == self._mesh.own.node:
+                return node if node not in attempts.tried else None
+            owner = self._mesh.peers.get(node)
+            if owner is None or node in attempts.tried:
                 return None
-            node = key_range.owner.node
-            known = node == self._mesh.own.node or node in self._mesh.peers
-            return node if known and node not in attempts.tried else None
-        candidates = self._list_candidates(request.service, attempts.tried)
+            if attempts.sent or not owner.is_alive(now) or not owner.status.accepts_work:
+                return node
+            candidates = [self._make_candidate(owner, request.priority)]
+        else:
+            candidates, node = self._list_candidates(request, attempts.tried), ""
         if not candidates:
             return None
-        weights = compute_weights(candidates)
-        return self._random.choices(candidates, weights)[0].node
-
-    def _list_candidates(self, service: str, tried: set[str]) -> list[GateCandidate]:
-        now = read_clock()
+        room = self._get_room(request.service)
+        match room.decide(candidates, request, now, self._random, node):
+            case Refuse() as refused:
+                return refused
+            case Send(candidates=able, final=final, at_random=at_random):
+                attempts.final = final
+                if at_random:
+                    return self._random.choice(able).node
+                return self._random.choices(able, compute_weights(able))[0].node
+
+    def _find_owner(self, request: ForwardedRequest) -> str:
+        """Return the daemon whose gate owns the request's key, or an empty string."""
+        if request.key == NO_KEY:
+            return ""
+        assignment = self._control.assignments.get(request.service)
+        key_range = assignment.find_range(request.key) if assignment is not None else None
+        return key_range.owner.node if key_range is not None else ""
+
+    def _list_candidates(self, request: ForwardedRequest, tried: set[str]) -> list[GateCandidate]:
+        now, service = read_clock(), request.service
         own = self._mesh.own
         found = []
-        status = self._gate.describe()
-        if service == self._own_service and status.accepts_work and own.node not in tried:
-            load = status.running + status.waiting
-            found.append(GateCandidate(own.node, status.slots, load, status.service_s, True))
+        if service == self._own_service and own.node not in tried:
+            status = self._gate.describe()
+            if status.accepts_work:
+                load = status.count_load(request.priority)
+                found.append(
+                    GateCandidate(own.node, status.slots, load, status.service_s, True, now)
+                )
         for peer in self._mesh.list_by_service(service):
             member = peer.member
             if not peer.is_alive(now) or not peer.status.accepts_work or member.node in tried:
                 continue
             if self.is_evacuated(member.failure_domain) or peer.status.service != service:
                 continue
-            found.append(self._make_candidate(peer, own.failure_domain))
+            found.append(self._make_candidate(peer, request.priority))
         return found
 
-    def _make_candidate(self, peer: Peer, own_failure_domain: str) -> GateCandidate:
+    def _make_candidate(self, peer: Peer, priority: int) -> GateCandidate:
         node, status = peer.member.node, peer.status
         sent_since = self._in_flight_by_node[node] - self._in_flight_at_status[node]
-        load = max(0, status.running + status.waiting + sent_since)
-        same_domain = peer.member.failure_domain == own_failure_domain
-        return GateCandidate(node, status.slots, load, status.service_s, same_domain)
+        load = max(0, status.count_load(priority) + sent_since)
+        same_domain = peer.member.failure_domain == self._mesh.own.failure_domain
+        reported_at = peer.heard_at if status.tells_order else -math.inf
+        return GateCandidate(node, status.slots, load, status.service_s, same_domain, reported_at)
+
+    # Room of a service.
+
+    def list_sent_shares(self) -> dict[str, float]:
+        """Return the smallest share of a priority's requests that is sent on, by service."""
+        now = read_clock()
+        return {
+            service: room.compute_lowest_sent_share(now) for service, room in self._rooms.items()
+        }
+
+    def _get_room(self, service: str) -> ServiceRoom:
+        return self._rooms.setdefault(service, ServiceRoom())
+
+    def _record_sent(self, node: str, request: ForwardedRequest, attempts: _Attempts) -> None:
+        """Count the request in the room of its service when it is sent for the first time."""
+        if not attempts.sent:
+            attempts.sent = True
+            room, owner = self._get_room(request.service), self._find_owner(request)
+            room.record_sent(request.priority, read_clock(), owner)
+
+    def _refuse_here(self, request: ForwardedRequest, refused: Refuse, attempts: _Attempts) -> None:
+        """Refuse a request that no gate is expected to have room for."""
+        now, service = read_clock(), request.service
+        if not attempts.sent:
+            room, owner = self._get_room(service), self._find_owner(request)
+            room.record_refused_here(request.priority, now, owner)
+            attempts.refusal = NotRun(Reason.OVERLOADED, refused.retry_after_ms)
+            self._metrics.count(f"front_refusals.{service}.{request.priority}")
+            share = room.compute_sent_share(request.priority, now, owner)
+            if now >= self._room_logged_at.get(service, -math.inf) + ROOM_LOG_INTERVAL_S:
+                self._room_logged_at[service] = now
+                logger.info(
+                    "event=service_short service={} priority={} owner={} sent_share={:.2f} "
+                    "retry_after_ms={}",
+                    service,
+                    request.priority,
+                    owner or "-",
+                    share,
+                    refused.retry_after_ms,
+                )
 
     def record_status_update(self, node: str) -> None:
         """Record that a peer's status was updated; it includes the requests sent before."""
@@ -320,8 +407,11 @@
     # Sending.
 
     async def _send(self, node: str, request: ForwardedRequest, attempts: _Attempts) -> Verdict:
-        if attempts.runs or attempts.backend_refusals:
-            request = attrs.evolve(request, repeat=True)
+        room, owner = self._get_room(request.service), self._find_owner(request)
+        stands_for = room.compute_stands_for(request.priority, read_clock(), owner)
+        repeat = bool(attempts.runs or attempts.backend_refusals)
+        if repeat or stands_for != request.stands_for:
+            request = attrs.evolve(request, repeat=repeat, stands_for=round(stands_for, 2))
         if node == self._mesh.own.node:
             return await self._gate.run(request)
         peer = self._mesh.peers[node]
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -345,6 +345,8 @@
         sink.set_gauge("queued", status.waiting)
         sink.set_gauge("slots", status.slots)
         sink.set_gauge("gate_open", status.accepts_work)
+        for service, share in self.dispatcher.list_sent_shares().items():
+            sink.set_gauge(f"room_sent_share.{service}", share)
         limit_per_s = self.gate.notice.max_per_s
         sink.set_gauge("backend_limit_per_s", -1.0 if limit_per_s is None else limit_per_s)
         sink.set_gauge("backend_leaving", self.gate.notice.leaving)
--- a/persimmondock/_tasks/slot_pool.py
+++ b/persimmondock/_tasks/slot_pool.py
@@ -8,6 +8,7 @@
 import attrs
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._domain.fair_share import FairShare
 from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
 from persimmondock._domain.gate_queue import (
     GateQueue,
@@ -16,6 +17,7 @@
     compute_retry_after_ms,
     is_worth_queueing,
 )
+from persimmondock._domain.gate_status import count_levels
 from persimmondock._domain.verdict import NotRun, Reason
 
 if TYPE_CHECKING:
@@ -68,6 +70,7 @@
         self._limits = limits
         self._count_slots = count_slots
         self._queue = GateQueue()
+        self._fair_share = FairShare()
         self._slot_futures: dict[int, asyncio.Future[NotRun | None]] = {}
         self._last_number = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -77,6 +80,10 @@
         """Number of requests that wait for a slot."""
         return len(self._queue)
 
+    def count_waiting_levels(self) -> tuple[int, ...]:
+        """Return the requests that wait for a slot by priority number."""
+        return count_levels(self._queue.list_priorities())
+
     def compute_repeat_share(self) -> float:
         """Return the fraction of running requests that reached a backend server before."""
         if not self.running:
@@ -87,12 +94,14 @@
         """Wait for a slot; return the number of the request that holds it, or the refusal."""
         self._last_number += 1
         number = self._last_number
+        self._fair_share.record_asked(request.priority, request.stands_for, now)
         if self._queue or not self._has_room(now):
             refusal = await self._wait_for_slot(request, number, now)
             if refusal is not None:
                 return refusal
         else:
             self._start(number, request.route, now)
+        self._fair_share.record_served(request.priority, read_clock())
         return number
 
     def release(self, number: int) -> None:
@@ -151,19 +160,22 @@
         self, request: ForwardedRequest, number: int, now: float
     ) -> NotRun | None:
         """Wait for a slot; return None once the request has one, or the refusal."""
+        rank = self._fair_share.choose_rank(request.priority, now)
         service_s = self.service_times.estimate_service_s(request.route)
         mean_service_s = self._estimate_service_time(now)
+        slots = self._count_slots()
+        urgent_share = self._fair_share.compute_urgent_share(rank, mean_service_s, slots)
         wait_s = self._queue.estimate_wait(
-            request.priority, request.deadline, mean_service_s, self._count_slots()
+            rank, request.deadline, mean_service_s, slots, urgent_share
         )
-        paced_wait_s = self._estimate_paced_wait(request, now)
+        paced_wait_s = self._estimate_paced_wait(rank, request.deadline, now)
         is_limited = bool(self._limits.named_bounds) and paced_wait_s > wait_s
         wait_s = max(wait_s, paced_wait_s)
         if not is_worth_queueing(
             wait_s,
             service_s,
             now,
-            request.objective_at,
+            request.objective_at - self.service_times.estimate_spread_s(request.route),
             request.deadline,
             keyed=request.key != NO_KEY,
         ):
@@ -171,7 +183,7 @@
                 return self._limits.refuse(wait_s, now)
             return NotRun(Reason.OVERLOADED, compute_retry_after_ms(wait_s))
         queued = QueuedRequest(
-            request.priority,
+            rank,
             number,
             service_s,
             request.deadline,
@@ -195,12 +207,12 @@
             self.running[number].route = request.route
         return refusal
 
-    def _estimate_paced_wait(self, request: ForwardedRequest, now: float) -> float:
+    def _estimate_paced_wait(self, priority: int, deadline: float, now: float) -> float:
         """Return the expected wait until the bounds on arrivals leave room, in seconds."""
         bounds = self._limits.list_bounds(now)
         if not bounds:
             return 0.0
-        ahead = self._queue.count_ahead(request.priority, request.deadline)
+        ahead = self._queue.count_ahead(priority, deadline)
         wait_s = self._limits.arrivals.find_next_send_at(bounds, now) - now
         return wait_s + (ahead * max(bound.interval_s for bound in bounds) if ahead else 0.0)
 
--- a/persimmondock/tests/virtual_site.py
+++ b/persimmondock/tests/virtual_site.py
@@ -294,6 +294,8 @@
     ----------
     returns_at
         Instants at which callers sent refused requests again.
+    lost_reports
+        Pairs of a daemon and one whose heartbeats it does not get.
     """
 
     def __init__(
@@ -314,6 +316,7 @@
         self.slots = slots
         self.control = VirtualControl()
         self.cuts: set[frozenset[str]] = set()
+        self.lost_reports: set[tuple[str, str]] = set()
         self.outcomes: list[Outcome] = []
         self.servers = [
             VirtualNode(
@@ -373,7 +376,8 @@
                 target = peer.client.target
                 peer.client.connected = target.process is not None and not self.is_cut(node, target)
                 stands_still = max(node.frozen_until, target.frozen_until) > read_clock()
-                if peer.client.connected and not stands_still:
+                is_lost = (node.name, target.name) in self.lost_reports
+                if peer.client.connected and not stands_still and not is_lost:
                     peer.status = target.process.gate.describe()
                     peer.heard_at = read_clock()
                     node.process.dispatcher.record_status_update(target.name)
