--- a/persimmondock/_domain/gate_queue.py
+++ b/persimmondock/_domain/gate_queue.py
@@ -17,6 +17,7 @@
 import attrs
 
 INITIAL_SERVICE_S = 0.1  # estimate before the first answer, typical of the sites' requests
+SPREAD_FACTOR = 2.0  # mean deviations above the mean that a request is given
 MEAN_WEIGHT = 0.1  # follows a change within about ten answers
 SLOW_MEAN_WEIGHT = 0.05  # for decisions that are costly to revert
 MAX_LATE_WAIT_SHARE = 0.25  # of the time to the deadline, if the objective cannot be met
@@ -61,9 +62,9 @@
         """Return the expected service time of a request of a route, in seconds."""
         return self._route_mean_s.get(route) or self.mean_s or INITIAL_SERVICE_S
 
-    def estimate_spread_s(self, route: str) -> float:
-        """Return the mean deviation from the expected service time of a route, in seconds."""
-        return self._route_spread_s.get(route, 0.0)
+    def estimate_excess_s(self, route: str) -> float:
+        """Return by how much most requests of a route exceed their mean at most, in seconds."""
+        return SPREAD_FACTOR * self._route_spread_s.get(route, 0.0)
 
 
 def _update_mean(mean_s: float, duration_s: float, weight: float, count: int) -> float:
--- a/persimmondock/_tasks/slot_pool.py
+++ b/persimmondock/_tasks/slot_pool.py
@@ -175,7 +175,7 @@
             wait_s,
             service_s,
             now,
-            request.objective_at - self.service_times.estimate_spread_s(request.route),
+            request.objective_at - self.service_times.estimate_excess_s(request.route),
             request.deadline,
             keyed=request.key != NO_KEY,
         ):
--- a/persimmondock/tests/test_service_room.py
+++ b/persimmondock/tests/test_service_room.py
@@ -34,6 +34,7 @@
 
 SLOTS = 3
 WORK_S = 0.12
+WORK_SPREAD = 0.5
 SERVERS = 6
 CAPACITY_PER_S = SERVERS * SLOTS / WORK_S
 STEP_S = 8.0
@@ -256,6 +257,8 @@
 
     async def run() -> tuple[VirtualSite, float, Counter[str]]:
         site = VirtualSite(SERVERS, fronts=8, slots=SLOTS, work_s=WORK_S)
+        for node in site.servers:
+            node.server.spread = WORK_SPREAD
         await site.start()
         tamper(site)
         await site.offer(quiet * CAPACITY_PER_S, 2.0)
--- a/persimmondock/tests/virtual_site.py
+++ b/persimmondock/tests/virtual_site.py
@@ -71,12 +71,16 @@
         Whether answers say that it leaves.
     unnamed_share
         Share of the answers that name no limit although there is one.
+    spread
+        Largest deviation of a request's time from ``work_s``, as a share of it.
     """
 
     name: str = ""
     limit: str = ""
     leaving: bool = False
     unnamed_share: float = 0.0
+    spread: float = 0.0
+    random: random.Random = attrs.field(factory=lambda: random.Random(1))
     arrivals: list[Arrival] = attrs.field(factory=list)
 
     def _list_fields(self) -> tuple[Header, ...]:
@@ -105,7 +109,7 @@
             return refusal
         front, _, sent_at = request.attempt.split("/")
         self.arrivals.append(Arrival(read_clock(), front, float(sent_at)))
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(self.work_s * (1.0 + self.random.uniform(-self.spread, self.spread)))
         fields = self._list_fields()
         notice = self._read_notice(fields)
         if notice is not None:
