--- a/persimmondock/_domain/fair_share.py
+++ b/persimmondock/_domain/fair_share.py
@@ -1,7 +1,7 @@
 """Lower bound on the share of less urgent requests that a gate serves.
 
-The queue of a gate is ordered by priority. A priority that is served less than ``MIN_SHARE`` as
-often as all requests goes first until it is not. Requests that fronts refused count too.
+The queue of a gate is ordered by priority. A priority that is served less often than all requests
+by a factor of ``MIN_SHARE`` goes first until it is not. Requests that fronts refused count too.
 """
 
 from __future__ import annotations
@@ -10,7 +10,8 @@
 
 import attrs
 
-MIN_SHARE = 0.25
+GUARANTEED_SHARE = 0.25
+MIN_SHARE = 1.2 * GUARANTEED_SHARE  # what fronts refuse is known late
 MEMORY_S = 5.0  # decay time of what was asked and served
 MAX_URGENT_SHARE = 0.5  # in estimates of a wait; at most doubles them
 MIN_ASKED = 4.0  # requests; fewer say nothing about a priority
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -29,7 +29,7 @@
 )
 from persimmondock._domain.gate_choice import GateCandidate, compute_weights
 from persimmondock._domain.gate_status import GateStatus, unpack_status
-from persimmondock._domain.service_room import Refuse, Send, ServiceRoom
+from persimmondock._domain.service_room import Refuse, Send, ServiceRoom, estimate_wait
 from persimmondock._domain.shared_budget import SharedBudget
 from persimmondock._domain.verdict import (
     Answer,
@@ -87,6 +87,8 @@
         Whether the request was sent to a gate.
     final
         Whether no other gate is tried after one that has no room.
+    free
+        Whether the gate that is tried seems to have a free slot.
     """
 
     runs: int = 0
@@ -97,6 +99,7 @@
     tried: set[str] = attrs.field(factory=set)
     sent: bool = False
     final: bool = False
+    free: bool = False
 
     def conclude(self) -> Verdict:
         """Return the verdict on the request as a whole."""
@@ -224,7 +227,11 @@
                     continue
                 break
             self._record_sent(node, request, attempts)
+            sent_at = read_clock()
             verdict = await self._send(node, request, attempts)
+            if isinstance(verdict, Answered) and attempts.free:
+                times = self._get_room(request.service).service_times
+                times.record(request.route, read_clock() - sent_at)
             if not self._record_attempt(node, verdict, request, route, attempts):
                 return verdict if isinstance(verdict, Answered) else attempts.conclude()
             if request.key != NO_KEY:
@@ -315,10 +322,10 @@
             case Refuse() as refused:
                 return refused
             case Send(candidates=able, final=final, at_random=at_random):
-                attempts.final = final
-                if at_random:
-                    return self._random.choice(able).node
-                return self._random.choices(able, compute_weights(able))[0].node
+                weights = [1.0] * len(able) if at_random else compute_weights(able)
+                chosen = self._random.choices(able, weights)[0]
+                attempts.final, attempts.free = final, estimate_wait(chosen, now) == 0.0
+                return chosen.node
 
     def _find_owner(self, request: ForwardedRequest) -> str:
         """Return the daemon whose gate owns the request's key, or an empty string."""
