--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -266,13 +266,13 @@
                 if reason in REFUSED_BY_BACKEND:
                     attempts.backend_refusals += 1
                     return self._spend_retry(request, now)
-                if request.key != NO_KEY:
-                    return reason in OWNERSHIP_UNSETTLED or reason is Reason.PEER_UNREACHABLE
                 if reason in NO_ROOM:
                     room = self._get_room(request.service)
                     room.record_refusal(node, request.priority, now)
-                    if attempts.final:
-                        return False
+                if request.key != NO_KEY:
+                    return reason in OWNERSHIP_UNSETTLED or reason is Reason.PEER_UNREACHABLE
+                if reason in NO_ROOM and attempts.final:
+                    return False
                 return len(attempts.tried) < MAX_GATES_TRIED
             case MayHaveRun():
                 attempts.runs += 1
--- a/persimmondock/tests/test_dispatcher.py
+++ b/persimmondock/tests/test_dispatcher.py
@@ -283,6 +283,62 @@
     assert weights == sorted(weights, reverse=True)
 
 
+# Services that are short of room.
+
+BUSY = {"running": 4, "waiting": 60, "waiting_by_priority": (0, 60)}
+
+
+def have_reported(harness: DispatcherHarness, link: FakeLink) -> FakeLink:
+    """Have a gate report with each answer that 60 requests of priority 1 wait there."""
+    link.reply = [pack_verdict(FULL), make_status(**BUSY).pack(PROTOCOL_VERSION)]
+    return link
+
+
+async def test_a_shortage_is_refused_without_asking_four_gates_for_each_request(
+    harness: DispatcherHarness,
+) -> None:
+    """All gates are full for many seconds."""
+    links = [have_reported(harness, harness.add(n, FULL, **BUSY)) for n in range(1, 6)]
+    verdicts = [await harness.ask() for _ in range(200)]
+    assert {type(verdict) for verdict in verdicts} == {NotRun}
+    assert all(isinstance(v, NotRun) and v.retry_after_ms >= 100 for v in verdicts)
+    assert 0 < sum(link.calls for link in links) < 60
+
+
+async def test_an_urgent_request_is_sent_while_others_are_refused(
+    harness: DispatcherHarness,
+) -> None:
+    link = have_reported(harness, harness.add(1, FULL, **BUSY))
+    for _ in range(100):
+        await harness.ask()
+    link.reply, link.verdicts = None, [DONE]
+    assert await harness.ask(priority=0) == DONE
+
+
+async def test_a_busy_owner_is_spared_requests_that_it_would_refuse(
+    harness: DispatcherHarness,
+) -> None:
+    """One key asks for more than its owner can do, while keys of other owners are served."""
+    owner = have_reported(harness, harness.add(1, FULL, **BUSY))
+    other = harness.add(2, DONE)
+    ranges = make_range(0, 9, 1), make_range(10, 65_535, 2)
+    harness.control.assignments[SERVICE] = make_assignment(*ranges)
+    for _ in range(100):
+        await harness.ask(key=5)
+        assert await harness.ask(key=50) == DONE
+    assert owner.calls < 30
+    assert other.calls == 100
+
+
+async def test_unreachable_gates_do_not_count_as_a_shortage(harness: DispatcherHarness) -> None:
+    """A failure domain is cut off, and its gates are full when it is back."""
+    link = harness.add(1, PeerRequestError("not connected", sent=False))
+    for _ in range(50):
+        await harness.ask()
+    assert harness.dispatcher.list_sent_shares() == {SERVICE: 1.0}
+    assert link.calls == 50
+
+
 # What backend servers say about themselves.
 
 SIGNATURE = Header("X-Server-Signature", "s")
--- a/persimmondock/tests/test_optional_fields.py
+++ b/persimmondock/tests/test_optional_fields.py
@@ -41,6 +41,19 @@
     assert pack_optional(make_forwarded(5.0), ("tenant",)) == {}
 
 
+def test_what_waits_at_which_priority_travels_with_a_status() -> None:
+    status = GateStatus(SERVICE, slots=6, waiting=5, waiting_by_priority=(2, 0, 3))
+    packed = msgpack.unpackb(msgpack.packb(status.pack(1)))
+    assert unpack_status(packed) == status
+    earlier = msgpack.unpackb(msgpack.packb(status.pack()))
+    assert unpack_status(earlier) == attrs.evolve(status, waiting_by_priority=())
+
+
+def test_what_a_request_stands_for_travels_with_it() -> None:
+    assert send(make_forwarded(5.0, stands_for=2.5), 1).stands_for == 2.5
+    assert send(make_forwarded(5.0, stands_for=2.5), 0).stands_for == 1.0
+
+
 def test_lists_become_tuples() -> None:
     assert read_optional({"counts": [1, 2]}, ("counts",)) == {"counts": (1, 2)}
 
