--- a/persimmondock/_domain/service_room.py
+++ b/persimmondock/_domain/service_room.py
@@ -30,6 +30,8 @@
 MIN_EXCESS = 2.0  # requests; fewer refusals say nothing about a service
 MEMORY_S = 1.5  # decay time of what was asked and taken
 MAX_REPORT_AGE_S = 1.0  # gates get heartbeats twice a second while requests are there
+MAX_TALLIES = 2_000  # owners and priorities; above, those without requests are dropped
+FORGOTTEN_S = 10.0
 REFUSAL_HOLD_S = 0.2  # gates judge by their queue, which lasts for a few service times
 
 
@@ -178,6 +180,9 @@
         return min(shares, default=1.0)
 
     def _find_tally(self, owner: str, priority: int, now: float) -> _Tally:
+        if len(self._tallies) > MAX_TALLIES:
+            forgotten = now - FORGOTTEN_S
+            self._tallies = {k: t for k, t in self._tallies.items() if t.updated_at > forgotten}
         tally = self._tallies.setdefault((owner, priority), _Tally())
         tally.decay(now)
         return tally
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -366,10 +366,14 @@
     # Room of a service.
 
     def list_sent_shares(self) -> dict[str, float]:
-        """Return the smallest share of a priority's requests that is sent on, by service."""
+        """Return the smallest share of a priority's requests that is sent on, by service.
+
+        Services are named as in metrics.
+        """
         now = read_clock()
         return {
-            service: room.compute_lowest_sent_share(now) for service, room in self._rooms.items()
+            name_service(service): room.compute_lowest_sent_share(now)
+            for service, room in self._rooms.items()
         }
 
     def _get_room(self, service: str) -> ServiceRoom:
@@ -389,7 +393,7 @@
             room, owner = self._get_room(service), self._find_owner(request)
             room.record_refused_here(request.priority, now, owner)
             attempts.refusal = NotRun(Reason.OVERLOADED, refused.retry_after_ms)
-            self._metrics.count(f"front_refusals.{service}.{request.priority}")
+            self._metrics.count(f"front_refusals.{name_service(service)}.{request.priority}")
             share = room.compute_sent_share(request.priority, now, owner)
             if now >= self._room_logged_at.get(service, -math.inf) + ROOM_LOG_INTERVAL_S:
                 self._room_logged_at[service] = now
@@ -517,6 +521,11 @@
     )
 
 
+def name_service(service: str) -> str:
+    """Return the name of a service as one part of a metric's dotted name."""
+    return service.replace(".", "_")
+
+
 def _choose_sooner_retry(known: NotRun | None, new: NotRun) -> NotRun:
     """Return the refusal with the shorter retry delay."""
     if known is None or 0 < new.retry_after_ms < known.retry_after_ms:
