--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -67,6 +67,16 @@
     ),
     "forwards": MetricSpec(Kind.COUNTER, "Requests sent to gates of other daemons"),
     "refusals": MetricSpec(Kind.COUNTER, "Requests that the gate here refused", ("reason",)),
+    "front_refusals": MetricSpec(
+        Kind.COUNTER,
+        "Requests refused here without being sent, for lack of room at every gate",
+        ("service", "priority"),
+    ),
+    "room_sent_share": MetricSpec(
+        Kind.GAUGE,
+        "Smallest share of a priority's requests that is sent on while gates are full",
+        ("service",),
+    ),
     "backend_ms": MetricSpec(
         Kind.HISTOGRAM, "Seconds that requests took at the backend server here", ("verdict",)
     ),
@@ -88,12 +98,9 @@
     ),
     "ready": MetricSpec(Kind.GAUGE, "1 while callers may be sent here"),
     "configuration_version": MetricSpec(Kind.GAUGE, "Version of the routes in force, or -1"),
-    "limit_questions": MetricSpec(Counter, "Questions to other daemons for room within limits"),
     "tenants_worst_share": MetricSpec(
-        Gauge, "Share of requests lately served of the worst tenth of the tenants here"
+        Kind.GAUGE, "Share of requests lately served of the worst tenth of the tenants here"
     ),
-    "ready": MetricSpec(Gauge, "1 while callers may be sent here"),
-    "configuration_version": MetricSpec(Gauge, "Version of the routes in force, or -1"),
     "configuration_delay_s": MetricSpec(
         Kind.GAUGE,
         "Seconds by which the newest operators' records came late here, or are late so far",
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -170,6 +170,7 @@
             granted_offset=self._keeper.find_granted_offset(),
             capacity_per_s=self.limits.estimate_rate(self.slots, times.slow_mean_s, now),
             link_wait_s=round(self.link.budget.wait_s, 3),
+            waiting_by_priority=self.pool.count_waiting_levels(),
         )
 
     def count_in_flight(self) -> int:
--- a/persimmondock/tests/virtual_site.py
+++ b/persimmondock/tests/virtual_site.py
@@ -71,12 +71,16 @@
         Whether answers say that it leaves.
     unnamed_share
         Share of the answers that name no limit although there is one.
+    spread
+        Largest deviation of a request's time from ``work_s``, as a share of it.
     """
 
     name: str = ""
     limit: str = ""
     leaving: bool = False
     unnamed_share: float = 0.0
+    spread: float = 0.0
+    random: random.Random = attrs.field(factory=lambda: random.Random(1))
     arrivals: list[Arrival] = attrs.field(factory=list)
 
     def _list_fields(self) -> tuple[Header, ...]:
@@ -105,7 +109,7 @@
             return refusal
         front, _, sent_at = request.attempt.split("/")
         self.arrivals.append(Arrival(read_clock(), front, float(sent_at)))
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(self.work_s * (1.0 + self.random.uniform(-self.spread, self.spread)))
         fields = self._list_fields()
         notice = self._read_notice(fields)
         if notice is not None:
@@ -294,6 +298,8 @@
     ----------
     returns_at
         Instants at which callers sent refused requests again.
+    lost_reports
+        Pairs of a daemon and one whose heartbeats it does not get.
     """
 
     def __init__(
@@ -314,6 +320,7 @@
         self.slots = slots
         self.control = VirtualControl()
         self.cuts: set[frozenset[str]] = set()
+        self.lost_reports: set[tuple[str, str]] = set()
         self.outcomes: list[Outcome] = []
         self.servers = [
             VirtualNode(
@@ -373,7 +380,8 @@
                 target = peer.client.target
                 peer.client.connected = target.process is not None and not self.is_cut(node, target)
                 stands_still = max(node.frozen_until, target.frozen_until) > read_clock()
-                if peer.client.connected and not stands_still:
+                is_lost = (node.name, target.name) in self.lost_reports
+                if peer.client.connected and not stands_still and not is_lost:
                     peer.status = target.process.gate.describe()
                     peer.heard_at = read_clock()
                     node.process.dispatcher.record_status_update(target.name)
