--- a/persimmondock/_domain/verdict.py
+++ b/persimmondock/_domain/verdict.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TypeAlias
 
 import attrs
 
-if TYPE_CHECKING:
-    from persimmondock._ports.answer_body import AnswerBody
+# Codecs resolve the types of fields at run time.
+from persimmondock._ports.answer_body import AnswerBody
 
 
 class Reason(enum.StrEnum):
--- a/persimmondock/soak/proxy.py
+++ b/persimmondock/soak/proxy.py
@@ -4,17 +4,24 @@
 
 import asyncio
 import contextlib
+import math
 
 from persimmondock.standins.connections import reset_connection
 
 CHUNK_BYTES = 65_536
 DELAY_S = 0.25  # above the latency target of short requests, below the timeouts of store calls
 MODE_POLL_S = 0.02
+LIMITED_CHUNK_S = 0.005  # of a connection with a limited rate; timers may be so late
 
 
 class Proxy:
     """Forwards connections from one address to another, and injects faults.
 
+    Parameters
+    ----------
+    bytes_per_s
+        Rate of each direction of a connection; infinity for no limit.
+
     Attributes
     ----------
     mode
@@ -23,8 +30,10 @@
         no fault. May change at any time.
     """
 
-    def __init__(self, listen: str, target: str) -> None:
+    def __init__(self, listen: str, target: str, bytes_per_s: float = math.inf) -> None:
         self.mode = ""
+        self._bytes_per_s = bytes_per_s
+        self._chunk_bytes = int(min(CHUNK_BYTES, max(1, LIMITED_CHUNK_S * bytes_per_s)))
         self._listen = listen
         self._target = target
         self._server: asyncio.Server | None = None
@@ -81,9 +90,16 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, to_target: bool
     ) -> None:
         """Forward data as the current mode says; blocked data is kept until the mode changes."""
+        loop = asyncio.get_running_loop()
+        sent_at = -math.inf
         # If one connection fails, the other one is closed below; there is nothing else to report.
         with contextlib.suppress(OSError):
-            while data := await reader.read(CHUNK_BYTES):
+            while data := await reader.read(self._chunk_bytes):
+                sent_at = (
+                    max(sent_at, loop.time() - LIMITED_CHUNK_S) + len(data) / self._bytes_per_s
+                )
+                if sent_at > loop.time():
+                    await asyncio.sleep(sent_at - loop.time())
                 while self.mode == "silent" or (self.mode == "one_way" and not to_target):
                     await asyncio.sleep(MODE_POLL_S)
                 if reader.exception() is not None:
