--- a/persimmondock/properties/test_shared_rates.py
+++ b/persimmondock/properties/test_shared_rates.py
@@ -147,12 +147,12 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(shared_rates, "RateAccount", FullAccount)
-    steps: list[tuple[Event, float]] = [(Restart(0), 0.25) for _ in range(4 * NODES)]
+    steps: list[tuple[Event, float]] = [(Restart(0), 0.15) for _ in range(7 * NODES)]
     site, _ = run_in_virtual_time(play(steps, 6.0))
     assert find_excess(site) > 0
 
 
 def test_restarts_one_after_the_other_do_not_pass_the_limit() -> None:
-    steps: list[tuple[Event, float]] = [(Restart(0), 0.25) for _ in range(4 * NODES)]
+    steps: list[tuple[Event, float]] = [(Restart(0), 0.15) for _ in range(7 * NODES)]
     site, _ = run_in_virtual_time(play(steps, 6.0))
     assert find_excess(site) <= 0
