--- a/persimmondock/_domain/gate_choice.py
+++ b/persimmondock/_domain/gate_choice.py
@@ -20,14 +20,15 @@
     Parameters
     ----------
     load
-        Requests that run there or wait ahead of the request, by its newest status and what was
-        sent since.
+        Requests that run or wait there, by its newest status and what was sent since.
     service_s
         Mean service time of a request in seconds; 0 if unknown.
     same_domain
         Whether the gate is in the failure domain of this daemon.
     reported_at
         Instant of its newest status; minus infinity if that does not tell what waits ahead.
+    behind
+        Requests in ``load`` that would wait behind the new one.
     """
 
     node: str
@@ -36,6 +37,7 @@
     service_s: float
     same_domain: bool
     reported_at: float = math.inf
+    behind: int = 0
 
 
 def compute_cost(candidate: GateCandidate, default_service_s: float) -> float:
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -336,15 +336,15 @@
         return key_range.owner.node if key_range is not None else ""
 
     def _list_candidates(self, request: ForwardedRequest, tried: set[str]) -> list[GateCandidate]:
-        now, service = read_clock(), request.service
+        now, service, priority = read_clock(), request.service, request.priority
         own = self._mesh.own
         found = []
         if service == self._own_service and own.node not in tried:
             status = self._gate.describe()
             if status.accepts_work:
-                load = status.count_load(request.priority)
+                load, behind = status.running + status.waiting, status.count_behind(priority)
                 found.append(
-                    GateCandidate(own.node, status.slots, load, status.service_s, True, now)
+                    GateCandidate(own.node, status.slots, load, status.service_s, True, now, behind)
                 )
         for peer in self._mesh.list_by_service(service):
             member = peer.member
@@ -352,16 +352,19 @@
                 continue
             if self.is_evacuated(member.failure_domain) or peer.status.service != service:
                 continue
-            found.append(self._make_candidate(peer, request.priority))
+            found.append(self._make_candidate(peer, priority))
         return found
 
     def _make_candidate(self, peer: Peer, priority: int) -> GateCandidate:
         node, status = peer.member.node, peer.status
         sent_since = self._in_flight_by_node[node] - self._in_flight_at_status[node]
-        load = max(0, status.count_load(priority) + sent_since)
+        load = max(0, status.running + status.waiting + sent_since)
+        behind = status.count_behind(priority)
         same_domain = peer.member.failure_domain == self._mesh.own.failure_domain
         reported_at = peer.heard_at if status.tells_order else -math.inf
-        return GateCandidate(node, status.slots, load, status.service_s, same_domain, reported_at)
+        return GateCandidate(
+            node, status.slots, load, status.service_s, same_domain, reported_at, behind
+        )
 
     # Room of a service.
 
