--- a/persimmondock/tests/test_link_budget.py
+++ b/persimmondock/tests/test_link_budget.py
@@ -155,7 +155,7 @@
         elif kind == "arrive":
             weights = compute_weights(
                 [
-                    GateCandidate(str(index), 6, 1, WORK_S, False, reported[index])
+                    GateCandidate(str(index), 6, 1, WORK_S, False, link_wait_s=reported[index])
                     for index in range(gates)
                 ]
             )
@@ -202,6 +202,8 @@
 
 def test_downloads_go_where_the_link_is_free() -> None:
     waits_s = [0.0, 0.5, 2.0]
-    weights = compute_weights([GateCandidate("n", 6, 1, WORK_S, False, wait) for wait in waits_s])
+    weights = compute_weights(
+        [GateCandidate("n", 6, 1, WORK_S, False, link_wait_s=wait) for wait in waits_s]
+    )
     shares = [weight / sum(weights) for weight in weights]
     assert shares[0] > 0.95 and statistics.fmean(shares[1:]) < 0.025
