--- a/persimmondock/_domain/fair_share.py
+++ b/persimmondock/_domain/fair_share.py
@@ -11,7 +11,7 @@
 import attrs
 
 GUARANTEED_SHARE = 0.25
-MIN_SHARE = 1.2 * GUARANTEED_SHARE  # what fronts refuse is known late
+MIN_SHARE = 1.5 * GUARANTEED_SHARE  # requests that several gates refuse count at each of them
 MEMORY_S = 5.0  # decay time of what was asked and served
 MAX_URGENT_SHARE = 0.5  # in estimates of a wait; at most doubles them
 MIN_ASKED = 4.0  # requests; fewer say nothing about a priority
--- a/persimmondock/_domain/site.py
+++ b/persimmondock/_domain/site.py
@@ -30,6 +30,8 @@
         a fixed number.
     grant_s
         Longest duration of a grant in seconds.
+    service_room
+        Whether requests are admitted by priority over a whole service; see `ServiceRoom`.
     """
 
     drain_s: float = 2.0
@@ -42,6 +44,7 @@
     cold_factor: float = 1.5
     cold_slack: float = 5.0
     grant_s: float = 10.0
+    service_room: bool = False
 
 
 @attrs.frozen
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -310,6 +310,8 @@
             owner = self._mesh.peers.get(node)
             if owner is None or node in attempts.tried:
                 return None
+            if not self.bounds.service_room:
+                return node
             if attempts.sent or not owner.is_alive(now) or not owner.status.accepts_work:
                 return node
             candidates = [self._make_candidate(owner, request.priority)]
@@ -317,6 +319,8 @@
             candidates, node = self._list_candidates(request, attempts.tried), ""
         if not candidates:
             return None
+        if not self.bounds.service_room:
+            return self._random.choices(candidates, compute_weights(candidates))[0].node
         room = self._get_room(request.service)
         match room.decide(candidates, request, now, self._random, node):
             case Refuse() as refused:
--- a/persimmondock/_tasks/slot_pool.py
+++ b/persimmondock/_tasks/slot_pool.py
@@ -160,11 +160,14 @@
         self, request: ForwardedRequest, number: int, now: float
     ) -> NotRun | None:
         """Wait for a slot; return None once the request has one, or the refusal."""
-        rank = self._fair_share.choose_rank(request.priority, now)
+        rank, urgent_share, objective_at = request.priority, 0.0, request.objective_at
         service_s = self.service_times.estimate_service_s(request.route)
         mean_service_s = self._estimate_service_time(now)
         slots = self._count_slots()
-        urgent_share = self._fair_share.compute_urgent_share(rank, mean_service_s, slots)
+        if self._limits.bounds.service_room:
+            rank = self._fair_share.choose_rank(request.priority, now)
+            urgent_share = self._fair_share.compute_urgent_share(rank, mean_service_s, slots)
+            objective_at -= self.service_times.estimate_excess_s(request.route)
         wait_s = self._queue.estimate_wait(
             rank, request.deadline, mean_service_s, slots, urgent_share
         )
@@ -175,7 +178,7 @@
             wait_s,
             service_s,
             now,
-            request.objective_at - self.service_times.estimate_excess_s(request.route),
+            objective_at,
             request.deadline,
             keyed=request.key != NO_KEY,
         ):
--- a/persimmondock/tests/test_dispatcher.py
+++ b/persimmondock/tests/test_dispatcher.py
@@ -290,6 +290,7 @@
 
 def have_reported(harness: DispatcherHarness, link: FakeLink) -> FakeLink:
     """Have a gate report with each answer that 60 requests of priority 1 wait there."""
+    harness.dispatcher.bounds = SiteBounds(service_room=True)
     link.reply = [pack_verdict(FULL), make_status(**BUSY).pack(PROTOCOL_VERSION)]
     return link
 
@@ -330,6 +331,16 @@
     assert other.calls == 100
 
 
+async def test_nothing_is_refused_here_unless_settings_ask_for_it(
+    harness: DispatcherHarness,
+) -> None:
+    links = [have_reported(harness, harness.add(n, FULL, **BUSY)) for n in range(1, 6)]
+    harness.dispatcher.bounds = SiteBounds()
+    for _ in range(50):
+        await harness.ask()
+    assert sum(link.calls for link in links) == 4 * 50
+
+
 async def test_unreachable_gates_do_not_count_as_a_shortage(harness: DispatcherHarness) -> None:
     """A failure domain is cut off, and its gates are full when it is back."""
     link = harness.add(1, PeerRequestError("not connected", sent=False))
--- a/persimmondock/tests/test_service_room.py
+++ b/persimmondock/tests/test_service_room.py
@@ -30,6 +30,7 @@
     ServiceRoom,
     estimate_wait,
 )
+from persimmondock._domain.site import SiteBounds
 from persimmondock.tests.sites import SERVICE, make_forwarded
 from persimmondock.tests.virtual_site import OBJECTIVE_S, VirtualNode, VirtualSite
 from persimmondock.tests.virtual_time import run_in_virtual_time
@@ -272,7 +273,7 @@
     """Offer a multiple of the capacity after a quiet time."""
 
     async def run() -> tuple[VirtualSite, float, Counter[str]]:
-        site = VirtualSite(SERVERS, fronts=8, slots=SLOTS, work_s=WORK_S)
+        site = VirtualSite(SERVERS, 8, SLOTS, WORK_S, bounds=SiteBounds(service_room=True))
         for node in site.servers:
             node.server.spread = WORK_SPREAD
         await site.start()
--- a/persimmondock/tests/virtual_site.py
+++ b/persimmondock/tests/virtual_site.py
@@ -156,10 +156,10 @@
         own = Member(node.name, f"{node.name}:1", node.failure_domain, node.service)
         self.mesh = Mesh(own, [], lambda: self.gate.describe(), lambda *_: None)
         keeper = HeldKeys(node.server, RangeLease(), node.name)
-        self.gate = BackendGate(node.name, SiteBounds(), node.server, keeper, NoMetrics())
+        self.gate = BackendGate(node.name, site.bounds, node.server, keeper, NoMetrics())
         self.gate.limits.policy = ServicePolicy(SERVICE)
         self.dispatcher = Dispatcher(
-            node.service, SiteBounds(), self.mesh, self.gate, site.control, NoMetrics()
+            node.service, site.bounds, self.mesh, self.gate, site.control, NoMetrics()
         )
         self.dispatcher._random = random.Random(site.seed)
         self.dispatcher.read_notice = _headers.read_answer_notice
@@ -311,7 +311,9 @@
         keyed: bool = False,
         retries: int = 0,
         seed: int = 1,
+        bounds: SiteBounds = SiteBounds(),  # noqa: B008
     ) -> None:
+        self.bounds = bounds
         self.seed = seed
         self.random = random.Random(seed)
         self.keyed = keyed
