--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -52,6 +52,12 @@
     ),
     "in_flight": MetricSpec(Gauge, "Requests that the backend server here works on"),
     "queued": MetricSpec(Gauge, "Requests that wait for a slot here"),
+    "pipelined": MetricSpec(
+        Gauge, "Callers' requests that were sent behind unanswered ones of their connections"
+    ),
+    "pipelined_bytes": MetricSpec(
+        Gauge, "Bytes of such requests that have not begun, and of answers that wait for their turn"
+    ),
     "slots": MetricSpec(Gauge, "Requests that may run here at the same time now"),
     "gate_open": MetricSpec(Gauge, "1 while the gate takes new work"),
     "backend_limit_per_s": MetricSpec(
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -116,6 +116,11 @@
         if self._metrics is None or endpoint is None or request.path != endpoint.path:
             return ServerResponse(404)
         self._sidecar.update_gauges()
+        servers = self._http_servers
+        self._metrics.set_gauge("pipelined", sum(server.count_pipelined() for server in servers))
+        self._metrics.set_gauge(
+            "pipelined_bytes", sum(server.count_held_bytes() for server in servers)
+        )
         return ServerResponse(200, (("Content-Type", CONTENT_TYPE),), self._metrics.render())
 
     async def _handle_announcement(self, request: ServerRequest) -> ServerResponse:
