--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -112,16 +112,13 @@
     "queued": MetricSpec(Kind.GAUGE, "Requests that wait for a slot here"),
     "slots": MetricSpec(Kind.GAUGE, "Requests that may run here at the same time now"),
     "gate_open": MetricSpec(Kind.GAUGE, "1 while the gate takes new work"),
-    "in_flight": MetricSpec(Gauge, "Requests that the backend server here works on"),
-    "queued": MetricSpec(Gauge, "Requests that wait for a slot here"),
     "pipelined": MetricSpec(
-        Gauge, "Callers' requests that were sent behind unanswered ones of their connections"
+        Kind.GAUGE, "Callers' requests that were sent behind unanswered ones of their connections"
     ),
     "pipelined_bytes": MetricSpec(
-        Gauge, "Bytes of such requests that have not begun, and of answers that wait for their turn"
+        Kind.GAUGE,
+        "Bytes of such requests that have not begun, and of answers that wait for their turn",
     ),
-    "slots": MetricSpec(Gauge, "Requests that may run here at the same time now"),
-    "gate_open": MetricSpec(Gauge, "1 while the gate takes new work"),
     "backend_limit_per_s": MetricSpec(
         Kind.GAUGE, "Requests per second that the backend server here asked for, or -1"
     ),
