--- a/persimmondock/tests/virtual_network.py
+++ b/persimmondock/tests/virtual_network.py
@@ -102,6 +102,9 @@
         if not self._is_closed:
             self._send(bytes(data))
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Do nothing: bytes leave when they are written."""
+
     def close(self) -> None:
         """Close the connection after what was written."""
         if not self._is_closed:
