Log and count answers of the backend server that belong to no request

Change: `answer_dropped` and `answers_dropped_total` by purpose and kind; `grant_answered` and `release_answered` with instance, token, connection, orders that it carried before, instants of sending and answer; `grant_unanswered` with its instance and until when it may take effect. Nothing is decided by them.

--- a/persimmondock/_adapters/http_exchange.py
+++ b/persimmondock/_adapters/http_exchange.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import math
 import re
 from collections import deque
@@ -74,6 +75,14 @@
     """The server sent bytes that are not a response to this request."""
 
 
+class Unexpected(enum.Enum):
+    """Why a response or bytes on a connection were dropped."""
+
+    UNASKED = "unasked"  # no request was waiting
+    OTHER_REQUEST = "other_request"  # the response names another request
+    AFTER_RESPONSE = "after_response"  # more than the response to the request
+
+
 @attrs.frozen
 class HttpResponse:
     """A response.
@@ -115,9 +124,13 @@
         Size of all incomplete responses of the server, which is limited.
     held
         Size of all streamed bodies of the server that wait for their readers.
+    number
+        Number of the connection among those of its pool, for logs.
 
     Attributes
     ----------
+    on_unexpected
+        Called when a response or bytes are dropped.
     usable
         Whether another request may be sent.
     exchange_count
@@ -130,8 +143,13 @@
     """
 
     def __init__(
-        self, buffered: BufferedBytes | None = None, held: HeldBytes | None = None
+        self,
+        buffered: BufferedBytes | None = None,
+        held: HeldBytes | None = None,
+        number: int = 0,
     ) -> None:
+        self.number = number
+        self.on_unexpected: Callable[[HttpConnection, Unexpected], None] = lambda *_: None
         self.usable = True
         self._buffered = buffered if buffered is not None else BufferedBytes()
         self._held = held if held is not None else HeldBytes()
@@ -233,6 +251,7 @@
         """Parse received bytes; bytes outside of a request close the connection."""
         is_waiting = self._waiter is not None and not self._waiter.done()
         if self._parser is None or not (is_waiting or self._stream is not None):
+            self.on_unexpected(self, Unexpected.UNASKED)
             self.abort()
             return
         try:
@@ -338,12 +357,12 @@
             return
         for number, response in enumerate(self._responses):
             if not self._accept(response):
+                self.on_unexpected(self, Unexpected.OTHER_REQUEST)
                 continue
-            if (
-                number + 1 < len(self._responses)
-                or self._in_message
-                or not self._check_keep_alive(response)
-            ):
+            if number + 1 < len(self._responses) or self._in_message:
+                self.on_unexpected(self, Unexpected.AFTER_RESPONSE)
+                self.usable = False
+            if not self._check_keep_alive(response):
                 self.usable = False
             self._waiter.set_result(response)
             break
@@ -454,6 +473,8 @@
     ----------
     connections_opened
         Number of attempts to open a connection.
+    on_unexpected
+        Called when a response or bytes on a connection are dropped.
     held
         Size of all streamed bodies that wait for their readers.
     """
@@ -467,6 +488,7 @@
         self._buffered = BufferedBytes()
         self.held = HeldBytes()
         self.connections_opened = 0
+        self.on_unexpected: Callable[[HttpConnection, Unexpected], None] = lambda *_: None
 
     async def acquire(self, max_idle_s: float = DEFAULT_MAX_IDLE_S) -> HttpConnection:
         """Return the idle connection that was used last, or open a new one.
@@ -515,10 +537,13 @@
     async def _open(self) -> HttpConnection:
         loop = asyncio.get_running_loop()
         self.connections_opened += 1
+        number = self.connections_opened
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: HttpConnection(self._buffered, self.held), self._host, self._port
+                    lambda: HttpConnection(self._buffered, self.held, number),
+                    self._host,
+                    self._port,
                 )
         except TimeoutError as error:
             raise ConnectFailedError("connecting timed out", refused=False) from error
@@ -526,6 +551,7 @@
             raise ConnectFailedError(
                 repr(error), refused=isinstance(error, ConnectionRefusedError)
             ) from error
+        connection.on_unexpected = self.on_unexpected
         return connection
 
 
--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -80,6 +80,11 @@
     "backend_ms": MetricSpec(
         Kind.HISTOGRAM, "Seconds that requests took at the backend server here", ("verdict",)
     ),
+    "answers_dropped": MetricSpec(
+        Kind.COUNTER,
+        "Answers, or bytes, of the backend server here that were counted for no request",
+        ("purpose", "kind"),
+    ),
     "streams": MetricSpec(
         Kind.COUNTER,
         "Large answers that were sent in pieces, by what sent them here",
--- a/persimmondock/_ports/backend.py
+++ b/persimmondock/_ports/backend.py
@@ -14,10 +14,38 @@
     from persimmondock._domain.verdict import NotRun, Verdict
 
 
+@attrs.frozen
+class OrderTrace:
+    """How an order reached the backend server, for logs.
+
+    Parameters
+    ----------
+    connection
+        Number of the connection among those for such orders.
+    earlier_orders
+        Number of orders that this connection carried before.
+    sent_at, answered_at
+        Instants of the sending and of the answer, in seconds.
+    """
+
+    connection: int
+    earlier_orders: int
+    sent_at: float
+    answered_at: float
+
+    def __str__(self) -> str:
+        return (
+            f"connection={self.connection} earlier_orders={self.earlier_orders} "
+            f"sent_at={self.sent_at:.3f} answered_at={self.answered_at:.3f}"
+        )
+
+
 @attrs.frozen
 class GrantAccepted:
     """The backend server accepted the grant and holds the keys."""
 
+    trace: OrderTrace | None = attrs.field(default=None, eq=False)
+
 
 @attrs.frozen
 class GrantFenced:
@@ -74,6 +102,7 @@
     """
 
     handover: str
+    trace: OrderTrace | None = attrs.field(default=None, eq=False)
 
 
 @attrs.frozen
--- a/persimmondock/_tasks/call_grants.py
+++ b/persimmondock/_tasks/call_grants.py
@@ -62,7 +62,7 @@
 
     async def acquire(self, key_range: KeyRange, handover: str) -> None:
         """Repeat the grant of a range until the backend server accepts it."""
-        while not await self._grant(key_range, handover):
+        while not await self._grant(key_range, handover, is_new=True):
             await asyncio.sleep(GRANT_RETRY_S)
 
     async def release(self, first: int, last: int, fence: int, possible_until: float) -> str:
@@ -80,6 +80,13 @@
             outcome = await self._backend.release(instance, first, last, fence)
             if isinstance(outcome, ReleaseDone):
                 handover = outcome.handover
+                logger.info(
+                    "event=release_answered first={} fence={} instance={} {}",
+                    first,
+                    fence,
+                    instance,
+                    outcome.trace or "",
+                )
                 break
             if outcome.refused or outcome.misdirected:
                 # The process that held the keys has ended.
@@ -145,7 +152,7 @@
         if not await self._grant(key_range):
             await asyncio.sleep(2 * GRANT_RETRY_S)
 
-    async def _grant(self, key_range: KeyRange, handover: str = "") -> bool:
+    async def _grant(self, key_range: KeyRange, handover: str = "", is_new: bool = False) -> bool:
         """Send one grant; its duration is computed from the lease right before sending."""
         grant_id, incarnation = key_range.grant_id, self._keeper.incarnation
         sent_at = hold_s = 0.0
@@ -173,7 +180,15 @@
         )
         possible_until = sent_at + hold_s * (1 + CLOCK_TOLERANCE)
         match outcome:
-            case GrantAccepted():
+            case GrantAccepted(trace=trace):
+                if is_new:
+                    logger.info(
+                        "event=grant_answered first={} fence={} instance={} {}",
+                        key_range.first,
+                        key_range.fence,
+                        incarnation.instance,
+                        trace or "",
+                    )
                 if self._keeper.incarnation == incarnation:
                     self._remove_unanswered(grant_id, possible_until)
                     self._keeper.record_accepted_grant(key_range, sent_at + hold_s, possible_until)
@@ -208,9 +223,13 @@
                 await asyncio.sleep(FENCED_RETRY_S)
             case GrantUnknown(detail=detail):
                 logger.info(
-                    "event=grant_unanswered first={} fence={} detail={!r}",
+                    "event=grant_unanswered first={} fence={} instance={} sent_at={:.3f} "
+                    "possible_until={:.3f} detail={!r}",
                     key_range.first,
                     key_range.fence,
+                    incarnation.instance,
+                    sent_at,
+                    possible_until,
                     detail,
                 )
         return False
--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -17,6 +17,7 @@
     HttpConnection,
     HttpPool,
     HttpResponse,
+    Unexpected,
     render_request,
 )
 from persimmondock._domain.link_budget import LARGE_ANSWER_BYTES
@@ -36,9 +37,11 @@
     GrantNotSent,
     GrantOutcome,
     GrantUnknown,
+    OrderTrace,
     ReleaseDone,
     ReleaseFailed,
 )
+from persimmondock._ports.metrics import MetricSink, NoMetrics
 from persimmondock.platform import _headers
 
 if TYPE_CHECKING:
@@ -69,13 +72,35 @@
 class PlatformBackend:
     """Client of the local backend server."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, metrics: MetricSink | None = None) -> None:
         self._address = address
-        self._pool = HttpPool(address, MAX_CONNECTIONS)
+        self._metrics: MetricSink = metrics or NoMetrics()
+        self._pool = self._make_pool("request", MAX_CONNECTIONS)
         # Separate clients: releases wait for running work and must not delay renewals of grants.
-        self._grant_client = _ControlClient("grant", address, MAX_CONCURRENT_GRANTS)
-        self._release_client = _ControlClient("release", address, MAX_CONCURRENT_RELEASES)
-        self._health_client = _ControlClient("health", address, 1)
+        self._grant_client = self._make_control_client("grant", MAX_CONCURRENT_GRANTS)
+        self._release_client = self._make_control_client("release", MAX_CONCURRENT_RELEASES)
+        self._health_client = self._make_control_client("health", 1)
+
+    def _make_pool(self, purpose: str, limit: int) -> HttpPool:
+        pool = HttpPool(self._address, limit)
+        pool.on_unexpected = functools.partial(self._record_dropped, purpose)
+        return pool
+
+    def _make_control_client(self, purpose: str, max_concurrent: int) -> _ControlClient:
+        return _ControlClient(purpose, self._make_pool(purpose, max_concurrent), max_concurrent)
+
+    def _record_dropped(
+        self, purpose: str, connection: HttpConnection, unexpected: Unexpected
+    ) -> None:
+        """Record an answer, or bytes, that were counted for no request."""
+        self._metrics.count(f"answers_dropped.{purpose}.{unexpected.value}")
+        logger.info(
+            "event=answer_dropped purpose={} kind={} connection={} requests={}",
+            purpose,
+            unexpected.value,
+            connection.number,
+            connection.exchange_count,
+        )
 
     async def run(
         self,
@@ -176,7 +201,7 @@
             )
 
         try:
-            response = await self._grant_client.call(render, GRANT_TIMEOUT_S)
+            response, trace = await self._grant_client.call(render, GRANT_TIMEOUT_S)
         except ExchangeError as error:
             if error.sent:
                 return GrantUnknown(str(error))
@@ -187,7 +212,7 @@
         if response is None:
             return GrantNotSent("the grant is no longer allowed")
         if response.status == 200:
-            return GrantAccepted()
+            return GrantAccepted(trace)
         if response.status == 409:
             return GrantFenced()
         if response.status == MISDIRECTED:
@@ -202,7 +227,7 @@
             self._address, RELEASE_PATH, instance, {"from": first, "target": last, "fence": fence}
         )
         try:
-            response = await self._release_client.call(lambda: data, RELEASE_TIMEOUT_S)
+            response, trace = await self._release_client.call(lambda: data, RELEASE_TIMEOUT_S)
         except (ExchangeError, TimeoutError) as error:
             refused = isinstance(error, ConnectFailedError) and error.refused
             return ReleaseFailed(repr(error), refused)
@@ -211,14 +236,14 @@
         if response.status != 200:
             is_misdirected = response.status == MISDIRECTED
             return ReleaseFailed(f"status {response.status}", misdirected=is_misdirected)
-        return ReleaseDone(response.find_header(_headers.HANDOVER) or "")
+        return ReleaseDone(response.find_header(_headers.HANDOVER) or "", trace)
 
     async def check_health(self, path: str, instance: str) -> BackendNotice | None:
         """Return what the answer to a health check says about the backend server."""
         fields = [("Host", self._address), (_headers.EXPECTED_INSTANCE, instance)]
         data = render_request("GET", path, fields, b"")
         try:
-            response = await self._health_client.call(lambda: data, HEALTH_TIMEOUT_S)
+            response, _ = await self._health_client.call(lambda: data, HEALTH_TIMEOUT_S)
         except (ExchangeError, TimeoutError) as error:
             logger.info("event=health_unknown instance={} error={!r}", instance, error)
             return None
@@ -247,20 +272,20 @@
 class _ControlClient:
     """Sends grants, releases or health checks on pooled connections, with bounded concurrency."""
 
-    def __init__(self, purpose: str, address: str, max_concurrent: int) -> None:
+    def __init__(self, purpose: str, pool: HttpPool, max_concurrent: int) -> None:
         self._purpose = purpose
-        self.pool = HttpPool(address, max_concurrent)
+        self.pool = pool
         self._semaphore = asyncio.Semaphore(max_concurrent)
 
     async def call(
         self, render: Callable[[], bytes | None], timeout_s: float
-    ) -> HttpResponse | None:
+    ) -> tuple[HttpResponse | None, OrderTrace | None]:
         """Send a request that is rendered immediately before it is sent.
 
         Returns
         -------
-        HttpResponse | None
-            The response, or None if ``render`` returned None and nothing was sent.
+        tuple[HttpResponse | None, OrderTrace | None]
+            The response and how it came, or None if ``render`` returned None and nothing was sent.
 
         Raises
         ------
@@ -274,11 +299,14 @@
             if connection.exchange_count == 0:
                 logger.info("event=control_connected purpose={}", self._purpose)
             try:
-                data = render()
+                data, sent_at = render(), read_clock()
                 if data is None:
-                    return None
+                    return None, None
+                earlier_orders = connection.exchange_count
                 async with asyncio.timeout(timeout_s):
-                    return await connection.exchange(data)
+                    response = await connection.exchange(data)
+                trace = OrderTrace(connection.number, earlier_orders, sent_at, read_clock())
+                return response, trace
             finally:
                 self.pool.release(connection)
 
--- a/persimmondock/platform/_daemon.py
+++ b/persimmondock/platform/_daemon.py
@@ -33,8 +33,8 @@
         self, settings: NodeSettings, metrics_endpoint: MetricsEndpoint | None = None
     ) -> None:
         self._store = _store.PlatformStore(settings.store_address, settings.node)
-        self._backend = PlatformBackend(settings.backend_address)
         self._metrics = PrometheusMetrics() if metrics_endpoint is not None else None
+        self._backend = PlatformBackend(settings.backend_address, self._metrics)
         self.sidecar = Sidecar(
             settings,
             self._store,
