Confirm no release while a second one of the same range is under way

Cause: a renewal that was under way at a move can be carried out after the release. The range is released once more under the same identity; the end of the first release dropped the record of the second, so the next owner was told that the keys are free while the former one held them again.

Evidence: test_no_release_is_confirmed_while_a_second_one_of_the_range_is_under_way, red before, green after.

Change: releases are tracked one by one. The range counts as free when all of them have ended.

--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -83,7 +83,8 @@
         self._node = node
         self._held: dict[int, HeldRange] = {}
         self._acquiring: dict[tuple[int, int, int], asyncio.Task[None]] = {}
-        self._releasing: dict[tuple[int, int, int], asyncio.Task[None]] = {}
+        # A range has several releases if a renewal was carried out after the first one.
+        self._releasing: dict[asyncio.Task[None], tuple[int, int, int]] = {}
         self._acquisition_starts: dict[tuple[int, int, int], float] = {}
         self._held_changed = asyncio.Event()
         self._released: list[ReleasedRange] = []
@@ -359,8 +360,8 @@
     def _start_release(self, first: int, last: int, held: HeldRange) -> None:
         grant_id = (first, last, held.key_range.fence)
         task = asyncio.create_task(self._release_range(grant_id, held.possible_until))
-        self._releasing[grant_id] = task
-        task.add_done_callback(lambda _: self._releasing.pop(grant_id, None))
+        self._releasing[task] = grant_id
+        task.add_done_callback(self._releasing.pop)
 
     async def _release_range(self, grant_id: tuple[int, int, int], possible_until: float) -> None:
         first, last, fence = grant_id
@@ -390,7 +391,7 @@
                 and held.key_range.fence < fence
             ):
                 return False
-        for low, high, held_fence in [*self._acquiring, *self._releasing]:
+        for low, high, held_fence in [*self._acquiring, *self._releasing.values()]:
             if low <= last and first <= high and held_fence < fence:
                 return False
         now = read_clock()
--- a/persimmondock/tests/fake_backend.py
+++ b/persimmondock/tests/fake_backend.py
@@ -44,6 +44,9 @@
         Duration of a request in seconds.
     outcomes
         Verdicts of the next requests, instead of an answer.
+    grants_resume, releases_resume
+        Events before which grants or releases that were sent are not carried out; None to carry
+        them out at once.
     notice
         What each answer says about the backend server, or None if it cannot be read.
     """
@@ -60,6 +63,8 @@
     outcomes: list[Verdict] = attrs.field(factory=list)
     releases: list[tuple[int, int]] = attrs.field(factory=list)
     cancelled: int = 0
+    grants_resume: asyncio.Event | None = None
+    releases_resume: asyncio.Event | None = None
     health_checks: list[str] = attrs.field(factory=list)
     notice: BackendNotice | None = attrs.field(factory=lambda: BackendNotice(conclusive=True))
 
@@ -103,6 +108,8 @@
         if hold_s <= 0:
             return GrantNotSent("no longer allowed")
         self.calls += 1
+        if self.grants_resume is not None:
+            await self.grants_resume.wait()
         if self.refused:
             return GrantNotSent("refused", refused=True)
         if self.instance and instance != self.instance:
@@ -123,6 +130,8 @@
         """Release keys."""
         await asyncio.sleep(0)
         self.releases.append((first, last))
+        if self.releases_resume is not None:
+            await self.releases_resume.wait()
         if self.refused:
             return ReleaseFailed("refused", refused=True)
         if self.instance and instance not in ("", self.instance):
--- a/persimmondock/tests/test_range_keeper.py
+++ b/persimmondock/tests/test_range_keeper.py
@@ -104,6 +104,33 @@
     assert harness.backend.releases == [(10, 19)]
 
 
+async def test_no_release_is_confirmed_while_a_second_one_of_the_range_is_under_way(
+    harness: KeeperHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against two holders when a renewal is carried out after the release of its range.
+
+    The range is released once more; the end of the first release made both count as ended.
+    """
+    monkeypatch.setattr(call_grants, "RENEW_AFTER_S", 0.05)
+    monkeypatch.setattr(range_keeper, "GRANT_DURATION_S", 0.5)
+    backend = harness.backend
+    await harness.follow(make_assignment(make_range(0, 9, 1)))
+    backend.grants_resume = asyncio.Event()
+    await asyncio.sleep(0.2)
+    await harness.follow(make_assignment(make_range(0, 9, 2, fence=2), offset=2))
+    assert backend.holds == {}
+    backend.releases_resume = asyncio.Event()
+    backend.grants_resume.set()
+    await asyncio.sleep(0.3)
+    assert (0, 9) in backend.holds
+    confirmed = asyncio.create_task(harness.keeper.handle_release([0, 9, 2, 2], PEER))
+    await asyncio.sleep(0.2)
+    assert not confirmed.done()
+    backend.releases_resume.set()
+    assert (await confirmed)[0]
+    assert backend.holds == {}
+
+
 async def test_no_release_is_confirmed_while_an_unanswered_grant_may_take_effect(
     harness: KeeperHarness,
 ) -> None:
