--- a/persimmondock/tests/platform/test_words.py
+++ b/persimmondock/tests/platform/test_words.py
@@ -348,6 +348,12 @@
     assert isinstance(_store.decode_records(body[:length], 7), StoreFailed)
 
 
+def test_an_answer_to_a_read_from_an_earlier_offset_is_rejected() -> None:
+    """Guards against records, as of assignments, that are read under offsets that others have."""
+    body = struct.pack(">QQ", 9, 2) + _store.encode_records([("a", b"1"), ("b", b"2")])
+    assert isinstance(_store.decode_records(body, 8), StoreFailed)
+
+
 # Headers.
 
 
