Send a refused request again on another connection

Cause: a faulty backend server writes an earlier refusal once more on a kept connection. A request that is sent again has the same identifier, and the pool hands out the connection used last, so the repeated refusal was taken for the answer to the second sending.

Change: a connection remembers the requests that were refused on it and does not carry them again; after 256 it is closed. What is written on another connection cannot be an earlier answer. The oldest idle connection makes room for a new one at the pool's limit.

Price: a new connection for each request that is sent to the same backend server after its refusal.

--- a/persimmondock/_adapters/http_exchange.py
+++ b/persimmondock/_adapters/http_exchange.py
@@ -135,6 +135,9 @@
         Whether another request may be sent.
     exchange_count
         Number of requests that were sent.
+    refused
+        Identifiers of the requests that the server has refused on this connection. It may write a
+        refusal once more, so a request that is sent again needs another connection.
     idle_since
         Time of the last response, by `read_clock`.
     idle_limit_s
@@ -160,6 +163,7 @@
         self._received = 0
         self._head_bytes = 0
         self.exchange_count = 0
+        self.refused: set[str] = set()
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_MAX_IDLE_S
         self._transport: asyncio.Transport | None = None
@@ -490,7 +494,9 @@
         self.connections_opened = 0
         self.on_unexpected: Callable[[HttpConnection, Unexpected], None] = lambda *_: None
 
-    async def acquire(self, max_idle_s: float = DEFAULT_MAX_IDLE_S) -> HttpConnection:
+    async def acquire(
+        self, max_idle_s: float = DEFAULT_MAX_IDLE_S, attempt: str = ""
+    ) -> HttpConnection:
         """Return the idle connection that was used last, or open a new one.
 
         Parameters
@@ -498,6 +504,8 @@
         max_idle_s
             Maximum idle time of the connection in seconds; 0 always opens a new one. Connections
             that were idle for longer are kept for other requests.
+        attempt
+            Identifier of the request; connections on which it was refused are kept for others.
 
         Raises
         ------
@@ -506,13 +514,25 @@
         """
         now = read_clock()
         self._close_expired(now)
-        if self._idle and now - self._idle[-1].idle_since < max_idle_s:
-            connection = self._idle.pop()
-        else:
+        connection = self._find_idle(now - max_idle_s, attempt)
+        if connection is None:
+            if self._idle and len(self._idle) + len(self._busy) >= self._limit:
+                self._idle.popleft().abort()
             connection = await self._open()
+        else:
+            self._idle.remove(connection)
         self._busy.add(connection)
         return connection
 
+    def _find_idle(self, used_after: float, attempt: str) -> HttpConnection | None:
+        """Return the idle connection that was used last and may carry a request, or None."""
+        for connection in reversed(self._idle):
+            if connection.idle_since <= used_after:
+                return None
+            if attempt not in connection.refused:
+                return connection
+        return None
+
     def _close_expired(self, now: float) -> None:
         """Close idle connections that the server has closed or is about to close."""
         for connection in list(self._idle):
--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -58,6 +58,7 @@
 # connection that was idle for longer.
 NON_IDEMPOTENT_MAX_IDLE_S = 2.0
 IDEMPOTENT_MAX_IDLE_S = 8.0
+MAX_REFUSALS = 256  # of a connection, whose requests are remembered
 MAX_CONCURRENT_GRANTS = 2  # a grant takes about a millisecond, and new connections have a cost
 MAX_CONCURRENT_RELEASES = 6
 GRANT_TIMEOUT_S = 0.5  # grants are answered within milliseconds or take seconds
@@ -120,7 +121,7 @@
             0.0,
         ):
             try:
-                connection = await self._pool.acquire(max_idle_s)
+                connection = await self._pool.acquire(max_idle_s, request.attempt)
             except ConnectFailedError as error:
                 reason = Reason.BACKEND_DOWN if error.refused else Reason.BACKEND_UNREACHABLE
                 return NotRun(reason, RETRY_AFTER_MS)
@@ -169,6 +170,10 @@
         # On the first request of a connection there is no earlier one whose response may be late.
         is_first_request = connection.exchange_count == 1
         verdict = _classify_response(response, request.attempt, instance, is_first_request)
+        if isinstance(verdict, NotRun):
+            connection.refused.add(request.attempt)
+            if len(connection.refused) >= MAX_REFUSALS:
+                connection.abort()
         if _speaks_for_instance(verdict):
             notice = _headers.read_notice(response.headers)
             if notice is not None:
--- a/persimmondock/tests/test_http_exchange.py
+++ b/persimmondock/tests/test_http_exchange.py
@@ -75,6 +75,19 @@
         assert pool.connections_opened == 1
 
 
+async def test_a_request_that_was_refused_is_sent_again_on_another_connection() -> None:
+    """Guards against more connections than the limit for requests that are sent again."""
+    async with serve(respond_with(COMPLETE_RESPONSE, COMPLETE_RESPONSE)) as pool:
+        pool._limit = 1
+        connection = await pool.acquire()
+        connection.refused.add("a")
+        await connection.exchange(REQUEST)
+        pool.release(connection)
+        other = await pool.acquire(attempt="a")
+        assert other is not connection
+        assert not connection.usable and pool.connections_opened == 2
+
+
 async def test_response_to_an_earlier_request_is_dropped() -> None:
     async with serve(respond_with(LATE_RESPONSE + COMPLETE_RESPONSE)) as pool:
         assert (await exchange(pool)).body == b"ok"
--- a/persimmondock/tests/virtual_network.py
+++ b/persimmondock/tests/virtual_network.py
@@ -223,8 +223,9 @@
     work_s
         Seconds that a request takes.
     repeats_answers
-        Whether a request is first answered with what was last answered on its connection, if
-        anything.
+        Whether a request is first answered with all that was answered on its connection before.
+    is_full
+        Whether requests are refused for want of room.
     names_orders
         Whether answers to grants, releases and health checks name the request that they are for.
     """
@@ -232,6 +233,7 @@
     late_s: float = 0.0
     work_s: float = 0.02
     repeats_answers: bool = False
+    is_full: bool = False
     names_orders: bool = True
     health: Health = Health.ANSWERED
 
@@ -454,6 +456,8 @@
         named = {"X-Attempt-Id": fields["x-attempt-id"]}
         if not self._is_expected(fields):
             return _render_answer(421, named | {"X-Instance-Id": self.instance})
+        if self.behavior.is_full:
+            return _render_answer(503, named | {"X-Not-Executed": "1"})
         key = int(fields.get("x-shard-key", "-1"))
         if key >= 0 and not self.holds_key(key):
             return _render_answer(421, named | {"X-Not-Executed": "1"})
@@ -472,7 +476,7 @@
     def __init__(self, process: ServerProcess) -> None:
         self.process = process
         self.is_busy = False
-        self._last_answer = b""
+        self._answers: list[bytes] = []
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, VirtualTransport)
@@ -487,14 +491,15 @@
         head, _, body = data.partition(b"\r\n\r\n")
         request, *lines = head.decode("latin-1").split("\r\n")
         fields = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
-        if self.process.behavior.repeats_answers and self._last_answer:
-            self.transport.write(self._last_answer)
+        if self.process.behavior.repeats_answers:
+            for earlier in self._answers:
+                self.transport.write(earlier)
         answer = await self.process.answer(request.split(" ")[1], fields, body)
         self.is_busy = False
         if answer is None:
             self.transport.abort()
         elif self.process.is_running:
-            self._last_answer = answer
+            self._answers.append(answer)
             self.transport.write(answer)
 
     def connection_lost(self, error: Exception | None) -> None:
