Take a refused connection for the end of a process only if none is open

A key could be held by two backend servers.

Cause: one refused connection counted as proof that the backend server had ended, so its keys counted as free. A listener that is full or closed refuses as well, while its process goes on holding them.

Evidence: test_a_process_that_refuses_connections_is_not_taken_for_one_that_has_ended, red before, green after.

Change: the end of a process ends its open connections too; as long as one is open, a refusal is no proof, and the release waits for the grant's end. A daemon that has just started has none open, so for it one refusal is still the proof.

--- a/persimmondock/_adapters/http_exchange.py
+++ b/persimmondock/_adapters/http_exchange.py
@@ -235,6 +235,11 @@
         self.idle_since = read_clock()
         return response
 
+    @property
+    def is_open(self) -> bool:
+        """Whether neither side has closed the connection, as far as is known."""
+        return self._transport is not None and not self._transport.is_closing()
+
     def abort(self) -> None:
         """Close the connection and discard unsent data."""
         self.usable = False
@@ -540,6 +545,10 @@
                 self._idle.remove(connection)
                 connection.abort()
 
+    def has_open_connection(self) -> bool:
+        """Return whether a connection is open, so that its server has not ended."""
+        return any(connection.is_open for connection in (*self._idle, *self._busy))
+
     def release(self, connection: HttpConnection) -> None:
         """Keep a connection for reuse, or close it if it is unusable or over the limit."""
         self._busy.discard(connection)
--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -125,7 +125,8 @@
             try:
                 connection = await self._pool.acquire(max_idle_s, request.attempt)
             except ConnectFailedError as error:
-                reason = Reason.BACKEND_DOWN if error.refused else Reason.BACKEND_UNREACHABLE
+                is_down = self._shows_end(error)
+                reason = Reason.BACKEND_DOWN if is_down else Reason.BACKEND_UNREACHABLE
                 return NotRun(reason, RETRY_AFTER_MS)
             stream = None
             try:
@@ -212,8 +213,7 @@
         except ExchangeError as error:
             if error.sent:
                 return GrantUnknown(str(error))
-            refused = isinstance(error, ConnectFailedError) and error.refused
-            return GrantNotSent(str(error), refused)
+            return GrantNotSent(str(error), self._shows_end(error))
         except TimeoutError:
             return GrantUnknown("no response within the timeout")
         if response is None:
@@ -238,8 +238,7 @@
         try:
             response, trace = await self._release_client.call(render, RELEASE_TIMEOUT_S)
         except (ExchangeError, TimeoutError) as error:
-            refused = isinstance(error, ConnectFailedError) and error.refused
-            return ReleaseFailed(repr(error), refused)
+            return ReleaseFailed(repr(error), self._shows_end(error))
         if response is None:
             return ReleaseFailed("not sent")
         if response.status != 200:
@@ -274,9 +273,20 @@
         try:
             self._pool.release(await self._pool.acquire(0.0))
         except ConnectFailedError as error:
-            return error.refused
+            return self._shows_end(error)
         return False
 
+    def _shows_end(self, error: Exception) -> bool:
+        """Return whether an error shows that the process at the address has ended.
+
+        A process may refuse new connections and live: the end of a process ends its open ones too.
+        """
+        if not isinstance(error, ConnectFailedError) or not error.refused:
+            return False
+        clients = (self._grant_client, self._release_client, self._health_client)
+        pools = (self._pool, *(client.pool for client in clients))
+        return not any(pool.has_open_connection() for pool in pools)
+
     def close(self) -> None:
         """Close all connections."""
         self._pool.close()
--- a/persimmondock/tests/test_answers_of_orders.py
+++ b/persimmondock/tests/test_answers_of_orders.py
@@ -123,3 +123,23 @@
         assert await one.client.check_health("/health", "i-1") is None
 
     run_in_virtual_time(run())
+
+
+def test_a_process_that_refuses_connections_is_not_taken_for_one_that_has_ended() -> None:
+    """Guards against keys that count as free while their holder lives and takes no connections."""
+
+    async def run() -> None:
+        one = OneServer(True)
+        assert await one.grant(10) == GrantAccepted()
+        one.server._listener.close()
+        outcome = await one.release(10)
+        assert isinstance(outcome, ReleaseFailed) and not outcome.refused
+        assert not await one.client.refuses_connections()
+        assert one.server.holds_key(10)
+        one.server.kill()
+        await asyncio.sleep(0.01)
+        outcome = await one.release(10)
+        assert isinstance(outcome, ReleaseFailed) and outcome.refused
+        assert await one.client.refuses_connections()
+
+    run_in_virtual_time(run())
