Keep connections for grants whose answers name no request, and settle them at a release

What callers saw: nothing yet.

Change: an answer that may be an earlier one leaves its grant open, and the connection is kept. A certain answer behind it shows that the grant was carried out, since a server serves one request at a time on a connection. When keys are released, they are released once more on the connections of their open grants; the handover in the answer is new each time, so it is certain. Where that fails the release waits until the grant has expired, as for one without an answer.

--- a/persimmondock/_adapters/http_exchange.py
+++ b/persimmondock/_adapters/http_exchange.py
@@ -138,6 +138,8 @@
     refused
         Identifiers of the requests that the server has refused on this connection. It may write a
         refusal once more, so a request that is sent again needs another connection.
+    marks
+        What tells the responses on this connection apart; see `persimmondock.platform`.
     idle_since
         Time of the last response, by `read_clock`.
     idle_limit_s
@@ -164,6 +166,7 @@
         self._head_bytes = 0
         self.exchange_count = 0
         self.refused: set[str] = set()
+        self.marks: set[str] = set()
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_MAX_IDLE_S
         self._transport: asyncio.Transport | None = None
@@ -538,6 +541,20 @@
                 return connection
         return None
 
+    def take(self, number: int) -> HttpConnection | None:
+        """Return the idle connection with a number, or None if it is busy or closed."""
+        self._close_expired(read_clock())
+        for connection in self._idle:
+            if connection.number == number:
+                self._idle.remove(connection)
+                self._busy.add(connection)
+                return connection
+        return None
+
+    def is_busy(self, number: int) -> bool:
+        """Return whether a request is sent on the connection with a number."""
+        return any(connection.number == number for connection in self._busy)
+
     def _close_expired(self, now: float) -> None:
         """Close idle connections that the server has closed or is about to close."""
         for connection in list(self._idle):
--- a/persimmondock/tests/fake_backend.py
+++ b/persimmondock/tests/fake_backend.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 
@@ -139,6 +139,12 @@
         held = self.holds.pop((first, last), None)
         return ReleaseDone(f"handover-{first}" if held is not None else "")
 
+    async def settle_grants(
+        self, connections: Collection[int], instance: str, first: int, last: int, fence: int
+    ) -> frozenset[int]:
+        """Return all connections: grants are carried out when they are sent."""
+        return frozenset(connections)
+
     async def check_health(self, path: str, instance: str) -> BackendNotice | None:
         """Answer a health check."""
         await asyncio.sleep(0)
