Count a grant as possible until its delivery, too, has been allowed for

A key could be held by two backend servers for as long as a grant had been on its way.

Cause: without an answer to a release, a range counted as free at the instant of computing the grant's duration, plus that duration and 2%. The duration counts from the grant's arrival. Takeovers allowed 0.15 s for that, the keeper's own waiting nothing.

Evidence: test_a_range_whose_release_is_unanswered_is_not_free_before_its_hold_has_ended[False-0.1], red before, green after: a grant that was 0.1 s on its way was in force up to 0.1 s longer.

Change: compute_hold_end adds TAKEOVER_MARGIN_S, for releases and grants without an answer and for the grants of an earlier process.

Why it works: both ways to take keys from a silent holder now end after the same instant.

--- a/persimmondock/_domain/range_lease.py
+++ b/persimmondock/_domain/range_lease.py
@@ -114,6 +114,20 @@
         return start + LEASE_TERM_S * (1 + CLOCK_TOLERANCE) + TAKEOVER_MARGIN_S
 
 
+def compute_hold_end(sent_at: float, hold_s: float) -> float:
+    """Return the instant until which a grant may be in force.
+
+    Parameters
+    ----------
+    sent_at
+        Instant for which its duration was computed. It counts from its arrival, which is no later
+        than ``TAKEOVER_MARGIN_S`` seconds after that.
+    hold_s
+        Duration of the grant in seconds.
+    """
+    return sent_at + TAKEOVER_MARGIN_S + hold_s * (1 + CLOCK_TOLERANCE)
+
+
 def find_majority_instant(
     names: frozenset[str], instants: dict[str, float], newest_first: bool = False
 ) -> float:
--- a/persimmondock/_tasks/call_grants.py
+++ b/persimmondock/_tasks/call_grants.py
@@ -11,7 +11,7 @@
 
 from persimmondock._adapters.clock import read_clock
 from persimmondock._domain.holdings import ReleasedRange
-from persimmondock._domain.range_lease import CLOCK_TOLERANCE
+from persimmondock._domain.range_lease import compute_hold_end
 from persimmondock._ports.backend import (
     GrantAccepted,
     GrantFenced,
@@ -162,7 +162,7 @@
             sent_at = read_clock()
             hold_s = self._keeper.find_hold_s(key_range, sent_at)
             if hold_s > 0:
-                possible_until = sent_at + hold_s * (1 + CLOCK_TOLERANCE)
+                possible_until = compute_hold_end(sent_at, hold_s)
                 # A sent grant may take effect at any time until it is answered.
                 self._unanswered[grant_id].append(possible_until)
                 self._keeper.record_sent_grant(key_range, possible_until)
@@ -178,7 +178,7 @@
             find_hold_s,
             handover,
         )
-        possible_until = sent_at + hold_s * (1 + CLOCK_TOLERANCE)
+        possible_until = compute_hold_end(sent_at, hold_s)
         match outcome:
             case GrantAccepted(trace=trace):
                 if is_new:
--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -20,7 +20,7 @@
     ReleasedRange,
     ReportedHoldings,
 )
-from persimmondock._domain.range_lease import CLOCK_TOLERANCE, RangeLease, Takeover
+from persimmondock._domain.range_lease import RangeLease, Takeover, compute_hold_end
 from persimmondock._domain.site import GrantMode, GrantsByCall, GrantsInHeartbeats
 from persimmondock._domain.verdict import NotRun, Reason
 from persimmondock._tasks.call_grants import CallGrants
@@ -397,7 +397,7 @@
         now = read_clock()
         if now < self._channel.find_possible_until(first, last):
             return False
-        if now < self._grants_known_since + GRANT_DURATION_S * (1 + CLOCK_TOLERANCE):
+        if now < compute_hold_end(self._grants_known_since, GRANT_DURATION_S):
             # Grants of an earlier process of this daemon may not have expired yet.
             return await self._channel.release_for_predecessor(first, last, fence)
         return True
--- a/persimmondock/tests/test_range_keeper.py
+++ b/persimmondock/tests/test_range_keeper.py
@@ -4,19 +4,28 @@
 
 import asyncio
 import gc
+import math
 
 import attrs
 import pytest
 
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.peer_stream import Delivery
-from persimmondock._domain.assignment import Assignment
+from persimmondock._domain.assignment import Assignment, BackendIncarnation
 from persimmondock._domain.range_lease import RangeLease
 from persimmondock._domain.verdict import NotRun, Reason
 from persimmondock._tasks import call_grants, range_keeper
 from persimmondock._tasks.range_keeper import RangeKeeper
+from persimmondock.tests import virtual_network
 from persimmondock.tests.fake_backend import FakeBackend
 from persimmondock.tests.sites import make_assignment, make_incarnation, make_range
+from persimmondock.tests.virtual_network import (
+    ServerBehavior,
+    ServerProcess,
+    VirtualNetwork,
+    make_backend_client,
+)
+from persimmondock.tests.virtual_time import run_in_virtual_time
 
 PEER = Delivery("node-2", 0.0)
 
@@ -337,3 +346,36 @@
     gc.collect()
     await asyncio.sleep(0)
     assert errors == []
+
+
+@pytest.mark.parametrize("hop_s", [0.0003, 0.1])
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_a_range_whose_release_is_unanswered_is_not_free_before_its_hold_has_ended(
+    hop_s: float, is_answered: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against two holders when a grant arrives later than it was sent.
+
+    The hold counts from the arrival, by a clock that may run 2% slow.
+    """
+    monkeypatch.setattr(virtual_network, "HOP_S", hop_s)
+
+    async def run() -> None:
+        behavior = ServerBehavior(clock_s=1.02, answers_releases=False)
+        server = ServerProcess(VirtualNetwork(), "10.0.0.1:80", "i-1", behavior)
+        backend = make_backend_client("10.0.0.1:80")
+        keeper = RangeKeeper(backend, RangeLease(), "node-1")
+        keeper._grants_known_since = -math.inf
+        keeper.update_incarnation(BackendIncarnation("node-1", "i-1", 1))
+        owned = attrs.evolve(make_range(0, 9, 1), owner=keeper.incarnation)
+        task = asyncio.create_task(keeper.run())
+        keeper.update_assignment(make_assignment(owned), 1)
+        keeper.lease.confirm_by_store(1, read_clock())
+        if not is_answered:
+            behavior.late_s = 1e-6
+        await asyncio.sleep(3.5 * hop_s + 0.5 * is_answered)
+        keeper.update_assignment(make_assignment(make_range(0, 9, 2, fence=2), offset=2), 2)
+        await keeper.handle_release([0, 9, 2, 2], PEER)
+        assert server.spans and not server.holds_key(5)
+        task.cancel()
+
+    run_in_virtual_time(run())
--- a/persimmondock/tests/virtual_network.py
+++ b/persimmondock/tests/virtual_network.py
@@ -228,6 +228,10 @@
         Whether requests are refused for want of room.
     names_orders
         Whether answers to grants, releases and health checks name the request that they are for.
+    answers_releases
+        Whether releases are carried out and answered.
+    clock_s
+        Seconds that pass while its clock counts one.
     """
 
     late_s: float = 0.0
@@ -235,6 +239,8 @@
     repeats_answers: bool = False
     is_full: bool = False
     names_orders: bool = True
+    answers_releases: bool = True
+    clock_s: float = 1.0
     health: Health = Health.ANSWERED
 
 
@@ -352,7 +358,7 @@
         ):
             return 409
         self._seen[first, last] = fence
-        now, until = read_clock(), arrived_at + hold_s
+        now, until = read_clock(), arrived_at + hold_s * self.behavior.clock_s
         if until <= now:
             return 200
         held = self.list_held()
@@ -430,6 +436,8 @@
                 return None
             return _render_answer(self.carry_out_grant(*order), named)
         if target == "/-/release":
+            if not self.behavior.answers_releases:
+                await asyncio.sleep(math.inf)
             data = json.loads(body)
             await self.release(data["from"], data["target"])
             return _render_answer(200, named | {"X-Handover": f"handover-{data['from']}"})
