Take no unread or overdue connection for a sign that a backend server lives

Cause: a connection whose streamed answer waits for its reader is not read, so its end is not noticed; an idle one that was lost without a word stayed in its pool until that pool was used again.

Evidence: test_a_connection_whose_reader_waits_does_not_hide_the_end_of_its_server and test_a_connection_that_was_lost_unnoticed_hides_the_end_of_a_process_for_a_while_only, red before, green after.

Change: such connections do not count.

--- a/persimmondock/_adapters/http_exchange.py
+++ b/persimmondock/_adapters/http_exchange.py
@@ -237,8 +237,12 @@
 
     @property
     def is_open(self) -> bool:
-        """Whether neither side has closed the connection, as far as is known."""
-        return self._transport is not None and not self._transport.is_closing()
+        """Whether neither side has closed the connection.
+
+        While a streamed body waits for its reader, the server's end of it would go unnoticed.
+        """
+        transport = self._transport
+        return transport is not None and transport.is_reading() and not transport.is_closing()
 
     def abort(self) -> None:
         """Close the connection and discard unsent data."""
@@ -546,8 +550,13 @@
                 connection.abort()
 
     def has_open_connection(self) -> bool:
-        """Return whether a connection is open, so that its server has not ended."""
-        return any(connection.is_open for connection in (*self._idle, *self._busy))
+        """Return whether a connection is open, so that its server has not ended.
+
+        One that was idle for too long to be used again may have been lost unnoticed.
+        """
+        now = read_clock()
+        idle = [item for item in self._idle if now - item.idle_since < item.idle_limit_s]
+        return any(connection.is_open for connection in (*idle, *self._busy))
 
     def release(self, connection: HttpConnection) -> None:
         """Keep a connection for reuse, or close it if it is unusable or over the limit."""
--- a/persimmondock/tests/test_answers_of_orders.py
+++ b/persimmondock/tests/test_answers_of_orders.py
@@ -7,6 +7,7 @@
 import pytest
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.http_exchange import DEFAULT_MAX_IDLE_S
 from persimmondock._ports.backend import GrantAccepted, GrantOutcome, ReleaseDone, ReleaseFailed
 from persimmondock.platform._backend import PlatformBackend
 from persimmondock.tests.virtual_fleet import VirtualFleet
@@ -143,3 +144,18 @@
         assert await one.client.refuses_connections()
 
     run_in_virtual_time(run())
+
+
+def test_a_connection_that_was_lost_unnoticed_hides_the_end_of_a_process_for_a_while_only() -> None:
+    """Guards against an ended process that counts as alive for good."""
+
+    async def run() -> None:
+        one = OneServer(True)
+        assert await one.client.check_health("/health", "i-1") is not None
+        one.server._connections.clear()
+        one.server.kill()
+        assert not await one.client.refuses_connections()
+        await asyncio.sleep(DEFAULT_MAX_IDLE_S)
+        assert await one.client.refuses_connections()
+
+    run_in_virtual_time(run())
--- a/persimmondock/tests/test_http_exchange.py
+++ b/persimmondock/tests/test_http_exchange.py
@@ -228,6 +228,27 @@
         pool.release(recent)
 
 
+async def test_a_connection_whose_reader_waits_does_not_hide_the_end_of_its_server() -> None:
+    """Guards against an ended process that counts as alive while a streamed answer is not read."""
+    writers = []
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writers.append(writer)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n" + b"x" * 2_000_000)
+
+    async with serve(handle) as pool:
+        connection = await pool.acquire()
+        response = await connection.exchange(REQUEST, None, 1000)
+        assert response.stream is not None
+        async with asyncio.timeout(2.0):
+            while connection._transport.is_reading():
+                await asyncio.sleep(0.01)
+        writers[0].transport.abort()
+        await asyncio.sleep(0.05)
+        assert not pool.has_open_connection()
+
+
 async def test_connection_refusal_is_reported() -> None:
     with pytest.raises(ConnectFailedError) as caught:
         await HttpPool(f"{HOST}:1", 1).acquire()
--- a/persimmondock/tests/virtual_network.py
+++ b/persimmondock/tests/virtual_network.py
@@ -117,6 +117,10 @@
             self._send(RESET)
             self._end(None)
 
+    def is_reading(self) -> bool:
+        """Return whether bytes are received."""
+        return not self._is_closed
+
     def is_closing(self) -> bool:
         """Return whether the connection is closed."""
         return self._is_closed
