Close a connection whose answer belongs to no request

Cause: an answer without an identifier, in place of the one that is due, ended the exchange as "may have run", and the connection was kept. The answer that was due came when the next request waited there. A refusal of the first sending was counted for the second one under the same identifier, though that one ran: avoids connections on which a refusal was seen, and this one was not seen yet.

Evidence: test_a_late_refusal_behind_an_invalid_answer_does_not_refuse_a_request_that_runs, red before (NotRun of a request that ran), green after. Within one request the dispatcher still said "may have run", since it keeps the earlier unknown outcome; a caller that repeats its identifier was told "not run".

Change: an exchange that ends without a valid answer closes its connection, as a timeout and a lost answer do.

--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -173,6 +173,9 @@
         # On the first request of a connection there is no earlier one whose response may be late.
         is_first_request = connection.exchange_count == 1
         verdict = _classify_response(response, request.attempt, instance, is_first_request)
+        if isinstance(verdict, MayHaveRun):
+            # The answer may still come, when another request waits for its own.
+            connection.abort()
         if isinstance(verdict, NotRun):
             connection.refused.add(request.attempt)
             if len(connection.refused) >= MAX_REFUSALS:
--- a/persimmondock/tests/test_repeated_refusals.py
+++ b/persimmondock/tests/test_repeated_refusals.py
@@ -7,7 +7,7 @@
 import pytest
 
 from persimmondock._adapters.clock import read_clock
-from persimmondock._domain.verdict import Answered, NotRun, Verdict
+from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Verdict
 from persimmondock.platform import _backend
 from persimmondock.tests.sites import make_forwarded
 from persimmondock.tests.virtual_network import (
@@ -102,3 +102,31 @@
         assert one.client._pool.connections_opened == 3
 
     run_in_virtual_time(run())
+
+
+def test_a_late_refusal_behind_an_invalid_answer_does_not_refuse_a_request_that_runs() -> None:
+    """Guards against "not run" of a request that runs, by the refusal of its earlier sending.
+
+    An answer that belongs to no request came in place of that refusal.
+    """
+
+    async def run() -> None:
+        one = RefusingServer()
+        await one.run("other")
+        (connection,) = one.server._connections
+        refuse = one.server.answer
+
+        async def answer_late(target: str, fields: dict[str, str], body: bytes) -> bytes | None:
+            refusal = await refuse(target, fields, body)
+            assert refusal is not None
+            asyncio.get_running_loop().call_later(0.01, connection.transport.write, refusal)
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+        one.server.answer = answer_late
+        assert isinstance(await one.run("a"), MayHaveRun)
+        one.server.answer = refuse
+        one.behavior.is_full = False
+        assert isinstance(await one.run("a"), Answered)
+        assert len(one.server.requests) == 1
+
+    run_in_virtual_time(run())
