Send a request that failed again on another connection

Cause: a request with a key that may be repeated goes to its owner again after a 5xx, under the same identifier and mostly on the same connection. A failure that is written once more was taken for the answer of the second run: callers got a failure though that run succeeded, and notices in it counted as new ones.

Evidence: test_a_repeated_failure_does_not_fail_a_request_that_is_sent_again, red before (500), green after (200).

Change: connections on which a request failed are avoided as those on which it was refused; the bound of 256 is shared.

--- a/persimmondock/_adapters/http_exchange.py
+++ b/persimmondock/_adapters/http_exchange.py
@@ -136,8 +136,8 @@
     exchange_count
         Number of requests that were sent.
     refused
-        Identifiers of the requests that the server has refused on this connection. It may write a
-        refusal once more, so a request that is sent again needs another connection.
+        Identifiers of the requests that the server has refused or failed on this connection. It
+        may write such an answer once more, so a request that is sent again needs another one.
     idle_since
         Time of the last response, by `read_clock`.
     idle_limit_s
--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -60,7 +60,7 @@
 # connection that was idle for longer.
 NON_IDEMPOTENT_MAX_IDLE_S = 2.0
 IDEMPOTENT_MAX_IDLE_S = 8.0
-MAX_REFUSALS = 256  # of a connection, whose requests are remembered
+MAX_REFUSALS = 256  # and failures on a connection, whose requests are remembered
 MAX_CONCURRENT_GRANTS = 2  # a grant takes about a millisecond, and new connections have a cost
 MAX_CONCURRENT_RELEASES = 6
 GRANT_TIMEOUT_S = 0.5  # grants are answered within milliseconds or take seconds
@@ -176,7 +176,7 @@
         if isinstance(verdict, MayHaveRun):
             # The answer may still come, when another request waits for its own.
             connection.abort()
-        if isinstance(verdict, NotRun):
+        if isinstance(verdict, NotRun) or response.status >= 500:
             connection.refused.add(request.attempt)
             if len(connection.refused) >= MAX_REFUSALS:
                 connection.abort()
--- a/persimmondock/tests/test_repeated_refusals.py
+++ b/persimmondock/tests/test_repeated_refusals.py
@@ -130,3 +130,19 @@
         assert len(one.server.requests) == 1
 
     run_in_virtual_time(run())
+
+
+def test_a_repeated_failure_does_not_fail_a_request_that_is_sent_again() -> None:
+    """Guards against a failure of an earlier run that is passed on in place of the answer."""
+
+    async def run() -> None:
+        one = RefusingServer()
+        one.accept()
+        one.behavior.fails = True
+        failed = await one.run("a")
+        assert isinstance(failed, Answered) and failed.answer.status == 500
+        one.behavior.fails = False
+        answered = await one.run("a")
+        assert isinstance(answered, Answered) and answered.answer.status == 200
+
+    run_in_virtual_time(run())
--- a/persimmondock/tests/virtual_network.py
+++ b/persimmondock/tests/virtual_network.py
@@ -230,6 +230,8 @@
         Whether a request is first answered with all that was answered on its connection before.
     is_full
         Whether requests are refused for want of room.
+    fails
+        Whether requests that ran are answered with an error.
     names_orders
         Whether answers to grants, releases and health checks name the request that they are for.
     answers_releases
@@ -242,6 +244,7 @@
     work_s: float = 0.02
     repeats_answers: bool = False
     is_full: bool = False
+    fails: bool = False
     names_orders: bool = True
     answers_releases: bool = True
     clock_s: float = 1.0
@@ -479,6 +482,8 @@
             await asyncio.sleep(self.behavior.work_s)
         finally:
             self._running.remove(key)
+        if self.behavior.fails:
+            return _render_answer(500, named)
         return _render_answer(200, named | {"X-Server-Signature": "3e1b"})
 
 
