--- a/persimmondock/tests/virtual_network.py
+++ b/persimmondock/tests/virtual_network.py
@@ -117,6 +117,10 @@
             self._send(RESET)
             self._end(None)
 
+    def is_reading(self) -> bool:
+        """Return whether bytes are received."""
+        return not self._is_closed
+
     def is_closing(self) -> bool:
         """Return whether the connection is closed."""
         return self._is_closed
@@ -226,15 +230,24 @@
         Whether a request is first answered with all that was answered on its connection before.
     is_full
         Whether requests are refused for want of room.
+    fails
+        Whether requests that ran are answered with an error.
     names_orders
         Whether answers to grants, releases and health checks name the request that they are for.
+    answers_releases
+        Whether releases are carried out and answered.
+    clock_s
+        Seconds that pass while its clock counts one.
     """
 
     late_s: float = 0.0
     work_s: float = 0.02
     repeats_answers: bool = False
     is_full: bool = False
+    fails: bool = False
     names_orders: bool = True
+    answers_releases: bool = True
+    clock_s: float = 1.0
     health: Health = Health.ANSWERED
 
 
@@ -352,7 +365,7 @@
         ):
             return 409
         self._seen[first, last] = fence
-        now, until = read_clock(), arrived_at + hold_s
+        now, until = read_clock(), arrived_at + hold_s * self.behavior.clock_s
         if until <= now:
             return 200
         held = self.list_held()
@@ -430,6 +443,8 @@
                 return None
             return _render_answer(self.carry_out_grant(*order), named)
         if target == "/-/release":
+            if not self.behavior.answers_releases:
+                await asyncio.sleep(math.inf)
             data = json.loads(body)
             await self.release(data["from"], data["target"])
             return _render_answer(200, named | {"X-Handover": f"handover-{data['from']}"})
@@ -467,6 +482,8 @@
             await asyncio.sleep(self.behavior.work_s)
         finally:
             self._running.remove(key)
+        if self.behavior.fails:
+            return _render_answer(500, named)
         return _render_answer(200, named | {"X-Server-Signature": "3e1b"})
 
 
