Begin nothing at a stopping daemon that would be cut at its end

Cause: only Sidecar.drain and Ingress.close knew when the daemon has to have stopped. The dispatcher passed requests on with their callers' own deadlines until the connections were closed.

Change: the instant is stored when the stop begins (StopDeadline). Before each attempt the dispatcher refuses a request as not run (`stopping`, 503 with Retry-After; the connection closes as for every answer of a stopping daemon) if most requests of its route, by the measured mean and spread of its answers, or by the route's latency objective before the first one, would be answered later than that, and its own deadline is later too. What is passed on gets what is left until then as its remaining time, so the backend server itself ends work that takes longer than expected, and its answer still reaches the caller.

Why it works: a request is refused only before it is sent; one that was sent has a deadline before the connections close, with a margin for the reply of a silent peer. A request whose own deadline comes first is treated as before.

Evidence: persimmondock/tests/test_stopping.py, in virtual time. Red before: 7 of its 10 tests (refused late unsafe and safe; longer than ever, unsafe and safe; retry; no owner; calls of running work). The other 3 hold what has to stay: what can be served in time is served.

--- a/persimmondock/_domain/gate_queue.py
+++ b/persimmondock/_domain/gate_queue.py
@@ -62,6 +62,10 @@
         """Return the expected service time of a request of a route, in seconds."""
         return self._route_mean_s.get(route) or self.mean_s or INITIAL_SERVICE_S
 
+    def estimate_most_s(self, route: str) -> float:
+        """Return the time within which most requests of a route are answered, in seconds."""
+        return self.estimate_service_s(route) + self.estimate_excess_s(route)
+
     def estimate_excess_s(self, route: str) -> float:
         """Return by how much most requests of a route exceed their mean at most, in seconds."""
         return SPREAD_FACTOR * self._route_spread_s.get(route, 0.0)
--- a/persimmondock/_domain/request_trace.py
+++ b/persimmondock/_domain/request_trace.py
@@ -72,6 +72,7 @@
     "failure_domain_out": frozenset({"failure_domains_out"}),
     "suspected_poison": frozenset({"backend_crashed"}),
     "draining": _CAPACITY_EVENTS | {"leaving_answered", "leaving_told"},
+    "stopping": frozenset({"leaving", "daemon_stopping"}),
     "no_configuration": frozenset({"configuration", "configuration_refused", "store_lost"}),
 }
 
--- a/persimmondock/_domain/verdict.py
+++ b/persimmondock/_domain/verdict.py
@@ -26,6 +26,7 @@
     DEADLINE_PASSED = "deadline_passed"
     OVERLOADED = "overloaded"
     DRAINING = "draining"
+    STOPPING = "stopping"
     SUSPECTED_POISON = "suspected_poison"
     BAD_REQUEST = "bad_request"
     MISSING_REQUEST_ID = "missing_request_id"
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -23,6 +23,7 @@
 from persimmondock._domain.gate_queue import INITIAL_SERVICE_S, MAX_OWNER_WAIT_SHARE, ServiceTimes
 from persimmondock._domain.gate_status import GateStatus
 from persimmondock._domain.key_loads import KeyLoads
+from persimmondock._domain.stop_deadline import StopDeadline
 from persimmondock._domain.verdict import (
     Answer,
     Answered,
@@ -80,6 +81,8 @@
         Bounds on what the backend server is sent, by its service's policy and its own notices.
     pool
         Requests that run, and those that wait for a slot.
+    stop
+        Instant by which requests have to be answered because the daemon stops.
     streams
         Large answers of the backend server that are on their way to callers.
     link
@@ -115,6 +118,7 @@
         self._keeper = keeper
         self._metrics = metrics
         self.limits = SendLimits(bounds, self._estimate_slots_per_s, self._apply_limit)
+        self.stop = StopDeadline()
         self.pool = SlotPool(self.limits, lambda: self.slots)
         self._told_early: list[ToldNotice] = []
         self._limit_checked_at = 0.0
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -28,6 +28,7 @@
     unpack_verdict,
 )
 from persimmondock._domain.gate_choice import GateCandidate, compute_weights
+from persimmondock._domain.gate_queue import ServiceTimes
 from persimmondock._domain.gate_status import GateStatus, unpack_status
 from persimmondock._domain.service_room import Refuse, Send, ServiceRoom, estimate_wait
 from persimmondock._domain.shared_budget import SharedBudget
@@ -41,6 +42,7 @@
     name_verdict,
 )
 from persimmondock._tasks.answer_streams import AnswerStreams, collect_answer, find_stream
+from persimmondock._tasks.backend_gate import GATEWAY_TIMEOUT
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -173,6 +175,8 @@
         self._in_flight_at_status: Counter[str] = Counter()
         self._budgets: dict[str, SharedBudget] = {}
         self._rooms: dict[str, ServiceRoom] = {}
+        # Times from the sending to a gate to the answer, by service.
+        self._answer_times: dict[str, ServiceTimes] = {}
         self._room_logged_at: dict[str, float] = {}
         self._random = random.Random()
         self.in_flight = 0
@@ -222,6 +226,10 @@
         owner_wait_s = OWNER_WAIT_SHARE * route.objective_s
         owner_wait_until, previous_runs = now + owner_wait_s, 0
         while True:
+            answer_s = self._estimate_answer_s(request, route)
+            if self._gate.stop.is_too_late(request.deadline, answer_s, read_clock()):
+                attempts.refusal = NotRun(Reason.STOPPING, PEER_RETRY_MS)
+                break
             node = self._choose_node(request, attempts)
             if isinstance(node, Refuse):
                 self._refuse_here(request, node, attempts)
@@ -238,6 +246,7 @@
             self._record_sent(node, request, attempts)
             sent_at = read_clock()
             verdict = await self._send(node, request, attempts)
+            self._record_answer_time(request, verdict, sent_at)
             if isinstance(verdict, Answered) and attempts.free:
                 times = self._get_room(request.service).service_times
                 times.record(request.route, read_clock() - sent_at)
@@ -253,6 +262,24 @@
                 await asyncio.sleep(OWNER_POLL_S)
         return attempts.conclude()
 
+    def _estimate_answer_s(self, request: ForwardedRequest, route: RoutePolicy) -> float:
+        """Return the time within which most requests of a route are answered, in seconds."""
+        times = self._answer_times.get(request.service)
+        return route.objective_s if times is None else times.estimate_most_s(request.route)
+
+    def _record_answer_time(
+        self, request: ForwardedRequest, verdict: Verdict, sent_at: float
+    ) -> None:
+        match verdict:
+            case Answered(answer=answer) if answer.status < 500 or answer.status == GATEWAY_TIMEOUT:
+                pass
+            case MayHaveRun(reason=Reason.DEADLINE_PASSED):
+                pass
+            case _:
+                return
+        times = self._answer_times.setdefault(request.service, ServiceTimes())
+        times.record(request.route, read_clock() - sent_at)
+
     def _record_attempt(
         self,
         node: str,
@@ -443,6 +470,7 @@
         repeat = bool(attempts.runs or attempts.backend_refusals)
         if repeat or stands_for != request.stands_for:
             request = attrs.evolve(request, repeat=repeat, stands_for=round(stands_for, 2))
+        request = self._gate.stop.limit(request)
         if node == self._mesh.own.node:
             return await self._gate.run(request)
         peer = self._mesh.peers[node]
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -227,9 +227,10 @@
         float
             Instant by which the daemon has to have stopped.
         """
-        started = read_clock()
+        stop_by = read_clock() + self.settings.bounds.stop_s - STOP_MARGIN_S
         logger.info("event=leaving daemon={}", self.settings.node)
         self.gate.leaving = True
+        self.gate.stop.set_end(stop_by)
         await asyncio.sleep(READINESS_DRAIN_S)
         logger.info(
             "event=daemon_stopping daemon={} in_flight={} keys_held={}",
@@ -237,10 +238,10 @@
             self.gate.count_in_flight() + self.dispatcher.in_flight,
             self.keeper.holds_any(),
         )
-        return started + self.settings.bounds.stop_s - STOP_MARGIN_S
+        return stop_by
 
     async def drain(self, stop_by: float) -> None:
-        """Refuse new requests at the gate and wait for those in flight.
+        """Take no more requests at the gate and wait for those in flight.
 
         Parameters
         ----------
--- /dev/null
+++ b/persimmondock/tests/test_stopping.py
@@ -0,0 +1,165 @@
+"""Requests that come, or still wait, while a daemon stops."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+
+from persimmondock._domain.verdict import MayHaveRun, NotRun, Reason
+from persimmondock.tests.stopping_site import StoppingSite
+from persimmondock.tests.virtual_site import CALLER_SERVICE
+from persimmondock.tests.virtual_time import run_in_virtual_time
+
+LONG_S = 2.5
+SHORT_S = 0.1
+WORK_BY_ROUTE = {"long": LONG_S, "short": SHORT_S}
+IDEMPOTENT = pytest.mark.parametrize("idempotent", [False, True], ids=["unsafe", "safe"])
+
+
+async def open_site(**options: Any) -> StoppingSite:
+    site = StoppingSite(dict(WORK_BY_ROUTE), **{"servers": 3, "fronts": 2, "slots": 4, **options})
+    await site.start()
+    return site
+
+
+def run(scenario: Coroutine[Any, Any, None]) -> None:
+    run_in_virtual_time(scenario)
+
+
+@IDEMPOTENT
+def test_a_late_request_that_would_be_cut_is_refused_unsent(idempotent: bool) -> None:
+    """Guards against work that is begun late in the grace and cut at its end (issue 37)."""
+
+    async def scenario() -> None:
+        site = await open_site()
+        front = site.fronts[0]
+        await site.learn(front, "long")
+        stopped = site.signal(front)
+        reply = await site.ask_later(3.5, front, "long", idempotent=idempotent)
+        assert reply.verdict == NotRun(Reason.STOPPING, 100)
+        assert site.list_runs(reply.attempt) == [] and reply.took_s < 0.01
+        await stopped
+        await site.close()
+
+    run(scenario())
+
+
+@IDEMPOTENT
+def test_a_late_request_that_ends_in_time_is_served(idempotent: bool) -> None:
+    async def scenario() -> None:
+        site = await open_site()
+        front = site.fronts[0]
+        await site.learn(front, "short")
+        stopped = site.signal(front)
+        for after_s in (1.0, 3.0, 4.5):
+            reply = await site.ask_later(after_s, front, "short", idempotent=idempotent)
+            assert reply.status == 200
+        await stopped
+        await site.close()
+
+    run(scenario())
+
+
+def test_a_request_whose_own_deadline_comes_first_is_served_as_ever() -> None:
+    """A caller that waits no longer than the daemon lives is not sent elsewhere."""
+
+    async def scenario() -> None:
+        site = await open_site()
+        front = site.fronts[0]
+        await site.learn(front, "long")
+        stopped = site.signal(front)
+        reply = await site.ask_later(3.5, front, "long", timeout_s=1.5)
+        assert reply.status == 504
+        assert site.find_faults([reply]) == []
+        await stopped
+        await site.close()
+
+    run(scenario())
+
+
+@IDEMPOTENT
+def test_a_late_request_that_takes_longer_than_ever_is_answered(idempotent: bool) -> None:
+    """Guards against a backend server that is told to work beyond the end of the daemon."""
+
+    async def scenario() -> None:
+        site = await open_site()
+        front = site.fronts[0]
+        await site.learn(front, "short")
+        for node in site.servers:
+            node.server.work_by_route["short"] = LONG_S  # type: ignore[attr-defined]
+        stopped = site.signal(front)
+        reply = await site.ask_later(3.5, front, "short", idempotent=idempotent)
+        assert reply.status == 504
+        assert not any(run.cut for run in site.list_runs(reply.attempt))
+        await stopped
+        await site.close()
+
+    run(scenario())
+
+
+def test_a_retry_is_not_begun_too_late() -> None:
+    """Guards against a second attempt late in the grace that is cut while it runs."""
+
+    async def scenario() -> None:
+        site = await open_site(servers=2)
+        front = site.fronts[0]
+        await site.learn(front, "long")
+        stopped = site.signal(front)
+        asking = site.ask_later(1.5, front, "long")
+        await asyncio.sleep(3.4)
+        for node in site.servers:
+            if node.process is not None and node.process.gate.count_in_flight():
+                failed = asyncio.ensure_future(site.restart(node, 20.0))
+        reply = await asking
+        assert isinstance(reply.verdict, MayHaveRun)
+        assert reply.ended_at < site.signalled_at + 4.0
+        assert len(site.list_runs(reply.attempt)) == 1
+        await stopped
+        failed.cancel()
+        await site.close()
+
+    run(scenario())
+
+
+def test_a_late_request_without_an_owner_is_refused_unsent() -> None:
+    """Guards against requests that wait for an owner until they are cut unsent."""
+
+    async def scenario() -> None:
+        site = await open_site(keyed=True)
+        front = site.fronts[0]
+        await site.learn(front, "long")
+        stopped = site.signal(front)
+        await asyncio.sleep(2.4)
+        assignments = dict(site.control.assignments)
+        site.control.assignments.clear()
+        asking = site.ask_later(2.57, front, "long")
+        await asyncio.sleep(0.205)
+        site.control.assignments.update(assignments)
+        reply = await asking
+        assert reply.verdict == NotRun(Reason.STOPPING, 100) and reply.took_s > 0.02
+        assert site.find_faults([reply]) == []
+        await stopped
+        await site.close()
+
+    run(scenario())
+
+
+def test_calls_of_work_that_runs_beside_a_stopping_daemon_follow_the_same_rule() -> None:
+    async def scenario() -> None:
+        site = await open_site()
+        own = site.servers[0]
+        await site.learn(own, "long")
+        await site.learn(own, "short")
+        stopped = site.signal(own)
+        long = site.ask_later(3.5, own, "long", caller_service=CALLER_SERVICE, idempotent=False)
+        short = site.ask_later(3.5, own, "short", caller_service=CALLER_SERVICE, idempotent=False)
+        replies = list(await asyncio.gather(long, short))
+        assert isinstance(replies[0].verdict, NotRun) and replies[1].status == 200
+        assert site.find_faults(replies) == []
+        await stopped
+        await site.close()
+
+    run(scenario())
