Serve or refuse what waits at the gate of a stopping daemon

What callers saw: requests of other daemons that reached a stopping daemon's gate before it closed, and took longer than the rest of the grace, were lost with the peer (`peer_silent`, 502), although the gate could have refused them. Requests that waited for a slot when the gate closed were refused only once a slot came free, or cut unsent at the end of the grace.

Cause: the gate knew only whether it was closed. It began everything until then, refused everything after it, and left its queue as it was.

Change: the gate refuses a request, when it comes, after it waited and right before it is sent, if most requests of its route would be answered later than StopDeadline, and passes others on with what is left until then. Closing concerns arrivals only: what waits is still run, and refused as soon as it can not be answered in time any more (GateQueue.pop_late). To other daemons the reason is `draining`, which they know; they try another gate.

Evidence: test_stopping.py. Without keys the case could not be produced: peers choose no gate that says it is leaving, or from which they hear nothing.

--- a/persimmondock/_domain/gate_queue.py
+++ b/persimmondock/_domain/gate_queue.py
@@ -13,9 +13,13 @@
 import bisect
 import math
 from collections import Counter
+from typing import TYPE_CHECKING
 
 import attrs
 
+if TYPE_CHECKING:
+    from persimmondock._domain.stop_deadline import StopDeadline
+
 INITIAL_SERVICE_S = 0.1  # estimate before the first answer, typical of the sites' requests
 SPREAD_FACTOR = 2.0  # mean deviations above the mean that a request is given
 MEAN_WEIGHT = 0.1  # follows a change within about ten answers
@@ -188,6 +192,17 @@
         self._queued = kept
         return hopeless
 
+    def pop_late(self, stop: StopDeadline, now: float) -> list[QueuedRequest]:
+        """Remove and return requests that would not be answered before their daemon stops."""
+        late = [
+            queued
+            for queued in self._queued
+            if stop.is_too_late(queued.deadline, queued.service_s, now)
+        ]
+        for request in late:
+            self._queued.remove(request)
+        return late
+
     def pop_unanswerable(self, now: float) -> list[QueuedRequest]:
         """Remove and return requests that are unlikely to meet their deadline.
 
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -93,7 +93,8 @@
         Whether the daemon is about to stop: the gate reports that it is closed, but still runs
         requests.
     closed
-        Whether the gate refuses all requests because the daemon is stopping.
+        Whether the gate takes no more requests because the daemon is stopping. Those that wait are
+        still run.
     backend_down
         Whether the backend server was found unreachable since its last announcement.
     broadcast_suspects
@@ -119,7 +120,7 @@
         self._metrics = metrics
         self.limits = SendLimits(bounds, self._estimate_slots_per_s, self._apply_limit)
         self.stop = StopDeadline()
-        self.pool = SlotPool(self.limits, lambda: self.slots)
+        self.pool = SlotPool(self.limits, lambda: self.slots, self.stop)
         self._told_early: list[ToldNotice] = []
         self._limit_checked_at = 0.0
         self.streams = AnswerStreams("gate", metrics)
@@ -344,7 +345,10 @@
         )
 
     async def _run(self, request: ForwardedRequest) -> Verdict:
+        if self.closed:
+            return NotRun(Reason.DRAINING, REFUSED_RETRY_MS)
         now = read_clock()
+        request = self.stop.limit(request)
         if request.key != NO_KEY:
             self.loads.count(request.key, now)
         refusal = self._find_refusal(request, now)
@@ -364,7 +368,7 @@
             return admitted
         verdict: Verdict | None = None
         try:
-            verdict = await self._send(request, admitted)
+            verdict = await self._send(self.stop.limit(request), admitted)
         finally:
             if verdict is None or find_stream(verdict) is None:
                 self.pool.release(admitted)
@@ -497,7 +501,8 @@
         announcement = self.backend.announcement
         if announcement is None or self.backend_down:
             return NotRun(Reason.BACKEND_DOWN, REFUSED_RETRY_MS)
-        if self.backend.leaving or self.closed:
+        service_s = self.pool.service_times.estimate_most_s(request.route)
+        if self.backend.leaving or self.stop.is_too_late(request.deadline, service_s, now):
             return NotRun(Reason.DRAINING, REFUSED_RETRY_MS)
         if self.evacuated:
             return NotRun(Reason.FAILURE_DOMAIN_OUT, REFUSED_RETRY_MS)
--- a/persimmondock/_tasks/slot_pool.py
+++ b/persimmondock/_tasks/slot_pool.py
@@ -23,9 +23,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmondock._domain.stop_deadline import StopDeadline
     from persimmondock._tasks.send_limits import SendLimits
 
 QUEUE_CHECK_INTERVAL_S = 0.05
+STOPPING_RETRY_MS = 300
 
 
 @attrs.define
@@ -55,6 +57,8 @@
         Bounds on what may be sent, besides the slots.
     count_slots
         Returns the number of requests that may run concurrently.
+    stop
+        Instant by which requests have to be answered.
 
     Attributes
     ----------
@@ -64,11 +68,14 @@
         Times that requests took at the backend server.
     """
 
-    def __init__(self, limits: SendLimits, count_slots: Callable[[], int]) -> None:
+    def __init__(
+        self, limits: SendLimits, count_slots: Callable[[], int], stop: StopDeadline
+    ) -> None:
         self.running: dict[int, RunningRequest] = {}
         self.service_times = ServiceTimes()
         self._limits = limits
         self._count_slots = count_slots
+        self._stop = stop
         self._queue = GateQueue()
         self._fair_share = FairShare()
         self._slot_futures: dict[int, asyncio.Future[NotRun | None]] = {}
@@ -222,6 +229,8 @@
     def start_waiting(self) -> None:
         """Start queued requests while there is room; refuse those that would be too late."""
         now = read_clock()
+        for queued in self._queue.pop_late(self._stop, now):
+            self._refuse(queued, NotRun(Reason.DRAINING, STOPPING_RETRY_MS))
         for queued in self._queue.pop_unanswerable(now):
             self._refuse(queued, NotRun(Reason.DEADLINE_PASSED))
         while self._queue and self._has_room(now):
