--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -23,6 +23,7 @@
 from persimmondock._domain.gate_queue import INITIAL_SERVICE_S, MAX_OWNER_WAIT_SHARE, ServiceTimes
 from persimmondock._domain.gate_status import GateStatus
 from persimmondock._domain.key_loads import KeyLoads
+from persimmondock._domain.stop_deadline import StopDeadline
 from persimmondock._domain.verdict import (
     Answer,
     Answered,
@@ -80,6 +81,8 @@
         Bounds on what the backend server is sent, by its service's policy and its own notices.
     pool
         Requests that run, and those that wait for a slot.
+    stop
+        Instant by which requests have to be answered because the daemon stops.
     streams
         Large answers of the backend server that are on their way to callers.
     link
@@ -90,7 +93,8 @@
         Whether the daemon is about to stop: the gate reports that it is closed, but still runs
         requests.
     closed
-        Whether the gate refuses all requests because the daemon is stopping.
+        Whether the gate takes no more requests because the daemon is stopping. Those that wait are
+        still run.
     backend_down
         Whether the backend server was found unreachable since its last announcement.
     broadcast_suspects
@@ -115,7 +119,8 @@
         self._keeper = keeper
         self._metrics = metrics
         self.limits = SendLimits(bounds, self._estimate_slots_per_s, self._apply_limit)
-        self.pool = SlotPool(self.limits, lambda: self.slots)
+        self.stop = StopDeadline()
+        self.pool = SlotPool(self.limits, lambda: self.slots, self.stop)
         self._told_early: list[ToldNotice] = []
         self._limit_checked_at = 0.0
         self.streams = AnswerStreams("gate", metrics)
@@ -340,7 +345,10 @@
         )
 
     async def _run(self, request: ForwardedRequest) -> Verdict:
+        if self.closed:
+            return NotRun(Reason.DRAINING, REFUSED_RETRY_MS)
         now = read_clock()
+        request = self.stop.limit(request)
         if request.key != NO_KEY:
             self.loads.count(request.key, now)
         refusal = self._find_refusal(request, now)
@@ -360,7 +368,7 @@
             return admitted
         verdict: Verdict | None = None
         try:
-            verdict = await self._send(request, admitted)
+            verdict = await self._send(self.stop.limit(request), admitted)
         finally:
             if verdict is None or find_stream(verdict) is None:
                 self.pool.release(admitted)
@@ -493,7 +501,8 @@
         announcement = self.backend.announcement
         if announcement is None or self.backend_down:
             return NotRun(Reason.BACKEND_DOWN, REFUSED_RETRY_MS)
-        if self.backend.leaving or self.closed:
+        service_s = self.pool.service_times.estimate_most_s(request.route)
+        if self.backend.leaving or self.stop.is_too_late(request.deadline, service_s, now):
             return NotRun(Reason.DRAINING, REFUSED_RETRY_MS)
         if self.evacuated:
             return NotRun(Reason.FAILURE_DOMAIN_OUT, REFUSED_RETRY_MS)
