Cut an answer in the test of a backend server that dies midway

Cause: the test, not the product. The stand-in's stop() closes connections with aiohttp's force_close, which completes what its transport has buffered: all 27 MB. Traced: the caller gets 27,000,000 of 27,000,000 bytes in about 2 s, and its connection, rightly kept alive, ends by the idle timeout after 15.4 to 17.4 s (5 of 5 traces without load). It waited for no missing byte. Where the test was green, the caller's deadline of 2 s passed first: with six busy processes on 8 cores, the gate logged ended=expired in 2 of 2 traces. So it never tested a death of a backend server.

Change: SiteBackend.crash(resets=False) ends connections with FIN and drops what is buffered; a test of the stand-in shows that both kinds cut an answer. The test plays both, at both VMs, with the longest timeout of the route, and in addition demands from the metrics that the answer was cut and did not expire. It collects bytes in a bytearray, as copying 27 MB for each piece held up the process under test. Bounds of time are as before.

--- a/persimmondock/standins/connections.py
+++ b/persimmondock/standins/connections.py
@@ -31,6 +31,13 @@
     connection.force_close()
 
 
+def end_handled_connection(connection: RequestHandler) -> None:
+    """Close a connection with FIN, without sending what is buffered, and cancel its handler."""
+    if connection.transport is not None:
+        connection.transport.abort()
+    connection.force_close()
+
+
 async def close_server(
     runner: web.AppRunner,
     close_connection: Callable[[RequestHandler], None] = RequestHandler.force_close,
--- a/persimmondock/standins/site_backend.py
+++ b/persimmondock/standins/site_backend.py
@@ -19,6 +19,7 @@
 
 from persimmondock.standins.connections import (
     close_server,
+    end_handled_connection,
     reset_connection,
     reset_handled_connection,
 )
@@ -198,16 +199,23 @@
         self._announce_task = asyncio.create_task(self._announce())
 
     async def stop(self) -> None:
-        """Stop without waiting for running requests."""
+        """Stop without waiting for running requests; answers that are being sent are completed."""
         self._end_tasks()
         if self._runner is not None:
             await close_server(self._runner)
 
-    async def crash(self) -> None:
-        """Reset all connections and stop, as when the process is killed."""
+    async def crash(self, resets: bool = True) -> None:
+        """End all connections and stop, as when the process is killed.
+
+        Parameters
+        ----------
+        resets
+            Whether connections end with a reset, and not with an orderly close.
+        """
         self._end_tasks()
         if self._runner is not None:
-            await close_server(self._runner, reset_handled_connection)
+            end = reset_handled_connection if resets else end_handled_connection
+            await close_server(self._runner, end)
 
     def _end_tasks(self) -> None:
         if self.ended_at is None:
--- a/persimmondock/tests/platform/test_large_answers.py
+++ b/persimmondock/tests/platform/test_large_answers.py
@@ -46,12 +46,12 @@
             return await self.reader.readuntil(b"\r\n\r\n")
 
     async def read_rest(self) -> bytes:
-        received = b""
+        received = bytearray()
         async with asyncio.timeout(5.0):
             with contextlib.suppress(ConnectionError):
                 while data := await self.reader.read(65_536):
                     received += data
-        return received
+        return bytes(received)
 
 
 @pytest.fixture
@@ -139,21 +139,26 @@
     assert len(await download.read_rest()) < 50 * SIZE
 
 
+@pytest.mark.parametrize("resets", [False, True], ids=["closes", "resets"])
 @pytest.mark.parametrize("index", [REMOTE, LOCAL])
 async def test_a_backend_server_that_dies_midway_cuts_the_callers_connection(
-    site: LiveSite, index: int
+    site: LiveSite, index: int, resets: bool
 ) -> None:
-    """An answer that is cut short must not look complete, and nothing follows it."""
+    """Guards against answers that are cut short, look complete, or are followed by another one."""
     for node in site.nodes[LOCAL:]:
         node.backend.answer_bytes = 50 * SIZE
-    download = await Download.begin(site.nodes[index])
+    download = await Download.begin(site.nodes[index], timeout_ms=3_000)
     head = await download.read_head()
     assert f"Content-Length: {50 * SIZE}".encode() in head
     for node in site.nodes[LOCAL:]:
-        await node.backend.stop()
+        await node.backend.crash(resets)
     rest = await download.read_rest()
     assert len(rest) < 50 * SIZE and b"HTTP/1.1" not in rest
     await wait_until_ended(site, 1.0)
+    # The death ends the answer, and not the caller's deadline.
+    text = "".join([await site.read_metrics(node) for node in site.nodes])
+    assert 'persimmondock_streams_total{end="cut",place="gate"} 1.0' in text
+    assert 'end="expired"' not in text
 
 
 async def test_small_requests_are_quick_beside_downloads_on_a_slow_link(site: LiveSite) -> None:
--- a/persimmondock/tests/standins/test_site_backend.py
+++ b/persimmondock/tests/standins/test_site_backend.py
@@ -117,6 +117,24 @@
             await asyncio.open_connection(host, int(port))
 
 
+@pytest.mark.parametrize("resets", [False, True], ids=["closes", "resets"])
+async def test_a_crash_cuts_an_answer_that_is_being_sent(resets: bool) -> None:
+    """Guards against a stand-in that completes answers after its end, which tests take as cut."""
+    size = 50_000_000
+    async with run_backend(answer_bytes=size) as backend:
+        host, _, port = ADDRESS.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port), limit=1_024)
+        writer.write(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        await backend.crash(resets)
+        received = 0
+        with pytest.raises(ConnectionResetError) if resets else contextlib.nullcontext():
+            while piece := await reader.read(65_536):
+                received += len(piece)
+        assert received < size
+        writer.close()
+
+
 async def test_a_crash_ends_a_running_request() -> None:
     async with run_backend(work_s=5.0) as backend, aiohttp.ClientSession() as session:
         task = asyncio.create_task(session.post(f"http://{ADDRESS}/x"))
