Let no very late announcement replace a successor whose clock was set back

Cause: after a clock was set back, a backend server's successor has the earlier start. One announcement of the predecessor that came seconds late then counted as a newer process: the daemon forgot what the successor held, said that nothing is held, and let another owner start.

Evidence: test_a_very_late_announcement_does_not_replace_a_successor_whose_clock_was_set_back and test_grants_are_released_when_an_incarnation_of_before_seems_to_be_back, red before, green after.

Change: an incarnation that was followed by one with an earlier start has to outlast that one's announcements in turn. If it does, or any other one comes back, the keeper waits for the grants in between as after a restart. Its cost: a process that was taken for ended while its announcements were held up for 5 s is used 5 s later than before.

--- a/persimmondock/_domain/backend_report.py
+++ b/persimmondock/_domain/backend_report.py
@@ -95,6 +95,9 @@
     unknown_departed
         Instant in Unix milliseconds at which an instance that is not known withdrew its
         announcement. Late announcements of it are ignored if it was started before.
+    superseded
+        Instance and start of each incarnation that was followed by one with an earlier start. They
+        are used again only if they outlast their successor's announcements in turn.
     heard_at
         Instant of the newest announcement.
     """
@@ -102,6 +105,7 @@
     announcement: BackendAnnouncement | None = None
     departed: set[tuple[str, int]] = attrs.field(factory=set)
     unknown_departed: dict[str, int] = attrs.field(factory=dict)
+    superseded: set[tuple[str, int]] = attrs.field(factory=set)
     heard_at: float = -math.inf
     _candidate: _Candidate | None = None
 
@@ -114,12 +118,14 @@
         if announcement.born_ms <= self.unknown_departed.get(announcement.instance, -1):
             return Change.STALE
         if current is None or incarnation != (current.instance, current.born_ms):
-            if (
-                current is not None
-                and announcement.born_ms < current.born_ms
-                and not self._outlasts_known(announcement, now)
-            ):
-                return Change.STALE
+            if current is not None:
+                is_earlier = announcement.born_ms < current.born_ms
+                if (is_earlier or incarnation in self.superseded) and not self._outlasts_known(
+                    announcement, now
+                ):
+                    return Change.STALE
+                if is_earlier:
+                    self.superseded.add((current.instance, current.born_ms))
             self.announcement, self.heard_at = announcement, now
             if announcement.draining:
                 self.departed.add(incarnation)
--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -91,6 +91,7 @@
         self._takeovers: dict[int, Takeover] = {}
         # Grants to the backend server's address from before may be unknown to this keeper.
         self._grants_known_since = read_clock()
+        self._replaced: set[BackendIncarnation] = set()
         self._is_paused = False
         self._channel: CallGrants | HeartbeatGrants
         match grant_mode:
@@ -185,11 +186,15 @@
         self._acquiring.clear()
         self._channel.reset()
         if previous is not None and (
-            previous.instance == incarnation.instance or incarnation.born_ms < previous.born_ms
+            previous.instance == incarnation.instance
+            or incarnation.born_ms < previous.born_ms
+            or incarnation in self._replaced
         ):
             # The new process may have taken grants for the earlier one, which has the same name,
-            # or the one that started later may live on: its announcements may only be held up.
+            # or the one before may live on: its announcements may only be held up.
             self._grants_known_since = read_clock()
+        if previous is not None:
+            self._replaced.add(previous)
         self._reconcile()
 
     def pause_grants(self, incarnation: BackendIncarnation | None) -> None:
--- a/persimmondock/tests/test_backend_gate.py
+++ b/persimmondock/tests/test_backend_gate.py
@@ -196,6 +196,31 @@
     assert seen[6:] == [BackendIncarnation("node-1", instance, 900)] * 3
 
 
+def test_a_very_late_announcement_does_not_replace_a_successor_whose_clock_was_set_back() -> None:
+    """Guards against keys that count as free at a successor because it seems to be replaced."""
+
+    async def run() -> list[BackendIncarnation | None]:
+        harness, seen = GateHarness(), []
+        await asyncio.sleep(0.4)
+        for sequence in range(1, 9):
+            harness.gate.handle_announcement(
+                make_report(instance="i-2", born_ms=900, sequence=sequence)
+            )
+            await asyncio.sleep(0.9)
+        for sequence in (2, 3):
+            harness.gate.handle_announcement(make_report(sequence=sequence))
+            seen.append(harness.gate.incarnation)
+            await asyncio.sleep(0.1)
+        for sequence in range(4, 12):
+            harness.gate.handle_announcement(make_report(sequence=sequence))
+            await asyncio.sleep(0.9)
+        return [*seen, harness.gate.incarnation]
+
+    successor = BackendIncarnation("node-1", "i-2", 900)
+    present = BackendIncarnation("node-1", "i-1", 1000)
+    assert run_in_virtual_time(run()) == [successor, successor, present]
+
+
 def test_late_announcements_of_a_former_incarnation_change_nothing_beside_present_ones() -> None:
     async def run() -> set[BackendIncarnation | None]:
         harness, seen = GateHarness(), set()
--- a/persimmondock/tests/test_range_keeper.py
+++ b/persimmondock/tests/test_range_keeper.py
@@ -379,3 +379,26 @@
         task.cancel()
 
     run_in_virtual_time(run())
+
+
+async def test_grants_are_released_when_an_incarnation_of_before_seems_to_be_back(
+    harness: KeeperHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against two holders when a silent process is replaced by its own predecessor.
+
+    Their clock was set back between their starts, so the predecessor seems to be the later one.
+    """
+    monkeypatch.setattr(range_keeper, "GRANT_DURATION_S", 0.4)
+    former, present = make_incarnation(1, born_ms=5), make_incarnation(1, born_ms=2)
+    present = attrs.evolve(present, instance="i-other")
+    harness.keeper.update_incarnation(former)
+    harness.keeper.update_incarnation(present)
+    harness.keeper._grants_known_since -= 1.0
+    await harness.follow(make_assignment(attrs.evolve(make_range(0, 9, 1), owner=present)))
+    assert (0, 9) in harness.backend.holds
+    harness.keeper.update_incarnation(former)
+    harness.keeper.update_assignment(make_assignment(make_range(0, 9, 2, fence=2), offset=2), 2)
+    reply = asyncio.create_task(harness.keeper.handle_release([0, 9, 2, 2], PEER))
+    await asyncio.sleep(0.1)
+    assert not reply.done()
+    assert (await reply)[0]
