Count records of a peer as evidence only for the instant that a read gives

Cause: a copy that had just grown counted as new for `config_apply_s` less 0.6 s, from the arrival of the records. A push or a sync that was held up on its way, such as that of a slowed reader, says nothing of the time at which it arrives. The daemon then asked the store up to that time too late for the next version.

Evidence, red before: in a failure domain that is cut off from others, whose readers' messages are held up by 0.4 to 0.8 s and whose store calls then get no answer, the next version took 2.19 s with 14 daemons (bound 2.0 s). With 78 daemons the same test was green before. Two unit tests of the follower are red without the change as well.

Change: only reads count, from the instant that they give. A confirmation of an earlier end holds for a copy that has grown since, as the copy has all that it had. One of a later end counts once the copy has its records. A poll after one that returned a record is shorter, so that the evidence gets no older during a series of changes.

--- a/persimmondock/_tasks/store_follower.py
+++ b/persimmondock/_tasks/store_follower.py
@@ -22,6 +22,7 @@
 MAX_RETRY_S = 1.0
 MAX_STALE_RETRY_S = 4.0  # of daemons that are no readers; in a large site these are most
 POLL_WAIT_S = 0.5
+MIN_POLL_WAIT_S = 0.1
 STALE_MARGIN_S = 0.6  # for the next check and a read without waiting from a slow store
 READER_CHECK_INTERVAL_S = 0.25  # a daemon that becomes a reader starts within this time
 IMMEDIATE_READ_S = 0.3  # a read that took longer waited for its records, or the store is slow
@@ -57,6 +58,14 @@
     at_most_s: float
 
 
+@attrs.frozen
+class _Confirmation:
+    """What a read showed: the end offset of the partition, and an instant before it was read."""
+
+    end: int
+    at: float
+
+
 @attrs.define
 class _NewerRecords:
     """Records that peers have and this copy lacks.
@@ -140,8 +149,8 @@
         self._on_change = on_change
         self._on_confirmed = on_confirmed
         self._batch_s = batch_s
-        self._known_end, self._known_at = -1, -math.inf
-        self._received_at = -math.inf
+        self._known_at = -math.inf
+        self._later_confirmation = _Confirmation(-1, -math.inf)
         self._read: asyncio.Task[bool] | None = None
         self._read_waits = False
         self._relies_on_polls = False
@@ -218,8 +227,15 @@
 
     def record_confirmation(self, end: int, at: float) -> None:
         """Record that the partition ended at ``end`` at the instant ``at``, as a read showed."""
-        if (end, at) > (self._known_end, self._known_at):
-            self._known_end, self._known_at = end, at
+        if end <= self.replica.end:
+            self._known_at = max(self._known_at, at)
+        elif at > self._later_confirmation.at:
+            self._later_confirmation = _Confirmation(end, at)
+
+    def _apply_later_confirmation(self) -> None:
+        """Count a confirmation whose records this copy lacked and has now."""
+        if self._later_confirmation.end <= self.replica.end:
+            self._known_at = max(self._known_at, self._later_confirmation.at)
 
     def record_shared_poll(self, at: float) -> None:
         """Record that a daemon on which this one relies polled the store at an instant."""
@@ -230,15 +246,15 @@
 
     def compute_known_age(self, now: float) -> float | None:
         """Return the seconds since any daemon's read showed this copy to be the newest, or None."""
-        return now - self._known_at if self._known_end == self.replica.end else None
+        return now - self._known_at if self._known_at > -math.inf else None
 
     def is_stale(self, now: float) -> bool:
         """Return whether nothing has shown for ``max_age_s`` seconds that this copy is the newest.
 
-        A copy that has just grown counts as new.
+        Records that arrive do not show it, since they may have been held up on their way.
         """
-        known_at = self._known_at if self._known_end == self.replica.end else -math.inf
-        return now - max(known_at, self._received_at) > self.max_age_s
+        is_behind = self._later_confirmation.end > self.replica.end
+        return is_behind or now - self._known_at > self.max_age_s
 
     async def confirm_now(self) -> bool:
         """Confirm this copy by a read that does not wait; return whether the store answered."""
@@ -280,7 +296,8 @@
         """Record how the copy got the records from offset ``start`` to its end."""
         if self.replica.end <= start:
             return
-        now = self._received_at = read_clock()
+        self._apply_later_confirmation()
+        now = read_clock()
         self._grown_at = now if self._newer is None else self._newer.since
         at_most_s = 0.0 if source in IMMEDIATE_SOURCES else now - self.confirmed_at
         delay_s = now - self._grown_at
@@ -303,7 +320,11 @@
         if not self.store_answers or self.is_stale(now):
             # The answer has to show soon whether the store answers, or whether a record is missing.
             return 0.0
-        return POLL_WAIT_S if self._must_poll(now) else READ_WAIT_S
+        if not self._must_poll(now):
+            return READ_WAIT_S
+        # A poll that returned a record confirms the copy as of its own sending only.
+        wait_s = self._known_at + POLL_WAIT_S + self._batch_s - now
+        return min(POLL_WAIT_S, max(MIN_POLL_WAIT_S, wait_s))
 
     async def _read_once(self) -> bool:
         sent_at = read_clock()
@@ -325,6 +346,7 @@
             return True
         wait_s = self._choose_wait(sent_at)
         self._read_waits = wait_s > 0
+        is_poll = 0 < wait_s <= POLL_WAIT_S
         self.read_while_stale = self.is_stale(sent_at)
         self._relies_on_polls = wait_s == READ_WAIT_S and self.is_poller()
         self.count_call(_name_cause(wait_s, self.read_while_stale))
@@ -344,7 +366,7 @@
         if not outcome.entries and waited_s >= wait_s:
             # The store looked again at the end of the wait.
             self.record_confirmation(outcome.end, sent_at + wait_s)
-        if wait_s == POLL_WAIT_S and self._known_end == self.replica.end:
+        if is_poll and self._known_at >= sent_at:
             self.share_poll()
         return True
 
@@ -378,6 +400,6 @@
     """Return the cause of a read for the counter of calls."""
     if is_stale:
         return "stale"
-    if wait_s == POLL_WAIT_S:
+    if 0 < wait_s <= POLL_WAIT_S:
         return "poll"
     return "wait" if wait_s else "retry"
--- a/persimmondock/tests/test_configuration_delay.py
+++ b/persimmondock/tests/test_configuration_delay.py
@@ -10,7 +10,7 @@
 import pytest
 
 from persimmondock._adapters.clock import read_clock
-from persimmondock.tests.virtual_mesh import VirtualMeshSite
+from persimmondock.tests.virtual_mesh import OPERATOR, VirtualMeshSite
 from persimmondock.tests.virtual_time import run_in_virtual_time
 
 FAULT_S = 30.0
@@ -85,3 +85,35 @@
         await site.stop()
 
     run_in_virtual_time(scenario())
+
+
+@pytest.mark.parametrize(("sizes", "apply_s", "count"), SITES[:2])
+def test_a_configuration_is_in_time_after_an_earlier_one_that_was_pushed_late(
+    sizes: tuple[int, ...], apply_s: float, count: int
+) -> None:
+    """Guards against the arrival of records being counted as evidence that there are no newer ones.
+
+    A failure domain is cut off from the others. What its readers send is held up, so that one
+    version arrives late, and the store does not answer them any more when the next one is written.
+    """
+
+    async def scenario(number: int) -> float:
+        site = VirtualMeshSite(sizes, apply_s, seed=number)
+        await site.run()
+        await asyncio.sleep(1.0 + 0.17 * number)
+        for daemon in site.daemons:
+            if daemon.failure_domain == "domain-0":
+                daemon.cut_until = read_clock() + FAULT_S
+        readers = site.list_readers("domain-0")
+        for daemon in readers:
+            daemon.lag_s = 0.4 + 0.2 * (number // 2)
+        site.store.append(OPERATOR, "config", b"1")
+        await asyncio.sleep(0.06)
+        for daemon in readers:
+            daemon.unanswered_until = read_clock() + FAULT_S
+        delay_s, _ = await site.measure_delay(FAULT_S)
+        await site.stop()
+        return delay_s
+
+    delays = [run_in_virtual_time(scenario(number)) for number in range(count)]
+    assert max(delays) < apply_s
--- a/persimmondock/tests/test_store_follower.py
+++ b/persimmondock/tests/test_store_follower.py
@@ -8,6 +8,7 @@
 import attrs
 import pytest
 
+from persimmondock._adapters.clock import read_clock
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._ports.keyed_log import (
     Partition,
@@ -159,3 +160,38 @@
         await stop(task)
 
     run_in_virtual_time(scenario())
+
+
+@pytest.mark.parametrize("source", [Source.PUSH, Source.SYNC])
+def test_records_of_a_peer_do_not_show_that_there_are_no_newer_ones(source: Source) -> None:
+    """Guards against records that were held up on their way and count as read when they arrive."""
+
+    async def scenario() -> None:
+        follower = PartitionFollower(ScriptedLog(), PARTITION, lambda _: None, max_age_s=1.4)
+        started = read_clock()
+        follower.replica.end = 3
+        follower.record_confirmation(3, started)
+        await asyncio.sleep(1.3)
+        follower.apply_from_peer([make_entry(3, "a")], 4, source)
+        assert not follower.is_stale(started + 1.35)
+        assert follower.is_stale(started + 1.45)
+
+    run_in_virtual_time(scenario())
+
+
+def test_a_confirmation_of_records_that_come_later_counts_once_they_are_there() -> None:
+    """Guards against reads of the store by all daemons whose peers answer before they push."""
+
+    async def scenario() -> None:
+        follower = PartitionFollower(ScriptedLog(), PARTITION, lambda _: None, max_age_s=1.4)
+        started = read_clock()
+        follower.replica.end = 3
+        follower.record_confirmation(3, started - 1.0)
+        follower.record_confirmation(4, started)
+        assert follower.compute_known_age(started) == pytest.approx(1.0)
+        assert follower.is_stale(started)
+        follower.apply_from_peer([make_entry(3, "a")], 4, Source.PUSH)
+        assert follower.compute_known_age(started) == pytest.approx(0.0)
+        assert not follower.is_stale(started + 1.35)
+
+    run_in_virtual_time(scenario())
--- a/persimmondock/tests/virtual_mesh.py
+++ b/persimmondock/tests/virtual_mesh.py
@@ -66,6 +66,10 @@
     unanswered_until
         Instant until which the store accepts its calls and does not answer them, including reads
         that wait already.
+    cut_until
+        Instant until which its messages to and from other failure domains are held up.
+    lag_s
+        Seconds by which what it sends to other daemons is held up.
     """
 
     name: str
@@ -73,6 +77,8 @@
     site: VirtualMeshSite
     paused_until: float = 0.0
     unanswered_until: float = 0.0
+    cut_until: float = 0.0
+    lag_s: float = 0.0
     calls: int = 0
     mesh: Mesh = attrs.field(init=False)
     followers: tuple[PartitionFollower, ...] = attrs.field(init=False)
@@ -168,7 +174,8 @@
         """Send a request and return its reply."""
         generation = self.generation
         await self.source.stand_still()
-        await asyncio.sleep(HOP_S)
+        await asyncio.sleep(HOP_S + self.source.lag_s)
+        await self.pass_cut()
         await self.target.stand_still()
         if generation != self.generation:
             raise PeerRequestError("dropped", sent=True)
@@ -178,10 +185,17 @@
             reply = server.instant_handlers[kind](payload, delivery)
         else:
             reply = await server.handlers[kind](payload, delivery)
-        await asyncio.sleep(HOP_S)
+        await asyncio.sleep(HOP_S + self.target.lag_s)
+        await self.pass_cut()
         await self.source.stand_still()
         return reply
 
+    async def pass_cut(self) -> None:
+        """Wait until messages between the two daemons pass."""
+        if self.source.failure_domain != self.target.failure_domain:
+            healed_at = max(self.source.cut_until, self.target.cut_until)
+            await asyncio.sleep(max(0.0, healed_at - read_clock()))
+
     def send(self, kind: str, payload: Any, on_reply: Callable[[Any], None], **_: Any) -> None:
         """Send a request without waiting for its reply."""
 
@@ -260,7 +274,8 @@
     async def measure_delay(self, limit_s: float) -> tuple[float, str]:
         """Change the operators' record; return when the last running daemon has it, and its name.
 
-        The time is infinite if some do not have it after ``limit_s`` seconds.
+        Daemons whose messages are held up do not count. The time is infinite if some do not have it
+        after ``limit_s`` seconds.
         """
         acknowledged_at = read_clock()
         end = self.store.append(OPERATOR, "config", b"1") + 1
@@ -268,7 +283,7 @@
             behind = [
                 daemon
                 for daemon in self.daemons
-                if daemon.followers[0].replica.end < end and not daemon.is_paused
+                if daemon.followers[0].replica.end < end and not (daemon.is_paused or daemon.lag_s)
             ]
             if not behind:
                 return read_clock() - acknowledged_at, ""
