Refuse an empty answer of the store whose partition ends before the read

Cause: an answer without records to a read from an earlier offset counted as the end of the partition, and so confirmed the copy as the newest as of the later read.

Evidence: test_an_empty_answer_to_a_read_from_an_earlier_offset_is_rejected, red before, green after; no store that does this has been seen.

Change: such an answer is refused, as one with records is. Copies only grow and the store loses nothing, so no proper answer ends before the offset that was asked for.

--- a/persimmondock/platform/_store.py
+++ b/persimmondock/platform/_store.py
@@ -214,7 +214,8 @@
     except struct.error as error:
         return StoreFailed(f"unreadable records: {error}")
     next_offset = offset + len(entries)
-    if entries and next_offset > end:
-        # An answer to a read from an earlier offset would give its records wrong offsets.
+    if next_offset > end:
+        # An answer to a read from an earlier offset would give its records wrong offsets, or show
+        # a copy to be the newest.
         return StoreFailed(f"records up to offset {next_offset} of a partition that ends at {end}")
     return Records(tuple(entries), next_offset, next_offset >= end)
--- a/persimmondock/tests/platform/test_words.py
+++ b/persimmondock/tests/platform/test_words.py
@@ -354,6 +354,12 @@
     assert isinstance(_store.decode_records(body, 8), StoreFailed)
 
 
+def test_an_empty_answer_to_a_read_from_an_earlier_offset_is_rejected() -> None:
+    """Guards against a copy that counts as the newest as of a read that has not been answered."""
+    assert isinstance(_store.decode_records(struct.pack(">QQ", 7, 2), 8), StoreFailed)
+    assert _store.decode_records(struct.pack(">QQ", 8, 2), 8) == Records((), 8)
+
+
 # Headers.
 
 
