--- a/persimmondock/tests/platform/test_words.py
+++ b/persimmondock/tests/platform/test_words.py
@@ -358,6 +358,7 @@
 def test_an_empty_answer_to_a_read_from_an_earlier_offset_is_rejected(end: int) -> None:
     """Guards against a lease that is confirmed by an answer from before the newest record."""
     assert isinstance(_store.decode_records(struct.pack(">QQ", end, 2), 8), StoreFailed)
+    assert _store.decode_records(struct.pack(">QQ", 8, 2), 8) == Records((), 8)
 
 
 # Headers.
