Answer all requests of a connection that a stopping daemon has read

Cause: every answer of a stopping daemon told the HTTP server to close, which drops what has not begun.

Change: the ingress sets its callers' server to draining when the stop begins: a connection closes with the next answer behind which no request waits, as it did already once the listener was closed.

Evidence: tests/platform/test_stopping_daemon.py, with sockets. Red before: test_what_waits_behind_a_running_request_is_answered_in_a_stop ([200] instead of [200, 200, 200]).

--- a/persimmondock/_adapters/http_server.py
+++ b/persimmondock/_adapters/http_server.py
@@ -118,6 +118,13 @@
     may_overlap
         Returns whether a request may run beside others of its connection, and may be sent again
         if the connection closes before its response. By default no request may.
+
+    Attributes
+    ----------
+    draining
+        Whether each connection ends with its next response behind which no request waits.
+    closing
+        Whether the server stops listening, and idle connections are closed as well.
     """
 
     def __init__(
@@ -130,6 +137,7 @@
         self.limits = limits or ServerLimits()
         self.may_overlap = may_overlap or (lambda _: False)
         self.closing = False
+        self.draining = False
         self.connections: set[_Connection] = set()
         self._listener: asyncio.Server | None = None
         self._checker: asyncio.Task[None] | None = None
@@ -406,7 +414,7 @@
 
     @property
     def _closes_when_empty(self) -> bool:
-        return self.pipeline.ended or self._server.closing
+        return self.pipeline.ended or self._server.draining or self._server.closing
 
     async def _send_pieces(
         self,
--- a/persimmondock/platform/_daemon.py
+++ b/persimmondock/platform/_daemon.py
@@ -85,6 +85,7 @@
 
     async def stop(self) -> None:
         """Hand over the keys, answer requests in flight, and stop within the bound ``stop_s``."""
+        self._ingress.drain()
         stop_by = await self.sidecar.hand_over()
         await asyncio.gather(
             self._ingress.close(stop_by - read_clock()), self.sidecar.drain(stop_by)
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -51,6 +51,7 @@
         self._metrics_endpoint = metrics_endpoint
         self._metrics = metrics
         self._http_servers: list[HttpServer] = []
+        self._caller_server: HttpServer | None = None
         self._closed = False
 
     async def start(self) -> None:
@@ -64,7 +65,9 @@
         settings = self._sidecar.settings
         await self._listen(settings.announce_address, self._handle_announcement)
         await self._listen(settings.ready_address, self._handle_readiness)
-        await self._listen(settings.caller_address, self._handle_request, self._may_overlap)
+        self._caller_server = await self._listen(
+            settings.caller_address, self._handle_request, self._may_overlap
+        )
         await self._listen_for_metrics()
 
     async def _listen_for_metrics(self) -> None:
@@ -78,6 +81,11 @@
         except OSError as error:
             logger.error("event=metrics_unavailable address={} error={!r}", address, error)
 
+    def drain(self) -> None:
+        """Let callers connect to another daemon after their next answers."""
+        if self._caller_server is not None:
+            self._caller_server.draining = True
+
     async def close(self, within_s: float = MIN_SHUTDOWN_TIMEOUT_S) -> None:
         """Stop listening, and close connections once the requests on them are answered.
 
@@ -101,11 +109,12 @@
         address: str,
         handler: Callable[[ServerRequest], Awaitable[ServerResponse]],
         may_overlap: Callable[[ServerRequest], bool] | None = None,
-    ) -> None:
+    ) -> HttpServer:
         # Callers reuse a connection for four fifths of the idle timeout, which is 15 s by default.
         server = HttpServer(handler, ServerLimits(), may_overlap)
         await server.listen(address)
         self._http_servers.append(server)
+        return server
 
     # Readiness, metrics and announcements.
 
@@ -240,16 +249,14 @@
     def _render_verdict(
         self, verdict: Verdict, attempt: str, deadline_passed: bool
     ) -> ServerResponse:
-        # Callers connect to another daemon while this one is about to stop.
-        close = self._sidecar.stopping.is_set()
         headers: list[tuple[str, str]] = []
         match verdict:
             case Answered(answer=answer):
                 fields = tuple((header.name, header.value) for header in answer.headers)
-                return ServerResponse(answer.status, fields, answer.body, close, answer.stream)
+                return ServerResponse(answer.status, fields, answer.body, stream=answer.stream)
             case NotRun(retry_after_ms=retry_after_ms) if retry_after_ms:
                 headers.append(("Retry-After", f"{retry_after_ms / 1000:.3f}"))
         if attempt:
             headers.append((_headers.ATTEMPT, attempt))
         status = _headers.choose_status(verdict, deadline_passed)
-        return ServerResponse(status, tuple(headers), b"", close)
+        return ServerResponse(status, tuple(headers))
