Draw repeated, late and lost answers, and judge holders and refusals

Requests are sent up to four times under one identifier while they are refused; a refusal is untrue if a backend server ran that sending. The faults that test_incarnations.py drew and played are in tests/virtual_faults.py, which test_frozen_daemons.py uses too.

--- a/persimmondock/properties/test_frozen_daemons.py
+++ b/persimmondock/properties/test_frozen_daemons.py
@@ -14,13 +14,7 @@
 from hypothesis import strategies as st
 
 from persimmondock._domain.backend_report import BackendAnnouncement
-from persimmondock.properties.test_incarnations import (
-    FAULTS,
-    RECOVERY_S,
-    TERM_S,
-    Fault,
-    apply_fault,
-)
+from persimmondock.tests.virtual_faults import FAULTS, RECOVERY_S, TERM_S, Fault, apply_fault
 from persimmondock.tests.virtual_fleet import RUNNING_DAEMON, DaemonProcess, VirtualFleet
 from persimmondock.tests.virtual_network import find_reused_tokens, find_shared_holds
 from persimmondock.tests.virtual_time import run_in_virtual_time
--- a/persimmondock/tests/test_answers_of_orders.py
+++ b/persimmondock/tests/test_answers_of_orders.py
@@ -36,7 +36,7 @@
     await fleet.start()
     vm = fleet.vms[1]
     await asyncio.sleep(1.5)  # each connection has carried grants by then
-    vm.behavior.repeats_answers = True
+    vm.behavior.repeats_last_answer = True
     vm.behavior.late_s = 2.0
     await asyncio.sleep(after_s)
     await fleet.evacuate(vm.failure_domain, 2 * TERM_S)
--- a/persimmondock/tests/test_virtual_network.py
+++ b/persimmondock/tests/test_virtual_network.py
@@ -147,7 +147,7 @@
         assert await ask(5, "i-1") is Answered
         assert await ask(50, "i-1") is Reason.NOT_OWNER
         assert await ask(5, "i-2") is Reason.BACKEND_DOWN
-        assert [key for _, key in process.requests] == [5]
+        assert [run.key for run in process.requests] == [5]
 
     run(check)
 
--- a/persimmondock/tests/virtual_fleet.py
+++ b/persimmondock/tests/virtual_fleet.py
@@ -10,8 +10,9 @@
 import asyncio
 import contextvars
 import random
+from collections import defaultdict
 from collections.abc import Coroutine, Sequence
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -27,6 +28,7 @@
 from persimmondock._domain.holdings import ReportedHoldings
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._domain.site import GrantMode, GrantsByCall, NodeSettings
+from persimmondock._domain.verdict import NotRun, Verdict
 from persimmondock._ports.keyed_log import (
     Conflict,
     Partition,
@@ -45,10 +47,14 @@
     make_backend_client,
 )
 
+if TYPE_CHECKING:
+    from persimmondock._tasks.backend_gate import BackendGate
+
 STORE_CALL_S = 0.004
 ANNOUNCE_S = 0.87
 RELEASING_INTERVAL_S = 0.1
 ACK_TIMEOUT_S = 1.0
+REPEAT_AFTER_S = (0.01, 0.3)
 DOMAINS = ("recife", "fortaleza", "salvador")
 PARTITIONS = SitePartitions(Partition("operator"), Partition("members"), Partition("assignments"))
 CONFIG_KEY = "config"
@@ -195,6 +201,21 @@
     announcing: asyncio.Task[None] | None = None
 
 
+@attrs.define
+class Sending:
+    """One sending of a request to a gate.
+
+    Parameters
+    ----------
+    verdict
+        What the gate returned; None if it has not, or its daemon has ended.
+    """
+
+    attempt: str
+    sent_at: float
+    verdict: Verdict | None = None
+
+
 class VirtualFleet:
     """VMs of one service; the ranges of the first assignment are few and equal in size.
 
@@ -206,6 +227,13 @@
         Mean time between the requests that a gate gets.
     grant_mode
         How backend servers get their grants.
+    max_sendings
+        How often a request is sent under its identifier while it is refused.
+
+    Attributes
+    ----------
+    sendings
+        All requests that gates got, in the order of their sending.
     """
 
     def __init__(
@@ -215,6 +243,7 @@
         request_interval_s: float = 0.2,
         grant_mode: GrantMode = GrantsByCall(),  # noqa: B008
         seed: int = 1,
+        max_sendings: int = 1,
     ) -> None:
         self.network = VirtualNetwork()
         self.log = VirtualLog()
@@ -226,6 +255,8 @@
         self._ranges_each = ranges_each
         self._request_interval_s = request_interval_s
         self._grant_mode = grant_mode
+        self._max_sendings = max_sendings
+        self.sendings: list[Sending] = []
         self._tasks: list[asyncio.Task[Any]] = []
         asyncio.get_running_loop().set_task_factory(_create_task)
 
@@ -421,11 +452,20 @@
             if ranges:
                 number += 1
                 key = self.random.choice(ranges).first
-                headers = (("X-Attempt-Id", f"{vm.name}/{number}"), ("X-Shard-Key", str(key)))
-                request = make_forwarded(
-                    read_clock(), attempt=f"{vm.name}/{number}", key=key, headers=headers
-                )
-                vm.daemon.create_task(gate.run(attrs.evolve(request, idempotent=True)))
+                vm.daemon.create_task(self._send_request(gate, f"{vm.name}/{number}", key))
+
+    async def _send_request(self, gate: BackendGate, attempt: str, key: int) -> None:
+        """Send a request to a gate, and again under the same identifier while it is refused."""
+        headers = (("X-Attempt-Id", attempt), ("X-Shard-Key", str(key)))
+        for _ in range(self._max_sendings):
+            request = make_forwarded(read_clock(), attempt=attempt, key=key, headers=headers)
+            sending = Sending(attempt, read_clock())
+            self.sendings.append(sending)
+            sending.verdict = await gate.run(attrs.evolve(request, idempotent=True))
+            if not isinstance(sending.verdict, NotRun):
+                break
+            if self._max_sendings > 1:
+                await asyncio.sleep(self.random.uniform(*REPEAT_AFTER_S))
 
     def close(self) -> None:
         """End everything."""
@@ -435,3 +475,24 @@
             self.kill_server(vm)
         for task in self._tasks:
             task.cancel()
+
+
+def find_untrue_refusals(fleet: VirtualFleet) -> list[str]:
+    """Return the sendings that a gate refused as not run though a backend server ran them.
+
+    A run belongs to the last sending of its request before it.
+    """
+    runs: dict[str, list[float]] = defaultdict(list)
+    for process in fleet.processes:
+        for run in process.requests:
+            runs[run.attempt].append(run.at)
+    sendings: dict[str, list[Sending]] = defaultdict(list)
+    for sending in fleet.sendings:
+        sendings[sending.attempt].append(sending)
+    return [
+        f"untrue: {sending} ran at {at:.4f}"
+        for attempt, times in runs.items()
+        for at in times
+        for sending in [s for s in sendings[attempt] if s.sent_at <= at][-1:]
+        if isinstance(sending.verdict, NotRun)
+    ]
--- a/persimmondock/tests/virtual_network.py
+++ b/persimmondock/tests/virtual_network.py
@@ -224,8 +224,17 @@
         Seconds that a request takes.
     repeats_answers
         Whether a request is first answered with all that was answered on its connection before.
+    repeats_last_answer
+        Whether a request is first answered with what was last answered on its connection, if
+        anything.
+    repeats_afterwards
+        Whether an answer is followed by all that was answered on its connection before.
+    loses_answers
+        Whether what is asked for is done and not answered.
     is_full
         Whether requests are refused for want of room.
+    disowns_keys
+        Whether requests are refused as if their keys were not held.
     names_orders
         Whether answers to grants, releases and health checks name the request that they are for.
     """
@@ -233,7 +242,11 @@
     late_s: float = 0.0
     work_s: float = 0.02
     repeats_answers: bool = False
+    repeats_last_answer: bool = False
+    repeats_afterwards: bool = False
+    loses_answers: bool = False
     is_full: bool = False
+    disowns_keys: bool = False
     names_orders: bool = True
     health: Health = Health.ANSWERED
 
@@ -266,6 +279,15 @@
         )
 
 
+@attrs.frozen
+class RequestRun:
+    """One run of a request, from an instant on."""
+
+    attempt: str
+    key: int
+    at: float
+
+
 class ServerProcess:
     """One process of a backend server.
 
@@ -278,7 +300,7 @@
     releasing, freed
         Ranges that replies to heartbeats left out: those with running requests, and those without.
     requests
-        Instants and keys of the requests that it began.
+        Runs of requests that it began.
     health_checks
         Instants of the requests to the health path.
     on_kill
@@ -301,7 +323,7 @@
         self.spans: list[HoldSpan] = []
         self.releasing: list[ReportedRow] = []
         self.freed: list[ReleasedRange] = []
-        self.requests: list[tuple[float, int]] = []
+        self.requests: list[RequestRun] = []
         self.health_checks: list[float] = []
         self.on_kill: list[Callable[[], object]] = []
         self._connections: dict[_ServerConnection, None] = {}
@@ -459,9 +481,9 @@
         if self.behavior.is_full:
             return _render_answer(503, named | {"X-Not-Executed": "1"})
         key = int(fields.get("x-shard-key", "-1"))
-        if key >= 0 and not self.holds_key(key):
+        if self.behavior.disowns_keys or (key >= 0 and not self.holds_key(key)):
             return _render_answer(421, named | {"X-Not-Executed": "1"})
-        self.requests.append((read_clock(), key))
+        self.requests.append(RequestRun(fields["x-attempt-id"], key, read_clock()))
         self._running.append(key)
         try:
             await asyncio.sleep(self.behavior.work_s)
@@ -491,15 +513,23 @@
         head, _, body = data.partition(b"\r\n\r\n")
         request, *lines = head.decode("latin-1").split("\r\n")
         fields = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
-        if self.process.behavior.repeats_answers:
-            for earlier in self._answers:
-                self.transport.write(earlier)
+        behavior = self.process.behavior
+        if behavior.repeats_answers:
+            self._write_all(self._answers)
+        elif behavior.repeats_last_answer:
+            self._write_all(self._answers[-1:])
         answer = await self.process.answer(request.split(" ")[1], fields, body)
         self.is_busy = False
         if answer is None:
             self.transport.abort()
-        elif self.process.is_running:
+        elif self.process.is_running and not behavior.loses_answers:
+            self.transport.write(answer)
+            if behavior.repeats_afterwards:
+                self._write_all(self._answers)
             self._answers.append(answer)
+
+    def _write_all(self, answers: list[bytes]) -> None:
+        for answer in answers:
             self.transport.write(answer)
 
     def connection_lost(self, error: Exception | None) -> None:
