Soak and its stand-in repeat answers, cut heads and refuse requests once

Change: the stand-in backend server names the request in all answers, refusals too, and in answers to grants, releases and health checks unless told not to. It can write the last answer or all answers of a connection once more before the next request is handled, end an answer within its head by a close or a reset, and refuse each request when it comes for the first time. The soak plays these in a sequence of their own, and terminates daemons under requests of 1.2 s on open connections. REFUSED, TWICE, MIXED, OWNER and LOST judge them as they are. `--break order` counts any answer for the grant or release that waits, `--break resend` sends a refused request on the same connection; each is caught by a plan of the tests, and the daemon breaks no untimed rule with either plan.

--- a/persimmondock/soak/broken.py
+++ b/persimmondock/soak/broken.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.http_exchange import HttpConnection, HttpPool, HttpResponse
 from persimmondock._domain.backend_report import LocalBackend
 from persimmondock._domain.range_lease import RangeLease, Takeover
 from persimmondock._domain.verdict import MayHaveRun, NotRun, Verdict
@@ -92,6 +94,31 @@
     SharedRates.admit = _admit_all  # type: ignore[method-assign,assignment]
 
 
+def _count_any_answer() -> None:
+    """Count an answer for the grant or release that waits, whatever request it names."""
+    exchange = HttpConnection.exchange
+
+    async def exchange_unchecked(
+        self: HttpConnection, data: bytes, accept: Any = None, stream_over: float = math.inf
+    ) -> HttpResponse:
+        target = data.split(b" ", 2)[1].decode()
+        if target in (_backend.GRANT_PATH, _backend.RELEASE_PATH):
+            accept = None
+        return await exchange(self, data, accept, stream_over)
+
+    HttpConnection.exchange = exchange_unchecked  # type: ignore[method-assign]
+
+
+def _resend_on_same_connection() -> None:
+    """Send a refused request again on any connection."""
+    HttpPool._find_idle = _find_any_idle  # type: ignore[method-assign]
+
+
+def _find_any_idle(self: HttpPool, used_after: float, attempt: str) -> HttpConnection | None:
+    last = self._idle[-1] if self._idle else None
+    return last if last is not None and last.idle_since > used_after else None
+
+
 BREAKS: Mapping[str, Callable[[], None]] = {
     "lease": _extend_lease_unconfirmed,
     "takeover": _take_over_without_wait,
@@ -102,6 +129,8 @@
     "instance": _grant_to_any_process,
     "key": _pass_keys_on,
     "quota": _admit_beyond_limits,
+    "order": _count_any_answer,
+    "resend": _resend_on_same_connection,
 }
 
 
--- a/persimmondock/soak/plan.py
+++ b/persimmondock/soak/plan.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from persimmondock.standins.site_backend import HEALTH_FAULTS
+from persimmondock.standins.site_backend import ANSWER_FAULTS, HEALTH_FAULTS
 
 FIRST_EVENT_AT_S = 3.0  # after callers start
 SETTLING_TIME_S = 10.0  # for takeovers and cold starts to finish before the last check of service
@@ -28,6 +28,9 @@
 LATE_GRANT_DURATIONS_S = (2.0, 4.0, 6.0)
 LATE_GRANT_RATIOS = ("0.2", "0.5")
 MEAN_CRASH_INTERVAL_S = 1.5
+ANSWER_KINDS = ("faulty_answers", "unnamed_orders", "refuse_once", "terminate_under_work")
+ANSWER_WEIGHTS = (5, 2, 3, 1)
+MEAN_ANSWER_INTERVAL_S = 1.5
 PATH_MODES = ("delay", "reset", "silent", "one_way")
 
 
@@ -40,7 +43,8 @@
     at_s
         Start in seconds after callers start.
     kind
-        One of ``VM_KINDS``, ``PATH_KINDS``, ``SITE_KINDS``, ``NOTICE_KINDS`` and ``CRASH_KINDS``.
+        One of ``VM_KINDS``, ``PATH_KINDS``, ``SITE_KINDS``, ``NOTICE_KINDS``, ``CRASH_KINDS`` and
+        ``ANSWER_KINDS``.
     vm
         Number of the VM; 0 if the event concerns the whole site.
     for_s
@@ -48,7 +52,8 @@
     mode
         One of ``PATH_MODES``, the fault that a proxy injects; one of ``LIMITS``, which a backend
         server names; seconds from the start of a crashed backend server to its announcement; the
-        share of grants that are late; one of ``HEALTH_FAULTS``. Empty for other kinds of events.
+        share of grants that are late; one of ``HEALTH_FAULTS`` or of ``ANSWER_FAULTS``. Empty for
+        other kinds of events.
     """
 
     at_s: float
@@ -73,6 +78,7 @@
         at_s += generator.expovariate(1 / MEAN_EVENT_INTERVAL_S)
     events += draw_notices(seed, duration_s, vms)
     events += draw_crashes(seed, duration_s, vms)
+    events += draw_answers(seed, duration_s, vms)
     return tuple(sorted(events, key=lambda event: event.at_s))
 
 
@@ -115,3 +121,20 @@
         events.append(Event(round(at_s, 2), kind, generator.randint(1, vms), for_s, mode))
         at_s += generator.expovariate(1 / MEAN_CRASH_INTERVAL_S)
     return events
+
+
+def draw_answers(seed: int, duration_s: float, vms: int) -> list[Event]:
+    """Return times of faulty answers and of refusals, and stops of daemons with slow requests.
+
+    They have a sequence of their own, so that the other events of a seed stay the same.
+    """
+    generator = random.Random(f"answers {seed}")
+    events = []
+    at_s = FIRST_EVENT_AT_S
+    while at_s < duration_s - SETTLING_TIME_S:
+        (kind,) = generator.choices(ANSWER_KINDS, ANSWER_WEIGHTS)
+        for_s = 0.0 if kind == "terminate_under_work" else generator.choice(DURATIONS_S)
+        mode = generator.choice(ANSWER_FAULTS) if kind == "faulty_answers" else ""
+        events.append(Event(round(at_s, 2), kind, generator.randint(1, vms), for_s, mode))
+        at_s += generator.expovariate(1 / MEAN_ANSWER_INTERVAL_S)
+    return events
--- a/persimmondock/soak/runner.py
+++ b/persimmondock/soak/runner.py
@@ -12,7 +12,7 @@
 
 from persimmondock.soak.checks import Breach, Call, LimitSpan, Notice, Span, find_breaches
 from persimmondock.soak.site import SoakSite
-from persimmondock.standins.site_backend import LateGrants
+from persimmondock.standins.site_backend import WORK_FIELD, FaultyAnswers, LateGrants
 from persimmondock.standins.site_messages import (
     CALLER_PORT,
     GRACE_S,
@@ -39,6 +39,9 @@
 RESTART_AFTER_S = 0.5
 DRAIN_FOR_S = 4.0
 WAKEUP_INTERVAL_S = 0.05
+SLOW_WORK_S = 1.2
+SLOW_WORK_INTERVAL_S = 0.25  # between the requests to a daemon that stops
+CUT_RATIO = 0.3  # of the answers
 KEY_COUNT = 65_536
 PROBE_KEY_STEP = 4_096
 
@@ -133,11 +136,22 @@
             await asyncio.sleep(self._random.expovariate(LIMITED_CALLS_PER_S))
 
     async def _send_request(
-        self, vm: SoakVm, path: str, key: int, attempt: str, tenant: str = TENANT
+        self,
+        vm: SoakVm,
+        path: str,
+        key: int,
+        attempt: str,
+        tenant: str = TENANT,
+        work_s: float | None = None,
     ) -> int:
-        """Send one request, record its result and return its status; 0 if there is none."""
+        """Send one request, record its result and return its status; 0 if there is none.
+
+        It takes ``work_s`` seconds at a backend server, or as long as others.
+        """
         assert self._session is not None
         headers = build_request_headers(attempt, key, TIMEOUT_S, tenant)
+        if work_s is not None:
+            headers[WORK_FIELD] = str(work_s)
         safe = path not in ("/assign/", "/keep/")
         status, whole, error, notice = 0, False, "", Notice()
         version_written_at, sent_at = self._site.version_written_at, time.monotonic()
@@ -224,6 +238,8 @@
             await self._delay_grants(vm, event)
         elif event.kind == "fail_health":
             await self._fail_health(vm, event)
+        elif event.kind in ("faulty_answers", "unnamed_orders", "refuse_once"):
+            await self._disturb_answers(vm, event)
         elif not vm.busy:
             vm.busy = True
             try:
@@ -274,6 +290,12 @@
                 await vm.start_daemon()
             case "terminate":
                 await self._terminate(vm)
+            case "terminate_under_work":
+                work_task = asyncio.create_task(self._send_slow_requests(vm))
+                try:
+                    await self._terminate(vm)
+                finally:
+                    work_task.cancel()
             case "freeze":
                 self._site.record_daemon_outage(vm, event.for_s)
                 vm.send_signal(signal.SIGSTOP)
@@ -323,6 +345,38 @@
         await asyncio.sleep(event.for_s)
         backend.health_fault = ""
 
+    async def _disturb_answers(self, vm: SoakVm, event: Event) -> None:
+        """Have the present backend server disturb its answers, or refuse what it gets first."""
+        backend = vm.backend
+        match event.kind:
+            case "faulty_answers":
+                ratio = 1.0 if event.mode.startswith("repeat_") else CUT_RATIO
+                generator = random.Random(f"{self._random.random()} {event.at_s}")
+                backend.faulty_answers = FaultyAnswers(event.mode, ratio, generator)
+            case "unnamed_orders":
+                backend.names_orders = False
+            case "refuse_once":
+                backend.refuses_once = True
+        await asyncio.sleep(event.for_s)
+        match event.kind:
+            case "faulty_answers":
+                backend.faulty_answers = None
+            case "unnamed_orders":
+                backend.names_orders = True
+            case "refuse_once":
+                backend.refuses_once = False
+
+    async def _send_slow_requests(self, vm: SoakVm) -> None:
+        """Send slow requests to a VM, mostly on connections that are open, until cancelled."""
+        while True:
+            self._request_number += 1
+            attempt = f"w{self._request_number}"
+            path, key = self._random.choice((("/assign/", NO_KEY), ("/keep/", 0)))
+            if key != NO_KEY:
+                key = self._random.randrange(KEY_COUNT)
+            self._start_task(self._send_request(vm, path, key, attempt, work_s=SLOW_WORK_S))
+            await asyncio.sleep(SLOW_WORK_INTERVAL_S)
+
     async def _terminate(self, vm: SoakVm) -> None:
         """Stop the daemon by SIGTERM, or kill it after its grace period, and start it again."""
         started_at = time.monotonic()
--- a/persimmondock/standins/site_backend.py
+++ b/persimmondock/standins/site_backend.py
@@ -11,7 +11,10 @@
 import random
 import time
 import uuid
+from collections import deque
+from collections.abc import Awaitable, Callable
 from typing import Any
+from weakref import WeakKeyDictionary
 
 import aiohttp
 import attrs
@@ -31,6 +34,10 @@
 # Running requests are aborted, as when a process ends; aiohttp treats 0 as no time limit.
 SHUTDOWN_TIMEOUT_S = 0.005
 HEALTH_FAULTS = ("reset", "hang", "503")
+ANSWER_FAULTS = ("repeat_last", "repeat_all", "cut_head", "reset_head")
+MAX_REPEATED_ANSWERS = 50
+WORK_FIELD = "X-Work-S"  # of a request: seconds that it takes
+ORDER_PATHS = ("/-/grant", "/-/release", "/health")
 
 
 @attrs.frozen
@@ -102,6 +109,44 @@
         return self.generator.triangular(self.min_s, self.max_s, self.min_s)
 
 
+@attrs.frozen
+class FaultyAnswers:
+    """Decides which answers are disturbed, and how.
+
+    Parameters
+    ----------
+    kind
+        One of ``ANSWER_FAULTS``: the last answer of a connection, or all of them, are written once
+        more before the next request is handled; or an answer ends within its head, with its
+        connection closed or reset.
+    ratio
+        Share of the answers.
+    generator
+        Sequence that decides.
+    """
+
+    kind: str
+    ratio: float
+    generator: random.Random
+
+    @property
+    def repeats(self) -> bool:
+        """Whether earlier answers are repeated."""
+        return self.kind.startswith("repeat_")
+
+    def is_due(self) -> bool:
+        """Return whether the next answer is disturbed."""
+        return self.generator.random() < self.ratio
+
+    def choose_repeated(self, answers: deque[bytes]) -> bytes:
+        """Return what is written before a request is handled."""
+        return b"".join(list(answers)[-1:] if self.kind == "repeat_last" else answers)
+
+    def cut(self, answer: bytes) -> bytes:
+        """Return an answer up to a byte within its head."""
+        return answer[: self.generator.randrange(answer.index(b"\r\n\r\n"))]
+
+
 @attrs.define
 class SiteBackend:
     """One instance of a backend server, from its start to its stop.
@@ -142,6 +187,12 @@
         Decides which grants are late; None if all are answered.
     health_fault
         One of ``HEALTH_FAULTS``, which all health checks meet; empty for none.
+    faulty_answers
+        Decides which answers are disturbed; None for no fault.
+    names_orders
+        Whether answers to grants, releases and health checks name the request that they are for.
+    refuses_once
+        Whether each request is refused for want of room when it comes for the first time.
     """
 
     service: str
@@ -169,6 +220,12 @@
     announce_after_s: float = 0.0
     late_grants: LateGrants | None = None
     health_fault: str = ""
+    faulty_answers: FaultyAnswers | None = None
+    names_orders: bool = True
+    refuses_once: bool = False
+    _refused: set[str] = attrs.field(factory=set)
+    # What was answered on each open connection.
+    _answers: WeakKeyDictionary[Any, deque[bytes]] = attrs.field(factory=WeakKeyDictionary)
     _active_keys: list[int] = attrs.field(factory=list)
     _freed: list[list[Any]] = attrs.field(factory=list)
     _releasing: list[HeldRange] = attrs.field(factory=list)
@@ -181,7 +238,7 @@
 
     async def start(self) -> None:
         """Listen, and announce the instance until it is stopped."""
-        application = web.Application()
+        application = web.Application(middlewares=[self._send_answer])
         application.router.add_post("/-/grant", self._grant)
         application.router.add_post("/-/release", self._release)
         application.router.add_get("/health", self._show_health)
@@ -299,6 +356,37 @@
         self._releasing += released
         return bool(self._releasing)
 
+    @web.middleware
+    async def _send_answer(
+        self, request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
+    ) -> web.StreamResponse:
+        """Name the request in its answer, and disturb the answer if a fault says so."""
+        transport = request.transport
+        if transport is None:
+            return await handler(request)
+        answers = self._answers.setdefault(transport, deque(maxlen=MAX_REPEATED_ANSWERS))
+        fault = self.faulty_answers
+        if fault is not None and not fault.is_due():
+            fault = None
+        if fault is not None and fault.repeats:
+            transport.write(fault.choose_repeated(answers))
+        response = await handler(request)
+        assert isinstance(response, web.Response)
+        attempt = request.headers.get("X-Attempt-Id")
+        if attempt is not None and (self.names_orders or request.path not in ORDER_PATHS):
+            response.headers["X-Attempt-Id"] = attempt
+        answer = _render_answer(response)
+        if fault is not None and not fault.repeats:
+            transport.write(fault.cut(answer))
+            if fault.kind == "reset_head":
+                await asyncio.sleep(POLL_INTERVAL_S)
+                reset_connection(transport)
+            else:
+                transport.close()
+            return await _leave_unanswered()
+        answers.append(answer)
+        return response
+
     async def _grant(self, request: web.Request) -> web.Response:
         if self._is_for_other_instance(request):
             return self._refuse_for_other_instance()
@@ -393,27 +481,41 @@
     async def _serve(self, request: web.Request) -> web.Response:
         attempt = request.headers.get("X-Attempt-Id", "")
         key = int(request.headers.get("X-Shard-Key", "-1"))
-        response_headers = {"X-Attempt-Id": attempt}
         if self._is_for_other_instance(request):
             return self._refuse_for_other_instance()
         if self.keyed and not self._holds_key(key):
             return web.Response(status=421, headers={"X-Not-Executed": "1"})
+        if self.refuses_once and attempt not in self._refused:
+            self._refused.add(attempt)
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+        work_s = float(request.headers.get(WORK_FIELD, self.work_s))
         body = await request.read()
         self.runs.append(RequestRun(attempt, key, time.monotonic(), dict(request.headers)))
         self._active_keys.append(key)
         try:
-            await asyncio.sleep(self.work_s)
+            await asyncio.sleep(work_s)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
         finally:
             self._active_keys.remove(key)
-        response_headers["X-Server-Signature"] = f"signed-by-{self.instance}"
+        response_headers = {"X-Server-Signature": f"signed-by-{self.instance}"}
         response_headers |= self._build_notice_headers()
         answer = b"answer to " + attempt.encode() + body
         return web.Response(body=answer.ljust(self.answer_bytes, b"."), headers=response_headers)
 
 
+def _render_answer(response: web.Response) -> bytes:
+    """Return the bytes of an answer."""
+    body = response.body
+    assert body is None or isinstance(body, bytes)
+    fields = [(name, value) for name, value in response.headers.items() if name != "Content-Length"]
+    fields.append(("Content-Length", str(len(body or b""))))
+    lines = [f"HTTP/1.1 {response.status} {response.reason}"]
+    lines += [f"{name}: {value}" for name, value in fields]
+    return "\r\n".join([*lines, "", ""]).encode() + (body or b"")
+
+
 async def _leave_unanswered() -> web.Response:
     """Wait until the client closes the connection, which cancels the handler."""
     while True:
--- a/persimmondock/tests/soak/test_soak.py
+++ b/persimmondock/tests/soak/test_soak.py
@@ -107,6 +107,45 @@
     assert "OWNER" in await run_soak(tmp_path, plan_crashes(kind), mechanism)
 
 
+def plan_moves_behind_repeated_answers() -> tuple[Event, ...]:
+    """Return drains of two servers whose renewals are late behind repeated answers."""
+    moves = [
+        event
+        for vm in (1, 2)
+        for event in (
+            Event(0.5, "faulty_answers", vm, 5.0, "repeat_last"),
+            Event(0.5, "late_grants", vm, 5.0, "1.0"),
+            Event(2.0 + 0.3 * vm, "drain_backend", vm),
+        )
+    ]
+    return (*sorted(moves, key=lambda event: event.at_s), Event(7.0, "reload", 1))
+
+
+def plan_repeated_refusals() -> tuple[Event, ...]:
+    """Return times in which all servers refuse first, and repeat what they answered."""
+    refusals = [Event(0.5, "refuse_once", vm, 5.0) for vm in range(1, VMS + 1)]
+    repeats = [Event(0.5, "faulty_answers", vm, 5.0, "repeat_last") for vm in range(1, VMS + 1)]
+    return (*refusals, *repeats, Event(6.0, "reload", 1))
+
+
+async def test_an_answer_of_an_earlier_order_moves_no_keys(tmp_path: Path) -> None:
+    """Guards against keys at two servers when an earlier answer is counted for a late grant."""
+    assert await run_soak(tmp_path, plan_moves_behind_repeated_answers()) <= TIMED_RULES
+
+
+async def test_a_repeated_refusal_refuses_no_request_that_runs(tmp_path: Path) -> None:
+    """Guards against "not run" of a request that was sent again behind its earlier refusal."""
+    assert await run_soak(tmp_path, plan_repeated_refusals()) <= TIMED_RULES
+
+
+async def test_answers_counted_for_other_orders_are_detected(tmp_path: Path) -> None:
+    assert "OWNER" in await run_soak(tmp_path, plan_moves_behind_repeated_answers(), "order")
+
+
+async def test_refused_requests_on_the_same_connection_are_detected(tmp_path: Path) -> None:
+    assert "REFUSED" in await run_soak(tmp_path, plan_repeated_refusals(), "resend")
+
+
 @pytest.mark.parametrize(
     ("arguments", "message"),
     [
@@ -116,7 +155,7 @@
         (
             "--break x",
             "--break: expected one of lease, takeover, drain, refusal, limit, pause, instance, "
-            "key, quota, not 'x'",
+            "key, quota, order, resend, not 'x'",
         ),
     ],
 )
--- a/persimmondock/tests/standins/test_site_backend.py
+++ b/persimmondock/tests/standins/test_site_backend.py
@@ -6,6 +6,7 @@
 import contextlib
 import logging
 import random
+import re
 import time
 from collections.abc import AsyncIterator, Callable
 from typing import Any
@@ -15,7 +16,12 @@
 import pytest
 from aiohttp import web
 
-from persimmondock.standins.site_backend import SHUTDOWN_TIMEOUT_S, LateGrants, SiteBackend
+from persimmondock.standins.site_backend import (
+    SHUTDOWN_TIMEOUT_S,
+    FaultyAnswers,
+    LateGrants,
+    SiteBackend,
+)
 from persimmondock.tests.builders import NETWORK
 
 ADDRESS, DAEMON_ADDRESS = f"{NETWORK}160:8301", f"{NETWORK}160:8306"
@@ -252,3 +258,65 @@
         assert await ask_health(backend.instance) == (503, backend.instance)
         backend.health_fault = ""
         assert await ask_health(backend.instance) == (200, backend.instance)
+
+
+# Answers.
+
+
+async def ask_raw(*attempts: str, path: str = "/view/1") -> bytes:
+    """Send requests one after another on a connection; return all that came until it was quiet."""
+    host, _, port = ADDRESS.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    received = b""
+    for attempt in attempts:
+        head = f"GET {path} HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: {attempt}\r\n\r\n"
+        writer.write(head.encode())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                while data := await reader.read(65_536):
+                    received += data
+    writer.close()
+    return received
+
+
+def make_faulty_answers(kind: str) -> FaultyAnswers:
+    """Return what disturbs all answers in one way."""
+    return FaultyAnswers(kind, 1.0, random.Random(1))
+
+
+@pytest.mark.parametrize(
+    ("kind", "attempts"), [("repeat_last", "a a b b c"), ("repeat_all", "a a b a b c")]
+)
+async def test_earlier_answers_of_a_connection_are_repeated(kind: str, attempts: str) -> None:
+    async with run_backend(faulty_answers=make_faulty_answers(kind)):
+        received = await ask_raw("a", "b", "c")
+    assert re.findall(rb"X-Attempt-Id: (\w)", received) == attempts.encode().split()
+
+
+async def test_a_refusal_is_repeated_before_the_request_runs() -> None:
+    faulty_answers = make_faulty_answers("repeat_last")
+    async with run_backend(faulty_answers=faulty_answers, refuses_once=True) as backend:
+        received = await ask_raw("a", "a")
+        assert [run.attempt for run in backend.runs] == ["a"]
+    assert re.findall(rb"HTTP/1.1 (\d+)", received) == [b"503", b"503", b"200"]
+
+
+async def test_an_answer_is_cut_in_its_head() -> None:
+    async with run_backend(faulty_answers=make_faulty_answers("cut_head")) as backend:
+        received = await ask_raw("a")
+        assert len(backend.runs) == 1
+    assert b"HTTP/1.1 200 OK".startswith(received[:15])
+    assert b"\r\n\r\n" not in received
+
+
+async def test_an_answer_is_cut_by_a_reset() -> None:
+    async with run_backend(faulty_answers=make_faulty_answers("reset_head")):
+        with pytest.raises(ConnectionResetError):
+            await ask_raw("a")
+
+
+@pytest.mark.parametrize("names_orders", [True, False])
+async def test_answers_to_orders_name_them_if_asked_to(names_orders: bool) -> None:
+    async with run_backend(names_orders=names_orders):
+        assert (b"X-Attempt-Id: a" in await ask_raw("a", path="/health")) is names_orders
+        assert b"X-Attempt-Id: a" in await ask_raw("a")
