Count an empty answer for the end of its wait only if it waited

Cause: an answer without records that was received after the wait counted as given at its end. A store may release waiting reads early, as the stand-in does before new faults, and a VM that is paused meanwhile receives the answer later. An answer that says that the partition goes on counted as its end as well.

Evidence: test_an_answer_without_records_counts_for_the_end_of_its_wait_only_if_it_waited, two of four cases red before ('received while the VM was paused', 'not the end'), green after.

Change: the answer has to come within 0.3 s of the end of the wait, and has to show the end; otherwise the read counts from its sending. An early answer received in just those 0.3 s still counts, by at most the wait (0.5 s) too late.

--- a/persimmondock/_tasks/store_follower.py
+++ b/persimmondock/_tasks/store_follower.py
@@ -363,8 +363,13 @@
         waited_s = read_clock() - sent_at
         waited = wait_s > 0 and waited_s > IMMEDIATE_READ_S
         self._apply(outcome, sent_at, Source.WAITING_READ if waited else Source.READ)
-        if not outcome.entries and waited_s >= wait_s:
-            # The store looked again at the end of the wait.
+        if (
+            outcome.whole
+            and not outcome.entries
+            and wait_s <= waited_s <= wait_s + IMMEDIATE_READ_S
+        ):
+            # The store looked again at the end of the wait. An answer that is received later may
+            # have been given before, without a wait, while this VM was paused.
             self.record_confirmation(outcome.end, sent_at + wait_s)
         if is_poll and self._known_at >= sent_at:
             self.share_poll()
--- a/persimmondock/tests/test_store_follower.py
+++ b/persimmondock/tests/test_store_follower.py
@@ -19,7 +19,7 @@
     WriteOutcome,
     Written,
 )
-from persimmondock._tasks.store_follower import Growth, PartitionFollower, Source
+from persimmondock._tasks.store_follower import POLL_WAIT_S, Growth, PartitionFollower, Source
 from persimmondock.tests.virtual_time import run_in_virtual_time
 
 PARTITION = Partition("t")
@@ -195,3 +195,44 @@
         assert not follower.is_stale(started + 1.35)
 
     run_in_virtual_time(scenario())
+
+
+@attrs.define
+class LateLog(ScriptedLog):
+    """A store with one answer without records, which is received late."""
+
+    answer: Records = attrs.field(factory=lambda: Records((), 3))
+    received_after_s: float = 0.0
+
+    async def read_from(self, partition: Partition, offset: int, wait_s: float) -> ReadOutcome:
+        await asyncio.sleep(self.received_after_s)
+        return self.answer
+
+
+@pytest.mark.parametrize(
+    ("answer", "received_after_s", "at_s"),
+    [
+        pytest.param(Records((), 3), POLL_WAIT_S + 0.002, POLL_WAIT_S, id="waited"),
+        pytest.param(Records((), 3), 0.1, 0.0, id="did not wait"),
+        pytest.param(Records((), 3), 2.0, 0.0, id="received while the VM was paused"),
+        pytest.param(Records((), 3, whole=False), POLL_WAIT_S + 0.002, 0.0, id="not the end"),
+    ],
+)
+def test_an_answer_without_records_counts_for_the_end_of_its_wait_only_if_it_waited(
+    answer: Records, received_after_s: float, at_s: float
+) -> None:
+    """Guards against an answer given before a VM was paused that confirms the copy as of later."""
+
+    async def scenario() -> None:
+        log = LateLog([Records((), 3)], answer=answer, received_after_s=received_after_s)
+        follower = PartitionFollower(log, PARTITION, lambda _: None)
+        follower.replica.end, follower.replica.confirmed_by_store = 3, True
+        follower.store_answers, follower.is_poller = True, lambda: True
+        started = read_clock()
+        follower.record_confirmation(3, started)
+        await follower._read_once()
+        assert follower.compute_known_age(started + POLL_WAIT_S) == pytest.approx(
+            POLL_WAIT_S - at_s
+        )
+
+    run_in_virtual_time(scenario())
