Count no second response behind one that ends with its connection

What was seen: each whole answer without a length, which ends with its connection, was logged as event=answer_dropped kind=after_response and counted in answers_dropped. Callers got it rightly.

Cause: the parser never completes such a message, so _in_message was still set when eof_received delivered it, and _deliver_response took it for the beginning of another response.

Change: the end of the connection ends the message. Red before: 7 of the 19 kinds of test_nothing_is_counted_as_dropped_behind_a_whole_answer; green after.

--- a/persimmondock/_adapters/http_exchange.py
+++ b/persimmondock/_adapters/http_exchange.py
@@ -296,6 +296,7 @@
         self.usable = False
         if self._until_eof and self._waiter is not None and not self._waiter.done():
             self._responses.append(self._build_response())
+            self._in_message = False
             self._deliver_response()
         return False
 
--- a/persimmondock/tests/test_cut_answers.py
+++ b/persimmondock/tests/test_cut_answers.py
@@ -115,6 +115,14 @@
                 assert outcome.find_header("x-attempt-id") == "a" and outcome.body == body
 
 
+@pytest.mark.parametrize("name", ANSWERS)
+async def test_nothing_is_counted_as_dropped_behind_a_whole_answer(name: str) -> None:
+    """Guards against counting an answer that ends with its connection as one with more behind."""
+    answer = ANSWERS[name]
+    _, dropped = await exchange_in_memory(answer.data, End.CLOSED, len(answer.data))
+    assert dropped == answer.before.count(b"X-Attempt-Id: z") * [Unexpected.OTHER_REQUEST]
+
+
 @each_end
 @pytest.mark.parametrize(
     "late", [UNTIL_END, PLAIN, IN_CHUNKS], ids=["no length", "length", "chunk"]
