Take a switch of protocols for an invalid response

What was seen (by reading and a trial): a backend server that answers 101 with Upgrade raised HttpParserUpgrade out of data_received. asyncio logged "Fatal error: protocol.data_received() call failed" and closed the connection; the verdict was "backend lost" and not "answer invalid".

Cause: HttpParserUpgrade is no HttpParserError.

Change: HttpConnection handles both alike: the exchange fails with InvalidResponseError, and behind a complete streamed body the connection only ends. Requests count as before as ones that may have run. A complete streamed body with such bytes right behind it was cut; it arrives whole now.

Red before, green after (one run each): the cases "upgrade" and "upgrade behind a late response" of test_incomplete_or_invalid_response_is_an_error, and the new case of test_bytes_after_a_complete_body_belong_to_no_request.

--- a/persimmondock/_adapters/http_exchange.py
+++ b/persimmondock/_adapters/http_exchange.py
@@ -265,7 +265,7 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self._stream is not None:
                 self._fail_stream(error)
             else:
@@ -441,7 +441,7 @@
         if not transport.is_reading() and not self._is_window_full(stream):
             transport.resume_reading()
 
-    def _fail_stream(self, error: httptools.HttpParserError) -> None:
+    def _fail_stream(self, error: Exception) -> None:
         """Cut a streamed body; bytes after a complete one only end the connection."""
         stream = self._stream
         assert stream is not None
--- a/persimmondock/tests/test_http_exchange.py
+++ b/persimmondock/tests/test_http_exchange.py
@@ -23,6 +23,7 @@
 REQUEST = render_request("GET", "/x", [("Host", "h")], b"")
 COMPLETE_RESPONSE = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nContent-Length: 2\r\n\r\nok"
 LATE_RESPONSE = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: old\r\nContent-Length: 4\r\n\r\nlate"
+UPGRADE = b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
 HOST = f"{NETWORK}7"
 
 Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -144,8 +145,10 @@
         (COMPLETE_RESPONSE[:-1], ConnectionLostError),
         (b"", ConnectionLostError),
         (b"not an answer at all\r\n\r\n", InvalidResponseError),
+        (UPGRADE, InvalidResponseError),
+        (LATE_RESPONSE + UPGRADE, InvalidResponseError),
     ],
-    ids=["truncated", "nothing", "garbage"],
+    ids=["truncated", "nothing", "garbage", "upgrade", "upgrade behind a late response"],
 )
 async def test_incomplete_or_invalid_response_is_an_error(
     response: bytes, error: type[Exception]
--- a/persimmondock/tests/test_streamed_responses.py
+++ b/persimmondock/tests/test_streamed_responses.py
@@ -25,6 +25,7 @@
 from persimmondock.tests.test_http_exchange import (
     COMPLETE_RESPONSE,
     REQUEST,
+    UPGRADE,
     is_for_attempt_a,
     respond_with,
     serve,
@@ -113,7 +114,7 @@
         assert not connection.usable and pool.held.count == 0
 
 
-@pytest.mark.parametrize("extra", [COMPLETE_RESPONSE, b"\x00garbage"])
+@pytest.mark.parametrize("extra", [COMPLETE_RESPONSE, b"\x00garbage", UPGRADE])
 async def test_bytes_after_a_complete_body_belong_to_no_request(extra: bytes) -> None:
     async with serve(respond_with(make_response(BODY) + extra, COMPLETE_RESPONSE)) as pool:
         connection, response = await begin(pool)
