--- a/persimmondock/_adapters/http_exchange.py
+++ b/persimmondock/_adapters/http_exchange.py
@@ -272,7 +272,7 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self._stream is not None:
                 self._fail_stream(error)
             else:
@@ -303,6 +303,7 @@
         self.usable = False
         if self._until_eof and self._waiter is not None and not self._waiter.done():
             self._responses.append(self._build_response())
+            self._in_message = False
             self._deliver_response()
         return False
 
@@ -447,7 +448,7 @@
         if not transport.is_reading() and not self._is_window_full(stream):
             transport.resume_reading()
 
-    def _fail_stream(self, error: httptools.HttpParserError) -> None:
+    def _fail_stream(self, error: Exception) -> None:
         """Cut a streamed body; bytes after a complete one only end the connection."""
         stream = self._stream
         assert stream is not None
