Answer what waits at another gate before the daemon stops

What callers saw: a request that was sent shortly before the stop, and waited for a slot at another daemon's gate all the while, was cut with no answer at the end of the grace, though no backend server was at work on it (LOST).

Cause: requests that were sent before the stop keep their callers' deadlines, and the dispatcher waited for the reply until then.

Change: when the stop begins, the waits for replies are limited to StopDeadline and the margin of a reply. The outcome is unknown then, and said to be.

--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -177,6 +177,7 @@
         self._rooms: dict[str, ServiceRoom] = {}
         # Times from the sending to a gate to the answer, by service.
         self._answer_times: dict[str, ServiceTimes] = {}
+        self._reply_timeouts: set[asyncio.Timeout] = set()
         self._room_logged_at: dict[str, float] = {}
         self._random = random.Random()
         self.in_flight = 0
@@ -186,6 +187,18 @@
         mesh.server.instant_handlers["notice"] = self._handle_notice
         mesh.server.handlers["call"] = self._handle_call
 
+    def limit_replies(self) -> None:
+        """Let no request that was sent to another gate outlive the stop of this daemon.
+
+        It may wait there for a slot, and then nothing excuses a connection that is cut.
+        """
+        left_s = self._gate.stop.answer_by - read_clock() + REPLY_GRACE_S
+        latest = asyncio.get_running_loop().time() + left_s
+        for reply_timeout in self._reply_timeouts:
+            when = reply_timeout.when()
+            if when is not None and when > latest:
+                reply_timeout.reschedule(latest)
+
     async def dispatch(self, request: ForwardedRequest, route: RoutePolicy) -> Verdict:
         """Send a request to one or more gates; return the response or why there is none."""
         self.in_flight += 1
@@ -478,8 +491,10 @@
         incarnation, sent_at = peer.status.incarnation, read_clock()
         self._in_flight_by_node[node] += 1
         self._metrics.count("forwards")
+        reply_timeout = asyncio.timeout(request.deadline - read_clock() + REPLY_GRACE_S)
+        self._reply_timeouts.add(reply_timeout)
         try:
-            async with asyncio.timeout(request.deadline - read_clock() + REPLY_GRACE_S):
+            async with reply_timeout:
                 # A request that is not idempotent cannot be tried elsewhere.
                 reply = await peer.client.request(
                     "call",
@@ -493,6 +508,7 @@
         except TimeoutError:
             return MayHaveRun(Reason.DEADLINE_PASSED)
         finally:
+            self._reply_timeouts.discard(reply_timeout)
             self._in_flight_by_node[node] -= 1
         stream = None
         if isinstance(reply, StreamedReply):
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -231,6 +231,7 @@
         logger.info("event=leaving daemon={}", self.settings.node)
         self.gate.leaving = True
         self.gate.stop.set_end(stop_by)
+        self.dispatcher.limit_replies()
         await asyncio.sleep(READINESS_DRAIN_S)
         logger.info(
             "event=daemon_stopping daemon={} in_flight={} keys_held={}",
--- a/persimmondock/tests/test_stopping.py
+++ b/persimmondock/tests/test_stopping.py
@@ -182,6 +182,30 @@
     run(scenario())
 
 
+def test_what_waits_at_another_gate_is_answered_before_the_daemon_ends() -> None:
+    """Guards against a request sent before the signal that waits elsewhere until it is cut."""
+
+    async def scenario() -> None:
+        site = await open_site(keyed=True, slots=1)
+        front = site.fronts[0]
+        for node in site.servers:
+            node.server.work_by_route["long"] = 30.0  # type: ignore[attr-defined]
+        asked = [
+            asyncio.ensure_future(site.ask(front, "long", timeout_s=40.0, objective_at=5_000.0))
+            for _ in range(2)
+        ]
+        await asyncio.sleep(0.1)
+        stopped = site.signal(front)
+        replies = list(await asyncio.gather(*asked))
+        assert isinstance(replies[1].verdict, MayHaveRun)
+        assert site.list_runs(replies[1].attempt) == []
+        assert site.find_faults(replies) == []
+        await stopped
+        await site.close()
+
+    run(scenario())
+
+
 def test_a_retry_is_not_begun_too_late() -> None:
     """Guards against a second attempt late in the grace that is cut while it runs."""
 
