Wait for no question about a shared limit that is already answered

Cause: a request of a tenant with a limit that came after the answer to the question for tokens, and before the callbacks of that answer, found it still pending. Waiting for a future that is done does not yield to the event loop, so its callbacks never ran and the loop in SharedRates.admit had no end.

Change: a question that is done counts as none.

--- a/persimmondock/_tasks/shared_rates.py
+++ b/persimmondock/_tasks/shared_rates.py
@@ -159,6 +159,9 @@
         share.tokens.count_arrival(now)
         while True:
             now = read_clock()
+            if share.pending is not None and share.pending.done():
+                # Its callbacks have not run yet, and waiting for it would not yield to them.
+                share.pending = None
             if share.tokens.spend(now):
                 if share.pending is None and share.tokens.should_refill(now):
                     self._ask(share, limit, 0, now)
--- a/persimmondock/tests/test_shared_rates.py
+++ b/persimmondock/tests/test_shared_rates.py
@@ -15,9 +15,15 @@
 import pytest
 
 from persimmondock._adapters.clock import read_clock
-from persimmondock._domain.shared_rate import RateLimit
+from persimmondock._domain.shared_rate import BorrowedTokens, RateLimit
 from persimmondock._ports.metrics import NoMetrics
-from persimmondock._tasks.shared_rates import LimitUnknown, OverLimit, SharedRates, VersionedLimit
+from persimmondock._tasks.shared_rates import (
+    Admitted,
+    LimitUnknown,
+    OverLimit,
+    SharedRates,
+    VersionedLimit,
+)
 from persimmondock.tests.virtual_rates import (
     LIMIT_NAME,
     PATIENCE_S,
@@ -53,6 +59,34 @@
     return next(iter(site.nodes.values())).rates.find_holders(LIMIT_NAME)
 
 
+def test_a_request_beside_an_answer_does_not_wait_for_it_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a daemon that stands still for ever, waiting for a question that is answered.
+
+    A request may come after the answer and before the callbacks of the answer.
+    """
+    shield = asyncio.shield
+
+    def shield_unfinished(pending: asyncio.Future[None]) -> asyncio.Future[None]:
+        assert not pending.done()
+        return shield(pending)
+
+    monkeypatch.setattr(asyncio, "shield", shield_unfinished)
+
+    async def scenario(site: RateSite) -> None:
+        rates = next(iter(site.nodes.values())).rates
+        limit = VersionedLimit(LIMIT_NAME, LIMIT, 1)
+        await rates.admit(limit, PATIENCE_S)
+        share = rates._shares[LIMIT_NAME]
+        share.tokens = BorrowedTokens()
+        share.pending = asyncio.get_running_loop().create_future()
+        share.pending.set_result(None)
+        assert isinstance(await rates.admit(limit, PATIENCE_S), Admitted)
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("fronts", [1, 2, 14])
 def test_what_is_below_the_limit_is_not_refused(fronts: int) -> None:
     async def scenario(site: RateSite) -> None:
