Drop uncertain grants with the process that took them; compare an answer with few others

What callers saw: nothing; found while reading the join. Keys of a backend server that was lost without a successor were served up to 3 s later than before where answers name no request: the release waited for grants that had been answered by the process that ended. A connection for grants kept a mark of each release for ever.

Change: where the process is known to have ended, only grants without an answer keep a release waiting, as it was before. A connection is closed after 256 marks.

--- a/persimmondock/_tasks/call_grants.py
+++ b/persimmondock/_tasks/call_grants.py
@@ -107,7 +107,8 @@
                 )
                 break
             if outcome.refused or outcome.misdirected:
-                # The process that held the keys has ended.
+                # The process that held the keys has ended, and what it answered with it.
+                self._remove_answered()
                 self._keeper.pause_grants(incarnation)
                 break
             await asyncio.sleep(RELEASE_RETRY_S)
@@ -289,3 +290,8 @@
         """Remove the grants of a connection on which a later order was certainly answered."""
         for grants in self._open.values():
             grants[:] = [grant for grant in grants if grant.connection != connection]
+
+    def _remove_answered(self) -> None:
+        """Remove the grants of which only the answer is uncertain."""
+        for grants in self._open.values():
+            grants[:] = [grant for grant in grants if grant.connection is None]
--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -61,6 +61,7 @@
 # connection that was idle for longer.
 NON_IDEMPOTENT_MAX_IDLE_S = 2.0
 IDEMPOTENT_MAX_IDLE_S = 8.0
+MAX_MARKS = 256  # of the answers to orders on a connection
 MAX_REFUSALS = 256  # and failures on a connection, whose requests are remembered
 MAX_CONCURRENT_GRANTS = 2  # a grant takes about a millisecond, and new connections have a cost
 MAX_CONCURRENT_RELEASES = 6
@@ -438,8 +439,9 @@
             mark = f"{response.status} {handover}"
             is_certain = is_named or earlier_orders == 0 or mark not in connection.marks
             connection.marks.add(mark)
-            if not (keeps_uncertain or is_named or (is_certain and handover)):
-                # The next answer might be equal.
+            keeps_apart = is_named or bool(is_certain and handover)
+            if not (keeps_uncertain or keeps_apart) or len(connection.marks) >= MAX_MARKS:
+                # The next answer might be equal, or there are too many to compare it with.
                 connection.abort()
             if not (keeps_uncertain or is_certain):
                 raise InvalidResponseError("the answer may be an earlier one", sent=True)
--- a/persimmondock/tests/test_answers_of_orders.py
+++ b/persimmondock/tests/test_answers_of_orders.py
@@ -89,6 +89,29 @@
     run_in_virtual_time(run())
 
 
+@names_orders
+def test_uncertain_answers_of_a_process_that_has_ended_hold_up_no_move(names_orders: bool) -> None:
+    """Guards against keys of a lost backend server that wait for grants which ended with it."""
+
+    async def run() -> float:
+        fleet = VirtualFleet()
+        for vm in fleet.vms:
+            vm.behavior.names_orders = names_orders
+        await fleet.start()
+        await asyncio.sleep(5.0)
+        vm = fleet.vms[1]
+        fleet.kill_server(vm)
+        killed_at = read_clock()
+        moving = asyncio.create_task(fleet.evacuate(vm.failure_domain, TERM_S))
+        await fleet.wait_until_held(5.0)
+        taken_after_s = read_clock() - killed_at
+        await moving
+        fleet.close()
+        return taken_after_s
+
+    assert run_in_virtual_time(run()) < 1.0
+
+
 class OneServer:
     """A backend server and its client, on whose connections answers are repeated."""
 
