Soak test of answers of other orders: late grants that take effect

Cause: the plan. With all grants late a connection repeats one answer and is then given up, so four grants at most are counted wrongly, 0.5 s after the start. They were carried out 2 to 12 s later, but grants last 3 s and the keys moved at 2.3 s: by the distribution of the delays about one in five of them could take effect at all.

Change: the keys move at 1.1 s, and in these two tests late grants are carried out after 2.0 to 2.3 s, so that each one that is counted wrongly takes effect behind the move. The same holds for the test of the intact daemon, which is stricter for it.

--- a/persimmondock/tests/soak/test_soak.py
+++ b/persimmondock/tests/soak/test_soak.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import functools
 import os
 from pathlib import Path
 
 import pytest
 
+from persimmondock.soak import runner as soak_runner
 from persimmondock.soak.checks import TIMED_RULES
 from persimmondock.soak.plan import Event, draw_plan
 from persimmondock.soak.runner import SoakRunner
 from persimmondock.soak.site import SoakSite
+from persimmondock.standins.site_backend import LateGrants
 from persimmondock.standins.site_messages import GRANT_MODES
 from persimmondock.tests.test_cli import run_cli
 
@@ -115,7 +118,7 @@
         for event in (
             Event(0.5, "faulty_answers", vm, 5.0, "repeat_last"),
             Event(0.5, "late_grants", vm, 5.0, "1.0"),
-            Event(2.0 + 0.3 * vm, "drain_backend", vm),
+            Event(1.0 + 0.1 * vm, "drain_backend", vm),
         )
     ]
     return (*sorted(moves, key=lambda event: event.at_s), Event(7.0, "reload", 1))
@@ -128,6 +131,14 @@
     return (*refusals, *repeats, Event(6.0, "reload", 1))
 
 
+@pytest.fixture
+def late_grants_behind_moves(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have late grants carried out after a move of their keys, and before they have expired."""
+    in_time = functools.partial(LateGrants, min_s=2.0, max_s=2.3)
+    monkeypatch.setattr(soak_runner, "LateGrants", in_time)
+
+
+@pytest.mark.usefixtures("late_grants_behind_moves")
 async def test_an_answer_of_an_earlier_order_moves_no_keys(tmp_path: Path) -> None:
     """Guards against keys at two servers when an earlier answer is counted for a late grant."""
     assert await run_soak(tmp_path, plan_moves_behind_repeated_answers()) <= TIMED_RULES
@@ -138,6 +149,7 @@
     assert await run_soak(tmp_path, plan_repeated_refusals()) <= TIMED_RULES
 
 
+@pytest.mark.usefixtures("late_grants_behind_moves")
 async def test_answers_counted_for_other_orders_are_detected(tmp_path: Path) -> None:
     assert "OWNER" in await run_soak(tmp_path, plan_moves_behind_repeated_answers(), "order")
 
