--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -189,12 +189,15 @@
 
     async def main():
         site = Site(folder)
+        loop, own = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, own.cancel)
         try:
             async with asyncio.timeout(112):
                 broken = await play(site)
             site.note(f"result: {'BROKEN' if broken else 'held'}")
             return 1 if broken else 0
-        except (CannotRunError, OSError, TimeoutError) as error:
+        except (CannotRunError, OSError, TimeoutError, asyncio.CancelledError) as error:
             site.note(f"could not run: {error!r}")
             return 2
         finally:
