--- a/persimmondock/_domain/assignment.py
+++ b/persimmondock/_domain/assignment.py
@@ -3,6 +3,12 @@
 An assignment is one record of a log. Its write is conditional on the offset that it is based on, so
 only one of two concurrent writers succeeds. The offset after the record is the fencing token of
 every range that the record gives to a new owner.
+
+The log may come back from an older copy and lose the newest assignments; see
+`persimmondock._domain.log_position`. Nothing tells what was lost, who holds keys by it, and whether
+a conditional write from before takes effect after it. So an assignment is in force only in the era
+of its fencing tokens. The first one that is written in an era gives all ranges new tokens, and each
+of them has an unknown former owner, who may hold them until its lease has expired.
 """
 
 from __future__ import annotations
@@ -13,6 +19,8 @@
 import attrs
 import msgpack
 
+from persimmondock._domain.log_position import find_era
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
 
@@ -43,6 +51,10 @@
     born_ms: int
 
 
+# Stands for those who may hold keys by an assignment that the log has lost.
+UNKNOWN_OWNER = BackendIncarnation("", "", 0)
+
+
 @attrs.frozen
 class KeyRange:
     """Consecutive keys with one owner.
@@ -93,6 +105,15 @@
         init=False, factory=dict, eq=False, repr=False
     )
 
+    @property
+    def era(self) -> int:
+        """Era of the log in which it was written: that of its earliest fencing token."""
+        return find_era(min((item.fence for item in self.ranges), default=0))
+
+    def is_in_force(self, position: int) -> bool:
+        """Return whether it counts while the partition ends at a position."""
+        return bool(self.ranges) and self.era == find_era(position)
+
     def find_range(self, key: int) -> KeyRange | None:
         """Return the range that contains a key, or None."""
         low, high = 0, len(self.ranges)
@@ -324,6 +345,18 @@
     return tuple(result) if count_rows(result) != counts else None
 
 
+def renew_tokens(ranges: Iterable[KeyRange]) -> tuple[KeyRange, ...]:
+    """Return ranges that get new fencing tokens, and that unknown former owners may hold."""
+    return tuple(
+        attrs.evolve(
+            item,
+            fence=0,
+            former_owners=tuple(dict.fromkeys((*item.former_owners, UNKNOWN_OWNER))),
+        )
+        for item in ranges
+    )
+
+
 def build_next_assignment(
     current: Assignment, ranges: Iterable[KeyRange], witnesses: frozenset[str], end: int
 ) -> Assignment:
--- a/persimmondock/_domain/replica.py
+++ b/persimmondock/_domain/replica.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from persimmondock._domain.log_position import find_era
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -16,6 +18,8 @@
 
     Parameters
     ----------
+    offset
+        Position in the log.
     value
         Empty if the key was deleted.
     """
@@ -29,10 +33,13 @@
 class Replica:
     """The newest record of each key among the records read.
 
+    After the log has come back from an older copy, records of its former era are kept where it has
+    none of their key: it had acknowledged them, and their writers write them again.
+
     Parameters
     ----------
     end
-        Offset before which all records are known.
+        Position before which all records are known.
     confirmed_by_store
         Whether the store itself, not only peers, has confirmed ``end`` since this process started.
     """
@@ -53,7 +60,10 @@
         return changed
 
     def apply_snapshot(self, entries: Iterable[KeyedEntry], end: int) -> list[KeyedEntry]:
-        """Apply the newest record of every key; keys that are not listed were deleted."""
+        """Apply the newest record of every key.
+
+        Keys that are not listed were deleted, unless their records are of a former era.
+        """
         listed = list(entries)
         dropped = self._list_unlisted({entry.key for entry in listed}, end)
         return self.apply([*listed, *dropped], end)
@@ -66,9 +76,29 @@
         return [
             KeyedEntry(end - 1, known.key, b"")
             for known in self.entries.values()
-            if known.value and known.key not in keys and known.offset < end
+            if known.value
+            and known.key not in keys
+            and known.offset < end
+            and find_era(known.offset) == find_era(end)
         ]
 
+    def list_former(self) -> list[KeyedEntry]:
+        """Return the records of former eras, which the log may have lost."""
+        era = find_era(self.end)
+        return [e for e in self.entries.values() if e.value and find_era(e.offset) < era]
+
+    def drop_former(self) -> list[KeyedEntry]:
+        """Drop the records of former eras; return the deletions."""
+        former = self.list_former()
+        return self.apply([KeyedEntry(self.end - 1, e.key, b"") for e in former], self.end)
+
+    def has(self, key: str, value: bytes) -> bool:
+        """Return whether the log has a value, as far as known, in its present era."""
+        entry = self.entries.get(key)
+        if entry is None or find_era(entry.offset) < find_era(self.end):
+            return False
+        return entry.value == value
+
     def list_keys(self) -> list[str]:
         """Return the keys that have a value."""
         return [entry.key for entry in self.entries.values() if entry.value]
--- a/persimmondock/_ports/keyed_log.py
+++ b/persimmondock/_ports/keyed_log.py
@@ -1,6 +1,8 @@
 """Interface to the store: the compacted partitions of the platform's log.
 
-A compacted partition keeps the newest record of each key.
+A compacted partition keeps the newest record of each key. Ends and offsets are positions, which
+order records also after the log has come back from an older copy; see
+`persimmondock._domain.log_position`.
 """
 
 from __future__ import annotations
@@ -45,6 +47,13 @@
     """The requested records are no longer retained, but the newest of each key are."""
 
 
+@attrs.frozen
+class LogRestored:
+    """The log has come back from an older copy; the position that was named is of a former era."""
+
+    era: int
+
+
 @attrs.frozen
 class StoreFailed:
     """The store did not respond, or refused the call."""
@@ -64,12 +73,15 @@
     """The partition does not end at the expected offset; nothing was written."""
 
 
-ReadOutcome: TypeAlias = Records | RecordsCompacted | StoreFailed
+ReadOutcome: TypeAlias = Records | RecordsCompacted | LogRestored | StoreFailed
 WriteOutcome: TypeAlias = Written | Conflict | StoreFailed
 
 
 class KeyedLog(Protocol):
-    """Client of the store."""
+    """Client of the store.
+
+    It passes on no answer of an earlier era than one that it has had.
+    """
 
     async def read_newest(self, partition: Partition) -> Records | StoreFailed:
         """Read the newest record of each key."""
@@ -84,6 +96,8 @@
     ) -> WriteOutcome:
         """Append records; with ``expected_end`` only if the partition ends there.
 
-        After ``StoreFailed`` the records may have been written, or may still be written later.
+        After ``StoreFailed`` the records may have been written, or may still be written later. The
+        condition holds within one era only: if the log comes back from an older copy while records
+        are on their way, they may be written to a partition that ends at the same offset.
         """
         ...
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -24,9 +24,11 @@
     find_newest_starts,
     merge_ranges,
     plan_assignment,
+    renew_tokens,
 )
 from persimmondock._domain.balance import MAX_RANGES, OwnerCapacity, balance_ranges
 from persimmondock._domain.key_loads import KeyLoads, merge_rates
+from persimmondock._domain.log_position import find_era
 from persimmondock._domain.range_lease import LEASE_TERM_S
 from persimmondock._ports.keyed_log import Conflict, Written
 
@@ -115,6 +117,8 @@
         self._lease_checked_at = -math.inf
         # The newest read of another daemon; it may arrive before the records.
         self._relayed_end, self._relayed_at = -1, -math.inf
+        # Services whose newest record is an assignment that is not in force.
+        self._superseded: set[str] = set()
 
     def update_assignments(self, changed: list[KeyedEntry]) -> None:
         """Apply changed assignments."""
@@ -126,6 +130,17 @@
                 logger.error("event=assignment_refused detail={!r}", str(error))
                 continue
             known = self.assignments.get(service)
+            if known is not None and not _replaces(assignment, known):
+                self._superseded.add(service)
+                logger.warning(
+                    "event=assignment_not_in_force service={} offset={} era={} known_offset={}",
+                    service,
+                    assignment.offset,
+                    assignment.era,
+                    known.offset,
+                )
+                continue
+            self._superseded.discard(service)
             if known is not None and known.witnesses != assignment.witnesses:
                 self._witnesses_changed_at = read_clock()
             self.assignments[service] = assignment
@@ -136,9 +151,8 @@
                 len(assignment.ranges),
                 len(assignment.witnesses),
             )
-        own = self.assignments.get(self._service)
-        if own is not None:
-            end = self._follower.replica.end
+        own, end = self.assignments.get(self._service), self._follower.replica.end
+        if own is not None and own.is_in_force(end):
             self._keeper.update_assignment(own, end)
             if self._relayed_end == end:
                 self.record_relayed_read(end, self._relayed_at)
@@ -157,7 +171,7 @@
         """
         self._lease_checked_at = max(self._lease_checked_at, sent_at)
         own = self.assignments.get(self._service)
-        if own is not None and end > self._keeper.lease.offset:
+        if own is not None and own.is_in_force(end) and end > self._keeper.lease.offset:
             # Records of other services advanced the end; this assignment is still the newest.
             self._keeper.update_assignment(own, end)
         self._keeper.lease.confirm_by_store(end, sent_at)
@@ -231,11 +245,19 @@
         if not self._is_leader(now) or not self._follower.replica.confirmed_by_store:
             return
         current = self.assignments.get(self._service, Assignment(self._service))
-        if not current.ranges and now - self._started_at < FIRST_ASSIGNMENT_DELAY_S:
+        is_in_force = current.is_in_force(self._follower.replica.end)
+        if not is_in_force and now - self._started_at < FIRST_ASSIGNMENT_DELAY_S:
             return
         owners = self._list_owners(statuses, current, now)
         ended = self._list_ended(current, statuses)
         ranges = plan_assignment(current, owners, ended)
+        if not is_in_force and find_era(self._follower.replica.end) > 0:
+            if owners:
+                ranges = renew_tokens(current.ranges if ranges is None else ranges)
+                await self._write(current, ranges, self._choose_witnesses(current, now), now)
+            return
+        if ranges is None and self._service in self._superseded:
+            ranges = current.ranges
         if ranges is None and self._may_balance(current, statuses, now):
             ranges = merge_ranges(current.ranges, self._max_rows)
             if ranges is None:
@@ -495,3 +517,13 @@
         ):
             return current.witnesses
         return choose_witnesses(failure_domains)
+
+
+def _replaces(assignment: Assignment, known: Assignment) -> bool:
+    """Return whether an assignment, read from the log, takes the place of the known one.
+
+    One whose tokens are of an earlier era than its record was not written in that era: the log came
+    back with it, or its write was on its way meanwhile. It is not newer than what is known.
+    """
+    is_of_its_era = assignment.is_in_force(assignment.offset)
+    return assignment.era > known.era or (assignment.era == known.era and is_of_its_era)
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -49,6 +49,7 @@
 POLL_INTERVAL_S = 0.05
 STOP_MARGIN_S = 0.7  # reserve before the process is killed
 READINESS_DRAIN_S = 2.3  # callers move away after two failed readiness checks, a second apart
+KEEP_LOST_S = 30.0  # for operators to write again what a restored store has lost
 RELOADABLE_FIELDS = ("bounds",)
 MEMBERS_INDEX, ASSIGNMENTS_INDEX = 1, 2  # indices in Sidecar._followers
 
@@ -157,6 +158,8 @@
             follower.is_reader = self.mesh.is_reader
             follower.push_records = functools.partial(self.mesh.push_records, index)
             follower.count_call = functools.partial(self._count_store_call, index)
+            follower.share_era = self._expect_era
+        self._followers[OPERATOR_INDEX].keep_former_s = KEEP_LOST_S
         bytes_per_s = convert_bandwidth(settings.bandwidth_mbps)
         self.mesh.server.link.rate = LinkRate(bytes_per_s)
         self.gate.link.budget.bytes_per_s = bytes_per_s
@@ -357,6 +360,10 @@
             self.control.record_relayed_read(end, sent_at - age)
         self.keeper.record_heartbeat(node, end, may_witness, sent_at, now)
 
+    def _expect_era(self, era: int) -> None:
+        for follower in self._followers:
+            follower.expect_era(era)
+
     def _count_store_call(self, index: int, cause: str) -> None:
         self.metrics.count(f"store_calls.{cause}.{index}")
 
@@ -425,7 +432,7 @@
         value = encode_member(self.mesh.own)
         while True:
             replica = follower.replica
-            if replica.confirmed_by_store and replica.get(node) != value:
+            if replica.confirmed_by_store and not replica.has(node, value):
                 follower.count_call("write")
                 outcome = await self._log.write(follower.partition, [(node, value)], None)
                 if isinstance(outcome, Written):
--- a/persimmondock/_tasks/store_follower.py
+++ b/persimmondock/_tasks/store_follower.py
@@ -11,8 +11,15 @@
 from loguru import logger
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._domain.log_position import find_era
 from persimmondock._domain.replica import KeyedEntry, Replica
-from persimmondock._ports.keyed_log import KeyedLog, Partition, Records, RecordsCompacted
+from persimmondock._ports.keyed_log import (
+    KeyedLog,
+    LogRestored,
+    Partition,
+    Records,
+    RecordsCompacted,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -116,6 +123,11 @@
         Called after a read of a poller that confirmed this copy as the newest.
     count_call
         Called with the cause of each call to the store.
+    share_era
+        Called with the era of the store when a read has shown that it came back from an older copy.
+    keep_former_s
+        Seconds for which records are kept that the store may have lost, and that it has not been
+        given again.
     """
 
     def __init__(
@@ -138,7 +150,10 @@
         self.push_records: Callable[[int, list[KeyedEntry], int], None] = lambda *_: None
         self.share_poll: Callable[[], None] = lambda: None
         self.count_call: Callable[[str], None] = lambda _: None
+        self.share_era: Callable[[int], None] = lambda _: None
+        self.keep_former_s = math.inf
         self.growth: Growth | None = None
+        self._era_known_at = math.inf
         self._settle_s = settle_s
         self._settled_at = math.inf
         self._shared_poll_at = -math.inf
@@ -160,6 +175,7 @@
         """Read until cancelled."""
         retry_delay_s = MIN_RETRY_S
         while True:
+            self._drop_former(read_clock())
             if self.replica.confirmed_by_store and self.store_answers and not self._may_read():
                 # Readers push new records; heartbeats reveal missing ones.
                 await asyncio.sleep(READER_CHECK_INTERVAL_S)
@@ -192,6 +208,7 @@
             while not read.done():
                 await asyncio.wait({read}, timeout=check_interval_s)
                 now = read_clock()
+                self._drop_former(now)
                 if (
                     not read.done()
                     and self._read_waits
@@ -225,6 +242,39 @@
         if self._read is not None:
             self._read.cancel()
 
+    def expect_era(self, era: int) -> None:
+        """Read all records again, unless this copy is of an era already."""
+        if era > find_era(self.replica.end) and self.replica.confirmed_by_store:
+            self.replica.confirmed_by_store = False
+            self.restart_read()
+
+    def _start_era(self, era: int) -> None:
+        """Prepare to read all records, since the store has come back from an older copy."""
+        logger.warning(
+            "event=store_restored topic={} part={} offset={} era={}",
+            self.partition.topic,
+            self.partition.number,
+            self.replica.end,
+            era,
+        )
+        self.replica.confirmed_by_store = False
+        self.share_era(era)
+
+    def _drop_former(self, now: float) -> None:
+        """Drop what the store has lost for good, once this copy is known to be the newest."""
+        if now - self._era_known_at < self.keep_former_s or self.is_stale(now):
+            return
+        self._era_known_at = math.inf
+        dropped = self.replica.drop_former()
+        if dropped:
+            logger.warning(
+                "event=lost_records_dropped topic={} part={} keys={}",
+                self.partition.topic,
+                self.partition.number,
+                ",".join(entry.key for entry in dropped),
+            )
+            self._on_change(dropped)
+
     def record_confirmation(self, end: int, at: float) -> None:
         """Record that the partition ended at ``end`` at the instant ``at``, as a read showed."""
         if end <= self.replica.end:
@@ -261,7 +311,10 @@
         sent_at = read_clock()
         self.count_call("check")
         outcome = await self._log.read_from(self.partition, self.replica.end, 0.0)
-        self._record_store_answer(isinstance(outcome, Records))
+        self._record_store_answer(isinstance(outcome, (Records, LogRestored)))
+        if isinstance(outcome, LogRestored):
+            self._start_era(outcome.era)
+            self.restart_read()
         if not isinstance(outcome, Records):
             return False
         self._apply(outcome, sent_at, Source.READ)
@@ -298,6 +351,8 @@
             return
         self._apply_later_confirmation()
         now = read_clock()
+        if find_era(self.replica.end) > find_era(start):
+            self._era_known_at = now
         self._grown_at = now if self._newer is None else self._newer.since
         at_most_s = 0.0 if source in IMMEDIATE_SOURCES else now - self.confirmed_at
         delay_s = now - self._grown_at
@@ -357,6 +412,9 @@
             )
             self.replica.confirmed_by_store = False
             return True
+        if isinstance(outcome, LogRestored):
+            self._start_era(outcome.era)
+            return True
         if not isinstance(outcome, Records):
             logger.debug("event=store_read_failed detail={!r}", outcome)
             return False
--- a/persimmondock/platform/_store.py
+++ b/persimmondock/platform/_store.py
@@ -17,9 +17,11 @@
     HttpResponse,
     render_request,
 )
+from persimmondock._domain.log_position import MAX_ERA, find_era, find_offset, make_position
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._ports.keyed_log import (
     Conflict,
+    LogRestored,
     Partition,
     ReadOutcome,
     Records,
@@ -39,6 +41,7 @@
 EPOCH_JUMP_MS = 10_000  # after a fenced append: passes epochs from before the clock was set back
 
 OPERATOR_PARTITION = Partition("keyed.op")
+ERA = "store-era"  # header; rises when the store comes back from an older copy
 MEMBERS_PARTITION = Partition("keyed.fleet", 0)
 ASSIGNMENTS_PARTITION = Partition("keyed.fleet", 1)
 
@@ -58,12 +61,13 @@
         self._producer = producer
         self._pool = HttpPool(address, MAX_CONNECTIONS)
         self._epoch = int(time.time() * 1000)
+        self._era = 0
         self.calls = 0
 
     async def read_newest(self, partition: Partition) -> Records | StoreFailed:
         """Read the newest record of each key, page by page."""
         entries: list[KeyedEntry] = []
-        after, end = "", -1
+        after, end, era = "", -1, None
         while True:
             query = {"topic": partition.topic, "part": str(partition.number)}
             if after:
@@ -71,19 +75,26 @@
             response = await self._call("GET", "/-/log-newest", query)
             if isinstance(response, StoreFailed):
                 return response
+            era = self._era if era is None else era
+            if era != self._era:
+                return StoreFailed(f"pages of eras {era} and {self._era}")
             if response.status == 404:
-                return Records((), 0)
+                return Records((), make_position(era, 0))
             if response.status != 200:
                 return _make_failure(response)
             try:
                 data = json.loads(response.body)
                 page = [
-                    KeyedEntry(int(item["offset"]), item["key"], base64.b64decode(item["value"]))
+                    KeyedEntry(
+                        make_position(era, int(item["offset"])),
+                        item["key"],
+                        base64.b64decode(item["value"]),
+                    )
                     for item in data["items"]
                 ]
                 # Records may be written while pages are read. The end of the first page is
                 # returned, so that reading from there returns them again.
-                end = int(data["end"]) if end < 0 else end
+                end = make_position(era, int(data["end"])) if end < 0 else end
                 more = bool(data["has_more"])
             except (ValueError, KeyError, TypeError, binascii.Error) as error:
                 return StoreFailed(f"unreadable page: {error!r}")
@@ -97,7 +108,7 @@
         query = {
             "topic": partition.topic,
             "part": str(partition.number),
-            "from": str(offset),
+            "from": str(find_offset(offset)),
             "max_kb": str(MAX_READ_KB),
         }
         if wait_s:
@@ -105,10 +116,15 @@
         response = await self._call("GET", "/-/log-read", query, wait_s)
         if isinstance(response, StoreFailed):
             return response
+        if self._era > find_era(offset):
+            # What the partition has at this offset is another record, if it has one at all.
+            return LogRestored(self._era)
+        if self._era < find_era(offset):
+            return StoreFailed(f"era {self._era} is older than {find_era(offset)}")
         if response.status == 410:
             return RecordsCompacted()
         if response.status == 404:
-            return Records((), 0)
+            return Records((), make_position(self._era, 0))
         if response.status != 200:
             return _make_failure(response)
         return decode_records(response.body, offset)
@@ -119,7 +135,9 @@
         """Append records; with ``expected_end`` only if the partition ends there."""
         query = {"topic": partition.topic, "part": str(partition.number)}
         if expected_end is not None:
-            query["at"] = str(expected_end)
+            if find_era(expected_end) != self._era:
+                return Conflict()
+            query["at"] = str(find_offset(expected_end))
         else:
             self._epoch = max(self._epoch + 1, int(time.time() * 1000))
             query |= {"producer": self._producer, "epoch": str(self._epoch), "sequence": "0"}
@@ -134,7 +152,8 @@
         if response.status != 200:
             return _make_failure(response)
         try:
-            return Written(int(json.loads(response.body)["offset"]))
+            offset = int(json.loads(response.body)["offset"])
+            return Written(make_position(self._era, offset))
         except (ValueError, KeyError, TypeError) as error:
             return StoreFailed(f"unreadable response to an append: {error!r}")
 
@@ -160,13 +179,36 @@
             async with asyncio.timeout(CALL_TIMEOUT_S + wait_s):
                 connection = await self._pool.acquire(MAX_IDLE_S)
                 try:
-                    return await connection.exchange(data)
+                    response = await connection.exchange(data)
                 finally:
                     self._pool.release(connection)
         except TimeoutError:
             return StoreFailed("no response within the timeout")
         except ExchangeError as error:
             return StoreFailed(str(error))
+        try:
+            era = _read_era(response)
+        except ValueError as error:
+            return StoreFailed(str(error))
+        if era < self._era:
+            # It was given before the store came back from an older copy.
+            return StoreFailed(f"answer of era {era} after one of era {self._era}")
+        self._era = era
+        return response
+
+
+def _read_era(response: HttpResponse) -> int:
+    """Return the era that a response names; 0 if it names none.
+
+    Raises
+    ------
+    ValueError
+        If it is not a whole number, or too large; the message names the header.
+    """
+    text = response.find_header(ERA) or "0"
+    if not text.isascii() or not text.isdigit() or len(text) > len(str(MAX_ERA)):
+        raise ValueError(f"{ERA} must be a whole number up to {MAX_ERA}, not {text[:40]!r}")
+    return find_era(make_position(int(text), 0))
 
 
 def _make_failure(response: HttpResponse) -> StoreFailed:
@@ -193,13 +235,14 @@
 
 
 def decode_records(body: bytes, offset: int) -> ReadOutcome:
-    """Decode the response to a read that started at ``offset``.
+    """Decode the response to a read that started at the position ``offset``.
 
     The body is the end of the partition and its first retained offset, in 8 bytes each, and the
     records in the format of `encode_records`.
     """
     try:
-        end, _ = struct.unpack_from(">QQ", body)
+        end_offset, _ = struct.unpack_from(">QQ", body)
+        end = make_position(find_era(offset), end_offset)
         entries: list[KeyedEntry] = []
         position = 16
         while position < len(body):
@@ -211,7 +254,7 @@
             key = record[1:key_end].decode("utf-8", "replace")
             entries.append(KeyedEntry(offset + len(entries), key, record[key_end:]))
             position += 4 + length
-    except struct.error as error:
+    except (struct.error, ValueError) as error:
         return StoreFailed(f"unreadable records: {error}")
     next_offset = offset + len(entries)
     if next_offset > end:
--- a/persimmondock/soak/plan.py
+++ b/persimmondock/soak/plan.py
@@ -31,6 +31,10 @@
 ANSWER_KINDS = ("faulty_answers", "unnamed_orders", "refuse_once", "terminate_under_work")
 ANSWER_WEIGHTS = (5, 2, 3, 1)
 MEAN_ANSWER_INTERVAL_S = 1.5
+RESTORE_KINDS = ("restore_store",)
+COPY_AGES_S = ("0.3", "1", "2", "3", "6")
+AWAY_DURATIONS_S = (0.0, 0.3, 0.5, 1.0, 2.0)
+MEAN_RESTORE_INTERVAL_S = 7.0
 PATH_MODES = ("delay", "reset", "silent", "one_way")
 
 
@@ -43,8 +47,8 @@
     at_s
         Start in seconds after callers start.
     kind
-        One of ``VM_KINDS``, ``PATH_KINDS``, ``SITE_KINDS``, ``NOTICE_KINDS``, ``CRASH_KINDS`` and
-        ``ANSWER_KINDS``.
+        One of ``VM_KINDS``, ``PATH_KINDS``, ``SITE_KINDS``, ``NOTICE_KINDS``, ``CRASH_KINDS``,
+        ``ANSWER_KINDS`` and ``RESTORE_KINDS``.
     vm
         Number of the VM; 0 if the event concerns the whole site.
     for_s
@@ -52,8 +56,9 @@
     mode
         One of ``PATH_MODES``, the fault that a proxy injects; one of ``LIMITS``, which a backend
         server names; seconds from the start of a crashed backend server to its announcement; the
-        share of grants that are late; one of ``HEALTH_FAULTS`` or of ``ANSWER_FAULTS``. Empty for
-        other kinds of events.
+        share of grants that are late; one of ``HEALTH_FAULTS`` or of ``ANSWER_FAULTS``; one of
+        ``COPY_AGES_S``, seconds from the copy with which the store comes back to its outage. Empty
+        for other kinds of events.
     """
 
     at_s: float
@@ -79,6 +84,7 @@
     events += draw_notices(seed, duration_s, vms)
     events += draw_crashes(seed, duration_s, vms)
     events += draw_answers(seed, duration_s, vms)
+    events += draw_restorations(seed, duration_s)
     return tuple(sorted(events, key=lambda event: event.at_s))
 
 
@@ -138,3 +144,19 @@
         events.append(Event(round(at_s, 2), kind, generator.randint(1, vms), for_s, mode))
         at_s += generator.expovariate(1 / MEAN_ANSWER_INTERVAL_S)
     return events
+
+
+def draw_restorations(seed: int, duration_s: float) -> list[Event]:
+    """Return instants at which the store goes away and comes back from an older copy of itself.
+
+    They have a sequence of their own, so that the other events of a seed stay the same.
+    """
+    generator = random.Random(f"restorations {seed}")
+    events = []
+    at_s = FIRST_EVENT_AT_S + generator.uniform(0.0, MEAN_RESTORE_INTERVAL_S)
+    while at_s < duration_s - SETTLING_TIME_S:
+        (kind,) = RESTORE_KINDS
+        for_s, mode = generator.choice(AWAY_DURATIONS_S), generator.choice(COPY_AGES_S)
+        events.append(Event(round(at_s, 2), kind, 0, for_s, mode))
+        at_s += generator.expovariate(1 / MEAN_RESTORE_INTERVAL_S)
+    return events
--- a/persimmondock/soak/runner.py
+++ b/persimmondock/soak/runner.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import time
+from collections import deque
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -29,6 +30,7 @@
 
     from persimmondock.soak.plan import Event
     from persimmondock.soak.site import SoakVm
+    from persimmondock.standins.site_store import StoreCopy
 
 CALLS_PER_S = 70.0
 LIMITED_CALLS_PER_S = 20.0  # of the tenant with a limit, over twice what that allows
@@ -44,6 +46,9 @@
 CUT_RATIO = 0.3  # of the answers
 KEY_COUNT = 65_536
 PROBE_KEY_STEP = 4_096
+COPY_INTERVAL_S = 0.1
+KEPT_ORDER_RATIO = 0.5  # of the restorations; operators write all lost records again, or the newest
+MAX_COPIES = 100
 
 
 class SoakRunner:
@@ -66,6 +71,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._request_number = 0
         self._evacuated_domains: set[str] = set()
+        self._copies: deque[tuple[float, StoreCopy]] = deque(maxlen=MAX_COPIES)
         self.started_at = 0.0
         self.max_wakeup_delay_s = 0.0
 
@@ -96,12 +102,14 @@
                 self._site.observations.calls.clear()
                 started_at = self.started_at = time.monotonic()
                 delay_task = asyncio.create_task(self._measure_wakeup_delay())
+                copy_task = asyncio.create_task(self._copy_store())
                 plan_task = asyncio.create_task(self._run_plan(started_at))
                 limited_task = asyncio.create_task(self._send_limited_requests(started_at))
                 await self._send_requests(started_at)
                 await limited_task
                 await plan_task
                 delay_task.cancel()
+                copy_task.cancel()
                 await asyncio.gather(*self._tasks)
                 await self._wait_until_served("end", RECOVER_WITHIN_S)
             finally:
@@ -247,6 +255,24 @@
             finally:
                 vm.busy = False
 
+    async def _copy_store(self) -> None:
+        """Keep copies of the store from which it may come back."""
+        while True:
+            self._copies.append((time.monotonic(), self._site.store.take_copy()))
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    async def _restore_store(self, event: Event) -> None:
+        """Take the store away, and let it come back from an older copy."""
+        store, copied_until = self._site.store, time.monotonic() - float(event.mode)
+        copies = [copy for at, copy in self._copies if at <= copied_until]
+        copy = copies[-1] if copies else self._copies[0][1]
+        self._site.record_store_outage("site", event.for_s)
+        store.faults.down = True
+        store.release_waiting_reads()
+        await asyncio.sleep(event.for_s)
+        store.restore(copy, keeps_order=self._random.random() < KEPT_ORDER_RATIO)
+        store.faults.down = False
+
     async def _apply_to_site(self, event: Event) -> None:
         site, now = self._site, time.monotonic()
         match event.kind:
@@ -256,6 +282,8 @@
                 site.store.release_waiting_reads()
                 await asyncio.sleep(event.for_s)
                 site.store.faults.down = False
+            case "restore_store":
+                await self._restore_store(event)
             case "lose_append":
                 site.record_store_outage("site", event.for_s)
                 site.store.faults.lose_appends += 1
--- a/persimmondock/standins/site_store.py
+++ b/persimmondock/standins/site_store.py
@@ -2,7 +2,8 @@
 
 It implements the platform's protocol as its client uses it: conditional appends, fencing of
 producers, long-polling reads, and reads of the newest record of each key. A record with an empty
-value deletes its key.
+value deletes its key. It can come back from an older copy of itself, and gives out the offsets of
+the records that it lost again.
 """
 
 from __future__ import annotations
@@ -12,12 +13,14 @@
 import contextlib
 import struct
 from collections import defaultdict
+from typing import TypeAlias
 
 import attrs
 from aiohttp import web
 
 PAGE_SIZE = 500
 MAX_BODY_BYTES = 2 * 1024 * 1024
+OPERATOR_PARTITION = ("keyed.op", 0)
 
 
 @attrs.define
@@ -34,9 +37,20 @@
     def append(self, payloads: list[bytes]) -> int:
         offset = self.end
         self.records += payloads
+        self.release_waiting_reads()
+        return offset
+
+    def release_waiting_reads(self) -> None:
+        """Have waiting reads look again."""
         self.record_appended.set()
         self.record_appended = asyncio.Event()
-        return offset
+
+    def copy(self) -> _Partition:
+        """Return a copy, which nobody waits for."""
+        return _Partition(list(self.records), self.first, dict(self.epochs))
+
+
+StoreCopy: TypeAlias = dict[tuple[str, int], _Partition]
 
 
 @attrs.define
@@ -59,11 +73,18 @@
 
 
 class SiteStore:
-    """The store of one site."""
+    """The store of one site.
+
+    Attributes
+    ----------
+    era
+        Number of times that it came back from an older copy; all answers name it.
+    """
 
     def __init__(self) -> None:
         self.faults = StoreFaults()
         self.calls = 0
+        self.era = 0
         self._partitions: dict[tuple[str, int], _Partition] = defaultdict(_Partition)
 
     def build_application(self) -> web.Application:
@@ -83,15 +104,44 @@
     def release_waiting_reads(self) -> None:
         """Answer all waiting reads at once, so that new faults reach their clients."""
         for partition in self._partitions.values():
-            partition.record_appended.set()
-            partition.record_appended = asyncio.Event()
+            partition.release_waiting_reads()
+
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of all partitions."""
+        return {name: partition.copy() for name, partition in self._partitions.items()}
+
+    def restore(self, copy: StoreCopy, keeps_order: bool = False) -> None:
+        """Come back from a copy; operators write again at once what it lacks.
+
+        Parameters
+        ----------
+        keeps_order
+            Whether they write all of their lost records in the old order, or else only the newest
+            of each key.
+        """
+        lost = self._partitions[OPERATOR_PARTITION].records
+        former = list(self._partitions.values())
+        self._partitions.clear()
+        self._partitions.update({name: partition.copy() for name, partition in copy.items()})
+        self.era += 1
+        operator = self._partitions[OPERATOR_PARTITION]
+        again = lost[len(operator.records) :]
+        if not keeps_order:
+            again = list({_split_payload(payload)[0]: payload for payload in again}.values())
+        if again:
+            operator.append(again)
+        for partition in former:
+            partition.release_waiting_reads()
 
     @web.middleware
     async def _apply_faults(self, request: web.Request, handler) -> web.StreamResponse:  # type: ignore[no-untyped-def]
         self.calls += 1
         if self.faults.down or request.remote in self.faults.refused:
-            return web.Response(status=503)
+            return web.Response(status=503, headers={"Store-Era": str(self.era)})
+        era = self.era
         response: web.StreamResponse = await handler(request)
+        # An answer that was composed before the store came back names the former era.
+        response.headers.setdefault("Store-Era", str(era))
         return response
 
     def _get_partition(self, request: web.Request) -> _Partition:
@@ -117,24 +167,24 @@
     async def _read(self, request: web.Request) -> web.Response:
         partition = self._get_partition(request)
         start = int(request.query["from"])
-        if start < partition.first:
-            return web.json_response({"first": partition.first}, status=410)
         wait_s = int(request.query.get("wait_ms", "0")) / 1000
-        if start >= partition.end and wait_s:
+        if start == partition.end and wait_s:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await partition.record_appended.wait()
+        partition, era = self._get_partition(request), {"Store-Era": str(self.era)}
+        if not partition.first <= start <= partition.end:
+            return web.json_response({"first": partition.first}, status=410, headers=era)
         body = struct.pack(">QQ", partition.end, partition.first)
         for payload in partition.records[start - partition.first :]:
             body += struct.pack(">I", len(payload)) + payload
-        return web.Response(body=body)
+        return web.Response(body=body, headers=era)
 
     async def _newest(self, request: web.Request) -> web.Response:
         partition = self._get_partition(request)
         newest: dict[str, tuple[int, bytes]] = {}
         for number, payload in enumerate(partition.records):
-            length = payload[0]
-            key, value = payload[1 : 1 + length].decode(), payload[1 + length :]
+            key, value = _split_payload(payload)
             newest[key] = (partition.first + number, value)
         after = request.query.get("after", "")
         keys = sorted(key for key, (_, value) in newest.items() if value and key > after)
@@ -155,6 +205,11 @@
     return bytes([len(name)]) + name + value
 
 
+def _split_payload(payload: bytes) -> tuple[str, bytes]:
+    length = payload[0]
+    return payload[1 : 1 + length].decode(), payload[1 + length :]
+
+
 def _split_payloads(body: bytes) -> list[bytes]:
     payloads, position = [], 0
     while position < len(body):
--- a/persimmondock/tests/live_site.py
+++ b/persimmondock/tests/live_site.py
@@ -183,6 +183,33 @@
                             found.append(f"{node.number} {a} and {other.number} {b}")
         return found
 
+    def find_low_tokens(self) -> list[str]:
+        """Return holds under a token that is not above all that other backend servers had."""
+        found = []
+        for node in self.nodes:
+            for hold in node.backend.held_ranges:
+                found += [
+                    f"{node.number} {hold} after {other.number} {earlier}"
+                    for other in self.nodes
+                    if other is not node
+                    for earlier in other.backend.held_ranges
+                    if earlier.start < hold.start
+                    and earlier.first <= hold.last
+                    and hold.first <= earlier.last
+                    and earlier.fence >= hold.fence
+                ]
+        return found
+
+    async def restart_daemon(self, node: LiveNode) -> None:
+        """Replace a daemon by a new process of it, which remembers nothing."""
+        await node.daemon.close()
+        await self.start_daemon(node)
+
+    async def start_daemon(self, node: LiveNode) -> None:
+        """Start a new process of a daemon that has been closed."""
+        node.daemon = PlatformDaemon(node.settings, MetricsEndpoint(METRICS_PORT, "/metrics"))
+        await node.daemon.start()
+
     async def stop(self) -> None:
         """Stop all daemons and backend servers, then the store."""
         for node in self.nodes:
--- a/persimmondock/tests/platform/test_daemon.py
+++ b/persimmondock/tests/platform/test_daemon.py
@@ -13,7 +13,7 @@
 from persimmondock.platform._daemon import PlatformDaemon
 from persimmondock.platform._settings import MetricsEndpoint
 from persimmondock.tests.builders import NETWORK
-from persimmondock.tests.live_site import METRICS_PORT, LiveNode, LiveSite, make_config, run_site
+from persimmondock.tests.live_site import METRICS_PORT, make_config, run_site
 
 GRANT_MODES = pytest.mark.parametrize(
     "grant_mode", [GrantsByCall(), GrantsInHeartbeats()], ids=["call", "heartbeat"]
@@ -250,13 +250,6 @@
         assert set(outcomes) <= {200, 503}
 
 
-async def restart_daemon(site: LiveSite, node: LiveNode) -> None:
-    """Replace a daemon by a new process of it, which remembers nothing."""
-    await node.daemon.close()
-    node.daemon = PlatformDaemon(node.settings, MetricsEndpoint(METRICS_PORT, "/metrics"))
-    await node.daemon.start()
-
-
 async def test_a_limit_holds_on_the_wire_and_after_a_restart_of_the_gate() -> None:
     """Guards against the LIMIT incident, with whole daemons and answers over HTTP."""
     async with run_site() as site:
@@ -267,7 +260,7 @@
             await site.ask(site.nodes[0], "/assign/1", attempt=f"before-{number}")
         assert gate.daemon.sidecar.gate.notice.max_per_s == 2.0
         assert "persimmondock_backend_limit_per_s 2.0" in await site.read_metrics(gate)
-        await restart_daemon(site, gate)
+        await site.restart_daemon(gate)
         deadline = read_clock() + 5.0
         while read_clock() < deadline:
             status, _, _ = await site.ask(site.nodes[0], "/assign/1", timeout_ms=400)
--- a/persimmondock/tests/soak/test_plan.py
+++ b/persimmondock/tests/soak/test_plan.py
@@ -7,11 +7,13 @@
 from persimmondock.soak.plan import (
     ANSWER_KINDS,
     CRASH_KINDS,
+    RESTORE_KINDS,
     SETTLING_TIME_S,
     Event,
     draw_answers,
     draw_crashes,
     draw_plan,
+    draw_restorations,
 )
 
 
@@ -22,7 +24,7 @@
 
 def test_plans_have_all_kinds_and_overlapping_events() -> None:
     events = [event for seed in range(20) for event in draw_plan(seed, 60.0, 6)]
-    assert len({event.kind for event in events}) == 22
+    assert len({event.kind for event in events}) == 23
     plan = draw_plan(3, 60.0, 6)
     assert any(one.at_s + one.for_s > two.at_s for one, two in itertools.pairwise(plan))
 
@@ -32,11 +34,13 @@
         assert all(event.at_s < 60.0 - SETTLING_TIME_S for event in draw_plan(seed, 60.0, 6))
 
 
-def test_crashes_and_answers_leave_the_other_events_of_a_seed_as_they_are() -> None:
+def test_later_sequences_leave_the_other_events_of_a_seed_as_they_are() -> None:
     plan = draw_plan(310, 25.0, 6)
     assert [e for e in plan if e.kind in CRASH_KINDS] == draw_crashes(310, 25.0, 6)
     assert [e for e in plan if e.kind in ANSWER_KINDS] == draw_answers(310, 25.0, 6)
-    others = [event for event in plan if event.kind not in (*CRASH_KINDS, *ANSWER_KINDS)]
+    assert [e for e in plan if e.kind in RESTORE_KINDS] == draw_restorations(310, 25.0)
+    later = (*CRASH_KINDS, *ANSWER_KINDS, *RESTORE_KINDS)
+    others = [event for event in plan if event.kind not in later]
     assert len(others) == 16
     assert others[0] == Event(3.0, "configure", 0, 0.3)
     assert others[-1] == Event(14.74, "drain_backend", 4, 1.0)
--- a/persimmondock/tests/test_key_control.py
+++ b/persimmondock/tests/test_key_control.py
@@ -8,12 +8,26 @@
 import pytest
 
 from persimmondock._adapters.clock import read_clock
-from persimmondock._domain.assignment import Assignment, EligibleOwner, plan_assignment
+from persimmondock._domain.assignment import (
+    UNKNOWN_OWNER,
+    Assignment,
+    EligibleOwner,
+    KeyRange,
+    encode_assignment,
+    plan_assignment,
+)
 from persimmondock._domain.gate_status import GateStatus
 from persimmondock._domain.key_loads import KeyLoads
+from persimmondock._domain.log_position import find_offset, make_position
 from persimmondock._domain.range_lease import RangeLease
+from persimmondock._domain.replica import KeyedEntry
 from persimmondock._ports.keyed_log import Partition
-from persimmondock._tasks.key_control import OWNER_LOST_AFTER_S, KeyControl
+from persimmondock._tasks.key_control import (
+    ASSIGNMENT_KEY_PREFIX,
+    FIRST_ASSIGNMENT_DELAY_S,
+    OWNER_LOST_AFTER_S,
+    KeyControl,
+)
 from persimmondock._tasks.mesh import Member, Mesh, Peer
 from persimmondock._tasks.range_keeper import RangeKeeper
 from persimmondock._tasks.store_follower import PartitionFollower
@@ -237,3 +251,82 @@
     lease.adopt_assignment(1, current.witnesses)
     harness.control.record_store_read(4, 100.0)
     assert lease.compute_end() > 100.0
+
+
+def make_entry(assignment: Assignment, era: int) -> KeyedEntry:
+    """Return the record of an assignment as it is read in an era."""
+    offset = make_position(era, find_offset(assignment.offset) - 1)
+    return KeyedEntry(offset, ASSIGNMENT_KEY_PREFIX + SERVICE, encode_assignment(assignment))
+
+
+def start_era(harness: ControlHarness, assignment: Assignment, era: int = 1) -> None:
+    """Let the store come back with an assignment of before."""
+    entry = make_entry(assignment, era)
+    harness.follower.replica.apply([entry], entry.offset + 1)
+    harness.follower.replica.confirmed_by_store = True
+    harness.control.update_assignments([entry])
+
+
+async def test_an_assignment_from_before_the_store_came_back_grants_nothing(
+    harness: ControlHarness,
+) -> None:
+    """OWNER: what the store has may have been replaced by a record that it has lost."""
+    harness.control._keeper.update_incarnation(make_incarnation(1))
+    start_era(harness, make_assignment(make_range(0, 9, 1), witnesses="abc"))
+    harness.control.record_store_read(harness.follower.replica.end, read_clock())
+    keeper = harness.control._keeper
+    assert keeper.assignment.ranges == ()
+    assert keeper.lease.compute_end() < read_clock()
+
+
+@pytest.fixture
+def written(harness: ControlHarness, monkeypatch: pytest.MonkeyPatch) -> list[tuple[KeyRange, ...]]:
+    """Ranges that the key control writes."""
+    result: list[tuple[KeyRange, ...]] = []
+
+    async def write(_: Assignment, ranges: tuple[KeyRange, ...], *__: object) -> None:
+        result.append(ranges)
+
+    monkeypatch.setattr(harness.control, "_write", write)
+    return result
+
+
+def test_the_first_assignment_of_an_era_has_new_tokens_and_unknown_former_owners(
+    harness: ControlHarness, written: list[tuple[KeyRange, ...]]
+) -> None:
+    """OWNER: tokens were given out again, and lost owners were not waited for."""
+    start_era(harness, make_assignment(make_range(0, 9, 1), make_range(10, 19, 2)))
+    harness.add_peer(2, make_status(2))
+    harness.control._started_at -= FIRST_ASSIGNMENT_DELAY_S
+    asyncio.run(harness.control._plan())
+    expected = (make_range(0, 9, 1), make_range(10, 19, 2))
+    assert written == [
+        tuple(attrs.evolve(r, fence=0, former_owners=(UNKNOWN_OWNER,)) for r in expected)
+    ]
+
+
+def test_a_daemon_that_has_just_started_waits_before_it_replaces_an_assignment(
+    harness: ControlHarness, written: list[tuple[KeyRange, ...]]
+) -> None:
+    """Guards against keys that move because their owners are not heard of yet."""
+    start_era(harness, make_assignment(make_range(0, 9, 1)))
+    harness.control._started_at = read_clock()
+    asyncio.run(harness.control._plan())
+    assert written == []
+
+
+async def test_a_write_from_before_the_store_came_back_replaces_nothing(
+    harness: ControlHarness, written: list[tuple[KeyRange, ...]]
+) -> None:
+    """OWNER: its condition held again, since the partition ended at the same offset."""
+    token = make_position(1, 5)
+    in_force = make_assignment(make_range(0, 9, 1, fence=token), offset=token)
+    start_era(harness, in_force)
+    late = make_assignment(make_range(0, 9, 2, fence=6), offset=6)
+    entry = make_entry(late, 1)
+    harness.follower.replica.apply([entry], entry.offset + 1)
+    harness.control.update_assignments([entry])
+    assert harness.control.assignments[SERVICE].ranges == in_force.ranges
+    # The copies of daemons that start now begin with the late record.
+    await harness.control._plan()
+    assert written == [in_force.ranges]
--- a/persimmondock/tests/test_store_follower.py
+++ b/persimmondock/tests/test_store_follower.py
@@ -9,8 +9,10 @@
 import pytest
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._domain.log_position import make_position
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._ports.keyed_log import (
+    LogRestored,
     Partition,
     ReadOutcome,
     Records,
@@ -236,3 +238,72 @@
         )
 
     run_in_virtual_time(scenario())
+
+
+def make_restored_log(*newest: Records) -> ScriptedLog:
+    """Return a store that comes back from an older copy after its first answer."""
+    first = Records((make_entry(1, "config"), make_entry(2, "evacuate/recife")), 3)
+    return ScriptedLog([first, *newest], [LogRestored(1)])
+
+
+def test_a_copy_starts_again_when_the_store_has_come_back(changed: list[KeyedEntry]) -> None:
+    """CONFIG: the copy waited for records behind the end of the store, and took none before it."""
+    era, again = make_position(1, 0), make_entry(make_position(1, 1), "config", b"newer")
+
+    async def scenario() -> None:
+        follower, task = await follow(make_restored_log(Records((again,), era + 2)), changed)
+        assert changed[-1] == again
+        assert (follower.replica.end, follower.replica.confirmed_by_store) == (era + 2, True)
+        # Operators write again what the store has lost.
+        assert follower.replica.get("evacuate/recife") == b"v"
+        await stop(task)
+
+    run_in_virtual_time(scenario())
+
+
+def test_lost_records_are_dropped_when_they_are_not_written_again(
+    changed: list[KeyedEntry],
+) -> None:
+    """Guards against a failure domain that stays evacuated because the deletion was missed."""
+    era = make_position(1, 0)
+
+    async def scenario() -> None:
+        log = make_restored_log(Records((make_entry(era + 1, "config"),), era + 2))
+        follower = PartitionFollower(log, PARTITION, changed.extend, batch_s=0.0, max_age_s=100.0)
+        follower.keep_former_s = 30.0
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(29.0)
+        assert follower.replica.get("evacuate/recife") == b"v"
+        await asyncio.sleep(2.0)
+        assert follower.replica.get("evacuate/recife") is None
+        assert changed[-1] == KeyedEntry(era + 1, "evacuate/recife", b"")
+        await stop(task)
+
+    run_in_virtual_time(scenario())
+
+
+def test_a_check_that_finds_a_restored_store_tells_the_other_copies(
+    changed: list[KeyedEntry],
+) -> None:
+    """Guards against copies of other partitions that wait for up to 20 s for their next record."""
+
+    async def scenario() -> None:
+        log = ScriptedLog([Records((), 3)])
+        follower, task = await follow(log, changed)
+        eras: list[int] = []
+        follower.share_era = eras.append
+        log.reads.append(LogRestored(2))
+        log.newest.append(Records((), make_position(2, 1)))
+        assert not await follower.confirm_now()
+        assert eras == [2]
+        await asyncio.sleep(0.3)
+        assert follower.replica.end == make_position(2, 1)
+        log.newest.append(Records((), make_position(3, 1)))
+        follower.expect_era(2)
+        assert follower.replica.confirmed_by_store
+        follower.expect_era(3)
+        await asyncio.sleep(0.3)
+        assert follower.replica.end == make_position(3, 1)
+        await stop(task)
+
+    run_in_virtual_time(scenario())
--- a/persimmondock/tests/virtual_fleet.py
+++ b/persimmondock/tests/virtual_fleet.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextvars
+import math
 import random
 from collections import defaultdict
 from collections.abc import Coroutine, Sequence
@@ -26,14 +27,17 @@
 )
 from persimmondock._domain.backend_report import BackendAnnouncement
 from persimmondock._domain.holdings import ReportedHoldings
+from persimmondock._domain.log_position import find_era, find_offset, make_position
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._domain.site import GrantMode, GrantsByCall, NodeSettings
 from persimmondock._domain.verdict import NotRun, Verdict
 from persimmondock._ports.keyed_log import (
     Conflict,
+    LogRestored,
     Partition,
     ReadOutcome,
     Records,
+    StoreFailed,
     WriteOutcome,
     Written,
 )
@@ -51,6 +55,7 @@
     from persimmondock._tasks.backend_gate import BackendGate
 
 STORE_CALL_S = 0.004
+WRITE_TIMEOUT_S = 1.5
 ANNOUNCE_S = 0.87
 RELEASING_INTERVAL_S = 0.1
 ACK_TIMEOUT_S = 1.0
@@ -71,61 +76,157 @@
 )
 
 
+@attrs.frozen
+class _Record:
+    """A record, and the instant at which it was appended."""
+
+    key: str
+    value: bytes
+    at: float
+
+
 class VirtualLog:
-    """The store, in memory."""
+    """The store, in memory; it may come back from an older copy of itself.
+
+    Attributes
+    ----------
+    era
+        Number of times that it came back.
+    down_until
+        Instant until which no call is answered.
+    late_writes
+        Delays in seconds of the next conditional writes, which get no answer.
+    """
 
     def __init__(self) -> None:
-        self._entries: dict[Partition, list[KeyedEntry]] = {}
+        self.era = 0
+        self.down_until = -math.inf
+        self.late_writes: list[float] = []
+        self._records: dict[Partition, list[_Record]] = {}
         self._appended = asyncio.Event()
 
     def append(self, partition: Partition, key: str, value: bytes) -> int:
-        """Append a record and return its offset."""
-        entries = self._entries.setdefault(partition, [])
-        entries.append(KeyedEntry(len(entries), key, value))
+        """Append a record and return its position."""
+        records = self._records.setdefault(partition, [])
+        records.append(_Record(key, value, read_clock()))
+        self._wake_readers()
+        return self._find_end(partition) - 1
+
+    def _wake_readers(self) -> None:
         self._appended.set()
         self._appended = asyncio.Event()
-        return len(entries) - 1
+
+    def _find_end(self, partition: Partition) -> int:
+        return make_position(self.era, len(self._records.get(partition, [])))
+
+    def _list_entries(self, partition: Partition, offset: int = 0) -> list[KeyedEntry]:
+        records = self._records.get(partition, [])[offset:]
+        return [
+            KeyedEntry(make_position(self.era, offset + number), record.key, record.value)
+            for number, record in enumerate(records)
+        ]
 
     def find_newest(self, partition: Partition, key: str) -> KeyedEntry:
         """Return the newest record of a key."""
-        return next(e for e in reversed(self._entries[partition]) if e.key == key)
+        return next(e for e in reversed(self._list_entries(partition)) if e.key == key)
+
+    async def restore(self, age_s: float, away_s: float, operator: Partition) -> None:
+        """Be away, and come back from a copy; operators write their newest lost records again.
 
-    async def read_newest(self, partition: Partition) -> Records:
+        Parameters
+        ----------
+        age_s
+            Seconds from the copy to now.
+        """
+        copied_at = read_clock() - age_s
+        self.down_until = max(self.down_until, read_clock() + away_s)
+        self._wake_readers()
+        await asyncio.sleep(away_s)
+        lost = [r for r in self._records.get(operator, []) if r.at > copied_at]
+        self._records = {
+            partition: [record for record in records if record.at <= copied_at]
+            for partition, records in self._records.items()
+        }
+        self.era += 1
+        for record in {record.key: record for record in lost}.values():
+            self.append(operator, record.key, record.value)
+        self._wake_readers()
+
+    @property
+    def is_down(self) -> bool:
+        """Whether calls get no answer."""
+        return read_clock() < self.down_until
+
+    async def read_newest(self, partition: Partition) -> Records | StoreFailed:
         """Read the newest record of each key."""
         await asyncio.sleep(STORE_CALL_S)
-        entries = self._entries.get(partition, [])
-        newest = {entry.key: entry for entry in entries}
-        return Records(tuple(newest.values()), len(entries))
+        if self.is_down:
+            return StoreFailed("down")
+        newest = {entry.key: entry for entry in self._list_entries(partition)}
+        return Records(tuple(newest.values()), self._find_end(partition))
 
     async def read_from(self, partition: Partition, offset: int, wait_s: float) -> ReadOutcome:
-        """Read records from an offset; wait up to ``wait_s`` seconds for one."""
+        """Read records from a position; wait up to ``wait_s`` seconds for one."""
         await asyncio.sleep(STORE_CALL_S / 2)
         wait_until = read_clock() + wait_s
-        while len(self._entries.get(partition, [])) <= offset and read_clock() < wait_until:
+        while (
+            not self.is_down
+            and self._find_end(partition) <= offset
+            and find_era(offset) == self.era
+            and read_clock() < wait_until
+        ):
             try:
                 async with asyncio.timeout(wait_until - read_clock()):
                     await self._appended.wait()
             except TimeoutError:
                 break
-        entries = self._entries.get(partition, [])
-        records = Records(tuple(entries[offset:]), len(entries))
+        outcome: ReadOutcome
+        if self.is_down:
+            outcome = StoreFailed("down")
+        elif find_era(offset) != self.era:
+            outcome = LogRestored(self.era)
+        else:
+            entries = self._list_entries(partition, find_offset(offset))
+            outcome = Records(tuple(entries), self._find_end(partition))
         await asyncio.sleep(STORE_CALL_S / 2)
-        return records
+        return outcome
 
     async def write(
         self, partition: Partition, entries: Sequence[tuple[str, bytes]], expected_end: int | None
     ) -> WriteOutcome:
-        """Append records; with ``expected_end`` only if the partition ends there."""
+        """Append records; with ``expected_end`` only if the partition ends there, in any era."""
+        if expected_end is not None and self.late_writes:
+            late = self._write_late(partition, entries, expected_end, self.late_writes.pop(0))
+            asyncio.get_running_loop().create_task(late, context=contextvars.Context())
+            await asyncio.sleep(WRITE_TIMEOUT_S)
+            return StoreFailed("no answer")
         await asyncio.sleep(STORE_CALL_S / 2)
-        end = len(self._entries.get(partition, []))
-        outcome: WriteOutcome = Conflict()
-        if expected_end in (None, end):
-            for key, value in entries:
-                self.append(partition, key, value)
-            outcome = Written(end)
+        outcome = self._write_now(partition, entries, expected_end)
         await asyncio.sleep(STORE_CALL_S / 2)
         return outcome
 
+    async def _write_late(
+        self,
+        partition: Partition,
+        entries: Sequence[tuple[str, bytes]],
+        expected_end: int,
+        delay_s: float,
+    ) -> None:
+        await asyncio.sleep(delay_s)
+        self._write_now(partition, entries, expected_end)
+
+    def _write_now(
+        self, partition: Partition, entries: Sequence[tuple[str, bytes]], expected_end: int | None
+    ) -> WriteOutcome:
+        if self.is_down:
+            return StoreFailed("down")
+        end = self._find_end(partition)
+        if expected_end is not None and find_offset(expected_end) != find_offset(end):
+            return Conflict()
+        for key, value in entries:
+            self.append(partition, key, value)
+        return Written(end)
+
 
 class DaemonProcess:
     """One process of a daemon; everything that it started ends with it."""
