--- a/persimmondock/standins/site_store.py
+++ b/persimmondock/standins/site_store.py
@@ -110,14 +110,18 @@
         """Return a copy of all partitions."""
         return {name: partition.copy() for name, partition in self._partitions.items()}
 
-    def restore(self, copy: StoreCopy, keeps_order: bool = False) -> None:
-        """Come back from a copy; operators write again at once what it lacks.
+    def restore(
+        self, copy: StoreCopy, keeps_order: bool = False, writes_again: bool = True
+    ) -> None:
+        """Come back from a copy.
 
         Parameters
         ----------
         keeps_order
-            Whether they write all of their lost records in the old order, or else only the newest
-            of each key.
+            Whether operators write all of their lost records in the old order, or else only the
+            newest of each key.
+        writes_again
+            Whether they do so at once.
         """
         lost = self._partitions[OPERATOR_PARTITION].records
         former = list(self._partitions.values())
@@ -128,7 +132,7 @@
         again = lost[len(operator.records) :]
         if not keeps_order:
             again = list({_split_payload(payload)[0]: payload for payload in again}.values())
-        if again:
+        if again and writes_again:
             operator.append(again)
         for partition in former:
             partition.release_waiting_reads()
