DRAIN: record departures for the next process of a daemon

What callers saw: a daemon acknowledged that its backend server leaves and was killed.

Cause: departures were known to one process only, and a new one takes the first report for the present state.

Change: a departure is written to the store and told to three peers before it is acknowledged; with neither it is obeyed and answered 503. A new process holds reports back until it has a copy of the records. The soak kills daemons after departures, and excuses them only while they reconnect.

Why it works: whatever the new process reads first, store or peers, names the departed incarnation before a report of it is applied, or closes the gate with the first heartbeats.

test_sidecar: announcements count once the copy of members is known, so its test confirms that copy.

--- a/persimmondock/_domain/backend_report.py
+++ b/persimmondock/_domain/backend_report.py
@@ -4,11 +4,16 @@
 
 import enum
 import math
+from typing import TYPE_CHECKING
 
 import attrs
 
+from persimmondock._domain.departures import Departure, select_latest
 from persimmondock._domain.holdings import ReportedHoldings
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 # A backend server announces itself every 0.9 s or so; announcements of one that has ended come late
 # by seconds, but not for as long as this while the present one is silent.
 SILENT_AFTER_S = 5.0
@@ -180,6 +185,35 @@
         self.departed.add((current.instance, current.born_ms))
         return Change.GONE
 
+    def list_departures(self) -> tuple[Departure, ...]:
+        """Return the latest departures, for the next process of this daemon.
+
+        One that announces no start cannot be told from its successor, and is left out.
+        """
+        known = [Departure(born_ms, instance) for instance, born_ms in self.departed if born_ms]
+        unknown = [
+            Departure(until_ms, instance, and_earlier=True)
+            for instance, until_ms in self.unknown_departed.items()
+        ]
+        return select_latest([*known, *unknown])
+
+    def add_departures(self, departures: Iterable[Departure]) -> Change:
+        """Apply the departures that a former process of this daemon recorded."""
+        was_leaving, current = self.leaving, self.announcement
+        for item in departures:
+            if not item.and_earlier:
+                self.departed.add((item.instance, item.born_ms))
+                continue
+            known_ms = self.unknown_departed.get(item.instance, item.born_ms)
+            self.unknown_departed[item.instance] = max(known_ms, item.born_ms)
+            if (
+                current is not None
+                and current.instance == item.instance
+                and current.born_ms <= item.born_ms
+            ):
+                self.departed.add((current.instance, current.born_ms))
+        return Change.DRAINING if self.leaving and not was_leaving else Change.NONE
+
     def mark_draining(self) -> Change:
         """Record that the current instance says in its answers that it leaves."""
         if self.leaving or self.announcement is None:
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -39,9 +39,10 @@
 from persimmondock._tasks.slot_pool import SlotPool
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from persimmondock._adapters.peer_stream import Delivery
+    from persimmondock._domain.departures import Departure
     from persimmondock._domain.site import SiteBounds
     from persimmondock._ports.answer_body import AnswerBody, ReceivedBody
     from persimmondock._ports.backend import BackendServer
@@ -298,6 +299,14 @@
             self._refuse_all_waiting(Reason.DRAINING)
         return change
 
+    def add_departures(self, departures: Iterable[Departure]) -> None:
+        """Apply departures that a former process of this daemon acknowledged."""
+        if self.backend.add_departures(departures) is Change.DRAINING:
+            incarnation = self.incarnation
+            assert incarnation is not None
+            logger.info("event=departure_recalled instance={}", incarnation.instance)
+            self._refuse_all_waiting(Reason.DRAINING)
+
     def set_evacuated(self, evacuated: bool) -> None:
         """Record that operators have evacuated the failure domain, or restored it."""
         if evacuated == self.evacuated:
--- /dev/null
+++ b/persimmondock/_tasks/departure_keeper.py
@@ -0,0 +1,165 @@
+"""Records which backend servers have left, so that the next process of this daemon knows it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.peer_stream import PeerRequestError
+from persimmondock._domain.departures import decode_departures, encode_departures
+from persimmondock._ports.keyed_log import Written
+from persimmondock._tasks.mesh import DEPARTURES_KEY_PREFIX
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from persimmondock._ports.keyed_log import KeyedLog
+    from persimmondock._tasks.backend_gate import BackendGate
+    from persimmondock._tasks.mesh import Mesh, Peer
+    from persimmondock._tasks.store_follower import PartitionFollower
+
+START_POLL_S = 0.02
+CHECK_INTERVAL_S = 0.5
+# An acknowledgement counts within 1 s of the announcement.
+STORE_TIMEOUT_S = 0.35
+PEER_TIMEOUT_S = 0.35
+ASKED_PEERS = 3
+
+
+class DepartureKeeper:
+    """Keeps the departures that this daemon acknowledges in the store and at some peers.
+
+    An announcement from before a departure may arrive seconds after it, at a new process of the
+    daemon. So a process uses no backend server before it knows what former ones acknowledged. Peers
+    stand in while the store does not answer, or has come back from a copy without the record.
+
+    Parameters
+    ----------
+    node
+        Name of this daemon.
+    log
+        Client of the store.
+    follower
+        Copy of the partition of members, which also has the records of departures.
+    mesh
+        Connections to the peers that keep departures as well.
+    gate
+        Knows which incarnations have left.
+    on_known
+        Called once when the departures of former processes are known.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        log: KeyedLog,
+        follower: PartitionFollower,
+        mesh: Mesh,
+        gate: BackendGate,
+        on_known: Callable[[], None],
+    ) -> None:
+        self._key = DEPARTURES_KEY_PREFIX + node
+        self._log = log
+        self._follower = follower
+        self._mesh = mesh
+        self._gate = gate
+        self._on_known = on_known
+        self._written, self._written_at = b"", -1
+        self._wanted = asyncio.Event()
+        self._recorded = asyncio.Event()
+        self._kept = b""
+        self._asking: asyncio.Task[bool] | None = None
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a copy of the records of former processes has arrived."""
+        replica = self._follower.replica
+        return replica.confirmed_by_store or replica.end > 0
+
+    def apply_record(self, value: bytes) -> None:
+        """Apply departures that a former process has recorded."""
+        try:
+            departures = decode_departures(value)
+        except ValueError as error:
+            logger.error("event=departures_refused detail={!r}", str(error))
+            return
+        self._gate.add_departures(departures)
+
+    async def run(self) -> None:
+        """Write what is not recorded yet until cancelled."""
+        while not self.is_known:
+            await asyncio.sleep(START_POLL_S)
+        self._on_known()
+        while True:
+            self._wanted.clear()
+            if not self._is_recorded():
+                await self._write()
+            if self._is_recorded():
+                self._recorded.set()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_INTERVAL_S):
+                    await self._wanted.wait()
+
+    def _is_recorded(self) -> bool:
+        """Return whether the store has all departures, also after it came back from a copy."""
+        departures = self._gate.backend.list_departures()
+        value, replica = encode_departures(departures), self._follower.replica
+        is_on_its_way = value == self._written and replica.end <= self._written_at
+        return not departures or is_on_its_way or replica.has(self._key, value)
+
+    async def _write(self) -> None:
+        value = encode_departures(self._gate.backend.list_departures())
+        self._follower.count_call("write")
+        outcome = await self._log.write(self._follower.partition, [(self._key, value)], None)
+        if isinstance(outcome, Written):
+            self._written, self._written_at = value, outcome.offset
+            logger.info("event=departures_written offset={}", outcome.offset)
+        else:
+            logger.info("event=departures_not_written outcome={!r}", outcome)
+
+    async def record(self) -> bool:
+        """Return whether the next process of this daemon finds all departures known by now."""
+        value = encode_departures(self._gate.backend.list_departures())
+        if value != self._kept and self._asking is None:
+            self._asking = asyncio.create_task(self._ask_peers_to_keep(value))
+        give_up_at = read_clock() + STORE_TIMEOUT_S
+        while not (self.is_known and self._is_recorded()):
+            self._recorded.clear()
+            self._wanted.set()
+            try:
+                async with asyncio.timeout(give_up_at - read_clock()):
+                    await self._recorded.wait()
+            except TimeoutError:
+                if self._asking is not None:
+                    await self._asking
+                return self._kept == value
+        return True
+
+    async def _ask_peers_to_keep(self, value: bytes) -> bool:
+        """Return whether a peer keeps departures for the next process of this daemon."""
+        own_domain = self._mesh.own.failure_domain
+        peers = sorted(
+            self._mesh.list_alive(read_clock()),
+            key=lambda peer: (peer.member.failure_domain == own_domain, peer.member.node),
+        )[:ASKED_PEERS]
+
+        async def ask(peer: Peer) -> bool:
+            try:
+                async with asyncio.timeout(PEER_TIMEOUT_S):
+                    return bool(await peer.client.request("keep", value))
+            except (PeerRequestError, TimeoutError) as error:
+                logger.info("event=not_told peer={} kind=keep error={!r}", peer.member.node, error)
+                return False
+
+        try:
+            kept = await asyncio.gather(*(ask(peer) for peer in peers))
+        finally:
+            self._asking = None
+        logger.info("event=departures_kept peers={}", sum(kept))
+        if any(kept):
+            self._kept = value
+        return any(kept)
--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -12,6 +12,7 @@
 
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.peer_stream import Delivery, PeerClient, PeerRequestError, PeerServer
+from persimmondock._domain.departures import decode_departures, encode_departures
 from persimmondock._domain.gate_status import GateStatus, unpack_status
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._tasks.store_follower import Source
@@ -33,6 +34,7 @@
 SYNC_TIMEOUT_S = 1.0
 JOIN_S = 1.5  # daemons that start at the same time connect and answer within this time
 CONFIRMATION_VERSION = 1  # of the protocol between daemons, from which on reads are passed on
+DEPARTURES_KEY_PREFIX = "departed/"  # of records beside those of members
 OPERATOR_INDEX = 0  # index of the operators' records among the copies
 
 
@@ -199,6 +201,10 @@
         self.server.handlers["keys"] = self._handle_keys
         self.server.handlers["push"] = self._handle_push
         self.server.instant_handlers["confirmed"] = self._handle_fresh_read
+        self.server.handlers["keep"] = self._handle_keep
+        # What peers asked this daemon to tell their next processes.
+        self._kept: dict[str, bytes] = {}
+        self.on_kept: Callable[[bytes], None] = lambda _: None
         self.priority_peers: frozenset[str] = frozenset()
         self.has_requests_at: Callable[[str], bool] = lambda _: False
         self.peers: dict[str, Peer] = {}
@@ -213,7 +219,7 @@
     def update_members(self, changed: list[KeyedEntry]) -> None:
         """Connect to daemons that are new or have changed, and drop removed ones."""
         for entry in changed:
-            if entry.key == self.own.node:
+            if entry.key == self.own.node or entry.key.startswith(DEPARTURES_KEY_PREFIX):
                 continue
             known = self.peers.get(entry.key)
             if not entry.value:
@@ -438,6 +444,9 @@
         # Daemons of earlier versions send the ages of confirmations only.
         confirmation_ages = ages[: len(self._followers)]
         copy = CopyStatus(*(ages[len(self._followers) :] or [[]])[0])
+        kept = ages[len(self._followers) + 1 :]
+        if kept and kept[0]:
+            self.on_kept(kept[0])
         peer.reads_operator = copy.store_answers
         peer.heard_at = now
         peer.replica_ends = tuple(ends)
@@ -540,9 +549,19 @@
             [
                 *(follower.compute_confirmation_age(now) for follower in self._followers),
                 attrs.astuple(copy),
+                self._kept.get(node, b""),
             ],
         ]
 
+    async def _handle_keep(self, value: Any, delivered: Delivery) -> bool:
+        """Keep a peer's departures for its next process, which asks with its first heartbeat."""
+        departures = decode_departures(value)
+        known = (
+            decode_departures(self._kept[delivered.peer]) if delivered.peer in self._kept else ()
+        )
+        self._kept[delivered.peer] = encode_departures([*known, *departures])
+        return True
+
     async def _handle_push(self, payload: Any, delivered: Delivery) -> None:
         """Apply records pushed by a reader; if earlier ones are missing, request all of them."""
         index, start, entries, end = payload
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -19,9 +19,16 @@
 from persimmondock._ports.keyed_log import Written
 from persimmondock._ports.metrics import NoMetrics
 from persimmondock._tasks.backend_gate import BackendGate
+from persimmondock._tasks.departure_keeper import DepartureKeeper
 from persimmondock._tasks.dispatcher import Dispatcher
 from persimmondock._tasks.key_control import KeyControl
-from persimmondock._tasks.mesh import OPERATOR_INDEX, Member, Mesh, encode_member
+from persimmondock._tasks.mesh import (
+    DEPARTURES_KEY_PREFIX,
+    OPERATOR_INDEX,
+    Member,
+    Mesh,
+    encode_member,
+)
 from persimmondock._tasks.range_keeper import RangeKeeper, find_max_rows
 from persimmondock._tasks.shared_rates import SharedRates
 from persimmondock._tasks.site_state import SiteState
@@ -49,6 +56,7 @@
 POLL_INTERVAL_S = 0.05
 STOP_MARGIN_S = 0.7  # reserve before the process is killed
 READINESS_DRAIN_S = 2.3  # callers move away after two failed readiness checks, a second apart
+MAX_EARLY_ANNOUNCEMENTS = 16
 KEEP_LOST_S = 30.0  # for operators to write again what a restored store has lost
 RELOADABLE_FIELDS = ("bounds",)
 MEMBERS_INDEX, ASSIGNMENTS_INDEX = 1, 2  # indices in Sidecar._followers
@@ -168,6 +176,16 @@
         self.mesh.server.handlers["suspects"] = self._handle_suspects
         self.gate.broadcast_suspects = lambda crashes: self.mesh.broadcast("suspects", crashes)
         self.keeper.mesh = self.mesh
+        self.departures = DepartureKeeper(
+            settings.node,
+            log,
+            self._followers[MEMBERS_INDEX],
+            self.mesh,
+            self.gate,
+            self._apply_early_announcements,
+        )
+        self.mesh.on_kept = self.departures.apply_record
+        self._early_announcements: list[BackendAnnouncement] = []
         self.control = KeyControl(
             settings.node,
             settings.service,
@@ -214,6 +232,7 @@
             self.control.run(),
             self.gate.watch_limit(),
             self.shared_rates.run(),
+            self.departures.run(),
             self._maintain_member_record(),
         ]
         for coroutine in coroutines:
@@ -285,6 +304,22 @@
                 announcement.address,
             )
             return False
+        if self.departures.is_known:
+            self._apply_early_announcements()
+        elif not announcement.draining:
+            # A former process may have acknowledged that this incarnation leaves.
+            self._early_announcements.append(announcement)
+            del self._early_announcements[:-MAX_EARLY_ANNOUNCEMENTS]
+            return True
+        self._apply_announcement(announcement)
+        return True
+
+    def _apply_early_announcements(self) -> None:
+        early, self._early_announcements = self._early_announcements, []
+        for announcement in early:
+            self._apply_announcement(announcement)
+
+    def _apply_announcement(self, announcement: BackendAnnouncement) -> None:
         change = self.gate.handle_announcement(announcement)
         if change not in (Change.NONE, Change.STALE):
             logger.info(
@@ -295,7 +330,6 @@
                 announcement.slots,
                 announcement.cold_s,
             )
-        return True
 
     async def grant_holdings(self, announcement: BackendAnnouncement) -> GrantedHoldings | None:
         """Return what the reply to an accepted announcement grants, or None for nothing."""
@@ -333,7 +367,15 @@
         self.gate.limits.policy = self.site.find_policy(self.settings.service)
         self.gate.set_evacuated(self.site.is_evacuated(self.settings.failure_domain))
 
+    async def record_departures(self) -> bool:
+        """Return whether the next process of this daemon will know who has left by now."""
+        return await self.departures.record()
+
     def _update_members(self, changed: list[Any]) -> None:
+        own = DEPARTURES_KEY_PREFIX + self.settings.node
+        for entry in changed:
+            if entry.key == own and entry.value:
+                self.departures.apply_record(entry.value)
         self.mesh.update_members(changed)
 
     def _update_assignments(self, changed: list[Any]) -> None:
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -138,18 +138,23 @@
         """Apply an announcement or a leave notice of the backend server.
 
         The status is 409 for an announcement of another service or address, and 400 for an
-        invalid one.
+        invalid one. It is 503 if a departure cannot be recorded: it is obeyed, but a new process
+        of this daemon would not know of it.
         """
         try:
             if request.method == "PUT":
                 announcement = _discovery.decode_announcement(request.path, request.body)
                 if not self._sidecar.handle_announcement(announcement):
                     return ServerResponse(409)
+                if announcement.draining and not await self._sidecar.record_departures():
+                    return ServerResponse(503)
                 granted = await self._sidecar.grant_holdings(announcement)
                 return ServerResponse(200, JSON_FIELDS, _discovery.encode_reply(granted))
             if request.method == "DELETE":
                 instance = _discovery.parse_instance(request.path)
                 self._sidecar.handle_leave(instance, _discovery.find_start(request.body))
+                if not await self._sidecar.record_departures():
+                    return ServerResponse(503)
                 return ServerResponse(200, JSON_FIELDS, b"{}")
         except AnnouncementError as error:
             logger.warning("event=report_refused path={} detail={!r}", request.path, str(error))
--- a/persimmondock/soak/checks.py
+++ b/persimmondock/soak/checks.py
@@ -391,14 +391,15 @@
     found = []
     for run in observations.runs:
         # A daemon learns of an evacuation from the store, so a store outage excuses a late one. It
-        # acknowledges a drain itself, and has to obey it even without the store.
+        # acknowledges a drain itself, and has to obey it even without the store, and after a
+        # restart, as soon as it has reconnected.
         for rule, spans, name, bound_s, had_outage in (
             (
                 "DRAIN",
                 observations.drained,
                 run.backend,
                 DRAIN_BOUND_S,
-                observations.had_daemon_outage,
+                lambda vm, _, at: observations.had_daemon_outage(vm, at, at),
             ),
             (
                 "EVAC",
--- a/persimmondock/soak/plan.py
+++ b/persimmondock/soak/plan.py
@@ -31,6 +31,10 @@
 ANSWER_KINDS = ("faulty_answers", "unnamed_orders", "refuse_once", "terminate_under_work")
 ANSWER_WEIGHTS = (5, 2, 3, 1)
 MEAN_ANSWER_INTERVAL_S = 1.5
+DEPARTURE_KINDS = ("leave_and_kill", "drain_and_kill")
+KILL_DURATIONS_S = (0.1, 0.5, 1.0, 2.0)
+MAX_ANNOUNCEMENT_AGE_S = 4.0
+MEAN_DEPARTURE_INTERVAL_S = 5.0
 RESTORE_KINDS = ("restore_store",)
 COPY_AGES_S = ("0.3", "1", "2", "3", "6")
 AWAY_DURATIONS_S = (0.0, 0.3, 0.5, 1.0, 2.0)
@@ -48,7 +52,7 @@
         Start in seconds after callers start.
     kind
         One of ``VM_KINDS``, ``PATH_KINDS``, ``SITE_KINDS``, ``NOTICE_KINDS``, ``CRASH_KINDS``,
-        ``ANSWER_KINDS`` and ``RESTORE_KINDS``.
+        ``ANSWER_KINDS``, ``DEPARTURE_KINDS`` and ``RESTORE_KINDS``.
     vm
         Number of the VM; 0 if the event concerns the whole site.
     for_s
@@ -57,8 +61,9 @@
         One of ``PATH_MODES``, the fault that a proxy injects; one of ``LIMITS``, which a backend
         server names; seconds from the start of a crashed backend server to its announcement; the
         share of grants that are late; one of ``HEALTH_FAULTS`` or of ``ANSWER_FAULTS``; one of
-        ``COPY_AGES_S``, seconds from the copy with which the store comes back to its outage. Empty
-        for other kinds of events.
+        ``COPY_AGES_S``, seconds from the copy with which the store comes back to its outage;
+        seconds from the start of a killed daemon to the arrival of an announcement from before the
+        departure of its backend server. Empty for other kinds of events.
     """
 
     at_s: float
@@ -84,6 +89,7 @@
     events += draw_notices(seed, duration_s, vms)
     events += draw_crashes(seed, duration_s, vms)
     events += draw_answers(seed, duration_s, vms)
+    events += draw_departures(seed, duration_s, vms)
     events += draw_restorations(seed, duration_s)
     return tuple(sorted(events, key=lambda event: event.at_s))
 
@@ -146,6 +152,23 @@
     return events
 
 
+def draw_departures(seed: int, duration_s: float, vms: int) -> list[Event]:
+    """Return departures of backend servers whose daemons are killed right after the answer.
+
+    They have a sequence of their own, so that the other events of a seed stay the same.
+    """
+    generator = random.Random(f"departures {seed}")
+    events = []
+    at_s = FIRST_EVENT_AT_S
+    while at_s < duration_s - SETTLING_TIME_S:
+        kind, vm = generator.choice(DEPARTURE_KINDS), generator.randint(1, vms)
+        for_s = generator.choice(KILL_DURATIONS_S)
+        late_s = f"{generator.uniform(0.0, MAX_ANNOUNCEMENT_AGE_S):.2f}"
+        events.append(Event(round(at_s, 2), kind, vm, for_s, late_s))
+        at_s += generator.expovariate(1 / MEAN_DEPARTURE_INTERVAL_S)
+    return events
+
+
 def draw_restorations(seed: int, duration_s: float) -> list[Event]:
     """Return instants at which the store goes away and comes back from an older copy of itself.
 
--- a/persimmondock/soak/runner.py
+++ b/persimmondock/soak/runner.py
@@ -40,6 +40,7 @@
 RECOVER_WITHIN_S = 15.0
 RESTART_AFTER_S = 0.5
 DRAIN_FOR_S = 4.0
+ACKNOWLEDGED = 200
 WAKEUP_INTERVAL_S = 0.05
 SLOW_WORK_S = 1.2
 SLOW_WORK_INTERVAL_S = 0.25  # between the requests to a daemon that stops
@@ -340,11 +341,39 @@
                 vm.backend.draining = True
                 await asyncio.sleep(DRAIN_FOR_S)
                 await vm.replace_backend()
+            case "leave_and_kill" | "drain_and_kill":
+                await self._kill_after_departure(vm, event)
             case "say_leaving":
                 vm.backend.leaving = True
                 await asyncio.sleep(DRAIN_FOR_S)
                 await vm.replace_backend()
 
+    async def _kill_after_departure(self, vm: SoakVm, event: Event) -> None:
+        """Kill a daemon that has answered to a departure; an earlier announcement arrives late."""
+        backend = vm.backend
+        backend.stop_announcing()
+        late = backend.build_next_announcement()
+        if event.kind == "leave_and_kill":
+            acked = await backend.send_leave() == ACKNOWLEDGED
+        else:
+            backend.draining = True
+            departure = backend.build_next_announcement()
+            acked = await backend.send_announcement(departure) == ACKNOWLEDGED
+        if acked and backend.drain_acked_at is None:
+            backend.drain_acked_at = time.monotonic()
+        self._site.record_daemon_outage(vm, event.for_s)
+        await vm.kill_daemon()
+        await asyncio.sleep(event.for_s)
+        await vm.start_daemon()
+        give_up_at = time.monotonic() + DRAIN_FOR_S
+        await asyncio.sleep(float(event.mode))
+        while (
+            await backend.send_announcement(late) != ACKNOWLEDGED and time.monotonic() < give_up_at
+        ):
+            await asyncio.sleep(WAKEUP_INTERVAL_S)
+        await asyncio.sleep(DRAIN_FOR_S)
+        await vm.replace_backend()
+
     async def _name_limit(self, vm: SoakVm, event: Event) -> None:
         """Have the present backend server name a limit for a time, beside all other events."""
         backend = vm.backend
--- a/persimmondock/standins/site_backend.py
+++ b/persimmondock/standins/site_backend.py
@@ -282,6 +282,36 @@
         for task in self._late_tasks:
             task.cancel()
 
+    def stop_announcing(self) -> None:
+        """Send no announcements by itself any more."""
+        if self._announce_task is not None:
+            self._announce_task.cancel()
+
+    def build_next_announcement(self) -> dict[str, Any]:
+        """Return what it would announce now."""
+        self._sequence += 1
+        return self._build_announcement()
+
+    async def send_announcement(self, body: dict[str, Any]) -> int:
+        """Send an announcement and return the status, or 0 if there is no answer."""
+        return await self._call_daemon("PUT", body)
+
+    async def send_leave(self) -> int:
+        """Withdraw the announcements and return the status, or 0 if there is no answer."""
+        return await self._call_daemon("DELETE", {"born": self.born_ms})
+
+    async def _call_daemon(self, method: str, body: dict[str, Any]) -> int:
+        url = f"http://{self.daemon_address}/-/instances/{self.instance}"
+        timeout = aiohttp.ClientTimeout(total=ANNOUNCE_TIMEOUT_S)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.request(method, url, json=body) as response,
+            ):
+                return response.status
+        except (aiohttp.ClientError, TimeoutError):
+            return 0
+
     async def _announce(self) -> None:
         url = f"http://{self.daemon_address}/-/instances/{self.instance}"
         timeout = aiohttp.ClientTimeout(total=ANNOUNCE_TIMEOUT_S)
--- a/persimmondock/tests/live_site.py
+++ b/persimmondock/tests/live_site.py
@@ -6,8 +6,9 @@
 import contextlib
 import json
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from typing import Any
+from unittest import mock
 
 import aiohttp
 import attrs
@@ -20,6 +21,7 @@
     NodeSettings,
     SiteBounds,
 )
+from persimmondock._ports.keyed_log import StoreFailed
 from persimmondock.platform._daemon import PlatformDaemon
 from persimmondock.platform._settings import MetricsEndpoint
 from persimmondock.standins.site_backend import SiteBackend
@@ -221,6 +223,17 @@
             await self._runner.cleanup()
 
 
+async def _refuse_call(*_: object, **__: object) -> StoreFailed:
+    return StoreFailed("cut off")
+
+
+@contextlib.contextmanager
+def refuse_store_calls(node: LiveNode) -> Iterator[None]:
+    """Let all calls of a daemon to the store fail."""
+    with mock.patch.object(node.daemon._store, "_call", _refuse_call):
+        yield
+
+
 @contextlib.asynccontextmanager
 async def run_site(
     config: dict[str, Any] | None = None, grant_mode: GrantMode | None = None
--- a/persimmondock/tests/platform/test_restored_store.py
+++ b/persimmondock/tests/platform/test_restored_store.py
@@ -4,14 +4,12 @@
 
 import asyncio
 import json
-from unittest import mock
 
 import pytest
 
 from persimmondock._domain.site import GrantMode
-from persimmondock._ports.keyed_log import StoreFailed
 from persimmondock.standins.site_store import StoreCopy
-from persimmondock.tests.live_site import LiveSite, make_config, run_site
+from persimmondock.tests.live_site import LiveSite, make_config, refuse_store_calls, run_site
 from persimmondock.tests.platform.test_daemon import GRANT_MODES
 
 AWAY_S = 0.3
@@ -108,11 +106,6 @@
         await wait_for_statuses(site, "/moved/1", 200)
 
 
-async def refuse_call(*_: object, **__: object) -> StoreFailed:
-    """Fail as a call of a daemon that is cut off from the store."""
-    return StoreFailed("cut off")
-
-
 async def test_a_daemon_that_missed_the_return_applies_a_version_at_a_former_offset() -> None:
     """CONFIG: a daemon hears of the return from its peers, or with the first record after it."""
     async with run_site() as site:
@@ -120,8 +113,7 @@
         site.publish(make_config(2))
         site.publish(make_config(3))
         await asyncio.sleep(0.5)
-        store = site.nodes[3].daemon._store
-        with mock.patch.object(store, "_call", refuse_call):
+        with refuse_store_calls(site.nodes[3]):
             await restore(site, copy)
             site.publish(make_config(4, path_prefix="/moved/"))
             await wait_for_statuses(site, "/assign/1", 404)
--- a/persimmondock/tests/test_sidecar.py
+++ b/persimmondock/tests/test_sidecar.py
@@ -8,6 +8,8 @@
 import attrs
 import pytest
 
+from persimmondock._domain.assignment import BackendIncarnation
+from persimmondock._domain.departures import Departure, decode_departures, encode_departures
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._domain.site import NodeSettings
 from persimmondock._ports.keyed_log import (
@@ -131,5 +133,53 @@
 ) -> None:
     """Guards against requests to a backend server whose VM got the address of a lost one."""
     sidecar = make_sidecar(MemoryLog())
+    sidecar._followers[1].replica.confirmed_by_store = True
     assert sidecar.handle_announcement(make_report(**changes)) is (not changes)
     assert (sidecar.gate.incarnation is None) is bool(changes)
+
+
+def test_announcements_wait_until_earlier_departures_are_known() -> None:
+    """DRAIN: a new process took a report of before a leave that a former one had acknowledged."""
+    departed = Departure(1000, "i-1")
+    log = MemoryLog({MEMBERS.topic: [("departed/node-1", encode_departures([departed]))]})
+
+    async def run() -> None:
+        sidecar = make_sidecar(log)
+        assert sidecar.handle_announcement(make_report())
+        assert sidecar.handle_announcement(make_report(instance="i-2", born_ms=2000))
+        assert sidecar.gate.incarnation is None
+        work = (sidecar._followers[1].run(), sidecar.departures.run())
+        tasks = [asyncio.create_task(coroutine) for coroutine in work]
+        await asyncio.sleep(0.1)
+        assert sidecar.gate.incarnation == BackendIncarnation("node-1", "i-2", 2000)
+        assert not sidecar.gate.backend.leaving
+        assert sidecar.handle_announcement(make_report(sequence=9))
+        assert sidecar.gate.incarnation == BackendIncarnation("node-1", "i-2", 2000)
+        assert log.writes == 0
+        for task in tasks:
+            task.cancel()
+
+    run_in_virtual_time(run())
+
+
+def test_a_new_process_keeps_the_departures_of_all_former_ones() -> None:
+    """DRAIN: the daemon is killed twice, and each of its processes acknowledges a departure."""
+    former = Departure(1000, "i-1")
+    log = MemoryLog({MEMBERS.topic: [("departed/node-1", encode_departures([former]))]})
+    log.failing_writes = 1
+
+    async def run() -> None:
+        sidecar = make_sidecar(log)
+        work = (sidecar._followers[1].run(), sidecar.departures.run())
+        tasks = [asyncio.create_task(coroutine) for coroutine in work]
+        sidecar.handle_leave("i-2", 2000)
+        # Nobody has it yet, and there are no peers.
+        assert not await sidecar.record_departures()
+        await asyncio.sleep(1.0)
+        assert await sidecar.record_departures()
+        for task in tasks:
+            task.cancel()
+
+    run_in_virtual_time(run())
+    recorded = decode_departures(dict(log.records[MEMBERS.topic])["departed/node-1"])
+    assert recorded == (former, Departure(2000, "i-2"))
