Decoders of what others write raise ValueError, whatever the data

What callers saw: an entry of another writer that was nested too deeply, or had a number too large, was answered with 500 and a traceback.

Cause: each decoder caught the errors its author had thought of. RecursionError and OverflowError are no ValueError, and whole numbers of Python have no limit.

A lower sequence number counts again after 5 s of silence of the higher one. An unreadable assignment is written again, and unknown owners are waited for where none is known.

A test changed: unreadable bodies of leave notices counted as notices without a start, so that bytes of another writer took the present backend server out for good. They are refused now (400), since such an entry names no backend server; the bodies moved to a test that expects the refusal, with more of them. The largest reply is checked with tokens of a late era, which are longer.

--- a/persimmondock/_adapters/log_client.py
+++ b/persimmondock/_adapters/log_client.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgpack
 
+from persimmondock._domain.foreign_data import UNREADABLE, show_value
 from persimmondock._ports.log import (
     Appended,
     AppendOutcome,
@@ -51,7 +52,10 @@
             return AppendUnknown(repr(error))
         if response.status != 200:
             return AppendRefused(f"status {response.status}")
-        return Appended(int(msgpack.unpackb(data)["offset"]))
+        try:
+            return Appended(int(msgpack.unpackb(data)["offset"]))
+        except UNREADABLE as error:
+            return AppendUnknown(f"unreadable response: {show_value(error)}")
 
     async def read(self, start: int, limit: int, wait: float) -> ReadOutcome:
         """Read up to ``limit`` records from ``start``; wait up to ``wait`` seconds for one."""
@@ -62,11 +66,14 @@
                 data = await response.read()
         except (TimeoutError, aiohttp.ClientError) as error:
             return ReadFailed(repr(error))
-        if response.status == 410:
-            return Expired(int(msgpack.unpackb(data)["earliest"]))
-        if response.status != 200:
-            return ReadFailed(f"status {response.status}")
-        return _build_batch(msgpack.unpackb(data))
+        try:
+            if response.status == 410:
+                return Expired(int(msgpack.unpackb(data)["earliest"]))
+            if response.status != 200:
+                return ReadFailed(f"status {response.status}")
+            return _build_batch(msgpack.unpackb(data))
+        except UNREADABLE as error:
+            return ReadFailed(f"unreadable response: {show_value(error)}")
 
 
 def _build_batch(data: dict[str, Any]) -> Batch:
--- a/persimmondock/_adapters/peer_stream.py
+++ b/persimmondock/_adapters/peer_stream.py
@@ -37,6 +37,7 @@
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.piece_link import PieceLink
 from persimmondock._adapters.sockets import keep_send_queue_short, set_socket_options
+from persimmondock._domain.foreign_data import UNREADABLE, show_value
 from persimmondock._ports.answer_body import AnswerCutError
 
 if TYPE_CHECKING:
@@ -146,8 +147,8 @@
                 )
                 position = end
                 self.handle_frame(frame)
-        except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
-            logger.warning("event=frame_refused detail={!r}", error)
+        except UNREADABLE as error:
+            logger.warning("event=frame_refused detail={}", show_value(error))
             self.close()
         del buffer[:position]
 
--- a/persimmondock/_domain/assignment.py
+++ b/persimmondock/_domain/assignment.py
@@ -14,11 +14,17 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 import msgpack
 
+from persimmondock._domain.foreign_data import (
+    UNREADABLE,
+    check_text,
+    check_whole_number,
+    show_value,
+)
 from persimmondock._domain.log_position import find_era
 
 if TYPE_CHECKING:
@@ -185,22 +191,38 @@
         If the data is not an assignment; the message names the service and the offset.
     """
     try:
-        incarnations_data, ranges, witnesses, former_witnesses = msgpack.unpackb(data)
-        incarnations = [BackendIncarnation(*item) for item in incarnations_data]
-        return Assignment(
-            service,
-            tuple(
+        incarnations_data, rows, witnesses, former_witnesses = msgpack.unpackb(data)
+        incarnations = [_read_incarnation(item) for item in incarnations_data]
+        ranges: list[KeyRange] = []
+        for first, last, owner, fence, former in rows:
+            position = ranges[-1].last + 1 if ranges else 0
+            ranges.append(
                 KeyRange(
-                    first, last, incarnations[owner], fence, tuple(incarnations[n] for n in former)
+                    check_whole_number(first, position, KEY_COUNT - 1),
+                    check_whole_number(last, first, KEY_COUNT - 1),
+                    incarnations[owner],
+                    check_whole_number(fence),
+                    tuple(incarnations[number] for number in former),
                 )
-                for first, last, owner, fence, former in ranges
-            ),
-            frozenset(witnesses),
-            frozenset(former_witnesses),
+            )
+        return Assignment(
+            service,
+            tuple(ranges),
+            frozenset(check_text(name) for name in witnesses),
+            frozenset(check_text(name) for name in former_witnesses),
             offset,
         )
-    except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
-        raise ValueError(f"assignment of {service!r} at offset {offset}: {error!r}") from error
+    except UNREADABLE as error:
+        raise ValueError(
+            f"assignment of {service!r} at offset {offset}: {show_value(error)}"
+        ) from error
+
+
+def _read_incarnation(item: Any) -> BackendIncarnation:
+    node, instance, born_ms = item
+    if not isinstance(node, str) or not isinstance(instance, str):
+        raise TypeError(f"expected two names, not {show_value(item)}")
+    return BackendIncarnation(node, instance, check_whole_number(born_ms))
 
 
 @attrs.frozen
--- a/persimmondock/_domain/backend_report.py
+++ b/persimmondock/_domain/backend_report.py
@@ -135,7 +135,7 @@
             if announcement.draining:
                 self.departed.add(incarnation)
             return Change.NEW_INCARNATION
-        if announcement.sequence < current.sequence:
+        if announcement.sequence < current.sequence and not self._outlasts_known(announcement, now):
             return Change.STALE
         self.announcement, self.heard_at = announcement, now
         if announcement.draining and incarnation not in self.departed:
@@ -146,7 +146,8 @@
     def _outlasts_known(self, announcement: BackendAnnouncement, now: float) -> bool:
         """Return whether an incarnation goes on announcing itself while the known one is silent.
 
-        The clock by which it started may have been set back since the start of the known one.
+        The clock by which it started may have been set back since the start of the known one, or
+        another writer may have used its name with a later start or a higher sequence number.
         """
         incarnation = (announcement.instance, announcement.born_ms)
         candidate = self._candidate
--- a/persimmondock/_domain/departures.py
+++ b/persimmondock/_domain/departures.py
@@ -7,6 +7,13 @@
 import attrs
 import msgpack
 
+from persimmondock._domain.foreign_data import (
+    UNREADABLE,
+    check_text,
+    check_whole_number,
+    show_value,
+)
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -57,9 +64,9 @@
         for number, row in enumerate(msgpack.unpackb(data)):
             place = f"row {number}"
             born_ms, instance, and_earlier = row
-            if type(born_ms) is not int or not isinstance(instance, str):
-                raise TypeError(f"expected a number and a name, not {row!r}")
-            departures.append(Departure(born_ms, instance, bool(and_earlier)))
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise ValueError(f"departures, {place}: {error!r}") from error
+            departures.append(
+                Departure(check_whole_number(born_ms), check_text(instance), bool(and_earlier))
+            )
+    except UNREADABLE as error:
+        raise ValueError(f"departures, {place}: {show_value(error)}") from error
     return tuple(departures)
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -117,7 +117,7 @@
         self._lease_checked_at = -math.inf
         # The newest read of another daemon; it may arrive before the records.
         self._relayed_end, self._relayed_at = -1, -math.inf
-        # Services whose newest record is an assignment that is not in force.
+        # Services whose newest record is unreadable, or an assignment that is not in force.
         self._superseded: set[str] = set()
 
     def update_assignments(self, changed: list[KeyedEntry]) -> None:
@@ -128,6 +128,7 @@
                 assignment = decode_assignment(service, entry.offset + 1, entry.value)
             except ValueError as error:
                 logger.error("event=assignment_refused detail={!r}", str(error))
+                self._superseded.add(service)
                 continue
             known = self.assignments.get(service)
             if known is not None and not _replaces(assignment, known):
@@ -251,7 +252,7 @@
         owners = self._list_owners(statuses, current, now)
         ended = self._list_ended(current, statuses)
         ranges = plan_assignment(current, owners, ended)
-        if not is_in_force and find_era(self._follower.replica.end) > 0:
+        if not is_in_force and self._may_lack_owners():
             if owners:
                 ranges = renew_tokens(current.ranges if ranges is None else ranges)
                 await self._write(current, ranges, self._choose_witnesses(current, now), now)
@@ -278,6 +279,11 @@
         ranges = self._drop_former_owners(current, ranges, statuses, ended)
         await self._write(current, ranges, witnesses, now)
 
+    def _may_lack_owners(self) -> bool:
+        """Return whether an assignment that is not known any more may have given out keys."""
+        is_restored = find_era(self._follower.replica.end) > 0
+        return is_restored or self._service in self._superseded
+
     def _may_balance(
         self, current: Assignment, statuses: dict[str, tuple[GateStatus, str]], now: float
     ) -> bool:
--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -13,6 +13,12 @@
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.peer_stream import Delivery, PeerClient, PeerRequestError, PeerServer
 from persimmondock._domain.departures import decode_departures, encode_departures
+from persimmondock._domain.foreign_data import (
+    UNREADABLE,
+    check_address,
+    check_text,
+    show_value,
+)
 from persimmondock._domain.gate_status import GateStatus, unpack_status
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._tasks.store_follower import Source
@@ -162,10 +168,25 @@
         If the value is malformed; the message names the daemon.
     """
     try:
-        address, failure_domain, service = msgpack.unpackb(data)
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise ValueError(f"record of daemon {node!r}: {error!r}") from error
-    return Member(node, address, failure_domain, service)
+        return read_member([node, *msgpack.unpackb(data)])
+    except UNREADABLE as error:
+        raise ValueError(f"record of daemon {node!r}: {show_value(error)}") from error
+
+
+def read_member(fields: list[Any]) -> Member:
+    """Return the daemon that a record or a greeting describes.
+
+    Raises
+    ------
+    ValueError
+        If a field is missing or invalid; the message shows it.
+    """
+    if len(fields) != 4:
+        raise ValueError(f"expected four fields: {show_value(fields)}")
+    node, address, failure_domain, service = fields
+    return Member(
+        check_text(node), check_address(address), check_text(failure_domain), check_text(service)
+    )
 
 
 class Mesh:
@@ -259,7 +280,11 @@
 
     def _handle_greeting(self, greeting: list[str]) -> None:
         """Connect back to an unknown daemon; the store may have been unavailable at startup."""
-        member = Member(*greeting)
+        try:
+            member = read_member(greeting)
+        except ValueError as error:
+            logger.warning("event=member_refused detail={!r}", str(error))
+            return
         if member.node not in self.peers and member.node != self.own.node:
             self._connect(member)
 
--- a/persimmondock/platform/_headers.py
+++ b/persimmondock/platform/_headers.py
@@ -34,6 +34,7 @@
 TENANT = "X-Tenant-Id"
 MAX_KEY = 65_535
 MAX_LOGGED = 40  # characters of a value that is refused
+MAX_DIGITS = 15  # of a number in a header; more are no time in milliseconds
 DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 # Host is forwarded: it is part of the request.
@@ -89,8 +90,8 @@
     key = by_name.get(KEY.lower(), "")
     return CallerFields(
         attempt=by_name.get(ATTEMPT.lower(), ""),
-        key=int(key) if key.isdecimal() and int(key) <= MAX_KEY else NO_KEY,
-        timeout_s=int(timeout) / 1000 if timeout.isdecimal() else None,
+        key=int(key) if _is_short_number(key) and int(key) <= MAX_KEY else NO_KEY,
+        timeout_s=int(timeout) / 1000 if _is_short_number(timeout) else None,
         forwarded=(
             *((name, value) for name, value in pairs if name.lower() not in dropped),
             # Gates of any version pass the field on, also before they have told their version.
@@ -99,6 +100,10 @@
     )
 
 
+def _is_short_number(text: str) -> bool:
+    return text.isdecimal() and len(text) <= MAX_DIGITS
+
+
 def build_backend_fields(
     request: ForwardedRequest, instance: str, remaining_s: float
 ) -> list[tuple[str, str]]:
--- a/persimmondock/platform/_operator.py
+++ b/persimmondock/platform/_operator.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
-import json
 import math
 from collections import defaultdict
 from typing import Any
 
 import attrs
 
+from persimmondock._domain.foreign_data import (
+    MAX_WHOLE_NUMBER,
+    UNREADABLE,
+    check_whole_number,
+    load_json,
+    show_value,
+)
 from persimmondock._domain.routing_table import (
     ClientLimits,
     RoutePolicy,
@@ -22,7 +28,6 @@
 EVACUATION_PREFIX = "evacuate/"
 IDEMPOTENT_ROUTE_TYPES = frozenset({"safe", "download"})
 DEFAULT_TIMEOUT_S = 30.0
-UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, OverflowError)
 
 
 class ConfigurationUnreadableError(ValueError):
@@ -43,11 +48,11 @@
     """
     place = "body"
     try:
-        config = json.loads(data)
+        config = load_json(data)
         place = "version"
-        version = int(config["version"])
-    except (ValueError, KeyError, TypeError) as error:
-        raise ConfigurationUnreadableError(f"{place}: {error!r}") from error
+        version = _to_whole_number(config["version"])
+    except UNREADABLE as error:
+        raise ConfigurationUnreadableError(f"{place}: {show_value(error)}") from error
     reader = _ConfigurationReader()
     tenants = reader.read_tenants(config.get("tenants"))
     return RoutingTable(
@@ -69,7 +74,7 @@
     unreadable_services: set[str] = attrs.field(factory=set)
 
     def _record(self, place: str, error: Exception) -> None:
-        self.unreadable_parts.append(f"{place}: {error!r}")
+        self.unreadable_parts.append(f"{place}: {show_value(error)}")
 
     def _list_items(self, place: str, items: Any) -> list[Any]:
         if items is None:
@@ -176,14 +181,25 @@
     return default if value is None else value
 
 
+def _to_whole_number(value: Any) -> int:
+    return check_whole_number(int(value), -MAX_WHOLE_NUMBER, MAX_WHOLE_NUMBER)
+
+
+def _to_number(value: Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"not a finite number: {number!r}")
+    return number
+
+
 def _read_service(item: dict[str, Any]) -> ServicePolicy:
     defaults = ServicePolicy("")
     return ServicePolicy(
         name=_check_text(item["name"]),
         health_path=_check_text(_get(item, "health_path", defaults.health_path)),
-        max_connections=int(_get(item, "max_connections", defaults.max_connections)),
-        cold_s=float(_get(item, "warmup_s", defaults.cold_s)),
-        cold_per_s=float(_get(item, "cold_per_s", defaults.cold_per_s)),
+        max_connections=_to_whole_number(_get(item, "max_connections", defaults.max_connections)),
+        cold_s=_to_number(_get(item, "warmup_s", defaults.cold_s)),
+        cold_per_s=_to_number(_get(item, "cold_per_s", defaults.cold_per_s)),
         keyed=bool(_get(item, "sharded", defaults.keyed)),
     )
 
@@ -195,21 +211,21 @@
     split = item.get("traffic_split")
     if split:
         shares = tuple(
-            TrafficShare(_check_text(part["service"]), float(part["weight"])) for part in split
+            TrafficShare(_check_text(part["service"]), _to_number(part["weight"])) for part in split
         )
     else:
         shares = (TrafficShare(_check_text(item["service"]), 1.0),)
-    timeout_s = float(_get(item, "timeout_s", DEFAULT_TIMEOUT_S))
+    timeout_s = _to_number(_get(item, "timeout_s", DEFAULT_TIMEOUT_S))
     return RoutePolicy(
         name=_get(item, "name", prefix),
         path_prefix=prefix,
         # A request may be repeated only where the route says so.
         idempotent=_get(item, "route_type", "") in IDEMPOTENT_ROUTE_TYPES,
         timeout_s=timeout_s,
-        objective_s=float(_get(item, "target_latency_s", timeout_s)),
+        objective_s=_to_number(_get(item, "target_latency_s", timeout_s)),
         shares=shares,
-        priority=int(_get(item, "priority", 1)),
-        max_attempts=int(_get(item, "max_attempts", 1)),
+        priority=_to_whole_number(_get(item, "priority", 1)),
+        max_attempts=_to_whole_number(_get(item, "max_attempts", 1)),
         public=_get(item, "public", False) is True,
     )
 
@@ -222,7 +238,7 @@
     priority = item.get("priority")
     return Tenant(
         name=name,
-        priority=None if priority is None else int(priority),
+        priority=None if priority is None else _to_whole_number(priority),
         rate_per_s=_read_amount(item, "rate_per_s"),
         burst=_read_amount(item, "burst"),
     )
@@ -251,10 +267,12 @@
 def _read_limits(item: dict[str, Any]) -> ClientLimits:
     defaults = ClientLimits()
     return ClientLimits(
-        max_header_bytes=int(_get(item, "max_header_bytes", defaults.max_header_bytes)),
-        max_body_bytes=int(_get(item, "max_body_bytes", defaults.max_body_bytes)),
-        idle_timeout_s=float(_get(item, "idle_timeout_s", defaults.idle_timeout_s)),
-        header_timeout_s=float(_get(item, "header_timeout_s", defaults.header_timeout_s)),
+        max_header_bytes=_to_whole_number(
+            _get(item, "max_header_bytes", defaults.max_header_bytes)
+        ),
+        max_body_bytes=_to_whole_number(_get(item, "max_body_bytes", defaults.max_body_bytes)),
+        idle_timeout_s=_to_number(_get(item, "idle_timeout_s", defaults.idle_timeout_s)),
+        header_timeout_s=_to_number(_get(item, "header_timeout_s", defaults.header_timeout_s)),
     )
 
 
--- a/persimmondock/platform/_settings.py
+++ b/persimmondock/platform/_settings.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any
 
 import attrs
 
+from persimmondock._domain.foreign_data import check_address, check_number, load_json, show_value
 from persimmondock._domain.settings_error import SettingsError
 from persimmondock._domain.site import (
     GrantMode,
@@ -22,6 +22,7 @@
 SETTINGS_FILE_VARIABLE = "PERSIMMONDOCK_NODE_FILE"
 MAX_FILE_BYTES = 1024 * 1024
 MAX_PORT = 65_535
+MAX_NUMBER = 1e15
 GRANT_MODES: dict[str, GrantMode] = {
     "call": GrantsByCall(),
     "heartbeat": GrantsInHeartbeats(),
@@ -66,7 +67,7 @@
     if len(data) > MAX_FILE_BYTES:
         raise SettingsError(f"{path}: larger than {MAX_FILE_BYTES} bytes")
     try:
-        document = json.loads(data)
+        document = load_json(data)
     except ValueError:
         document = _parse_yaml(path, data)
     return _SettingsReader(str(path), document).read()
@@ -78,7 +79,7 @@
 
     try:
         return yaml.load(data, Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader))
-    except (yaml.YAMLError, UnicodeDecodeError) as error:
+    except (yaml.YAMLError, UnicodeDecodeError, RecursionError) as error:
         raise SettingsError(f"{path}: not YAML: {' '.join(str(error).split())}") from error
 
 
@@ -155,18 +156,21 @@
 
     def _read_address(self, key_path: str) -> str:
         value = self._read_text(key_path)
-        host, _, port = value.rpartition(":")
-        if not host or not port.isdigit():
-            raise self._make_error(key_path, value, "host:port")
-        return value
+        try:
+            return check_address(value)
+        except ValueError as error:
+            raise self._make_error(key_path, value, "host:port") from error
 
     def _read_number(self, key_path: str, default: float) -> float:
         value = self._find_value(key_path)
         if value is None:
             return default
-        if isinstance(value, bool) or not isinstance(value, (int, float)) or value < 0:
-            raise self._make_error(key_path, value, "a number of 0 or more")
-        return float(value)
+        try:
+            return check_number(value, 0, MAX_NUMBER)
+        except ValueError as error:
+            raise self._make_error(key_path, value, "a number of 0 or more") from error
 
     def _make_error(self, key_path: str, value: Any, expected: str) -> SettingsError:
-        return SettingsError(f"{self._file_name}: {key_path} must be {expected}, not {value!r}")
+        return SettingsError(
+            f"{self._file_name}: {key_path} must be {expected}, not {show_value(value)}"
+        )
--- a/persimmondock/platform/_store.py
+++ b/persimmondock/platform/_store.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import base64
-import binascii
-import json
 import struct
 import time
 from typing import TYPE_CHECKING
@@ -17,6 +15,7 @@
     HttpResponse,
     render_request,
 )
+from persimmondock._domain.foreign_data import UNREADABLE, check_text, load_json, show_value
 from persimmondock._domain.log_position import MAX_ERA, find_era, find_offset, make_position
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._ports.keyed_log import (
@@ -83,11 +82,11 @@
             if response.status != 200:
                 return _make_failure(response)
             try:
-                data = json.loads(response.body)
+                data = load_json(response.body)
                 page = [
                     KeyedEntry(
                         make_position(era, int(item["offset"])),
-                        item["key"],
+                        check_text(item["key"]),
                         base64.b64decode(item["value"]),
                     )
                     for item in data["items"]
@@ -96,8 +95,8 @@
                 # returned, so that reading from there returns them again.
                 end = make_position(era, int(data["end"])) if end < 0 else end
                 more = bool(data["has_more"])
-            except (ValueError, KeyError, TypeError, binascii.Error) as error:
-                return StoreFailed(f"unreadable page: {error!r}")
+            except UNREADABLE as error:
+                return StoreFailed(f"unreadable page: {show_value(error)}")
             entries += page
             if not more or not page:
                 return Records(tuple(entries), end)
@@ -152,10 +151,10 @@
         if response.status != 200:
             return _make_failure(response)
         try:
-            offset = int(json.loads(response.body)["offset"])
+            offset = int(load_json(response.body)["offset"])
             return Written(make_position(self._era, offset))
-        except (ValueError, KeyError, TypeError) as error:
-            return StoreFailed(f"unreadable response to an append: {error!r}")
+        except UNREADABLE as error:
+            return StoreFailed(f"unreadable response to an append: {show_value(error)}")
 
     def close(self) -> None:
         """Close all connections."""
--- a/persimmondock/tests/platform/test_settings.py
+++ b/persimmondock/tests/platform/test_settings.py
@@ -140,3 +140,12 @@
     with pytest.raises(SettingsError, match="grants must be one of call, heartbeat, not") as caught:
         load_node_settings(file)
     assert repr(value) in str(caught.value)
+
+
+@pytest.mark.parametrize("opening", ["[", "{a: "])
+def test_settings_that_are_nested_too_deeply_are_refused(tmp_path: Path, opening: str) -> None:
+    """Own ends: the task that watches the file met an error that nobody expects."""
+    path = tmp_path / "settings.yaml"
+    path.write_text(opening * 50_000)
+    with pytest.raises(SettingsError, match=r"settings\.yaml"):
+        load_node_settings(path)
--- a/persimmondock/tests/platform/test_words.py
+++ b/persimmondock/tests/platform/test_words.py
@@ -23,6 +23,7 @@
     ReportedHoldings,
     ReportedRow,
 )
+from persimmondock._domain.log_position import make_position
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._domain.routing_table import RoutingTable, TrafficShare
 from persimmondock._domain.verdict import Answered, MayHaveRun, NotRun, Reason
@@ -58,14 +59,32 @@
 }
 
 
+DEEP = 200_000
+
+
+def name_briefly(value: object) -> str:
+    """Return the name of a parameter that may be too large to be shown."""
+    return repr(value)[:24]
+
+
+# What other writers have left among announcements: nested too deeply, as a whole or in a field.
+ODD_BODIES = [
+    b"[" * DEEP,
+    b"[" * DEEP + b"]" * DEEP,
+    b'{"born":' + b"[" * 3_000 + b"]" * 3_000 + b"}",
+    b'{"born": 1' + b"0" * 400 + b"}",
+    b'{"born": 1e400}',
+    b'{"born": NaN}',
+    b'{"born": -1}',
+    b'{"born": 99999999999999}',
+]
+
+
 @pytest.mark.parametrize(
     ("body", "born_ms"),
     [
         (b"", None),
         (b"{}", None),
-        (b"[1]", None),
-        (b"\xff", None),
-        (b'{"born": "7"}', None),
         (b'{"born": 7, "sequence": 3}', 7),
     ],
 )
@@ -73,6 +92,17 @@
     assert _discovery.find_start(body) == born_ms
 
 
+@pytest.mark.parametrize(
+    "body",
+    [b"[1]", b"\xff", b'{"born": "7"}', b'{"born": null}', *ODD_BODIES],
+    ids=name_briefly,
+)
+def test_a_leave_notice_that_cannot_be_read_names_no_backend_server(body: bytes) -> None:
+    """Guards against a sound backend server that is out for good by bytes of another writer."""
+    with pytest.raises(AnnouncementError):
+        _discovery.find_start(body)
+
+
 def test_platform_names_are_used_only_in_the_adapter() -> None:
     outside = [
         path
@@ -210,6 +240,44 @@
     assert list_services(table, "/view/x") == ["painel"]
 
 
+@pytest.mark.parametrize(
+    "text",
+    ["[" * 3_000 + "]" * 3_000, "1" + "0" * 400, "1e999", "NaN", "Infinity", '"x"'],
+    ids=name_briefly,
+)
+@pytest.mark.parametrize("field", ["timeout_s", "target_latency_s", "max_attempts", "priority"])
+def test_an_odd_number_holds_back_its_route_only(field: str, text: str) -> None:
+    marker = "999983"
+    config = json.dumps(make_config(7, **{field: int(marker)}))
+    data = config.replace(f'"{field}": {marker}', f'"{field}": {text}').encode()
+    if text.startswith("[["):
+        # Nothing of what is nested too deeply can be read.
+        with pytest.raises(ValueError, match="body"):
+            _operator.decode_configuration(data)
+        return
+    table = _operator.decode_configuration(data)
+    assert len(table.unreadable_parts) == 1
+    assert list_services(table, "/assign/x") == []
+    assert list_services(table, "/view/x") == ["painel"]
+
+
+@pytest.mark.parametrize(
+    "text", ["[" * 200_000, "1" + "0" * 400, "1e999", "NaN", "null", "[]"], ids=name_briefly
+)
+def test_a_configuration_without_a_usable_version_is_refused(text: str) -> None:
+    with pytest.raises(_operator.ConfigurationUnreadableError):
+        _operator.decode_configuration(f'{{"version": {text}}}'.encode())
+
+
+@pytest.mark.parametrize(
+    "value", ["9" * 5_000, "9" * 400, "1" * 16, "-5", "1.5", "x", ""], ids=name_briefly
+)
+def test_odd_numbers_in_the_headers_of_a_caller_count_as_absent(value: str) -> None:
+    """Guards against status 500 for a number with more digits than are converted."""
+    fields = _headers.read_caller_fields([("X-Timeout-Ms", value), ("X-Shard-Key", value)])
+    assert (fields.timeout_s, fields.key) == (None, -1)
+
+
 @pytest.mark.parametrize("host", [{}, {"host": 7, "paths": []}, 7, {"host": "x", "paths": 7}])
 def test_an_unreadable_host_holds_back_no_other(host: object) -> None:
     config = make_config(7)
@@ -275,6 +343,16 @@
         ("address", 7),
         ("holds", "all"),
         ("freed", {"0": 9}),
+        ("capacity", 10**30),
+        ("capacity", 1_000_001),
+        ("sequence", 2**63),
+        ("sequence", -1),
+        ("born", 10**30),
+        ("born", 10**14),
+        ("cold_s", -1),
+        ("cold_s", 10**30),
+        ("cold_s", 86_401),
+        ("cold_s", True),
     ],
 )
 def test_an_invalid_report_names_the_field_and_value(field: str, value: object) -> None:
@@ -293,6 +371,7 @@
         ([0, 65536, 1], "[0, 65536, 1]"),
         ([True, 9, 1], "True"),
         ([0, 9, "x"], "'x'"),
+        ([0, 9, 2**63], "9223372036854775808"),
     ],
 )
 def test_an_invalid_row_of_a_report_is_shown(row: list[object], shown: str) -> None:
@@ -321,12 +400,42 @@
 
 
 def test_the_largest_reply_counts_as_an_acknowledgement() -> None:
-    row = GrantedRow(65_535, 65_535, 10**9, "f" * 16)
+    row = GrantedRow(65_535, 65_535, make_position(2**20, 10**6), "f" * 16)
     reply = _discovery.encode_reply(GrantedHoldings((row,) * MAX_ROWS, 2.999))
     assert len(reply) <= MAX_REPLY_BYTES
 
 
-@pytest.mark.parametrize("body", [b"", b"\xff", b"[]", b"7"])
+@pytest.mark.parametrize("field", [*REPORT, "holds", "freed"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "[" * 3_000 + "]" * 3_000,
+        '{"a":' * 3_000 + "1" + "}" * 3_000,
+        "1" + "0" * 400,
+        "-1" + "0" * 400,
+        "1" * 5_000,
+        "1e999",
+        "NaN",
+        "Infinity",
+        "-Infinity",
+        '"' + "x" * 5_000 + '"',
+        "null",
+    ],
+    ids=name_briefly,
+)
+def test_an_odd_value_of_another_writer_is_refused_by_its_field(field: str, text: str) -> None:
+    """Guards against errors that no caller of the decoder expects, and against broken peers.
+
+    A capacity that does not fit into a message broke the connections between daemons.
+    """
+    parts = [f'"{name}": {json.dumps(value)}' for name, value in REPORT.items() if name != field]
+    body = f'{{"{field}": {text}, {", ".join(parts)}}}'.encode()
+    with pytest.raises(AnnouncementError) as caught:
+        _discovery.decode_announcement("/-/instances/i-1", body)
+    assert len(str(caught.value)) < 500
+
+
+@pytest.mark.parametrize("body", [b"", b"\xff", b"[]", b"7", *ODD_BODIES], ids=name_briefly)
 def test_bytes_that_are_no_report_are_rejected(body: bytes) -> None:
     with pytest.raises(AnnouncementError):
         _discovery.decode_announcement("/-/instances/i-1", body)
--- a/persimmondock/tests/test_log_client.py
+++ b/persimmondock/tests/test_log_client.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import attrs
+import msgpack
 import pytest
 from aiohttp.test_utils import TestServer
 
@@ -39,6 +40,7 @@
 from persimmondock.configuration import Configuration
 from persimmondock.standins.log_service import LogStandin
 from persimmondock.tests.builders import fold_all, make_published, make_view
+from persimmondock.tests.scripted_server import ScriptedServer
 
 
 @attrs.define
@@ -237,3 +239,18 @@
     assert folded[0].snapshot_covers == view.offset
     other = Entry(0, encode_record(make_published(timeout_ms=5)) + b"\0" * LARGE_RECORD_BYTES)
     assert drop_snapshot_body(other) == other
+
+
+ODD_ANSWERS = [b"", b"\xc1", b"\x91" * 200_000, msgpack.packb([1]), b"\x80"]
+
+
+@pytest.mark.parametrize("number", range(len(ODD_ANSWERS)))
+async def test_an_unreadable_answer_of_the_log_is_a_failed_call(number: int) -> None:
+    """Own ends: an error that nobody expects ended the task that follows the log."""
+    body = ODD_ANSWERS[number]
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    server = ScriptedServer([head + body], close_after_response=True)
+    async with server.listen() as address, aiohttp.ClientSession() as session:
+        log = HttpLog(address, session)
+        assert isinstance(await log.read(0, 100, 0.0), ReadFailed)
+        assert isinstance(await log.append([b"a"]), AppendUnknown)
