--- a/persimmondock/_tasks/call_grants.py
+++ b/persimmondock/_tasks/call_grants.py
@@ -92,12 +92,12 @@
             The handover for the next owner, or an empty string.
         """
         incarnation = self._keeper.incarnation
-        handover = ""
+        handover, shown_by = "", "expiry"
         instance = incarnation.instance if incarnation is not None else ""
         while read_clock() < possible_until and self._keeper.incarnation == incarnation:
             outcome = await self._backend.release(instance, first, last, fence)
             if isinstance(outcome, ReleaseDone):
-                handover = outcome.handover
+                handover, shown_by = outcome.handover, "answer"
                 logger.info(
                     "event=release_answered first={} fence={} instance={} {}",
                     first,
@@ -108,6 +108,7 @@
                 break
             if outcome.refused or outcome.misdirected:
                 # The process that held the keys has ended, and what it answered with it.
+                shown_by = "refusal" if outcome.refused else "other_instance"
                 self._remove_answered()
                 self._keeper.pause_grants(incarnation)
                 break
@@ -119,6 +120,16 @@
             and self._keeper.incarnation == incarnation
         ):
             await asyncio.sleep(RELEASE_RETRY_S)
+        logger.info(
+            "event=release_ended first={} last={} fence={} instance={} shown_by={} "
+            "possible_until={:.3f}",
+            first,
+            last,
+            fence,
+            instance,
+            shown_by if self._keeper.incarnation == incarnation else "successor",
+            possible_until,
+        )
         return handover
 
     async def _settle(self, instance: str, first: int, last: int, fence: int) -> None:
@@ -144,6 +155,12 @@
         # Whichever instance listens may have got them.
         outcome = await self._backend.release("", first, last, fence)
         if isinstance(outcome, ReleaseFailed) and outcome.refused:
+            logger.info(
+                "event=predecessor_released first={} last={} fence={} shown_by=refusal",
+                first,
+                last,
+                fence,
+            )
             return True
         if isinstance(outcome, ReleaseDone) and outcome.handover:
             self._keeper.record_released(ReleasedRange(first, last, outcome.handover))
