OWNER: a refused connection does not show that keys are free

Cause: a refused connection counted as the end of the process at the address, if no connection to it was open. A full backend server refuses connections and holds its keys, as does one behind a cut that refuses. A daemon that has just started has no connection open, and one whose connections were reset has none either. Its keys counted as free at once; a grant of the process before it, or one under way, was then carried out under the lower token.

Change: an answer, another instance at the address, a successor or the expiry of the grants show that keys are free; a refusal only pauses grants. Both ways to grant.

--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -98,7 +98,7 @@
             case GrantsByCall():
                 self._channel = CallGrants(backend, self)
             case GrantsInHeartbeats():
-                self._channel = HeartbeatGrants(backend, self)
+                self._channel = HeartbeatGrants(self)
 
     # Queries by the gate.
 
--- a/persimmondock/tests/virtual_faults.py
+++ b/persimmondock/tests/virtual_faults.py
@@ -23,6 +23,7 @@
     "loses_answers",
     "is_full",
     "disowns_keys",
+    "refuses_connections",
 )
 
 
@@ -88,6 +89,14 @@
     "restart_daemon",
 )
 
+REFUSAL_FAULTS = build_faults(
+    *4 * ("refuses_connections",),
+    *2 * ("reset_connections", "restart_daemon", "late_grants", "evacuate"),
+    "lost_connections",
+    "crash",
+    "replace",
+)
+
 
 def build_runs(
     faults: st.SearchStrategy[Fault], min_faults: int = 1
@@ -124,6 +133,9 @@
         case "late_announcement":
             if vm.server is not None:
                 await fleet.announce(vm, vm.server, delay_s=fault.announced_after_s)
+        case "reset_connections":
+            if vm.server is not None:
+                vm.server.reset_connections()
         case kind if kind in ANSWER_KINDS:
             setattr(vm.behavior, kind, True)
             await asyncio.sleep(3 * fault.for_s)
