--- a/persimmondock/_domain/request_trace.py
+++ b/persimmondock/_domain/request_trace.py
@@ -157,7 +157,7 @@
     context = [
         line
         for line in nearby
-        if line.event in cause_events and line.daemon in daemons and _covers_key(line, key)
+        if line.event in cause_events and line.daemon in daemons and covers_key(line, key)
     ]
     omitted_count = max(0, len(context) - MAX_CONTEXT_LINES)
     return RequestTrace(
@@ -173,7 +173,7 @@
     )
 
 
-def _covers_key(line: LogLine, key: str) -> bool:
+def covers_key(line: LogLine, key: str) -> bool:
     """Return whether a line names no range of keys, or one that contains the key."""
     first, last = line.fields.get("first"), line.fields.get("last")
     if first is None or last is None or not key.isdigit():
--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -415,10 +415,12 @@
         started = read_clock()
         await self._channel.acquire(key_range, handover)
         logger.info(
-            "event=range_taken first={} last={} fence={} former={} handover={} after_s={:.2f}",
+            "event=range_taken first={} last={} fence={} instance={} former={} handover={} "
+            "after_s={:.2f}",
             key_range.first,
             key_range.last,
             key_range.fence,
+            key_range.owner.instance,
             len(key_range.former_owners),
             bool(handover),
             read_clock() - started,
--- a/persimmondock/cli.py
+++ b/persimmondock/cli.py
@@ -43,6 +43,7 @@
     "dump": "persimmondock._commands.fleet:DumpCommand",
     "explain": "persimmondock._commands.fleet:ExplainCommand",
     "trace": "persimmondock._commands.tracing:TraceCommand",
+    "key-history": "persimmondock._commands.tracing:KeyHistoryCommand",
     "log tail": "persimmondock._commands.log:LogTailCommand",
     "demo": "persimmondock._commands.standins:DemoCommand",
     "bench": "persimmondock.bench.command:BenchCommand",
