--- a/persimmondock/tests/virtual_faults.py
+++ b/persimmondock/tests/virtual_faults.py
@@ -25,6 +25,7 @@
     "disowns_keys",
     "refuses_connections",
 )
+BEHAVIOR_KINDS = (*ANSWER_KINDS, "hangs")
 
 
 @attrs.frozen
@@ -96,6 +97,13 @@
     "crash",
     "replace",
 )
+FULL_SERVER_FAULTS = build_faults(
+    *4 * ("hangs", "late_grants"),
+    *2 * ("refuses_connections", "loses_answers", "restart_daemon", "crash"),
+    "reset_connections",
+    "replace",
+    "evacuate",
+)
 
 
 def build_runs(
@@ -136,7 +144,7 @@
         case "reset_connections":
             if vm.server is not None:
                 vm.server.reset_connections()
-        case kind if kind in ANSWER_KINDS:
+        case kind if kind in BEHAVIOR_KINDS:
             setattr(vm.behavior, kind, True)
             await asyncio.sleep(3 * fault.for_s)
             setattr(vm.behavior, kind, False)
--- a/persimmondock/tests/virtual_network.py
+++ b/persimmondock/tests/virtual_network.py
@@ -244,6 +244,9 @@
         Whether what is asked for is done and not answered.
     is_full
         Whether requests are refused for want of room.
+    hangs
+        Whether what arrives is never answered for want of room, nor anything after it on its
+        connection; late grants are carried out all the same.
     refuses_connections
         Whether new connections are refused for want of room.
     fails
@@ -265,6 +268,7 @@
     repeats_afterwards: bool = False
     loses_answers: bool = False
     is_full: bool = False
+    hangs: bool = False
     refuses_connections: bool = False
     fails: bool = False
     disowns_keys: bool = False
@@ -470,12 +474,15 @@
         """Return the answer to a request, or None if there is none."""
         attempt = fields.get("x-attempt-id", "")
         named = {"X-Attempt-Id": attempt} if attempt and self.behavior.names_orders else {}
+        is_late = target == "/-/grant" and self.behavior.late_s > 0
+        if self.behavior.hangs and not is_late:
+            await asyncio.sleep(math.inf)
         if target.startswith("/-/") and not self._is_expected(fields):
             return _render_answer(421, named)
         if target == "/-/grant":
             data = json.loads(body)
             order = (data["from"], data["target"], data["fence"], data["hold_s"], arrived_at)
-            if self.behavior.late_s > 0:
+            if is_late:
                 await asyncio.sleep(self.behavior.late_s)
                 if self.is_running:
                     self.carry_out_grant(*order)
