OWNER: a lost connection pauses grants until the next announcement

Cause: the name in a grant does not tell two lives of one name apart, and `born` is in announcements only. A renewal that was due between the start of the next process and its announcement was taken by it.

Change: the HTTP client reports the end of a connection that the server was to keep: not behind `Connection: close` or an answer without length, not after its idle limit, not when the client itself closes it. Unless another connection, of any purpose, is open from before the last announcement, grants by call pause until the next one. What is 0.5 s old or more is renewed when the pause ends, and no renewal is begun in it. Weighed: to defer renewals only (docs/design/grants.md).

Price, virtual time: with announcements arriving, no key is unheld.

Not seen: the end of a process that no usable connection leads to, and a late announcement of the former process.

--- a/benchmarks/successors.py
+++ b/benchmarks/successors.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 import attrs
 import numpy as np
@@ -45,7 +46,7 @@
     faults: int
 
 
-async def _run(number: int, announced_after_s: float) -> Result:
+async def _run(number: int, announced_after_s: float, keeps_name: bool) -> Result:
     fleet = VirtualFleet(3, seed=number)
     await fleet.start()
     await asyncio.sleep(STEADY_S + number / CRASHES)
@@ -53,7 +54,7 @@
     assert vm.daemon is not None
     pool = vm.daemon._client._grant_client.pool
     opened, started = pool.connections_opened, read_clock()
-    await fleet.crash_server(vm, DOWN_S, announced_after_s)
+    await fleet.crash_server(vm, DOWN_S, announced_after_s, keeps_name)
     async with asyncio.timeout(TIMEOUT_S):
         while fleet.list_free():
             await asyncio.sleep(POLL_S)
@@ -65,24 +66,26 @@
 
 
 def main() -> None:
-    """Print one row for each time until the announcement."""
+    """Print one row for each time until the announcement, with a new name and the former one."""
     logger.remove()
     print(
-        "| Announced after s | Unheld s, mean | max | in sound runs | Connections, mean | max "
-        "| Faulty runs |"
+        "| Announced after s | Name | Unheld s, mean | max | in sound runs "
+        "| Connections, mean | max | Faulty runs |"
     )
-    print("| --- | --- | --- | --- | --- | --- | --- |")
-    for announced_after_s in ANNOUNCED_AFTER_S:
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    for announced_after_s, keeps_name in itertools.product(ANNOUNCED_AFTER_S, (False, True)):
         results = [
-            run_in_virtual_time(_run(number, announced_after_s)) for number in range(CRASHES)
+            run_in_virtual_time(_run(number, announced_after_s, keeps_name))
+            for number in range(CRASHES)
         ]
         unheld = np.array([result.unheld_s for result in results])
         sound = np.mean([result.unheld_s for result in results if not result.faults])
         connections = np.array([result.connections for result in results])
         faulty = sum(result.faults > 0 for result in results)
         print(
-            f"| {announced_after_s} | {unheld.mean():.2f} | {unheld.max():.2f} | {sound:.2f} | "
-            f"{connections.mean():.1f} | {connections.max()} | {faulty} of {CRASHES} |"
+            f"| {announced_after_s} | {'kept' if keeps_name else 'new'} | {unheld.mean():.2f} | "
+            f"{unheld.max():.2f} | {sound:.2f} | {connections.mean():.1f} | "
+            f"{connections.max()} | {faulty} of {CRASHES} |"
         )
 
 
--- a/persimmondock/_adapters/http_exchange.py
+++ b/persimmondock/_adapters/http_exchange.py
@@ -131,6 +131,11 @@
     ----------
     on_unexpected
         Called when a response or bytes are dropped.
+    on_lost
+        Called when the server ends a connection that it was to keep. It may end one that was idle
+        for too long, or after a response that says so.
+    opened_at
+        Time of the connection's opening, by `read_clock`.
     usable
         Whether another request may be sent.
     exchange_count
@@ -155,7 +160,10 @@
     ) -> None:
         self.number = number
         self.on_unexpected: Callable[[HttpConnection, Unexpected], None] = lambda *_: None
+        self.on_lost: Callable[[], None] = lambda: None
+        self.opened_at = read_clock()
         self.usable = True
+        self._has_ended = False
         self._buffered = buffered if buffered is not None else BufferedBytes()
         self._held = held if held is not None else HeldBytes()
         self._stream: BufferedBody | None = None
@@ -245,7 +253,12 @@
         While a streamed body waits for its reader, the server's end of it would go unnoticed.
         """
         transport = self._transport
-        return transport is not None and transport.is_reading() and not transport.is_closing()
+        return (
+            transport is not None
+            and transport.is_reading()
+            and not transport.is_closing()
+            and not self._has_ended
+        )
 
     def abort(self) -> None:
         """Close the connection and discard unsent data."""
@@ -300,7 +313,7 @@
 
     def eof_received(self) -> bool:
         """Complete a response that ends with its connection."""
-        self.usable = False
+        self._record_end()
         if self._until_eof and self._waiter is not None and not self._waiter.done():
             self._responses.append(self._build_response())
             self._in_message = False
@@ -309,7 +322,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the request that waits for its response."""
-        self.usable = False
+        self._record_end()
         if self._waiter is not None and not self._waiter.done():
             detail = repr(error) if error else "closed by the server"
             self._waiter.set_exception(ConnectionLostError(detail, sent=True))
@@ -317,6 +330,14 @@
         if stream is not None:
             stream.cut(repr(error) if error else "closed by the server")
 
+    def _record_end(self) -> None:
+        """Record that the connection has ended; its server may have ended too."""
+        was_usable, self.usable, self._has_ended = self.usable, False, True
+        is_busy = self._waiter is not None or self._stream is not None
+        idle_s = read_clock() - max(self.idle_since, self.opened_at)
+        if was_usable and not self._until_eof and (is_busy or idle_s < self.idle_limit_s):
+            self.on_lost()
+
     # Callbacks of httptools.
 
     def on_message_begin(self) -> None:
@@ -492,6 +513,8 @@
         Number of attempts to open a connection.
     on_unexpected
         Called when a response or bytes on a connection are dropped.
+    on_lost
+        Called when the server ends a connection that it was to keep.
     held
         Size of all streamed bodies that wait for their readers.
     """
@@ -506,6 +529,7 @@
         self.held = HeldBytes()
         self.connections_opened = 0
         self.on_unexpected: Callable[[HttpConnection, Unexpected], None] = lambda *_: None
+        self.on_lost: Callable[[], None] = lambda: None
 
     async def acquire(
         self, max_idle_s: float = DEFAULT_MAX_IDLE_S, attempt: str = ""
@@ -567,14 +591,17 @@
                 self._idle.remove(connection)
                 connection.abort()
 
-    def has_open_connection(self) -> bool:
+    def has_open_connection(self, opened_before: float = math.inf) -> bool:
         """Return whether a connection is open, so that its server has not ended.
 
         One that was idle for too long to be used again may have been lost unnoticed.
         """
         now = read_clock()
         idle = [item for item in self._idle if now - item.idle_since < item.idle_limit_s]
-        return any(connection.is_open for connection in (*idle, *self._busy))
+        return any(
+            connection.is_open and connection.opened_at < opened_before
+            for connection in (*idle, *self._busy)
+        )
 
     def release(self, connection: HttpConnection) -> None:
         """Keep a connection for reuse, or close it if it is unusable or over the limit."""
@@ -597,7 +624,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: HttpConnection(self._buffered, self.held, number),
+                    lambda: self._make_connection(number),
                     self._host,
                     self._port,
                 )
@@ -607,7 +634,11 @@
             raise ConnectFailedError(
                 repr(error), refused=isinstance(error, ConnectionRefusedError)
             ) from error
-        connection.on_unexpected = self.on_unexpected
+        return connection
+
+    def _make_connection(self, number: int) -> HttpConnection:
+        connection = HttpConnection(self._buffered, self.held, number)
+        connection.on_unexpected, connection.on_lost = self.on_unexpected, self.on_lost
         return connection
 
 
--- a/persimmondock/_ports/backend.py
+++ b/persimmondock/_ports/backend.py
@@ -212,6 +212,20 @@
         """
         ...
 
+    def watch_connections(self, on_lost: Callable[[], None]) -> None:
+        """Call a function whenever the backend server ends a connection that it was to keep.
+
+        The process may have ended, or it may have closed or reset this connection alone.
+        """
+        ...
+
+    def is_connected_since(self, instant: float) -> bool:
+        """Return whether a connection is open that was opened before an instant.
+
+        The same process has listened at the backend server's address since.
+        """
+        ...
+
     async def check_health(self, path: str, instance: str) -> BackendNotice | None:
         """Return what the answer to a health check says about the backend server.
 
--- a/persimmondock/_tasks/call_grants.py
+++ b/persimmondock/_tasks/call_grants.py
@@ -69,6 +69,15 @@
         # Grants that may be under way, by the range's `grant_id`.
         self._open: dict[tuple[int, int, int], list[_OpenGrant]] = defaultdict(list)
         self._renewing: set[asyncio.Task[None]] = set()
+        backend.watch_connections(self._record_lost_connection)
+
+    def _record_lost_connection(self) -> None:
+        """Grant nothing until the next announcement if the process may have ended.
+
+        The next one may have the same name, so that it would take what is meant for this one.
+        """
+        if not self._backend.is_connected_since(self._keeper.announced_at):
+            self._keeper.pause_grants(self._keeper.incarnation)
 
     def reset(self) -> None:
         """Forget the grants of an incarnation that has ended."""
@@ -183,13 +192,11 @@
             for grant in grants
         ]
 
-    def renew(self) -> None:
-        """Renew grants after a third of their duration, and drop expired open ones."""
-        now = read_clock()
+    def renew(self, after_s: float = math.inf) -> None:
+        """Renew grants that are due, or older than some seconds; drop expired open ones."""
+        now, after_s = read_clock(), min(after_s, RENEW_AFTER_S)
         for held in self._keeper.list_held():
-            if self._keeper.is_due(held, now, RENEW_AFTER_S) and not self._is_renewing(
-                held.key_range
-            ):
+            if self._keeper.is_due(held, now, after_s) and not self._is_renewing(held.key_range):
                 task = asyncio.create_task(self._renew_range(held.key_range))
                 task.set_name(f"{held.key_range.first}")
                 self._renewing.add(task)
--- a/persimmondock/_tasks/heartbeat_grants.py
+++ b/persimmondock/_tasks/heartbeat_grants.py
@@ -286,5 +286,5 @@
         """Return until when an unanswered grant may cover a range; there are none."""
         return -math.inf
 
-    def renew(self) -> None:
+    def renew(self, after_s: float = math.inf) -> None:
         """Do nothing, since each reply renews all grants."""
--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -43,6 +43,7 @@
 EXPECTED_HANDOVER_S = 1.0  # a handover that takes longer waits for a former owner's lease to end
 TAKEOVER_RETRY_MS = 1_000
 MAX_RELEASE_HISTORY = 512
+RESUMED_RENEW_AFTER_S = 0.5  # another pause may follow before the grants are due
 
 
 def find_max_rows(grant_mode: GrantMode) -> int:
@@ -67,6 +68,11 @@
         Name of this daemon.
     grant_mode
         How the backend server gets its grants.
+
+    Attributes
+    ----------
+    announced_at
+        Instant of the newest announcement of the current incarnation.
     """
 
     def __init__(
@@ -93,6 +99,7 @@
         self._grants_known_since = read_clock()
         self._replaced: set[BackendIncarnation] = set()
         self._is_paused = False
+        self.announced_at = -math.inf
         self._channel: CallGrants | HeartbeatGrants
         match grant_mode:
             case GrantsByCall():
@@ -180,6 +187,7 @@
             return
         previous, self.incarnation = self.incarnation, incarnation
         self._is_paused = False
+        self.announced_at = read_clock()
         self._held.clear()
         for task in self._acquiring.values():
             task.cancel()
@@ -209,9 +217,13 @@
 
     def resume_grants(self) -> None:
         """Grant keys again: the current incarnation has announced itself."""
-        if self._is_paused and self.incarnation is not None:
-            logger.info("event=grants_resumed instance={}", self.incarnation.instance)
+        self.announced_at = read_clock()
+        if not self._is_paused:
+            return
         self._is_paused = False
+        if self.incarnation is not None:
+            logger.info("event=grants_resumed instance={}", self.incarnation.instance)
+        self._channel.renew(RESUMED_RENEW_AFTER_S)
 
     async def grant_holdings(
         self,
@@ -450,8 +462,9 @@
         return hold_s if hold_s >= MIN_GRANT_DURATION_S else 0.0
 
     def is_due(self, held: HeldRange, now: float, renew_after_s: float) -> bool:
-        """Return whether a grant was last renewed at least ``renew_after_s`` seconds ago."""
-        return held.guaranteed_until - now < GRANT_DURATION_S - renew_after_s
+        """Return whether a grant is at least ``renew_after_s`` seconds old and may be renewed."""
+        age_left_s = GRANT_DURATION_S - renew_after_s
+        return not self._is_paused and held.guaranteed_until - now < age_left_s
 
     def list_held(self) -> list[HeldRange]:
         """Return the ranges that are held under the current assignment."""
--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import json
+import math
 import secrets
 from typing import TYPE_CHECKING
 
@@ -82,6 +83,7 @@
     def __init__(self, address: str, metrics: MetricSink | None = None) -> None:
         self._address = address
         self._metrics: MetricSink = metrics or NoMetrics()
+        self._on_lost: Callable[[], None] = lambda: None
         self._pool = self._make_pool("request", MAX_CONNECTIONS)
         # Separate clients: releases wait for running work and must not delay renewals of grants.
         self._grant_client = self._make_control_client(
@@ -99,6 +101,7 @@
     def _make_pool(self, purpose: str, limit: int) -> HttpPool:
         pool = HttpPool(self._address, limit)
         pool.on_unexpected = functools.partial(self._record_dropped, purpose)
+        pool.on_lost = lambda: self._on_lost()
         return pool
 
     def _record_dropped(
@@ -314,9 +317,17 @@
         """
         if not isinstance(error, ConnectFailedError) or not error.refused:
             return False
+        return not self.is_connected_since(math.inf)
+
+    def watch_connections(self, on_lost: Callable[[], None]) -> None:
+        """Call a function whenever the backend server ends a connection that it was to keep."""
+        self._on_lost = on_lost
+
+    def is_connected_since(self, instant: float) -> bool:
+        """Return whether a connection is open that was opened before an instant."""
         clients = (self._grant_client, self._release_client, self._health_client)
         pools = (self._pool, *(client.pool for client in clients))
-        return not any(pool.has_open_connection() for pool in pools)
+        return any(pool.has_open_connection(instant) for pool in pools)
 
     def close(self) -> None:
         """Close all connections."""
--- a/persimmondock/tests/fake_backend.py
+++ b/persimmondock/tests/fake_backend.py
@@ -145,6 +145,13 @@
         """Return all connections: grants are carried out when they are sent."""
         return frozenset(connections)
 
+    def watch_connections(self, on_lost: Callable[[], None]) -> None:
+        """Do nothing: there are no connections."""
+
+    def is_connected_since(self, instant: float) -> bool:
+        """Return True: there are no connections that can be lost."""
+        return True
+
     async def check_health(self, path: str, instance: str) -> BackendNotice | None:
         """Answer a health check."""
         await asyncio.sleep(0)
--- a/persimmondock/tests/test_grants_to_successors.py
+++ b/persimmondock/tests/test_grants_to_successors.py
@@ -18,6 +18,7 @@
 from persimmondock.tests.sites import make_assignment, make_incarnation, make_range
 from persimmondock.tests.virtual_fleet import VirtualFleet
 from persimmondock.tests.virtual_network import (
+    HEALTH_PATH,
     ServerBehavior,
     ServerProcess,
     VirtualNetwork,
@@ -29,6 +30,7 @@
 
 ADDRESS = "10.0.0.1:80"
 TERM_S = 3.5  # longer than a grant lasts
+POLL_S = 0.005
 # Seconds after the first grant, which is renewed after 1 s.
 CRASH_INSTANTS = [0.9 + 0.004 * number for number in range(320)]
 
@@ -36,11 +38,14 @@
 class KeeperOfProcesses:
     """The range keeper of node-1, beside which processes follow each other at one address."""
 
+    FIRST = "i-1"
+
     def __init__(self, behavior: ServerBehavior | None = None) -> None:
         self.network = VirtualNetwork()
         self.behavior = behavior or ServerBehavior()
-        self.keeper = RangeKeeper(make_backend_client(ADDRESS), RangeLease(), "node-1")
-        self.process = self.start_process("i-1")
+        self.client = make_backend_client(ADDRESS)
+        self.keeper = RangeKeeper(self.client, RangeLease(), "node-1")
+        self.process = self.start_process(self.FIRST)
         self.incarnation = self.announce()
         self.assign(self.incarnation, 1)
         self._tasks = [
@@ -84,6 +89,7 @@
     announced_after_s: float,
     unanswered_for_s: float = 0.0,
     is_successor_late: bool = False,
+    successor: str = "i-2",
 ) -> VirtualNetwork:
     """Kill a process that holds keys; another one listens soon and announces itself later.
 
@@ -93,6 +99,8 @@
         Seconds before the crash in which grants get no answer.
     is_successor_late
         Whether the other process answers no grant either, and carries it out 2 s later.
+    successor
+        Name of the other process.
     """
     harness = KeeperOfProcesses()
     await harness.wait_until_held()
@@ -102,7 +110,7 @@
     harness.process.kill()
     await asyncio.sleep(down_s)
     harness.behavior.late_s = 2.0 if is_successor_late else 0.0
-    harness.start_process("i-2")
+    harness.start_process(successor)
     await asyncio.sleep(announced_after_s)
     harness.assign(harness.announce(), 2)
     await asyncio.sleep(TERM_S)
@@ -147,6 +155,91 @@
     assert faults == []
 
 
+@pytest.mark.parametrize("announced_after_s", [0.005, 0.5])
+def test_a_new_process_of_the_same_name_gets_no_key_under_the_token_of_the_former_one(
+    announced_after_s: float,
+) -> None:
+    """Guards against renewals that a process with the name of the former one takes for its own."""
+    faults = find_faults(
+        down_s=0.001, announced_after_s=announced_after_s, successor=KeeperOfProcesses.FIRST
+    )
+    assert faults == []
+
+
+@pytest.mark.parametrize("is_older", [False, True])
+def test_a_lost_connection_pauses_grants_unless_one_from_before_the_announcement_is_open(
+    is_older: bool,
+) -> None:
+    """Guards against a pause while the process shows that it is the one that announced itself."""
+
+    async def run() -> None:
+        harness = KeeperOfProcesses()
+        await harness.wait_until_held()
+        if is_older:
+            await harness.client.check_health(HEALTH_PATH, harness.FIRST)
+        await asyncio.sleep(0.01)
+        harness.keeper.resume_grants()
+        if not is_older:
+            await harness.client.check_health(HEALTH_PATH, harness.FIRST)
+        pool = harness.client._grant_client.pool
+        for connection in list(harness.process._connections)[: len(pool._idle)]:
+            connection.transport.abort()
+        await asyncio.sleep(TERM_S)
+        assert harness.process.holds_key(5) == is_older
+        harness.keeper.resume_grants()
+        await asyncio.sleep(0.01)
+        assert harness.process.holds_key(5)
+        harness.close()
+
+    run_in_virtual_time(run())
+
+
+async def measure_unheld(
+    reset_interval_s: float, resets_for_s: float, cut_off_for_s: float = 0.0
+) -> float:
+    """Return the seconds in which keys were unheld while all connections were reset repeatedly.
+
+    Parameters
+    ----------
+    cut_off_for_s
+        Seconds, from the first reset on, in which no announcement arrives.
+    """
+    fleet = await start_fleet(2.0)
+    vm = fleet.vms[1]
+    assert vm.server is not None and vm.announcing is not None
+    started, next_reset, unheld_s = read_clock(), read_clock(), 0.0
+    if cut_off_for_s:
+        vm.announcing.cancel()
+        vm.announcing = asyncio.create_task(fleet._announce(vm, vm.server, cut_off_for_s))
+    while read_clock() < started + resets_for_s + TERM_S:
+        if next_reset <= read_clock() < started + resets_for_s:
+            vm.server.reset_connections()
+            next_reset += reset_interval_s
+        unheld_s += POLL_S * bool(fleet.list_free())
+        await asyncio.sleep(POLL_S)
+    fleet.close()
+    return unheld_s
+
+
+@pytest.mark.parametrize("reset_interval_s", [0.02, 0.1, 0.3, 1.0, 3.0])
+def test_resets_cost_no_keys_while_announcements_arrive(reset_interval_s: float) -> None:
+    """Guards against keys that expire since each lost connection holds up their renewal."""
+    assert run_in_virtual_time(measure_unheld(reset_interval_s, 12.0)) == 0.0
+
+
+@pytest.mark.parametrize("cut_off_for_s", [1.0, 1.8])
+def test_a_reset_costs_no_keys_unless_announcements_stay_away_for_long(
+    cut_off_for_s: float,
+) -> None:
+    assert run_in_virtual_time(measure_unheld(99.0, 5.0, cut_off_for_s)) == 0.0
+
+
+def test_keys_are_held_again_with_the_first_announcement_after_a_reset() -> None:
+    """Without announcements, nothing tells which process listens after a reset."""
+    unheld_s = run_in_virtual_time(measure_unheld(99.0, 8.0, 5.0))
+    assert 2.0 < unheld_s < 3.2
+
+
 async def start_fleet(run_for_s: float) -> VirtualFleet:
     fleet = VirtualFleet()
     await fleet.start()
--- a/persimmondock/tests/test_http_exchange.py
+++ b/persimmondock/tests/test_http_exchange.py
@@ -10,6 +10,7 @@
 import pytest
 
 from persimmondock._adapters import http_exchange
+from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.http_exchange import (
     ConnectFailedError,
     ConnectionLostError,
@@ -252,6 +253,73 @@
         assert not pool.has_open_connection()
 
 
+@pytest.mark.parametrize("resets", [False, True])
+async def test_the_loss_of_an_idle_connection_is_reported(resets: bool) -> None:
+    """Guards against the end of a server that goes unnoticed until the next request."""
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(COMPLETE_RESPONSE)
+        await asyncio.sleep(0.05)
+        writer.transport.abort() if resets else writer.close()
+
+    async with serve(handle) as pool:
+        losses: list[bool] = []
+        pool.on_lost = lambda: losses.append(pool.has_open_connection())
+        await exchange(pool)
+        assert losses == []
+        await asyncio.sleep(0.2)
+        assert losses == [False]
+
+
+async def test_the_loss_of_a_connection_with_a_request_is_reported() -> None:
+    async with serve(respond_with(b"HTTP/1.1 200", close=True)) as pool:
+        losses: list[None] = []
+        pool.on_lost = lambda: losses.append(None)
+        with pytest.raises(ConnectionLostError):
+            await exchange(pool)
+        assert losses == [None]
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        pytest.param(
+            COMPLETE_RESPONSE.replace(b"\r\nC", b"\r\nConnection: close\r\nC"), id="close"
+        ),
+        pytest.param(
+            COMPLETE_RESPONSE.replace(b"\r\nC", b"\r\nKeep-Alive: timeout=1\r\nC"), id="idle limit"
+        ),
+        pytest.param(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n\r\nok", id="no length"),
+    ],
+)
+async def test_an_end_that_was_announced_is_not_reported_as_a_loss(response: bytes) -> None:
+    async with serve(respond_with(response, close=True)) as pool:
+        losses: list[None] = []
+        pool.on_lost = lambda: losses.append(None)
+        await exchange(pool)
+        await asyncio.sleep(0.1)
+        assert losses == []
+
+
+async def test_a_connection_that_the_client_closes_is_not_reported_as_lost() -> None:
+    async with serve(respond_with(COMPLETE_RESPONSE, COMPLETE_RESPONSE)) as pool:
+        losses: list[None] = []
+        pool.on_lost = lambda: losses.append(None)
+        await exchange(pool)
+        pool.close()
+        await asyncio.sleep(0.1)
+        assert losses == []
+
+
+async def test_a_connection_tells_since_when_it_is_open() -> None:
+    async with serve(respond_with(COMPLETE_RESPONSE, COMPLETE_RESPONSE)) as pool:
+        before = read_clock()
+        await exchange(pool)
+        assert pool.has_open_connection(read_clock())
+        assert not pool.has_open_connection(before)
+
+
 async def test_connection_refusal_is_reported() -> None:
     with pytest.raises(ConnectFailedError) as caught:
         await HttpPool(f"{HOST}:1", 1).acquire()
