--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -256,7 +256,8 @@
             return ReleaseFailed("not sent")
         response = answer.response
         if response.status != 200:
-            is_misdirected = response.status == MISDIRECTED
+            answered_by = response.find_header(_headers.INSTANCE)
+            is_misdirected = response.status == MISDIRECTED and answered_by != instance
             return ReleaseFailed(f"status {response.status}", misdirected=is_misdirected)
         return ReleaseDone(response.find_header(_headers.HANDOVER) or "", answer.trace)
 
--- a/persimmondock/tests/test_answers_of_orders.py
+++ b/persimmondock/tests/test_answers_of_orders.py
@@ -17,6 +17,7 @@
     ServerBehavior,
     ServerProcess,
     VirtualNetwork,
+    _render_answer,
     find_reused_tokens,
     find_shared_holds,
     make_backend_client,
@@ -198,6 +199,26 @@
     run_in_virtual_time(run())
 
 
+@pytest.mark.parametrize(("answered_by", "has_ended"), [("i-1", False), ("i-2", True)])
+def test_a_process_that_misdirects_a_release_by_its_own_name_has_not_ended(
+    answered_by: str, has_ended: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against keys that count as free though the process that was meant answers."""
+
+    async def answer(_: object, __: str, fields: dict[str, str], *args: object) -> bytes:
+        named = {"X-Attempt-Id": fields["x-attempt-id"], "X-Instance-Id": answered_by}
+        return _render_answer(421, named)
+
+    async def run() -> None:
+        one = OneServer(True)
+        monkeypatch.setattr(ServerProcess, "answer", answer)
+        outcome = await one.release(10)
+        assert isinstance(outcome, ReleaseFailed)
+        assert outcome.misdirected is has_ended
+
+    run_in_virtual_time(run())
+
+
 def test_a_process_that_refuses_connections_is_not_taken_for_one_that_has_ended() -> None:
     """Guards against keys that count as free while their holder lives and takes no connections."""
 
