--- a/persimmondock/tests/planner_histories.py
+++ b/persimmondock/tests/planner_histories.py
@@ -602,7 +602,7 @@
         log.lost_reads = max(log.lost_reads, 0) + 1 + step.number // 2
 
     async def do_foreign(self, _: Step) -> None:
-        """Append a record of another service,."""
+        """Append a record of another service."""
         self.log.append(PARTITION, ASSIGNMENT_KEY_PREFIX + "elsewhere", b"?")
 
     async def do_restore(self, step: Step) -> None:
--- a/persimmondock/tests/test_announced_successors.py
+++ b/persimmondock/tests/test_announced_successors.py
@@ -4,6 +4,9 @@
 
 import asyncio
 
+from persimmondock._domain.backend_report import BackendAnnouncement
+from persimmondock._domain.holdings import ReportedHoldings
+from persimmondock._domain.site import GrantsInHeartbeats
 from persimmondock.tests.sites import make_report
 from persimmondock.tests.virtual_fleet import VirtualFleet, VirtualVm
 from persimmondock.tests.virtual_network import (
@@ -18,8 +21,8 @@
 MOVE_INSTANTS = [0.1 * number for number in range(12)]  # each second has a renewal
 
 
-def announce(vm: VirtualVm, instance: str, born_ms: int, sequence: int) -> None:
-    """Hand an announcement to the daemon of a VM."""
+def announce(vm: VirtualVm, instance: str, born_ms: int, sequence: int) -> BackendAnnouncement:
+    """Hand an announcement of a process that holds no keys to the daemon of a VM."""
     assert vm.daemon is not None
     report = make_report(
         instance=instance,
@@ -28,8 +31,10 @@
         slots=8,
         sequence=sequence,
         born_ms=born_ms,
+        holdings=ReportedHoldings(),
     )
     vm.daemon.context.run(vm.daemon.sidecar.handle_announcement, report)
+    return report
 
 
 async def move_keys(fleet: VirtualFleet, vm: VirtualVm, announced: ServerProcess) -> list[str]:
@@ -94,3 +99,47 @@
         for fault in run_in_virtual_time(announce_another_name(after_s))
     ]
     assert faults == []
+
+
+async def announce_lost_heartbeats(silent_s: float) -> list[str]:
+    """Start a daemon that hears two late heartbeats of a lost process before its successor's.
+
+    Parameters
+    ----------
+    silent_s
+        Time from those until the successor, which holds keys, is heard.
+    """
+    fleet = VirtualFleet(4, grant_mode=GrantsInHeartbeats())
+    await fleet.start()
+    await asyncio.sleep(2.0)
+    vm = fleet.vms[1]
+    lost, sequence = vm.server, vm.sequence
+    assert lost is not None
+    await fleet.crash_server(vm, 0.3, 0.0)
+    await asyncio.sleep(3.0)
+    await fleet.wait_until_held(OUT_S)
+    assert vm.server is not None and vm.daemon is not None and vm.announcing is not None
+    vm.announcing.cancel()
+    vm.daemon.kill()
+    await asyncio.sleep(0.3)
+    moving = asyncio.create_task(fleet.evacuate(vm.failure_domain, OUT_S))
+    await fleet.start_daemon(vm)
+    for number in (1, 2):
+        await asyncio.sleep(0.05)
+        report = announce(vm, lost.instance, lost.born_ms, sequence + number)
+        vm.daemon.create_task(vm.daemon.sidecar.grant_holdings(report))
+    await asyncio.sleep(silent_s)
+    vm.announcing = asyncio.create_task(fleet._announce(vm, vm.server, 0.0))
+    await moving
+    fleet.close()
+    return find_shared_holds(fleet.processes) + find_reused_tokens(fleet.processes)
+
+
+def test_late_heartbeats_of_a_lost_process_free_no_keys() -> None:
+    """Guards against two holders after a daemon that grants in replies has started again."""
+    faults = [
+        fault
+        for silent_s in (0.5, 0.8)
+        for fault in run_in_virtual_time(announce_lost_heartbeats(silent_s))
+    ]
+    assert faults == []
