Test of unanswered orders: the proxy notices the reset before its way heals

Traced to the test's proxy, which forwards what it has read until its own reader has noticed the reset; a kernel drops it at once. With the loop late, the way healed in the same turn. The test lets the loop turn 20 times in between.

--- a/persimmondock/tests/test_unanswered_orders.py
+++ b/persimmondock/tests/test_unanswered_orders.py
@@ -21,6 +21,7 @@
 PROXY = f"{HOST}:8301"
 TIMEOUT_S = 0.1
 END_TIMEOUT_S = 2.0
+LOOP_TURNS = 20
 CONFIRMED = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -138,6 +139,9 @@
         try:
             proxy.set_mode("silent")
             await send(client)
+            # The proxy has to notice the reset, which a kernel does at once.
+            for _ in range(LOOP_TURNS):
+                await asyncio.sleep(0)
             proxy.set_mode("")
             await asyncio.sleep(0.3)
             assert received == []
