OWNER: leases need the former witnesses as well while their change is recent

What callers saw: nothing known.

Cause: the store lost the record that changed the witnesses. A daemon that had no copy of it planned on the row from before, and its owners waited for a majority of the former witnesses. Owners under the lost record were confirmed by the new ones, of which a majority was cut off from the others and the store: two holders of the same keys (for 8.9 and 9.7 s in the two lines looked at).

Change: while an assignment names the witnesses before the last change, its leases need a majority of these as well. Both are named until the change is 25 s old, the least interval between two changes. Then the former ones are dropped by the next write, which is made for that if there is none.

Why it works: a restored store that lacks one change names the former witnesses, and a new owner waits until a majority of them is in the new era; none of these confirms a lease of the former era. A copy that lacks two changes is more than 25 s old. Leases of the assignment before the change end within 23.2 s of it without the store, so dropping the names is safe.

Price: for 25 s after a change, owners whose former witnesses are mostly lost have their leases confirmed by the store alone.

The virtual network has cuts between VMs, the virtual store has daemons that it does not answer or refuses.

--- a/persimmondock/_domain/assignment.py
+++ b/persimmondock/_domain/assignment.py
@@ -97,7 +97,8 @@
     ranges
         Disjoint ranges in ascending order.
     witnesses, former_witnesses
-        Daemons that confirm leases, and those that did before the last change of witnesses.
+        Daemons that confirm leases, and those that did before the last change of witnesses if that
+        is recent.
     offset
         Log offset after the record; 0 before the first one.
     """
@@ -116,6 +117,11 @@
         """Era of the log in which it was written: that of its earliest fencing token."""
         return find_era(min((item.fence for item in self.ranges), default=0))
 
+    @property
+    def witness_sets(self) -> tuple[frozenset[str], ...]:
+        """Sets of daemons of which a majority each confirms leases."""
+        return tuple(names for names in (self.witnesses, self.former_witnesses) if names)
+
     def is_in_force(self, position: int) -> bool:
         """Return whether it counts while the partition ends at a position."""
         return bool(self.ranges) and self.era == find_era(position)
@@ -377,18 +383,29 @@
 
 
 def build_next_assignment(
-    current: Assignment, ranges: Iterable[KeyRange], witnesses: frozenset[str], end: int
+    current: Assignment,
+    ranges: Iterable[KeyRange],
+    witnesses: frozenset[str],
+    end: int,
+    keeps_former_witnesses: bool = True,
 ) -> Assignment:
     """Return the assignment to write at offset ``end``.
 
     Ranges without a fencing token get the offset after the record as their token.
+
+    Parameters
+    ----------
+    keeps_former_witnesses
+        Whether leases that only the former witnesses confirm may last.
     """
-    witnesses_changed = witnesses != current.witnesses
+    former_witnesses = current.former_witnesses if keeps_former_witnesses else frozenset()
+    if current.witnesses and witnesses != current.witnesses:
+        former_witnesses = current.witnesses
     return Assignment(
         current.service,
         tuple(attrs.evolve(r, fence=end + 1) if r.fence == 0 else r for r in ranges),
         witnesses,
-        current.witnesses if witnesses_changed and current.witnesses else current.former_witnesses,
+        former_witnesses,
         end + 1,
     )
 
--- a/persimmondock/_domain/range_lease.py
+++ b/persimmondock/_domain/range_lease.py
@@ -9,6 +9,9 @@
   same offset. A witness that has a newer assignment never confirms an older one again. Without an
   answer of the store, witnesses extend the lease by at most ``MAX_WITNESS_ONLY_S``.
 
+While an assignment names the witnesses before the last change, a majority of these is needed as
+well: the log may lose the record of the change, and then a new owner asks only the former ones.
+
 A new owner of keys waits until the lease has expired at every gate that does not have the new
 assignment. This is one term after both of these have happened: it received the assignment, and a
 majority of the witnesses confirmed to it that they have the assignment. If no majority answers, it
@@ -39,21 +42,21 @@
     ----------
     offset
         End of this gate's copy of the partition.
-    witnesses
-        Daemons of which a majority has to confirm the assignment.
+    witness_sets
+        Daemons that have to confirm the assignment: a majority of each set.
     """
 
     offset: int = -1
-    witnesses: frozenset[str] = frozenset()
+    witness_sets: tuple[frozenset[str], ...] = ()
     _store_confirmed_at: float = -math.inf
     _witness_confirmed_at: dict[str, float] = attrs.field(factory=dict)
 
-    def adopt_assignment(self, offset: int, witnesses: frozenset[str]) -> None:
+    def adopt_assignment(self, offset: int, *witness_sets: frozenset[str]) -> None:
         """Adopt a newer assignment and discard the confirmations of the older one."""
         if offset == self.offset:
             return
         self.offset = offset
-        self.witnesses = witnesses
+        self.witness_sets = witness_sets
         self._store_confirmed_at = -math.inf
         self._witness_confirmed_at.clear()
 
@@ -64,7 +67,7 @@
 
     def confirm_by_witness(self, witness: str, offset: int, sent_at: float) -> None:
         """Record that a witness confirmed ``offset`` to a heartbeat sent at ``sent_at``."""
-        if offset == self.offset and witness in self.witnesses:
+        if offset == self.offset and any(witness in names for names in self.witness_sets):
             previous = self._witness_confirmed_at.get(witness, -math.inf)
             self._witness_confirmed_at[witness] = max(previous, sent_at)
 
@@ -76,7 +79,13 @@
         return max(self._store_confirmed_at, by_witnesses) + LEASE_TERM_S
 
     def _find_witness_majority(self) -> float:
-        return find_majority_instant(self.witnesses, self._witness_confirmed_at, newest_first=True)
+        return min(
+            (
+                find_majority_instant(names, self._witness_confirmed_at, newest_first=True)
+                for names in self.witness_sets
+            ),
+            default=-math.inf,
+        )
 
 
 @attrs.define
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -51,7 +51,8 @@
 LEASE_CHECK_STEP_S = 1.0  # by which others check later; heartbeats tell them of an earlier check
 CONFIRMATION_WAIT_S = 0.25  # in which owners ask the writer of an assignment for its read
 LEASE_CHECK_RETRY_S = 0.7  # while witnesses do not confirm
-MIN_WITNESS_CHANGE_INTERVAL_S = 25.0  # longer than a lease lasts without the store
+# Longer than a lease lasts without the store, and than the age of a copy from which it comes back.
+MIN_WITNESS_CHANGE_INTERVAL_S = 25.0
 ASSIGNMENT_KEY_PREFIX = "assign/"
 
 
@@ -204,7 +205,7 @@
     def _choose_priority_peers(self) -> None:
         """Give the lease's witnesses priority and, on the leader, all peers of the service."""
         current = self.assignments.get(self._service)
-        priority = set(current.witnesses) if current is not None else set()
+        priority = set().union(*current.witness_sets) if current is not None else set()
         if self._is_leader(read_clock()):
             priority |= {peer.member.node for peer in self._mesh.list_by_service(self._service)}
         self._mesh.priority_peers = frozenset(priority)
@@ -266,6 +267,8 @@
                 # Write the same ranges without the former owners, or a restarted daemon would wait
                 # for them although they released the keys long ago.
                 ranges = current.ranges
+            if ranges is None and current.former_witnesses and not self._keeps_witnesses(now):
+                ranges = current.ranges
         witnesses = self._choose_witnesses(current, now)
         if ranges is None and witnesses == current.witnesses:
             return
@@ -340,7 +343,9 @@
         now: float,
     ) -> None:
         end = self._follower.replica.end
-        assignment = build_next_assignment(current, ranges, witnesses, end)
+        assignment = build_next_assignment(
+            current, ranges, witnesses, end, self._keeps_witnesses(now)
+        )
         entry = (ASSIGNMENT_KEY_PREFIX + self._service, encode_assignment(assignment))
         self._follower.count_call("write")
         outcome = await self._log.write(self._follower.partition, [entry], end)
@@ -480,6 +485,10 @@
             result.append(key_range)
         return tuple(result)
 
+    def _keeps_witnesses(self, now: float) -> bool:
+        """Return whether the witnesses may not change yet, and former ones still count."""
+        return now - self._witnesses_changed_at < MIN_WITNESS_CHANGE_INTERVAL_S
+
     def _choose_witnesses(self, current: Assignment, now: float) -> frozenset[str]:
         """Return the witnesses; changes are rare because a takeover also needs the former ones."""
         failure_domains = {
@@ -488,10 +497,7 @@
         failure_domains[self._node] = self._mesh.own.failure_domain
         if not current.witnesses:
             return choose_witnesses(failure_domains)
-        if (
-            now - self._witnesses_changed_at < MIN_WITNESS_CHANGE_INTERVAL_S
-            or current.witnesses <= failure_domains.keys()
-        ):
+        if self._keeps_witnesses(now) or current.witnesses <= failure_domains.keys():
             return current.witnesses
         return choose_witnesses(failure_domains)
 
--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -178,7 +178,7 @@
             return
         self.assignment = assignment
         self._notify_held_changed()
-        self.lease.adopt_assignment(partition_end, assignment.witnesses)
+        self.lease.adopt_assignment(partition_end, *assignment.witness_sets)
         self._reconcile()
 
     def update_incarnation(self, incarnation: BackendIncarnation) -> None:
@@ -520,12 +520,7 @@
         """Wait until no former owner holds a range; return the handover, or an empty string."""
         takeover = self._takeovers.get(key_range.first)
         if takeover is None or takeover.offset != self.assignment.offset:
-            witness_sets = tuple(
-                names
-                for names in (self.assignment.witnesses, self.assignment.former_witnesses)
-                if names
-            )
-            takeover = Takeover(self.assignment.offset, witness_sets, read_clock())
+            takeover = Takeover(self.assignment.offset, self.assignment.witness_sets, read_clock())
             takeover.record_witness(self._node, self.assignment.offset, read_clock())
             self._takeovers[key_range.first] = takeover
         release_requests = asyncio.gather(
--- a/persimmondock/tests/test_range_lease.py
+++ b/persimmondock/tests/test_range_lease.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from persimmondock._domain.range_lease import (
@@ -68,6 +68,18 @@
     assert lease.compute_end() == 100.0 + MAX_WITNESS_ONLY_S + LEASE_TERM_S
 
 
+def test_a_majority_of_the_former_witnesses_is_needed_too() -> None:
+    """Guards against leases that a new owner, who knows the former witnesses only, cannot see."""
+    lease = RangeLease()
+    lease.adopt_assignment(7, WITNESSES, frozenset("avw"))
+    lease.confirm_by_store(7, 100.0)
+    for name in "abcde":
+        lease.confirm_by_witness(name, 7, 105.0)
+    assert lease.compute_end() == 100.0 + LEASE_TERM_S
+    lease.confirm_by_witness("v", 7, 104.0)
+    assert lease.compute_end() == 104.0 + LEASE_TERM_S
+
+
 def test_a_newer_assignment_discards_all_confirmations() -> None:
     lease = make_lease()
     lease.confirm_by_store(7, 100.0)
@@ -116,3 +128,37 @@
         takeover.record_witness(name, 8, at)
     end = holder.compute_end()
     assert end + CLOCK_TOLERANCE * LEASE_TERM_S < takeover.compute_ready()
+
+
+@given(
+    asked=st.lists(
+        st.tuples(st.sampled_from("abcdevw"), st.floats(0, 40), st.floats(0, 0.5)), max_size=60
+    ),
+    informed=st.dictionaries(st.sampled_from("abcdevw"), st.floats(20, 60)),
+    store=st.floats(0, 20),
+    learned_at=st.floats(20, 25),
+)
+@example(
+    asked=[(name, 38.0, 0.0) for name in "bcd"],
+    informed={"v": 21.0, "w": 21.0},
+    store=19.0,
+    learned_at=20.0,
+)
+def test_no_grant_outlasts_a_takeover_that_knows_the_former_witnesses_only(
+    asked: list[tuple[str, float, float]],
+    informed: dict[str, float],
+    store: float,
+    learned_at: float,
+) -> None:
+    """The store loses the change of witnesses at 20 s, and names the former ones."""
+    former = frozenset("avw")
+    holder = RangeLease()
+    holder.adopt_assignment(7, WITNESSES, former)
+    holder.confirm_by_store(7, store)
+    for name, sent, delay in asked:
+        if sent + delay < informed.get(name, 1000.0):
+            holder.confirm_by_witness(name, 7, sent)
+    takeover = Takeover(8, (former,), learned_at)
+    for name, at in informed.items():
+        takeover.record_witness(name, 8, at)
+    assert holder.compute_end() + CLOCK_TOLERANCE * LEASE_TERM_S < takeover.compute_ready()
--- a/persimmondock/tests/virtual_fleet.py
+++ b/persimmondock/tests/virtual_fleet.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import contextvars
 import math
 import random
 from collections import defaultdict
-from collections.abc import Coroutine, Sequence
+from collections.abc import Coroutine, Iterator, Sequence
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -55,7 +56,7 @@
     from persimmondock._tasks.backend_gate import BackendGate
 
 STORE_CALL_S = 0.004
-WRITE_TIMEOUT_S = 1.5
+CALL_TIMEOUT_S = 1.5
 ANNOUNCE_S = 0.87
 RELEASING_INTERVAL_S = 0.1
 ACK_TIMEOUT_S = 1.0
@@ -96,12 +97,16 @@
         Instant until which no call is answered.
     late_writes
         Delays in seconds of the next conditional writes, which get no answer.
+    cut_off, refused
+        Names of the VMs whose daemons get no answer, and of those that are refused every call.
     """
 
     def __init__(self) -> None:
         self.era = 0
         self.down_until = -math.inf
         self.late_writes: list[float] = []
+        self.cut_off: set[str] = set()
+        self.refused: set[str] = set()
         self._records: dict[Partition, list[_Record]] = {}
         self._appended = asyncio.Event()
 
@@ -157,9 +162,21 @@
         """Whether calls get no answer."""
         return read_clock() < self.down_until
 
+    async def _find_failure(self) -> StoreFailed | None:
+        """Return why the daemon whose code runs gets no answer, or None."""
+        daemon = RUNNING_DAEMON.get()
+        if daemon is not None and daemon.name in self.cut_off:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return StoreFailed("no answer")
+        if daemon is not None and daemon.name in self.refused:
+            return StoreFailed("status 503")
+        return None
+
     async def read_newest(self, partition: Partition) -> Records | StoreFailed:
         """Read the newest record of each key."""
         await asyncio.sleep(STORE_CALL_S)
+        if (failure := await self._find_failure()) is not None:
+            return failure
         if self.is_down:
             return StoreFailed("down")
         newest = {entry.key: entry for entry in self._list_entries(partition)}
@@ -168,6 +185,8 @@
     async def read_from(self, partition: Partition, offset: int, wait_s: float) -> ReadOutcome:
         """Read records from a position; wait up to ``wait_s`` seconds for one."""
         await asyncio.sleep(STORE_CALL_S / 2)
+        if (failure := await self._find_failure()) is not None:
+            return failure
         wait_until = read_clock() + wait_s
         while (
             not self.is_down
@@ -189,21 +208,23 @@
             entries = self._list_entries(partition, find_offset(offset))
             outcome = Records(tuple(entries), self._find_end(partition))
         await asyncio.sleep(STORE_CALL_S / 2)
-        return outcome
+        return await self._find_failure() or outcome
 
     async def write(
         self, partition: Partition, entries: Sequence[tuple[str, bytes]], expected_end: int | None
     ) -> WriteOutcome:
         """Append records; with ``expected_end`` only if the partition ends there, in any era."""
+        if (failure := await self._find_failure()) is not None:
+            return failure
         if expected_end is not None and self.late_writes:
             late = self._write_late(partition, entries, expected_end, self.late_writes.pop(0))
             asyncio.get_running_loop().create_task(late, context=contextvars.Context())
-            await asyncio.sleep(WRITE_TIMEOUT_S)
+            await asyncio.sleep(CALL_TIMEOUT_S)
             return StoreFailed("no answer")
         await asyncio.sleep(STORE_CALL_S / 2)
         outcome = self._write_now(partition, entries, expected_end)
         await asyncio.sleep(STORE_CALL_S / 2)
-        return outcome
+        return await self._find_failure() or outcome
 
     async def _write_late(
         self,
@@ -235,6 +256,8 @@
         # In the order of their start, so that runs can be repeated.
         self.tasks: dict[asyncio.Task[Any], None] = {}
         self.is_running = True
+        self.name = vm.name
+        self.host = vm.host
         settings = NodeSettings(
             node=vm.name,
             failure_domain=vm.failure_domain,
@@ -280,6 +303,11 @@
     return task
 
 
+def _find_running_host() -> str:
+    daemon = RUNNING_DAEMON.get()
+    return daemon.host if daemon is not None else ""
+
+
 @attrs.define(eq=False)
 class VirtualVm:
     """A daemon and the backend server beside it.
@@ -301,6 +329,11 @@
     starts: int = 0
     announcing: asyncio.Task[None] | None = None
 
+    @property
+    def host(self) -> str:
+        """Address without the port."""
+        return self.peer_address.partition(":")[0]
+
 
 @attrs.define
 class Sending:
@@ -347,6 +380,7 @@
         max_sendings: int = 1,
     ) -> None:
         self.network = VirtualNetwork()
+        self.network.find_host = _find_running_host
         self.log = VirtualLog()
         self.random = random.Random(seed)
         self.vms = [
@@ -431,11 +465,16 @@
         """Kill a daemon, and start it again later."""
         if vm.daemon is None:
             return
-        vm.daemon.kill()
-        vm.daemon = None
+        self.kill_daemon(vm)
         await asyncio.sleep(down_s)
         await self.start_daemon(vm)
 
+    def kill_daemon(self, vm: VirtualVm) -> None:
+        """Kill a daemon."""
+        if vm.daemon is not None:
+            vm.daemon.kill()
+            vm.daemon = None
+
     def start_server(
         self, vm: VirtualVm, announced_after_s: float = 0.0, keeps_name: bool = False
     ) -> None:
@@ -539,6 +578,23 @@
         await asyncio.sleep(for_s)
         self.log.append(PARTITIONS.operator, EVACUATION_PREFIX + failure_domain, b"")
 
+    @contextlib.contextmanager
+    def cut(self, *groups: Sequence[VirtualVm]) -> Iterator[None]:
+        """Cut groups of VMs off from each other."""
+        pairs = {
+            frozenset({one.host, other.host})
+            for group in groups
+            for one in group
+            for others in groups
+            if others is not group
+            for other in others
+        } - self.network.cuts
+        self.network.cuts |= pairs
+        try:
+            yield
+        finally:
+            self.network.cuts -= pairs
+
     # Requests.
 
     async def _send_requests(self, vm: VirtualVm) -> None:
--- a/persimmondock/tests/virtual_network.py
+++ b/persimmondock/tests/virtual_network.py
@@ -28,6 +28,7 @@
 from persimmondock.platform._backend import PlatformBackend
 
 HOP_S = 0.0003
+HEALED_POLL_S = 0.05
 HEALTH_PATH = "/health"
 RESET = ConnectionResetError("reset by the server")
 
@@ -38,11 +39,22 @@
 
 
 class VirtualTransport(asyncio.Transport):
-    """One end of a connection; bytes arrive ``HOP_S`` later and in order."""
+    """One end of a connection; bytes arrive ``HOP_S`` later and in order.
 
-    def __init__(self) -> None:
+    What is sent over a cut arrives when that has healed, unless the sender has reset the
+    connection.
+
+    Attributes
+    ----------
+    is_cut
+        Returns whether nothing passes between the two ends.
+    """
+
+    def __init__(self, is_cut: Callable[[], bool] = bool) -> None:
         super().__init__()
         self.other: VirtualTransport | None = None
+        self.is_cut = is_cut
+        self._held_up: list[bytes | ConnectionResetError | None] = []
         self._protocol: asyncio.Protocol | None = None
         self._inbox: deque[bytes | ConnectionResetError | None] = deque()
         self._is_closed = False
@@ -59,6 +71,26 @@
 
     def _send(self, item: bytes | ConnectionResetError | None) -> None:
         """Send bytes, the end of the stream (None), or a reset."""
+        if not self._held_up and not self.is_cut():
+            self._deliver(item)
+            return
+        if isinstance(item, ConnectionResetError):
+            self._held_up.clear()
+        self._held_up.append(item)
+        if len(self._held_up) == 1:
+            self._deliver_when_healed()
+
+    def _deliver_when_healed(self) -> None:
+        if self.is_cut():
+            asyncio.get_running_loop().call_later(
+                HEALED_POLL_S, self._deliver_when_healed, context=contextvars.Context()
+            )
+            return
+        held_up, self._held_up = self._held_up, []
+        for item in held_up:
+            self._deliver(item)
+
+    def _deliver(self, item: bytes | ConnectionResetError | None) -> None:
         if self.other is not None:
             self.other._inbox.append(item)
             asyncio.get_running_loop().call_later(
@@ -165,11 +197,17 @@
         What listens now, by address.
     processes
         All processes of backend servers, past and present.
+    cuts
+        Pairs of hosts between which nothing passes.
+    find_host
+        Returns the host of what runs, or an empty string.
     """
 
     def __init__(self) -> None:
         self.listeners: dict[str, VirtualListener] = {}
         self.processes: list[ServerProcess] = []
+        self.cuts: set[frozenset[str]] = set()
+        self.find_host: Callable[[], str] = str
         loop: Any = asyncio.get_running_loop()
         loop.create_connection = self._create_connection
         loop.create_server = self._create_server
@@ -178,12 +216,20 @@
         self, make_protocol: Callable[[], asyncio.Protocol], host: str, port: int, **_: Any
     ) -> tuple[VirtualTransport, asyncio.Protocol]:
         await asyncio.sleep(HOP_S)
-        listener = self.listeners.get(f"{host}:{port}")
+        address = f"{host}:{port}"
+        ends = frozenset({self.find_host(), host})
+
+        def is_cut() -> bool:
+            return ends in self.cuts
+
+        while is_cut():
+            await asyncio.sleep(HEALED_POLL_S)
+        listener = self.listeners.get(address)
         if listener is None or listener.refuses():
             await asyncio.sleep(HOP_S)
-            raise ConnectionRefusedError(f"{host}:{port}")
-        client = VirtualTransport()
-        server = listener.context.copy().run(VirtualTransport)
+            raise ConnectionRefusedError(address)
+        client = VirtualTransport(is_cut)
+        server = listener.context.copy().run(VirtualTransport, is_cut)
         client.other, server.other = server, client
         server.open(listener.make_protocol())
         try:
