OWNER: the first assignment of an era waits for witnesses that nobody knows

What callers saw: nothing known.

Cause: the store came back from a copy that lacked the first assignment, and the daemon that planned had started since. It took the absence of an assignment for a proof that no witnesses were to be waited for: its owners waited for the witnesses that it chose itself, some 3 s. Owners that were cut off with the lost witnesses were confirmed by these: two holders.

Change: before the first assignment of an era, the planner asks the live daemons of its service for the latest assignment that they know; owners and witnesses of that one are the base. If nobody knows one, the former witnesses of the new one are unknown ones that never answer, so new owners wait as long as witnesses alone confirm a lease.

Why it works: a lease outlasts its witnesses' knowledge of the new era by one term at most, or is confirmed by the store no later than the loss; that and 20 s of witnesses are waited for.

--- a/persimmondock/_domain/assignment.py
+++ b/persimmondock/_domain/assignment.py
@@ -59,6 +59,8 @@
 
 # Stands for those who may hold keys by an assignment that the log has lost.
 UNKNOWN_OWNER = BackendIncarnation("", "", 0)
+# Stands for those who may confirm the leases of such an assignment; none of them ever answers.
+UNKNOWN_WITNESSES = frozenset({"(unknown)"})
 
 
 @attrs.frozen
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 from loguru import logger
@@ -12,6 +12,7 @@
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.peer_stream import PeerRequestError
 from persimmondock._domain.assignment import (
+    UNKNOWN_WITNESSES,
     Assignment,
     BackendIncarnation,
     EligibleOwner,
@@ -27,6 +28,7 @@
     renew_tokens,
 )
 from persimmondock._domain.balance import MAX_RANGES, OwnerCapacity, balance_ranges
+from persimmondock._domain.foreign_data import UNREADABLE, check_whole_number
 from persimmondock._domain.key_loads import KeyLoads, merge_rates
 from persimmondock._domain.log_position import find_era
 from persimmondock._domain.range_lease import LEASE_TERM_S
@@ -35,10 +37,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmondock._adapters.peer_stream import Delivery
     from persimmondock._domain.gate_status import GateStatus
     from persimmondock._domain.replica import KeyedEntry
     from persimmondock._ports.keyed_log import KeyedLog
-    from persimmondock._tasks.mesh import Mesh
+    from persimmondock._tasks.mesh import Mesh, Peer
     from persimmondock._tasks.range_keeper import RangeKeeper
     from persimmondock._tasks.store_follower import PartitionFollower
 
@@ -47,6 +50,10 @@
 OWNER_LOST_AFTER_S = 2.5  # a killed process restarts within about 2 s
 BALANCE_INTERVAL_S = 1.0  # handovers take tenths of a second; load figures decay in 1.5 s
 LOADS_TIMEOUT_S = 0.3  # a peer that replies later is too busy to get more keys
+RECALL_TIMEOUT_S = 0.3  # as long as keys are not served while daemons that are alive do not reply
+MAX_RECALL_PEERS = (
+    64  # each replies with up to a record; a loss of all copies among them is unlikely
+)
 LEASE_CHECK_INTERVAL_S = 3.0  # while witnesses confirm; each check is a billed call
 LEASE_CHECK_STEP_S = 1.0  # by which others check later; heartbeats tell them of an earlier check
 CONFIRMATION_WAIT_S = 0.25  # in which owners ask the writer of an assignment for its read
@@ -143,7 +150,7 @@
                 )
                 continue
             self._superseded.discard(service)
-            if known is not None and known.witnesses != assignment.witnesses:
+            if known is None or known.witnesses != assignment.witnesses:
                 self._witnesses_changed_at = read_clock()
             self.assignments[service] = assignment
             logger.info(
@@ -250,13 +257,11 @@
         is_in_force = current.is_in_force(self._follower.replica.end)
         if not is_in_force and now - self._started_at < FIRST_ASSIGNMENT_DELAY_S:
             return
-        owners = self._list_owners(statuses, current, now)
-        ranges = plan_assignment(current, owners)
         if not is_in_force and self._may_lack_owners():
-            if owners:
-                ranges = renew_tokens(current.ranges if ranges is None else ranges)
-                await self._write(current, ranges, self._choose_witnesses(current, now), now)
+            await self._write_first_of_era(now)
             return
+        owners = self._list_owners(statuses, current, now)
+        ranges = plan_assignment(current, owners)
         if ranges is None and self._service in self._superseded:
             ranges = current.ranges
         if ranges is None and self._may_balance(current, statuses, now):
@@ -281,6 +286,65 @@
         ranges = self._drop_former_owners(current, ranges, statuses)
         await self._write(current, ranges, witnesses, now)
 
+    async def _write_first_of_era(self, now: float) -> None:
+        """Write the first assignment of an era, from what is known of those that were lost."""
+        await self._recall_assignment()
+        current = self.assignments.get(self._service, Assignment(self._service))
+        statuses = self._list_statuses(now)
+        self._record_availability(statuses, now)
+        owners = self._list_owners(statuses, current, now)
+        if current.is_in_force(self._follower.replica.end) or not owners:
+            return
+        ranges = plan_assignment(current, owners)
+        ranges = renew_tokens(current.ranges if ranges is None else ranges)
+        witnesses = self._choose_witnesses(current, now)
+        if not current.witnesses:
+            current = attrs.evolve(current, witnesses=UNKNOWN_WITNESSES)
+        await self._write(current, ranges, witnesses, now)
+
+    async def _recall_assignment(self) -> None:
+        """Learn which assignment was in force last from daemons that had it before it was lost."""
+
+        async def ask(peer: Peer) -> Assignment | None:
+            try:
+                async with asyncio.timeout(RECALL_TIMEOUT_S):
+                    offset, data = await peer.client.request("assignment", known_offset)
+                return (
+                    decode_assignment(self._service, check_whole_number(offset), data)
+                    if data
+                    else None
+                )
+            except (PeerRequestError, TimeoutError, *UNREADABLE) as error:
+                logger.info("event=assignment_unknown peer={} error={!r}", peer.member.node, error)
+                return None
+
+        now = read_clock()
+        current = self.assignments.get(self._service)
+        known_offset = current.offset if current is not None else 0
+        peers = [p for p in self._mesh.list_by_service(self._service) if p.is_alive(now)]
+        for answer in await asyncio.gather(*(ask(peer) for peer in peers[:MAX_RECALL_PEERS])):
+            known = self.assignments.get(self._service)
+            if answer is None or (known is not None and not _is_later(answer, known)):
+                continue
+            self.assignments[self._service] = answer
+            logger.info(
+                "event=assignment_recalled service={} offset={} ranges={} witnesses={}",
+                self._service,
+                answer.offset,
+                len(answer.ranges),
+                len(answer.witnesses),
+            )
+
+    async def handle_assignment(self, offset: Any, _: Delivery) -> Any:
+        """Reply with the latest assignment that this daemon knows of, in force or not.
+
+        The data is empty if it knows none, or that of the given offset.
+        """
+        known = self.assignments.get(self._service)
+        if known is None or known.offset == offset:
+            return [0, b""]
+        return [known.offset, encode_assignment(known)]
+
     def _may_lack_owners(self) -> bool:
         """Return whether an assignment that is not known any more may have given out keys."""
         is_restored = find_era(self._follower.replica.end) > 0
@@ -508,5 +572,19 @@
     One whose tokens are of an earlier era than its record was not written in that era: the log came
     back with it, or its write was on its way meanwhile. It is not newer than what is known.
     """
-    is_of_its_era = assignment.is_in_force(assignment.offset)
-    return assignment.era > known.era or (assignment.era == known.era and is_of_its_era)
+    return assignment.era > known.era or (
+        assignment.era == known.era and _is_of_its_era(assignment)
+    )
+
+
+def _is_later(assignment: Assignment, known: Assignment) -> bool:
+    """Return whether an assignment, which a peer knows, was in force after the known one."""
+    if not _is_of_its_era(assignment):
+        return False
+    if _is_of_its_era(known):
+        return assignment.offset > known.offset
+    return assignment.era >= known.era
+
+
+def _is_of_its_era(assignment: Assignment) -> bool:
+    return assignment.is_in_force(assignment.offset)
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -199,6 +199,7 @@
             self.gate.loads,
             find_max_rows(settings.grant_mode),
         )
+        self.mesh.server.handlers["assignment"] = self.control.handle_assignment
         self.dispatcher = Dispatcher(
             settings.service, settings.bounds, self.mesh, self.gate, self.control, self.metrics
         )
--- a/persimmondock/tests/test_key_control.py
+++ b/persimmondock/tests/test_key_control.py
@@ -8,11 +8,14 @@
 import pytest
 
 from persimmondock._adapters.clock import read_clock
+from persimmondock._adapters.peer_stream import Delivery
 from persimmondock._domain.assignment import (
     UNKNOWN_OWNER,
+    UNKNOWN_WITNESSES,
     Assignment,
     EligibleOwner,
     KeyRange,
+    decode_assignment,
     encode_assignment,
     plan_assignment,
 )
@@ -39,9 +42,20 @@
 
 @attrs.define
 class FakeLink:
-    """A peer client that is always connected."""
+    """A peer client that is always connected.
+
+    Parameters
+    ----------
+    known
+        The peer's assignment, or None if it has none.
+    """
 
     connected: bool = True
+    known: Assignment | None = None
+
+    async def request(self, kind: str, _: object) -> object:
+        assert kind == "assignment"
+        return [self.known.offset, encode_assignment(self.known)] if self.known else [0, b""]
 
 
 def make_status(number: int, born_ms: int = 1, **changes: object) -> GateStatus:
@@ -302,6 +316,64 @@
     ]
 
 
+def make_known(owner: int, era: int, offset: int) -> Assignment:
+    """Return an assignment that was written in an era."""
+    position = make_position(era, offset)
+    return make_assignment(make_range(0, 9, owner, fence=position), offset=position)
+
+
+@pytest.mark.parametrize(
+    ("told", "owner"),
+    [
+        ([], 1),
+        ([None, make_known(2, 0, 24)], 2),
+        ([make_known(2, 0, 24), make_known(3, 0, 23)], 2),
+        ([make_known(2, 0, 24), make_known(3, 1, 4)], 3),
+    ],
+    ids=["nobody", "one", "two of one era", "a later era"],
+)
+def test_the_first_assignment_of_an_era_goes_by_the_latest_one_that_any_daemon_has(
+    harness: ControlHarness,
+    written: list[tuple[KeyRange, ...]],
+    told: list[Assignment | None],
+    owner: int,
+) -> None:
+    """Guards against owners of before a lost move while other daemons know the later ones."""
+    start_era(harness, make_assignment(make_range(0, 9, 1), offset=2), era=2)
+    for number, known in enumerate(told, 2):
+        harness.add_peer(number, make_status(number)).client.known = known  # type: ignore[attr-defined]
+    harness.control._started_at -= FIRST_ASSIGNMENT_DELAY_S
+    asyncio.run(harness.control._plan())
+    assert [item.owner for item in written[0]] == [make_incarnation(owner)]
+
+
+def test_without_a_known_assignment_the_witnesses_of_lost_ones_are_unknown(
+    harness: ControlHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against owners that do not wait for leases which unknown daemons confirm."""
+    currents = []
+
+    async def write(current: Assignment, *_: object) -> None:
+        currents.append(current)
+
+    monkeypatch.setattr(harness.control, "_write", write)
+    harness.follower.replica.end = make_position(1, 0)
+    harness.follower.replica.confirmed_by_store = True
+    harness.control._started_at -= FIRST_ASSIGNMENT_DELAY_S
+    asyncio.run(harness.control._plan())
+    assert [current.witnesses for current in currents] == [UNKNOWN_WITNESSES]
+
+
+async def test_a_daemon_tells_the_assignment_that_it_knows(harness: ControlHarness) -> None:
+    delivery = Delivery("node-2", 1)
+    assert await harness.control.handle_assignment(0, delivery) == [0, b""]
+    known = make_known(1, 0, 24)
+    harness.control.assignments[SERVICE] = known
+    assert await harness.control.handle_assignment(known.offset, delivery) == [0, b""]
+    offset, data = await harness.control.handle_assignment(2, delivery)
+    assert decode_assignment(SERVICE, offset, data) == known
+
+
 def test_a_daemon_that_has_just_started_waits_before_it_replaces_an_assignment(
     harness: ControlHarness, written: list[tuple[KeyRange, ...]]
 ) -> None:
