Keys of a new site are served at once on a store whose era is above 0

What callers saw: nothing landed.

Cause: the planner cannot tell a new site from one that has lost all by what the store lists.

Change: the settings say it (self.bootstrap); in a first start, what nobody knows and the store does not list was not there.

--- a/persimmondock/_domain/site.py
+++ b/persimmondock/_domain/site.py
@@ -79,6 +79,8 @@
         How backend servers get their grants of keys.
     bandwidth_mbps
         Mbit/s of the VM's link; 0 if unknown.
+    is_first_start
+        Whether the whole site starts for the first time, so that nothing was in force before.
     """
 
     node: str
@@ -93,3 +95,4 @@
     bounds: SiteBounds = attrs.field(factory=SiteBounds)
     grant_mode: GrantMode = attrs.field(factory=GrantsByCall)
     bandwidth_mbps: float = 0.0
+    is_first_start: bool = False
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -88,6 +88,8 @@
         Request rates of the keys served here.
     max_rows
         Grants that an owner is to have at most; beyond it its adjacent ranges are merged.
+    is_first_start
+        Whether the whole site starts for the first time.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         is_keyed: Callable[[str], bool],
         loads: KeyLoads,
         max_rows: int = MAX_RANGES,
+        is_first_start: bool = False,
     ) -> None:
         self.assignments: dict[str, Assignment] = {}
         self._node = node
@@ -116,6 +119,7 @@
         self._is_keyed = is_keyed
         self._loads = loads
         self._max_rows = max_rows
+        self._is_first_start = is_first_start
         self._started_at = read_clock()
         self._unavailable_since: dict[str, float] = {}
         # Daemons whose status names an incarnation that started before the one that owns keys.
@@ -298,7 +302,7 @@
         ranges = plan_assignment(current, owners)
         ranges = renew_tokens(current.ranges if ranges is None else ranges)
         witnesses = self._choose_witnesses(current, now)
-        if not current.witnesses:
+        if not current.witnesses and not self._is_first_start:
             current = attrs.evolve(current, witnesses=UNKNOWN_WITNESSES)
         await self._write(current, ranges, witnesses, now)
 
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -198,6 +198,7 @@
             self.site.is_keyed,
             self.gate.loads,
             find_max_rows(settings.grant_mode),
+            settings.is_first_start,
         )
         self.mesh.server.handlers["assignment"] = self.control.handle_assignment
         self.dispatcher = Dispatcher(
--- a/persimmondock/platform/_settings.py
+++ b/persimmondock/platform/_settings.py
@@ -106,6 +106,7 @@
             bounds=self._read_bounds(),
             grant_mode=self._read_grant_mode(),
             bandwidth_mbps=self._read_number("self.limits.bandwidth_mbps", 0.0),
+            is_first_start=self._read_flag("self.bootstrap"),
         )
 
     def _read_grant_mode(self) -> GrantMode:
@@ -170,6 +171,12 @@
         except ValueError as error:
             raise self._make_error(key_path, value, "a number of 0 or more") from error
 
+    def _read_flag(self, key_path: str) -> bool:
+        value = self._find_value(key_path)
+        if value is not None and not isinstance(value, bool):
+            raise self._make_error(key_path, value, "true or false")
+        return bool(value)
+
     def _make_error(self, key_path: str, value: Any, expected: str) -> SettingsError:
         return SettingsError(
             f"{self._file_name}: {key_path} must be {expected}, not {show_value(value)}"
--- a/persimmondock/tests/platform/test_settings.py
+++ b/persimmondock/tests/platform/test_settings.py
@@ -85,6 +85,7 @@
         ("platform.platform.address", ""),
         ("timing.bounds.drain_s", "soon"),
         ("timing.bounds.drain_s", -1),
+        ("self.bootstrap", "yes"),
     ],
 )
 def test_an_invalid_field_is_named_with_its_value(
@@ -112,6 +113,15 @@
     assert repr(value) in str(caught.value)
 
 
+@pytest.mark.parametrize(("value", "expected"), [(True, True), (False, False), (None, False)])
+def test_the_first_start_of_a_site_is_told_from_later_ones(
+    tmp_path: Path, value: object, expected: bool
+) -> None:
+    """Guards against keys of a new site that wait for the leases of an earlier one."""
+    file = write_settings(tmp_path, replace_field("self.bootstrap", value))
+    assert load_node_settings(file).is_first_start is expected
+
+
 @pytest.mark.parametrize("text", ["a: [", "\x00", "just text"])
 def test_an_invalid_file_is_named(tmp_path: Path, text: str) -> None:
     with pytest.raises(SettingsError, match=r"settings\.yaml"):
--- a/persimmondock/tests/test_key_control.py
+++ b/persimmondock/tests/test_key_control.py
@@ -347,10 +347,17 @@
     assert [item.owner for item in written[0]] == [make_incarnation(owner)]
 
 
+@pytest.mark.parametrize(
+    ("is_first_start", "witnesses"), [(False, UNKNOWN_WITNESSES), (True, frozenset())]
+)
 def test_without_a_known_assignment_the_witnesses_of_lost_ones_are_unknown(
-    harness: ControlHarness, monkeypatch: pytest.MonkeyPatch
+    harness: ControlHarness,
+    monkeypatch: pytest.MonkeyPatch,
+    is_first_start: bool,
+    witnesses: frozenset[str],
 ) -> None:
     """Guards against owners that do not wait for leases which unknown daemons confirm."""
+    harness.control._is_first_start = is_first_start
     currents = []
 
     async def write(current: Assignment, *_: object) -> None:
@@ -361,7 +368,7 @@
     harness.follower.replica.confirmed_by_store = True
     harness.control._started_at -= FIRST_ASSIGNMENT_DELAY_S
     asyncio.run(harness.control._plan())
-    assert [current.witnesses for current in currents] == [UNKNOWN_WITNESSES]
+    assert [current.witnesses for current in currents] == [witnesses]
 
 
 async def test_a_daemon_tells_the_assignment_that_it_knows(harness: ControlHarness) -> None:
