OWNER: a change of witnesses is recent until the present era is 25 s old

What callers saw: nothing known.

Cause: the 25 s for which leases need the former witnesses counted from when this daemon had seen the change. A planner that recalled the change from another daemon took its own last change, long ago, and dropped the former witnesses in its first record. And after a loss, a second one may go back to before the change though it is older than 25 s: the copy need not be older than the first record of the era.

Evidence: two holders for 8.8 s (recalled change) and 9.4 s (lost twice, copies 13 s old) in virtual time.

Change: whatever way an assignment becomes known, its witnesses are new if they differ or if its era is later than that of the known one; the first assignment of an era always keeps the former witnesses.

Price: witnesses do not change within 25 s of a loss.

--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -154,16 +154,7 @@
                 )
                 continue
             self._superseded.discard(service)
-            if known is None or known.witnesses != assignment.witnesses:
-                self._witnesses_changed_at = read_clock()
-            self.assignments[service] = assignment
-            logger.info(
-                "event=assignment_known service={} offset={} ranges={} witnesses={}",
-                service,
-                assignment.offset,
-                len(assignment.ranges),
-                len(assignment.witnesses),
-            )
+            self._adopt_assignment(assignment, "assignment_known")
         own, end = self.assignments.get(self._service), self._follower.replica.end
         if own is not None and own.is_in_force(end):
             self._keeper.update_assignment(own, end)
@@ -172,6 +163,25 @@
             wait_until = read_clock() + CONFIRMATION_WAIT_S
             self._lease_checked_at = max(self._lease_checked_at, wait_until - LEASE_CHECK_RETRY_S)
 
+    def _adopt_assignment(self, assignment: Assignment, event: str) -> None:
+        known = self.assignments.get(assignment.service)
+        if (
+            known is None
+            or known.witnesses != assignment.witnesses
+            # A copy of the log from this era may lack what led to its first assignment.
+            or known.era < assignment.era
+        ):
+            self._witnesses_changed_at = read_clock()
+        self.assignments[assignment.service] = assignment
+        logger.info(
+            "event={} service={} offset={} ranges={} witnesses={}",
+            event,
+            assignment.service,
+            assignment.offset,
+            len(assignment.ranges),
+            len(assignment.witnesses),
+        )
+
     def record_store_read(self, end: int, sent_at: float) -> None:
         """Record a read of the store as evidence for the lease.
 
@@ -288,7 +298,7 @@
             # would not notice, since this daemon's copy has that record by now.
             return
         ranges = self._drop_former_owners(current, ranges, statuses)
-        await self._write(current, ranges, witnesses, now)
+        await self._write(current, ranges, witnesses, now, self._keeps_witnesses(now))
 
     async def _write_first_of_era(self, now: float) -> None:
         """Write the first assignment of an era, from what is known of those that were lost."""
@@ -304,7 +314,8 @@
         witnesses = self._choose_witnesses(current, now)
         if not current.witnesses and not self._is_first_start:
             current = attrs.evolve(current, witnesses=UNKNOWN_WITNESSES)
-        await self._write(current, ranges, witnesses, now)
+        keeps_former_witnesses = True
+        await self._write(current, ranges, witnesses, now, keeps_former_witnesses)
 
     async def _recall_assignment(self) -> None:
         """Learn which assignment was in force last from daemons that had it before it was lost."""
@@ -328,16 +339,8 @@
         peers = [p for p in self._mesh.list_by_service(self._service) if p.is_alive(now)]
         for answer in await asyncio.gather(*(ask(peer) for peer in peers[:MAX_RECALL_PEERS])):
             known = self.assignments.get(self._service)
-            if answer is None or (known is not None and not _is_later(answer, known)):
-                continue
-            self.assignments[self._service] = answer
-            logger.info(
-                "event=assignment_recalled service={} offset={} ranges={} witnesses={}",
-                self._service,
-                answer.offset,
-                len(answer.ranges),
-                len(answer.witnesses),
-            )
+            if answer is not None and (known is None or _is_later(answer, known)):
+                self._adopt_assignment(answer, "assignment_recalled")
 
     async def handle_assignment(self, offset: Any, _: Delivery) -> Any:
         """Reply with the latest assignment that this daemon knows of, in force or not.
@@ -409,11 +412,10 @@
         ranges: tuple[KeyRange, ...],
         witnesses: frozenset[str],
         now: float,
+        keeps_former_witnesses: bool,
     ) -> None:
         end = self._follower.replica.end
-        assignment = build_next_assignment(
-            current, ranges, witnesses, end, self._keeps_witnesses(now)
-        )
+        assignment = build_next_assignment(current, ranges, witnesses, end, keeps_former_witnesses)
         entry = (ASSIGNMENT_KEY_PREFIX + self._service, encode_assignment(assignment))
         self._follower.count_call("write")
         outcome = await self._log.write(self._follower.partition, [entry], end)
