OWNER: assignments that are not in force are ordered by where they were written

What callers saw: nothing known.

Cause: a record that the restored store lists again has a position of the new era, which says nothing of its place among those of before. A planner that had been cut off kept its old copy in place of a later row of the store (on too, with the waits of then), and took an older assignment of another daemon for a later one than that row. It planned with witnesses of long ago.

Change: an assignment's origin, the era of its tokens and the offset of its record, orders those of all eras. A copy keeps the offsets of its records, and a write that was on its way takes effect only at the offset that it names.

--- a/persimmondock/_domain/assignment.py
+++ b/persimmondock/_domain/assignment.py
@@ -25,7 +25,7 @@
     check_whole_number,
     show_value,
 )
-from persimmondock._domain.log_position import find_era
+from persimmondock._domain.log_position import find_era, find_offset, make_position
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
@@ -119,6 +119,14 @@
         """Era of the log in which it was written: that of its earliest fencing token."""
         return find_era(min((item.fence for item in self.ranges), default=0))
 
+    @property
+    def origin(self) -> int:
+        """Position after its record at its writing, or at that which it was on its way for.
+
+        A log that comes back from a copy lists its records at the offsets that they had.
+        """
+        return make_position(self.era, find_offset(self.offset))
+
     @property
     def witness_sets(self) -> tuple[frozenset[str], ...]:
         """Sets of daemons of which a majority each confirms leases."""
--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -143,7 +143,7 @@
                 self._superseded.add(service)
                 continue
             known = self.assignments.get(service)
-            if known is not None and not _replaces(assignment, known):
+            if known is not None and assignment.origin <= known.origin:
                 self._superseded.add(service)
                 logger.warning(
                     "event=assignment_not_in_force service={} offset={} era={} known_offset={}",
@@ -339,7 +339,7 @@
         peers = [p for p in self._mesh.list_by_service(self._service) if p.is_alive(now)]
         for answer in await asyncio.gather(*(ask(peer) for peer in peers[:MAX_RECALL_PEERS])):
             known = self.assignments.get(self._service)
-            if answer is not None and (known is None or _is_later(answer, known)):
+            if answer is not None and (known is None or answer.origin > known.origin):
                 self._adopt_assignment(answer, "assignment_recalled")
 
     async def handle_assignment(self, offset: Any, _: Delivery) -> Any:
@@ -570,27 +570,3 @@
         if self._keeps_witnesses(now) or current.witnesses <= failure_domains.keys():
             return current.witnesses
         return choose_witnesses(failure_domains)
-
-
-def _replaces(assignment: Assignment, known: Assignment) -> bool:
-    """Return whether an assignment, read from the log, takes the place of the known one.
-
-    One whose tokens are of an earlier era than its record was not written in that era: the log came
-    back with it, or its write was on its way meanwhile. It is not newer than what is known.
-    """
-    return assignment.era > known.era or (
-        assignment.era == known.era and _is_of_its_era(assignment)
-    )
-
-
-def _is_later(assignment: Assignment, known: Assignment) -> bool:
-    """Return whether an assignment, which a peer knows, was in force after the known one."""
-    if not _is_of_its_era(assignment):
-        return False
-    if _is_of_its_era(known):
-        return assignment.offset > known.offset
-    return assignment.era >= known.era
-
-
-def _is_of_its_era(assignment: Assignment) -> bool:
-    return assignment.is_in_force(assignment.offset)
