A daemon tells how late its event loop was, and whether it was busy

Change: the task that reconciles keys each 0.1 s records each of its runs. One that is more than 0.25 s late writes loop_late with the delay and the processor time that the process used since the run before, and counts into loop_late_ms by cause: busy, or not_run if it used less than half of the time. Time in a system call that blocks counts as not_run.

--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -80,6 +80,11 @@
     "backend_ms": MetricSpec(
         Kind.HISTOGRAM, "Seconds that requests took at the backend server here", ("verdict",)
     ),
+    "loop_late_ms": MetricSpec(
+        Kind.HISTOGRAM,
+        "Seconds by which runs of a periodic task were late, over 0.25 s",
+        ("cause",),
+    ),
     "answers_dropped": MetricSpec(
         Kind.COUNTER,
         "Answers, or bytes, of the backend server here that were counted for no request",
--- a/persimmondock/_tasks/range_keeper.py
+++ b/persimmondock/_tasks/range_keeper.py
@@ -23,8 +23,10 @@
 from persimmondock._domain.range_lease import RangeLease, Takeover, compute_hold_end
 from persimmondock._domain.site import GrantMode, GrantsByCall, GrantsInHeartbeats
 from persimmondock._domain.verdict import NotRun, Reason
+from persimmondock._ports.metrics import NoMetrics
 from persimmondock._tasks.call_grants import CallGrants
 from persimmondock._tasks.heartbeat_grants import MAX_PLANNED_ROWS, HeartbeatGrants
+from persimmondock._tasks.loop_meter import LoopMeter
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -86,6 +88,7 @@
         self.assignment = Assignment("")
         self.incarnation: BackendIncarnation | None = None
         self.mesh: Mesh | None = None
+        self.loop_meter = LoopMeter(RECONCILE_INTERVAL_S, NoMetrics())
         self._node = node
         self._held: dict[int, HeldRange] = {}
         self._acquiring: dict[tuple[int, int, int], asyncio.Task[None]] = {}
@@ -278,6 +281,7 @@
     async def run(self) -> None:
         """Reconcile and renew grants periodically until cancelled."""
         while True:
+            self.loop_meter.record_run()
             self._reconcile()
             self._channel.renew()
             await asyncio.sleep(RECONCILE_INTERVAL_S)
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -22,6 +22,7 @@
 from persimmondock._tasks.departure_keeper import DepartureKeeper
 from persimmondock._tasks.dispatcher import Dispatcher
 from persimmondock._tasks.key_control import KeyControl
+from persimmondock._tasks.loop_meter import LoopMeter
 from persimmondock._tasks.mesh import (
     DEPARTURES_KEY_PREFIX,
     OPERATOR_INDEX,
@@ -29,7 +30,7 @@
     Mesh,
     encode_member,
 )
-from persimmondock._tasks.range_keeper import RangeKeeper, find_max_rows
+from persimmondock._tasks.range_keeper import RECONCILE_INTERVAL_S, RangeKeeper, find_max_rows
 from persimmondock._tasks.shared_rates import SharedRates
 from persimmondock._tasks.site_state import SiteState
 from persimmondock._tasks.store_follower import (
@@ -125,6 +126,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         lease = RangeLease()
         self.keeper = RangeKeeper(server, lease, settings.node, settings.grant_mode)
+        self.keeper.loop_meter = LoopMeter(RECONCILE_INTERVAL_S, self.metrics)
         self.gate = BackendGate(settings.node, settings.bounds, server, self.keeper, self.metrics)
         self.site = SiteState(
             operator_codec.config_key,
