Soak: breaches of HELD and OWNER name the event loops that were late

The summary told only how late the soak's own process was, which has the stand-ins and the callers; of daemons it told nothing. It now reads their loop_late lines and names, beside each breach of HELD and OWNER, whose loops were late around it, by how much and with how much processor time, and which of these the plan froze; the summary has a line a process. What counts as a breach is unchanged.

--- a/persimmondock/soak/command.py
+++ b/persimmondock/soak/command.py
@@ -6,6 +6,7 @@
 import tempfile
 from collections import Counter
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from cleo.helpers import option
 
@@ -13,12 +14,17 @@
 from persimmondock._commands.exit_codes import EXIT_FAILED, EXIT_SUCCESS
 from persimmondock.soak.broken import BREAKS
 from persimmondock.soak.checks import Breach
+from persimmondock.soak.late_loops import LateLoop, render_late_loops, summarize_late_loops
 from persimmondock.soak.plan import Event, draw_plan
 from persimmondock.soak.runner import SoakRunner
 from persimmondock.soak.site import SoakSite
 from persimmondock.standins.site_messages import GRANT_MODES
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 MAX_VMS = 240  # a VM's number is the last octet of its address; the store's is 250
+LATE_WITHIN_S = 8.0  # before a breach: a request may be held that long, a lease lasts 3 s
 MAX_SHOWN_ITEMS = 6  # breaches of each rule, and events before each
 
 
@@ -68,11 +74,14 @@
             f"seed {seed}: {len(plan)} events, {runner.summary}, host late by up to "
             f"{runner.max_wakeup_delay_s:.2f} s, {len(breaches)} broken"
         )
+        late_loops = runner.list_late_loops()
+        for line in summarize_late_loops(late_loops):
+            self.show(line)
         counts = Counter(breach.rule for breach in breaches)
         for rule, count in sorted(counts.items()):
             self.show(f"{rule}: {count}")
             for breach in [item for item in breaches if item.rule == rule][:MAX_SHOWN_ITEMS]:
-                for line in render_breach(breach, runner.started_at, plan):
+                for line in render_breach(breach, runner.started_at, plan, late_loops):
                     self.show(line)
         if breaches or self.option("out"):
             self.show(f"logs: {folder}")
@@ -96,11 +105,17 @@
         return ("-m", "persimmondock.soak.broken", name)
 
 
-def render_breach(breach: Breach, started_at: float, plan: tuple[Event, ...]) -> list[str]:
-    """Return lines that describe a breach and the events before it."""
+def render_breach(
+    breach: Breach, started_at: float, plan: tuple[Event, ...], late_loops: Sequence[LateLoop] = ()
+) -> list[str]:
+    """Return lines that describe a breach, the events and the late event loops before it."""
     at_s = breach.at - started_at
     before = [event for event in plan if event.at_s <= at_s][-MAX_SHOWN_ITEMS:]
     lines = [f"{breach.rule} at {at_s:.2f} s: {breach.subject}: {breach.detail}"]
+    if breach.rule in ("HELD", "OWNER"):
+        lines += render_late_loops(
+            late_loops, breach.at - LATE_WITHIN_S, breach.at + LATE_WITHIN_S / 2, started_at
+        ) or ["    no event loop was late"]
     return lines + [
         f"    {event.at_s:.2f} s {event.kind} {f'vm-{event.vm}' if event.vm else 'site'} "
         f"for {event.for_s:g} s {event.mode}".rstrip()
--- a/persimmondock/soak/runner.py
+++ b/persimmondock/soak/runner.py
@@ -12,6 +12,7 @@
 import aiohttp
 
 from persimmondock.soak.checks import Breach, Call, LimitSpan, Notice, Span, find_breaches
+from persimmondock.soak.late_loops import LateLoop, read_late_loops
 from persimmondock.soak.site import SoakSite
 from persimmondock.standins.site_backend import WORK_FIELD, FaultyAnswers, LateGrants
 from persimmondock.standins.site_messages import (
@@ -42,6 +43,7 @@
 DRAIN_FOR_S = 4.0
 ACKNOWLEDGED = 200
 WAKEUP_INTERVAL_S = 0.05
+MIN_LATE_S = 0.25
 SLOW_WORK_S = 1.2
 SLOW_WORK_INTERVAL_S = 0.25  # between the requests to a daemon that stops
 CUT_RATIO = 0.3  # of the answers
@@ -75,13 +77,18 @@
         self._copies: deque[tuple[float, StoreCopy]] = deque(maxlen=MAX_COPIES)
         self.started_at = 0.0
         self.max_wakeup_delay_s = 0.0
+        self._own_late_loops: list[LateLoop] = []
 
     async def _measure_wakeup_delay(self) -> None:
         """Measure how late timers fire: on an overloaded host, real-time bounds mean little."""
         while True:
-            due = time.monotonic() + WAKEUP_INTERVAL_S
+            due, used_s = time.monotonic() + WAKEUP_INTERVAL_S, time.process_time()
             await asyncio.sleep(WAKEUP_INTERVAL_S)
-            self.max_wakeup_delay_s = max(self.max_wakeup_delay_s, time.monotonic() - due)
+            now = time.monotonic()
+            self.max_wakeup_delay_s = max(self.max_wakeup_delay_s, now - due)
+            if now - due >= MIN_LATE_S:
+                busy_s = time.process_time() - used_s
+                self._own_late_loops.append(LateLoop("this process", due, now, busy_s))
 
     @property
     def summary(self) -> str:
@@ -90,6 +97,12 @@
         served = sum(call.status == 200 for call in calls)
         return f"{len(calls)} requests, {served} served, {len(self._site.observations.runs)} runs"
 
+    def list_late_loops(self) -> tuple[LateLoop, ...]:
+        """Return when event loops were late, of this process and of the daemons."""
+        offset_s = time.time() - time.monotonic()
+        outages = self._site.observations.daemon_outages
+        return (*self._own_late_loops, *read_late_loops(self._site.folder, offset_s, outages))
+
     async def run(self) -> list[Breach]:
         """Run the plan and return the breaches."""
         connector = aiohttp.TCPConnector(limit=0)
--- a/persimmondock/soak/site.py
+++ b/persimmondock/soak/site.py
@@ -181,6 +181,8 @@
     ----------
     network
         Third octet of all addresses; soaks that run at the same time need different ones.
+    folder
+        Where the daemons' settings files and logs are written.
     daemon_arguments
         Arguments of the Python interpreter that start a daemon.
     grants
@@ -202,6 +204,7 @@
         daemon_arguments: tuple[str, ...],
         grants: str = GRANT_MODES[0],
     ) -> None:
+        self.folder = folder
         self._grants = grants
         self.store = SiteStore()
         self.observations = Observations(quotas={LIMITED_TENANT: (LIMIT_PER_S, LIMIT_BURST)})
