OWNER: where replies grant, a successor's announcement frees no keys

What callers saw: nothing known; no site in force grants in replies to heartbeats. In virtual time two backend servers held a key for seconds.

Cause: the release of a range in HeartbeatGrants ended as soon as another incarnation was announced, and the range counted as free. The announcement may be a very late one, of a process whose clock was ahead, or of a name that nobody knows, and the one before lives on.

Change: once another incarnation has been announced, only the expiry of the grants ends the release; heartbeats count for it only if they came without such a change in between.

Evidence: both tests of test_announced_successors now play both ways of granting.

--- a/persimmondock/_tasks/heartbeat_grants.py
+++ b/persimmondock/_tasks/heartbeat_grants.py
@@ -77,6 +77,7 @@
     def __init__(self, keeper: RangeKeeper) -> None:
         self._keeper = keeper
         self._report: _Report | None = None
+        self._resets = 0
         self._replied_sequence = -1
         self._replied_at = -math.inf
         self._wanted: dict[int, _WantedRange] = {}
@@ -89,6 +90,7 @@
     def reset(self) -> None:
         """Forget the holdings of an incarnation that has ended."""
         self._report = None
+        self._resets += 1
         self._replied_sequence = -1
         self._wanted.clear()
         self._handovers.clear()
@@ -236,7 +238,8 @@
     ) -> str:
         """Wait until a heartbeat shows that a range is free, or the grant must have expired.
 
-        The range has to be missing from the replies from now on.
+        The range has to be missing from the replies from now on. Once another incarnation has been
+        announced, only the expiry counts: the one before may live on.
 
         Returns
         -------
@@ -244,11 +247,13 @@
             The handover for the next owner, or an empty string.
         """
         granted_sequence = self._replied_sequence
+        resets = self._resets if self._keeper.incarnation == owner else -1
         self._changed.set()
-        while self._keeper.incarnation == owner:
+        while True:
             report = self._report
             if (
                 report is not None
+                and resets == self._resets
                 and report.sequence > granted_sequence
                 and not report.holdings.overlaps(first, last)
             ):
--- a/persimmondock/tests/test_announced_successors.py
+++ b/persimmondock/tests/test_announced_successors.py
@@ -4,9 +4,11 @@
 
 import asyncio
 
+import pytest
+
 from persimmondock._domain.backend_report import BackendAnnouncement
 from persimmondock._domain.holdings import ReportedHoldings
-from persimmondock._domain.site import GrantsInHeartbeats
+from persimmondock._domain.site import GrantMode, GrantsByCall, GrantsInHeartbeats
 from persimmondock.tests.sites import make_report
 from persimmondock.tests.virtual_fleet import VirtualFleet, VirtualVm
 from persimmondock.tests.virtual_network import (
@@ -18,6 +20,9 @@
 
 CLOCK_AHEAD_MS = 20_000
 OUT_S = 7.0  # takeovers, and grants that are in force
+GRANT_MODES = pytest.mark.parametrize(
+    "grant_mode", [GrantsByCall(), GrantsInHeartbeats()], ids=["call", "heartbeat"]
+)
 MOVE_INSTANTS = [0.1 * number for number in range(12)]  # each second has a renewal
 
 
@@ -46,9 +51,9 @@
     return find_shared_holds(fleet.processes) + find_reused_tokens(fleet.processes)
 
 
-async def announce_a_lost_process(after_s: float) -> list[str]:
+async def announce_a_lost_process(after_s: float, grant_mode: GrantMode) -> list[str]:
     """Announce a process, whose clock was ahead, after its VM was lost and started again."""
-    fleet = VirtualFleet(4)
+    fleet = VirtualFleet(4, grant_mode=grant_mode)
     await fleet.start()
     vm = fleet.vms[1]
     fleet.kill_server(vm)
@@ -67,9 +72,9 @@
     return await move_keys(fleet, vm, lost)
 
 
-async def announce_another_name(after_s: float) -> list[str]:
+async def announce_another_name(after_s: float, grant_mode: GrantMode) -> list[str]:
     """Announce a later process that does not exist."""
-    fleet = VirtualFleet(4)
+    fleet = VirtualFleet(4, grant_mode=grant_mode)
     await fleet.start()
     vm = fleet.vms[1]
     await asyncio.sleep(4.0 + after_s)
@@ -81,22 +86,26 @@
     return find_shared_holds(fleet.processes) + find_reused_tokens(fleet.processes)
 
 
-def test_a_late_announcement_of_a_process_with_a_later_start_frees_no_keys() -> None:
+@GRANT_MODES
+def test_a_late_announcement_of_a_process_with_a_later_start_frees_no_keys(
+    grant_mode: GrantMode,
+) -> None:
     """Guards against two holders after a clock was ahead: the holder seemed to be replaced."""
     faults = [
         fault
         for after_s in MOVE_INSTANTS
-        for fault in run_in_virtual_time(announce_a_lost_process(after_s))
+        for fault in run_in_virtual_time(announce_a_lost_process(after_s, grant_mode))
     ]
     assert faults == []
 
 
-def test_an_announcement_of_an_unknown_process_frees_no_keys() -> None:
+@GRANT_MODES
+def test_an_announcement_of_an_unknown_process_frees_no_keys(grant_mode: GrantMode) -> None:
     """Guards against the same where the later process was never heard of."""
     faults = [
         fault
         for after_s in MOVE_INSTANTS
-        for fault in run_in_virtual_time(announce_another_name(after_s))
+        for fault in run_in_virtual_time(announce_another_name(after_s, grant_mode))
     ]
     assert faults == []
 
