DRAIN: a new process waits for what its peers keep of departures

What callers saw: nothing known.

Cause: a daemon acknowledged that its backend server leaves, the store came back from a copy without the record, and the daemon was killed before it had written it again. Its next process took the copy without the record for all that former ones had acknowledged. A report from before the departure counted, and the backend server got requests until the first heartbeat replies of the peers, which keep the departure too.

Change: reports of a backend server wait, besides for the copy, until all known peers have sent their first reply or had 0.6 s for it. If the store has come back and lists no peers, they are waited for as long. A departure is recorded and acknowledged without that wait, as before.

If no peer that keeps the departure replies in that time, the fault remains.

--- a/persimmondock/_tasks/departure_keeper.py
+++ b/persimmondock/_tasks/departure_keeper.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -11,6 +12,7 @@
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.peer_stream import PeerRequestError
 from persimmondock._domain.departures import decode_departures, encode_departures
+from persimmondock._domain.log_position import find_era
 from persimmondock._ports.keyed_log import Written
 from persimmondock._tasks.mesh import DEPARTURES_KEY_PREFIX
 
@@ -24,6 +26,8 @@
 
 START_POLL_S = 0.02
 CHECK_INTERVAL_S = 0.5
+# Peers that are lost must not keep a sound backend server unused for long.
+FIRST_REPLIES_S = 0.6
 # An acknowledgement counts within 1 s of the announcement.
 STORE_TIMEOUT_S = 0.35
 PEER_TIMEOUT_S = 0.35
@@ -35,7 +39,8 @@
 
     An announcement from before a departure may arrive seconds after it, at a new process of the
     daemon. So a process uses no backend server before it knows what former ones acknowledged. Peers
-    stand in while the store does not answer, or has come back from a copy without the record.
+    stand in while the store does not answer, or has come back from a copy without the record; so
+    their first replies are awaited as well.
 
     Parameters
     ----------
@@ -73,10 +78,29 @@
         self._recorded = asyncio.Event()
         self._kept = b""
         self._asking: asyncio.Task[bool] | None = None
+        self._known_at = math.inf
 
     @property
     def is_known(self) -> bool:
-        """Whether a copy of the records of former processes has arrived."""
+        """Whether what former processes acknowledged has arrived from the store and from peers."""
+        now = read_clock()
+        if now < self._known_at and self._has_copy:
+            awaits = self._awaits_peers(now)
+            self._known_at = min(self._known_at, now + FIRST_REPLIES_S) if awaits else now
+        return now >= self._known_at
+
+    def _awaits_peers(self, now: float) -> bool:
+        """Return whether peers may tell of departures soon that the store does not have.
+
+        A store that has lost the record may know of no peers either; they connect on their own.
+        """
+        has_lost_records = find_era(self._follower.replica.end) > 0
+        if not self._mesh.peers:
+            return has_lost_records
+        return self._mesh.awaits_first_replies(now)
+
+    @property
+    def _has_copy(self) -> bool:
         replica = self._follower.replica
         return replica.confirmed_by_store or replica.end > 0
 
@@ -90,10 +114,17 @@
         self._gate.add_departures(departures)
 
     async def run(self) -> None:
-        """Write what is not recorded yet until cancelled."""
+        """Find out what former processes acknowledged, and write what is not recorded yet."""
+        while not self._has_copy:
+            await asyncio.sleep(START_POLL_S)
+        await asyncio.gather(self._wait_until_known(), self._keep_recorded())
+
+    async def _wait_until_known(self) -> None:
         while not self.is_known:
             await asyncio.sleep(START_POLL_S)
         self._on_known()
+
+    async def _keep_recorded(self) -> None:
         while True:
             self._wanted.clear()
             if not self._is_recorded():
@@ -127,7 +158,7 @@
         if value != self._kept and self._asking is None:
             self._asking = asyncio.create_task(self._ask_peers_to_keep(value))
         give_up_at = read_clock() + STORE_TIMEOUT_S
-        while not (self.is_known and self._is_recorded()):
+        while not (self._has_copy and self._is_recorded()):
             self._recorded.clear()
             self._wanted.set()
             try:
--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -292,6 +292,12 @@
         """Return the peers that replied recently."""
         return [peer for peer in self.peers.values() if peer.is_alive(now)]
 
+    def awaits_first_replies(self, now: float) -> bool:
+        """Return whether a peer that has not replied yet may still do so soon."""
+        return any(
+            peer.heard_at == -math.inf and _is_expected(peer, now) for peer in self.peers.values()
+        )
+
     def list_by_service(self, service: str) -> list[Peer]:
         """Return the peers whose backend servers belong to a service."""
         return self._by_service.get(service, [])
