EVAC: a daemon that starts after a loss asks its peers for what operators wrote

What callers saw: nothing known.

Cause: the store came back from a copy without an evacuation that it had acknowledged. Daemons with a copy kept it, but one that started after the loss and before operators wrote again had only what the store listed. It took the failure domain for one in use and passed requests of its own callers on to its evacuated backend server. That line stood as open in docs/design/restored-store.md.

Change: a copy of the operators' records that is of a later era from its first records on asks each peer, with its first reply, for its records of former eras. They are applied as any that a peer brings: what the store lists stays, and what is not written again is dropped after 30 s, as before.

Price: one small request to each peer after a start while the era is above 0. Nothing in era 0. Daemons of earlier versions do not know the request; they are asked again with each heartbeat for 30 s.

If all daemons that know of the evacuation restart, nobody tells of it.

--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -220,6 +220,7 @@
         self.server.instant_handlers["ping"] = self._handle_ping
         self.server.handlers["sync"] = self._handle_sync
         self.server.handlers["keys"] = self._handle_keys
+        self.server.handlers["former"] = self._handle_former
         self.server.handlers["push"] = self._handle_push
         self.server.instant_handlers["confirmed"] = self._handle_fresh_read
         self.server.handlers["keep"] = self._handle_keep
@@ -235,6 +236,7 @@
         self._describe = describe
         self._on_heartbeat = on_heartbeat
         self._lags: dict[int, _Lag] = {}
+        self._asked_former: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def update_members(self, changed: list[KeyedEntry]) -> None:
@@ -501,6 +503,29 @@
             if after_read and peer.member.node < self.own.node:
                 operator.record_shared_poll(sent_at - copy.known_age_s)
         self._record_configuration_delay(peer, copy.delay_s, now)
+        node = peer.member.node
+        if self._followers[OPERATOR_INDEX].lacks_former and node not in self._asked_former:
+            self._asked_former.add(node)
+            self._create_task(self._fetch_former(peer))
+
+    async def _fetch_former(self, peer: Peer) -> None:
+        """Fetch what operators wrote before the store came back, which it may have lost.
+
+        This process started after that, or it would have these records.
+        """
+        follower = self._followers[OPERATOR_INDEX]
+        try:
+            async with asyncio.timeout(SYNC_TIMEOUT_S):
+                entries = await peer.client.request("former", None)
+        except (PeerRequestError, TimeoutError) as error:
+            # Daemons of earlier versions do not know this request.
+            logger.debug("event=former_not_told peer={} error={!r}", peer.member.node, error)
+            self._asked_former.discard(peer.member.node)
+            return
+        if entries and follower.lacks_former:
+            logger.info("event=former_fetched peer={} keys={}", peer.member.node, len(entries))
+            former = (KeyedEntry(*entry) for entry in entries)
+            follower.apply_from_peer(former, follower.replica.end)
 
     def _record_configuration_delay(self, peer: Peer, delay_s: float, now: float) -> None:
         """Record how late a peer got the operators' records, or how late it is now."""
@@ -610,6 +635,10 @@
         entries = [[e.offset, e.key, e.value] for e in replica.list_since(offset)]
         return [entries, replica.end]
 
+    async def _handle_former(self, _: Any, __: Delivery) -> Any:
+        replica = self._followers[OPERATOR_INDEX].replica
+        return [[e.offset, e.key, e.value] for e in replica.list_former()]
+
     async def _handle_keys(self, payload: Any, _: Delivery) -> Any:
         (index,) = payload
         replica = self._followers[index].replica
--- a/persimmondock/_tasks/store_follower.py
+++ b/persimmondock/_tasks/store_follower.py
@@ -128,6 +128,9 @@
     keep_former_s
         Seconds for which records are kept that the store may have lost, and that it has not been
         given again.
+    lacks_former
+        Whether peers may have such records and this copy has none, since it is of a later era from
+        its first records on.
     """
 
     def __init__(
@@ -152,6 +155,7 @@
         self.count_call: Callable[[str], None] = lambda _: None
         self.share_era: Callable[[int], None] = lambda _: None
         self.keep_former_s = math.inf
+        self.lacks_former = False
         self.growth: Growth | None = None
         self._era_known_at = math.inf
         self._settle_s = settle_s
@@ -264,7 +268,7 @@
         """Drop what the store has lost for good, once this copy is known to be the newest."""
         if now - self._era_known_at < self.keep_former_s or self.is_stale(now):
             return
-        self._era_known_at = math.inf
+        self._era_known_at, self.lacks_former = math.inf, False
         dropped = self.replica.drop_former()
         if dropped:
             logger.warning(
@@ -353,6 +357,7 @@
         now = read_clock()
         if find_era(self.replica.end) > find_era(start):
             self._era_known_at = now
+            self.lacks_former = start == 0
         self._grown_at = now if self._newer is None else self._newer.since
         at_most_s = 0.0 if source in IMMEDIATE_SOURCES else now - self.confirmed_at
         delay_s = now - self._grown_at
