CONFIG: a daemon that starts after a loss applies the version of its peers

What callers saw: nothing known.

The peers did not go back to the older version, but the restored store lists that under a later position, so their copies had it too, and nothing told the new process of the other.

Evidence: platform/test_restored_store.py, a_daemon_that_starts_after_the_loss_has_the_version_of_its_peers, without the change: the new process answers 404 where the other three answer 200, 2 s after its start.

Change: SiteState keeps the record of the version in force. The reply to a process that started after the loss has it besides, while the store lists another record or none. The receiver applies it only if its version is higher.

Price: one configuration from each peer to a process that starts before operators have written again.

Not tested: operators that write the same version again in other bytes; it is then sent to each process that starts, and changes nothing there.

--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -237,6 +237,9 @@
         self._on_heartbeat = on_heartbeat
         self._lags: dict[int, _Lag] = {}
         self._asked_former: set[str] = set()
+        # Operators' records that are ordered by themselves, of this daemon and of peers.
+        self.list_versioned: Callable[[], list[KeyedEntry]] = list
+        self.on_versioned: Callable[[list[KeyedEntry]], None] = lambda _: None
         self._tasks: set[asyncio.Task[None]] = set()
 
     def update_members(self, changed: list[KeyedEntry]) -> None:
@@ -522,10 +525,12 @@
             logger.debug("event=former_not_told peer={} error={!r}", peer.member.node, error)
             self._asked_former.discard(peer.member.node)
             return
-        if entries and follower.lacks_former:
-            logger.info("event=former_fetched peer={} keys={}", peer.member.node, len(entries))
-            former = (KeyedEntry(*entry) for entry in entries)
+        former, versioned = ([KeyedEntry(*entry) for entry in part] for part in entries)
+        if former and follower.lacks_former:
+            logger.info("event=former_fetched peer={} keys={}", peer.member.node, len(former))
             follower.apply_from_peer(former, follower.replica.end)
+        if versioned:
+            self.on_versioned(versioned)
 
     def _record_configuration_delay(self, peer: Peer, delay_s: float, now: float) -> None:
         """Record how late a peer got the operators' records, or how late it is now."""
@@ -636,8 +641,11 @@
         return [entries, replica.end]
 
     async def _handle_former(self, _: Any, __: Delivery) -> Any:
-        replica = self._followers[OPERATOR_INDEX].replica
-        return [[e.offset, e.key, e.value] for e in replica.list_former()]
+        former = self._followers[OPERATOR_INDEX].replica.list_former()
+        return [
+            [[e.offset, e.key, e.value] for e in entries]
+            for entries in (former, self.list_versioned())
+        ]
 
     async def _handle_keys(self, payload: Any, _: Delivery) -> Any:
         (index,) = payload
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -44,6 +44,7 @@
 
     from persimmondock._adapters.peer_stream import Delivery
     from persimmondock._domain.holdings import GrantedHoldings
+    from persimmondock._domain.replica import KeyedEntry
     from persimmondock._domain.routing_table import RoutingTable
     from persimmondock._domain.site import NodeSettings
     from persimmondock._ports.backend import BackendServer
@@ -160,6 +161,8 @@
             settings.node, settings.peer_address, settings.failure_domain, settings.service
         )
         self.mesh = Mesh(own, self._followers, self.gate.describe, self._record_heartbeat)
+        self.mesh.list_versioned = self._list_versioned
+        self.mesh.on_versioned = self.site.update
         self._followers[OPERATOR_INDEX].is_poller = self.mesh.is_first_reader
         self._followers[OPERATOR_INDEX].share_poll = self.mesh.share_poll
         for index, follower in enumerate(self._followers):
@@ -372,6 +375,13 @@
         """Return whether the next process of this daemon will know who has left by now."""
         return await self.departures.record()
 
+    def _list_versioned(self) -> list[KeyedEntry]:
+        """Return the configuration in force if the store lists another one, or none."""
+        record, replica = self.site.table_record, self._followers[OPERATOR_INDEX].replica
+        if record is None or replica.get(record.key) == record.value:
+            return []
+        return [record]
+
     def _update_members(self, changed: list[Any]) -> None:
         own = DEPARTURES_KEY_PREFIX + self.settings.node
         for entry in changed:
--- a/persimmondock/_tasks/site_state.py
+++ b/persimmondock/_tasks/site_state.py
@@ -31,6 +31,11 @@
         Returns the failure domain that a key evacuates, or None for other keys.
     on_change
         Called after each update.
+
+    Attributes
+    ----------
+    table_record
+        Record of the table in force, which a restored store may have lost.
     """
 
     def __init__(
@@ -41,6 +46,7 @@
         on_change: Callable[[], None],
     ) -> None:
         self.table: RoutingTable | None = None
+        self.table_record: KeyedEntry | None = None
         self.evacuated: frozenset[str] = frozenset()
         self._config_key = config_key
         self._decode = decode
@@ -86,6 +92,7 @@
                 "event=configuration_part_unreadable version={} detail={!r}", table.version, part
             )
         self.table = self._keep_unreadable_services(table)
+        self.table_record = entry
         logger.info("event=configuration version={} hosts={}", table.version, len(table.hosts))
 
     def _keep_unreadable_services(self, table: RoutingTable) -> RoutingTable:
--- a/persimmondock/tests/platform/test_restored_store.py
+++ b/persimmondock/tests/platform/test_restored_store.py
@@ -161,3 +161,20 @@
         await restore(site, copy)
         await asyncio.sleep(RETURN_S)
         assert [node.daemon.sidecar.site.evacuated for node in site.nodes] == [frozenset()] * 4
+
+
+async def test_a_daemon_that_starts_after_the_loss_has_the_version_of_its_peers() -> None:
+    """CONFIG: a new process took what the restored store lists for the newest version."""
+    async with run_site() as site:
+        copy = site.store.take_copy()
+        site.publish(make_config(2, path_prefix="/moved/"))
+        await wait_for_statuses(site, "/moved/1", 200)
+        await site.nodes[0].daemon.close()
+        site.store.restore(copy, writes_again=False)
+        await asyncio.sleep(1.0)
+        await site.start_daemon(site.nodes[0])
+        await asyncio.sleep(RETURN_S)
+        assert await ask_all(site, "/moved/1") == [200] * 4
+        site.publish(make_config(2, path_prefix="/moved/"))
+        site.publish(make_config(3))
+        await wait_for_statuses(site, "/assign/1", 200)
