--- a/persimmondock/tests/test_store_follower.py
+++ b/persimmondock/tests/test_store_follower.py
@@ -282,6 +282,27 @@
     run_in_virtual_time(scenario())
 
 
+@pytest.mark.parametrize("losses", [1, 2])
+def test_expired_history_beside_a_loss_deletes_no_lost_record(
+    losses: int, changed: list[KeyedEntry]
+) -> None:
+    """EVAC: a snapshot after the history has expired lists neither what was lost nor deletions."""
+
+    async def scenario() -> None:
+        log = make_restored_log()
+        log.reads = []
+        for era in range(1, losses + 1):
+            start = make_position(era, 0)
+            log.reads += [LogRestored(era), RecordsCompacted()]
+            log.newest += 2 * [Records((make_entry(start + 1, "config"),), start + 2)]
+        follower, task = await follow(log, changed, duration_s=3.0)
+        assert follower.replica.end == make_position(losses, 2)
+        assert follower.replica.get("evacuate/recife") == b"v"
+        await stop(task)
+
+    run_in_virtual_time(scenario())
+
+
 def test_a_check_that_finds_a_restored_store_tells_the_other_copies(
     changed: list[KeyedEntry],
 ) -> None:
