Tests: late heartbeats come after the peers have told of departures

The fault is not mended, it begins some 0.26 s later. The test waits until the daemon takes reports; it fails as before (expected), the other two of the module pass.

--- a/persimmondock/tests/test_announced_successors.py
+++ b/persimmondock/tests/test_announced_successors.py
@@ -124,6 +124,8 @@
     await asyncio.sleep(0.3)
     moving = asyncio.create_task(fleet.evacuate(vm.failure_domain, OUT_S))
     await fleet.start_daemon(vm)
+    while not vm.daemon.sidecar.departures.is_known:
+        await asyncio.sleep(0.01)  # reports wait until then, and are granted nothing
     for number in (1, 2):
         await asyncio.sleep(0.05)
         report = announce(vm, lost.instance, lost.born_ms, sequence + number)
