--- a/persimmondock/tests/test_lost_witnesses.py
+++ b/persimmondock/tests/test_lost_witnesses.py
@@ -78,11 +78,18 @@
     assert run_in_virtual_time(lose_change_of_witnesses(after_s)) == []
 
 
-async def find_sets_after_a_change(after_s: float) -> int:
-    """Return how many sets of witnesses there are some time after they changed."""
+async def find_sets_after_a_change(after_s: float, hangs: bool = False) -> int:
+    """Return how many sets of witnesses there are some time after they changed.
+
+    Parameters
+    ----------
+    hangs
+        Whether a backend server takes no grants since then.
+    """
     fleet = VirtualFleet(VMS)
     await fleet.start()
     await change_witnesses(fleet, fleet.vms[1:3])
+    fleet.vms[4].behavior.hangs = hangs
     await asyncio.sleep(after_s)
     fleet.close()
     return len(read_assignment(fleet).witness_sets)
@@ -95,6 +102,11 @@
     assert run_in_virtual_time(find_sets_after_a_change(interval_s + 5.0)) == 1
 
 
+def test_former_witnesses_are_dropped_while_a_backend_server_takes_no_grants() -> None:
+    """Guards against leases of all owners that end in an outage, since one owner has no keys."""
+    assert run_in_virtual_time(find_sets_after_a_change(45.0, hangs=True)) == 1
+
+
 async def lose_first_assignment(restarts: bool) -> list[str]:
     """Cut witnesses off as the store loses the first assignment; return what is wrong.
 
