--- a/persimmondock/tests/test_key_control.py
+++ b/persimmondock/tests/test_key_control.py
@@ -371,6 +371,36 @@
     assert [current.witnesses for current in currents] == [witnesses]
 
 
+def learn(harness: ControlHarness, assignment: Assignment, waited_s: float) -> None:
+    """Let a daemon whose last change of witnesses is some seconds ago learn of an assignment."""
+    harness.control._witnesses_changed_at -= waited_s
+    harness.control.update_assignments([make_entry(assignment, 0)])
+
+
+def test_the_former_witnesses_of_the_first_known_assignment_count(harness: ControlHarness) -> None:
+    """Guards against unknown witnesses that a daemon without a copy drops at once."""
+    first = make_assignment(make_range(0, 9, 1), witnesses="abc")
+    learn(harness, attrs.evolve(first, former_witnesses=UNKNOWN_WITNESSES), 100.0)
+    assert harness.control._keeps_witnesses(read_clock())
+
+
+def test_other_former_witnesses_count_as_a_change(harness: ControlHarness) -> None:
+    """Guards against former witnesses that a daemon drops which missed two changes, to and fro."""
+    first = make_assignment(make_range(0, 9, 1), witnesses="abc")
+    learn(harness, first, 0.0)
+    learn(harness, attrs.evolve(first, former_witnesses=frozenset("abd"), offset=3), 100.0)
+    assert harness.control._keeps_witnesses(read_clock())
+
+
+def test_heartbeats_to_former_witnesses_are_as_frequent(harness: ControlHarness) -> None:
+    """Guards against leases that lapse in an outage, since former witnesses are rarely asked."""
+    harness.follower.store_answers = False
+    first = make_assignment(make_range(0, 9, 1), witnesses="abc")
+    learn(harness, attrs.evolve(first, former_witnesses=frozenset("cd")), 0.0)
+    harness.control._choose_priority_peers()
+    assert harness.mesh.priority_peers == frozenset("abcd")
+
+
 async def test_a_daemon_tells_the_assignment_that_it_knows(harness: ControlHarness) -> None:
     delivery = Delivery("node-2", 1)
     assert await harness.control.handle_assignment(0, delivery) == [0, b""]
