OWNER: former witnesses are dropped though a backend server takes no grants

What callers saw: nothing landed.

Change: dropping them is a reason of its own to write. Other former witnesses than those known, with the same witnesses, count as a change.

--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -168,6 +168,7 @@
         if (
             known is None
             or known.witnesses != assignment.witnesses
+            or not assignment.former_witnesses <= known.former_witnesses
             # A copy of the log from this era may lack what led to its first assignment.
             or known.era < assignment.era
         ):
@@ -286,10 +287,9 @@
                 # Write the same ranges without the former owners, or a restarted daemon would wait
                 # for them although they released the keys long ago.
                 ranges = current.ranges
-            if ranges is None and current.former_witnesses and not self._keeps_witnesses(now):
-                ranges = current.ranges
         witnesses = self._choose_witnesses(current, now)
-        if ranges is None and witnesses == current.witnesses:
+        drops_witnesses = bool(current.former_witnesses) and not self._keeps_witnesses(now)
+        if ranges is None and witnesses == current.witnesses and not drops_witnesses:
             return
         if ranges is None:
             ranges = current.ranges
