--- a/persimmondock/properties/test_frozen_daemons.py
+++ b/persimmondock/properties/test_frozen_daemons.py
@@ -21,15 +21,11 @@
     """Return what was wrong at the backend servers while daemons stood still and after it."""
     fleet, freezer = VirtualFleet(vms, request_interval_s=request_interval_s, seed=seed), Freezer()
 
-    async def apply_freeze(freeze: Freeze) -> None:
-        await asyncio.sleep(freeze.at_s)
-        await freezer.freeze(fleet.vms[freeze.vm % vms].daemon, freeze.for_s)
-
     with freezer.installed():
         await fleet.start()
         await asyncio.gather(
             *(apply_fault(fleet, fault, False) for fault in faults),
-            *(apply_freeze(freeze) for freeze in freezes),
+            *(freezer.apply_freeze(freeze, fleet.vms) for freeze in freezes),
         )
         try:
             await fleet.wait_until_held(RECOVERY_S)
--- a/persimmondock/properties/test_full_servers.py
+++ b/persimmondock/properties/test_full_servers.py
@@ -137,10 +137,6 @@
         await asyncio.sleep(late_write.at_s)
         fleet.log.late_writes.append(late_write.delay_s)
 
-    async def apply_freeze(freeze: Freeze) -> None:
-        await asyncio.sleep(freeze.at_s)
-        await freezer.freeze(fleet.vms[freeze.vm].daemon, freeze.for_s)
-
     with freezer.installed():
         await fleet.start()
         starts = itertools.accumulate(item.after_s for item in moves)
@@ -148,7 +144,7 @@
             *(apply_fault(fleet, fault, False) for fault in faults),
             *(move(at_s, item) for at_s, item in zip(starts, moves, strict=True)),
             *(write_late(item) for item in late_writes),
-            *(apply_freeze(freeze) for freeze in freezes),
+            *(freezer.apply_freeze(freeze, fleet.vms) for freeze in freezes),
         )
         try:
             await fleet.wait_until_held(RECOVERY_S)
--- a/persimmondock/tests/virtual_freezes.py
+++ b/persimmondock/tests/virtual_freezes.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 from asyncio import events
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Any
 from unittest import mock
 
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from persimmondock._domain.backend_report import BackendAnnouncement
-from persimmondock.tests.virtual_fleet import RUNNING_DAEMON, DaemonProcess
+from persimmondock.tests.virtual_fleet import RUNNING_DAEMON, DaemonProcess, VirtualVm
 
 
 @attrs.frozen
@@ -64,3 +64,8 @@
         with mock.patch.object(daemon.sidecar, "handle_announcement", hold_back):
             await asyncio.sleep(for_s)
         loop._ready.extend(self._held_back.pop(daemon))
+
+    async def apply_freeze(self, freeze: Freeze, vms: Sequence[VirtualVm]) -> None:
+        """Freeze the daemon of a VM at its time; return when it runs again."""
+        await asyncio.sleep(freeze.at_s)
+        await self.freeze(vms[freeze.vm % len(vms)].daemon, freeze.for_s)
