--- a/persimmondock/properties/test_restored_store.py
+++ b/persimmondock/properties/test_restored_store.py
@@ -11,8 +11,9 @@
 
 from persimmondock._domain.site import GrantMode, GrantsByCall, GrantsInHeartbeats
 from persimmondock.tests.virtual_faults import TERM_S, Fault, apply_fault, build_faults, make_fault
-from persimmondock.tests.virtual_fleet import PARTITIONS, VirtualFleet
+from persimmondock.tests.virtual_fleet import VirtualFleet
 from persimmondock.tests.virtual_freezes import FREEZES, Freeze, Freezer
+from persimmondock.tests.virtual_losses import Restoration, apply_restoration
 from persimmondock.tests.virtual_network import find_reused_tokens, find_shared_holds
 from persimmondock.tests.virtual_time import run_in_virtual_time
 
@@ -27,26 +28,6 @@
     *4 * ("restart_daemon",),
     *4 * ("evacuate",),
 )
-
-
-@attrs.frozen
-class Restoration:
-    """The store goes away and comes back from a copy.
-
-    Parameters
-    ----------
-    age_s
-        Seconds from the copy to the outage.
-    late_write_s
-        Delay of the first conditional write after it, which gets no answer; 0 for none.
-    """
-
-    at_s: float
-    age_s: float
-    away_s: float
-    late_write_s: float
-
-
 RESTORATIONS = st.builds(
     Restoration,
     at_s=st.floats(0.0, 6.0),
@@ -89,22 +70,12 @@
     """Return what was wrong at the backend servers while the store came back and after it."""
     fleet, freezer = VirtualFleet(vms, grant_mode=grant_mode, seed=seed), Freezer()
 
-    async def restore(restoration: Restoration) -> None:
-        await asyncio.sleep(restoration.at_s)
-        if restoration.late_write_s:
-            fleet.log.late_writes.append(restoration.late_write_s)
-        await fleet.log.restore(restoration.age_s, restoration.away_s, PARTITIONS.operator)
-
-    async def apply_freeze(freeze: Freeze) -> None:
-        await asyncio.sleep(freeze.at_s)
-        await freezer.freeze(fleet.vms[freeze.vm % vms].daemon, freeze.for_s)
-
     with freezer.installed():
         await fleet.start()
         await asyncio.gather(
-            *(restore(restoration) for restoration in restorations),
+            *(apply_restoration(fleet, restoration) for restoration in restorations),
             *(apply_fault(fleet, fault, False) for fault in faults),
-            *(apply_freeze(freeze) for freeze in freezes),
+            *(freezer.apply_freeze(freeze, fleet.vms) for freeze in freezes),
         )
         try:
             await fleet.wait_until_held(RECOVERY_S)
