--- a/persimmondock/properties/test_losses_among_faults.py
+++ b/persimmondock/properties/test_losses_among_faults.py
@@ -7,6 +7,7 @@
 import attrs
 from hypothesis import Phase, example, given, settings
 
+from persimmondock._domain.site import GrantsInHeartbeats
 from persimmondock._tasks.key_control import MIN_WITNESS_CHANGE_INTERVAL_S
 from persimmondock.tests.virtual_faults import make_fault
 from persimmondock.tests.virtual_losses import (
@@ -56,3 +57,15 @@
     Each of these has a property of its own; a holder that only their join lets go on has none.
     """
     assert run_in_virtual_time(play(**run)) == []
+
+
+@settings(max_examples=25, phases=[Phase.explicit, Phase.generate])
+@given(run=RUNS)
+@example(run=LOST_CHANGE_OF_WITNESSES)
+@example(run=LOST_FIRST_ASSIGNMENT)
+@example(run=LOST_MOVE)
+def test_keys_of_replies_have_one_holder_though_records_are_lost_among_faults(
+    run: dict[str, Any],
+) -> None:
+    """Guards against the same where replies to heartbeats grant the keys."""
+    assert run_in_virtual_time(play(**run, grant_mode=GrantsInHeartbeats())) == []
