--- a/persimmondock/_tasks/key_control.py
+++ b/persimmondock/_tasks/key_control.py
@@ -51,9 +51,7 @@
 BALANCE_INTERVAL_S = 1.0  # handovers take tenths of a second; load figures decay in 1.5 s
 LOADS_TIMEOUT_S = 0.3  # a peer that replies later is too busy to get more keys
 RECALL_TIMEOUT_S = 0.3  # as long as keys are not served while daemons that are alive do not reply
-MAX_RECALL_PEERS = (
-    64  # each replies with up to a record; a loss of all copies among them is unlikely
-)
+MAX_RECALL_PEERS = 64  # each replies with up to a record
 LEASE_CHECK_INTERVAL_S = 3.0  # while witnesses confirm; each check is a billed call
 LEASE_CHECK_STEP_S = 1.0  # by which others check later; heartbeats tell them of an earlier check
 CONFIRMATION_WAIT_S = 0.25  # in which owners ask the writer of an assignment for its read
@@ -154,7 +152,8 @@
                 )
                 continue
             self._superseded.discard(service)
-            self._adopt_assignment(assignment, "assignment_known")
+            self._adopt_assignment(assignment)
+            logger.info("event=assignment_known {}", _describe_assignment(assignment))
         own, end = self.assignments.get(self._service), self._follower.replica.end
         if own is not None and own.is_in_force(end):
             self._keeper.update_assignment(own, end)
@@ -163,7 +162,7 @@
             wait_until = read_clock() + CONFIRMATION_WAIT_S
             self._lease_checked_at = max(self._lease_checked_at, wait_until - LEASE_CHECK_RETRY_S)
 
-    def _adopt_assignment(self, assignment: Assignment, event: str) -> None:
+    def _adopt_assignment(self, assignment: Assignment) -> None:
         known = self.assignments.get(assignment.service)
         if (
             known is None
@@ -174,14 +173,6 @@
         ):
             self._witnesses_changed_at = read_clock()
         self.assignments[assignment.service] = assignment
-        logger.info(
-            "event={} service={} offset={} ranges={} witnesses={}",
-            event,
-            assignment.service,
-            assignment.offset,
-            len(assignment.ranges),
-            len(assignment.witnesses),
-        )
 
     def record_store_read(self, end: int, sent_at: float) -> None:
         """Record a read of the store as evidence for the lease.
@@ -340,7 +331,8 @@
         for answer in await asyncio.gather(*(ask(peer) for peer in peers[:MAX_RECALL_PEERS])):
             known = self.assignments.get(self._service)
             if answer is not None and (known is None or answer.origin > known.origin):
-                self._adopt_assignment(answer, "assignment_recalled")
+                self._adopt_assignment(answer)
+                logger.info("event=assignment_recalled {}", _describe_assignment(answer))
 
     async def handle_assignment(self, offset: Any, _: Delivery) -> Any:
         """Reply with the latest assignment that this daemon knows of, in force or not.
@@ -570,3 +562,10 @@
         if self._keeps_witnesses(now) or current.witnesses <= failure_domains.keys():
             return current.witnesses
         return choose_witnesses(failure_domains)
+
+
+def _describe_assignment(assignment: Assignment) -> str:
+    return (
+        f"service={assignment.service} offset={assignment.offset} "
+        f"ranges={len(assignment.ranges)} witnesses={len(assignment.witnesses)}"
+    )
