Red test: a late announcement of a former process of the same name resumes grants

What callers saw: nothing known.

Cause: a process ends without a request that shows it, its successor listens under its name, and an announcement that was held up on its way ends the pause of grants before the successor announces itself. docs/design/grants.md names it as not seen.

Not mended: nothing in an announcement tells when it was sent.

--- a/persimmondock/tests/test_grants_to_successors.py
+++ b/persimmondock/tests/test_grants_to_successors.py
@@ -320,3 +320,36 @@
         assert granted.rows == (GrantedRow(0, 9, 2),)
 
     run_in_virtual_time(run())
+
+
+async def announce_the_former_process(late_s: float) -> list[str]:
+    """Hand over an announcement late, before one of a process that started under its name.
+
+    Returns
+    -------
+    list of str
+        What is wrong at the backend servers.
+    """
+    # No request shows that the process has ended.
+    fleet = VirtualFleet(4, request_interval_s=5.0)
+    await fleet.start()
+    await asyncio.sleep(1.4)
+    vm = fleet.vms[1]
+    assert vm.server is not None
+    late = asyncio.create_task(fleet.announce(vm, vm.server, delay_s=late_s))
+    await asyncio.sleep(0.01)
+    await fleet.crash_server(vm, 0.8, 1.3, keeps_name=True)
+    await asyncio.sleep(6.0)
+    await late
+    fleet.close()
+    return find_shared_holds(fleet.processes) + find_reused_tokens(fleet.processes)
+
+
+def test_a_late_announcement_of_a_former_process_of_the_same_name_resumes_no_grants() -> None:
+    """Guards against a token that a process gets after its predecessor of the same name."""
+    faults = [
+        fault
+        for late_s in (0.9, 1.4, 2.0)
+        for fault in run_in_virtual_time(announce_the_former_process(late_s))
+    ]
+    assert faults == []
