--- a/persimmondock/tests/test_lost_moves.py
+++ b/persimmondock/tests/test_lost_moves.py
@@ -6,10 +6,8 @@
 
 import pytest
 
-from persimmondock._domain.assignment import KEY_COUNT, Assignment, decode_assignment
-from persimmondock.tests.sites import SERVICE
+from persimmondock._domain.assignment import KEY_COUNT, Assignment
 from persimmondock.tests.virtual_fleet import (
-    ASSIGNMENT_KEY,
     PARTITIONS,
     VirtualFleet,
 )
@@ -31,12 +29,6 @@
 AGES_S = [1.2, 2.4, 3.6]
 
 
-def read_assignment(fleet: VirtualFleet) -> Assignment:
-    """Return the newest assignment that the store has."""
-    entry = fleet.log.find_newest(PARTITIONS.assignments, ASSIGNMENT_KEY)
-    return decode_assignment(SERVICE, entry.offset + 1, entry.value)
-
-
 async def send_requests(fleet: VirtualFleet) -> None:
     """Send requests for some adjacent keys to their owner, for others after some time."""
     number, first, busy_until = 0, 0, 0.0
@@ -47,7 +39,7 @@
             first = fleet.random.randrange(KEY_COUNT - BUSY_KEYS)
             busy_until = clock() + BUSY_FOR_S
         key = first + fleet.random.randrange(BUSY_KEYS)
-        item = read_assignment(fleet).find_range(key)
+        item = fleet.read_assignment().find_range(key)
         daemon = next((vm.daemon for vm in fleet.vms if item and vm.name == item.owner.node), None)
         if daemon is not None:
             number += 1
@@ -82,9 +74,9 @@
     await fleet.start()
     requests = asyncio.create_task(send_requests(fleet))
     await asyncio.sleep(MOVING_S - age_s)
-    copied = read_assignment(fleet)
+    copied = fleet.read_assignment()
     await asyncio.sleep(age_s)
-    lost = read_assignment(fleet)
+    lost = fleet.read_assignment()
     assert lost.offset > copied.offset
     names = {"vm-0"} if restarts_planner else list_former_owners(copied, lost)
     restarted = [vm for vm in fleet.vms if vm.name in names]
--- a/persimmondock/tests/test_lost_witnesses.py
+++ b/persimmondock/tests/test_lost_witnesses.py
@@ -7,11 +7,9 @@
 import pytest
 
 from persimmondock._adapters.clock import read_clock
-from persimmondock._domain.assignment import Assignment, decode_assignment
 from persimmondock._domain.range_lease import MAX_WITNESS_ONLY_S
 from persimmondock._tasks.key_control import MIN_WITNESS_CHANGE_INTERVAL_S
-from persimmondock.tests.sites import SERVICE
-from persimmondock.tests.virtual_fleet import ASSIGNMENT_KEY, PARTITIONS, VirtualFleet, VirtualVm
+from persimmondock.tests.virtual_fleet import PARTITIONS, VirtualFleet, VirtualVm
 from persimmondock.tests.virtual_network import find_reused_tokens, find_shared_holds
 from persimmondock.tests.virtual_time import run_in_virtual_time
 
@@ -21,20 +19,14 @@
 RECOVERY_S = 12.0  # another owner is found, and waits for the leases of unknown ones
 
 
-def read_assignment(fleet: VirtualFleet) -> Assignment:
-    """Return the newest assignment that the store has."""
-    entry = fleet.log.find_newest(PARTITIONS.assignments, ASSIGNMENT_KEY)
-    return decode_assignment(SERVICE, entry.offset + 1, entry.value)
-
-
 async def change_witnesses(fleet: VirtualFleet, lost: list[VirtualVm]) -> None:
     """Kill daemons, and wait until others are witnesses in their place."""
-    former = read_assignment(fleet).witnesses
+    former = fleet.read_assignment().witnesses
     await asyncio.sleep(MIN_WITNESS_CHANGE_INTERVAL_S)
     for vm in lost:
         fleet.kill_daemon(vm)
     async with asyncio.timeout(10.0):
-        while read_assignment(fleet).witnesses == former:
+        while fleet.read_assignment().witnesses == former:
             await asyncio.sleep(0.05)
 
 
@@ -50,10 +42,10 @@
     await fleet.start()
     planner, *lost = fleet.vms[:3]
     others = fleet.vms[3:]
-    former = read_assignment(fleet).witnesses
+    former = fleet.read_assignment().witnesses
     assert {vm.name for vm in fleet.vms[:3]} < former
     await change_witnesses(fleet, lost)
-    changed = read_assignment(fleet)
+    changed = fleet.read_assignment()
     assert len(changed.witnesses - {vm.name for vm in others}) == 1
     await asyncio.sleep(after_s)
     fleet.log.cut_off |= {vm.name for vm in others}
@@ -63,7 +55,7 @@
             fleet.restart_daemon(planner, DOWN_S),
             *(fleet.start_daemon(vm) for vm in lost),
         )
-        assert read_assignment(fleet).witnesses == former
+        assert fleet.read_assignment().witnesses == former
         await asyncio.sleep(CUT_S)
     fleet.log.cut_off.clear()
     await fleet.wait_until_held(30.0)
@@ -92,7 +84,7 @@
     fleet.vms[4].behavior.hangs = hangs
     await asyncio.sleep(after_s)
     fleet.close()
-    return len(read_assignment(fleet).witness_sets)
+    return len(fleet.read_assignment().witness_sets)
 
 
 def test_former_witnesses_count_until_no_copy_of_the_store_lacks_the_change() -> None:
--- a/persimmondock/tests/test_recalled_assignments.py
+++ b/persimmondock/tests/test_recalled_assignments.py
@@ -4,10 +4,9 @@
 
 import asyncio
 
-from persimmondock._domain.assignment import Assignment, decode_assignment
+from persimmondock._domain.assignment import Assignment
 from persimmondock._tasks.key_control import MIN_WITNESS_CHANGE_INTERVAL_S
-from persimmondock.tests.sites import SERVICE
-from persimmondock.tests.virtual_fleet import ASSIGNMENT_KEY, PARTITIONS, VirtualFleet
+from persimmondock.tests.virtual_fleet import PARTITIONS, VirtualFleet
 from persimmondock.tests.virtual_network import find_reused_tokens, find_shared_holds
 from persimmondock.tests.virtual_time import run_in_virtual_time
 
@@ -17,19 +16,13 @@
 COPY_AGE_S = 13.0  # of each of two copies; the change is older than both together then
 
 
-def read_assignment(fleet: VirtualFleet) -> Assignment:
-    """Return the newest assignment that the store has."""
-    entry = fleet.log.find_newest(PARTITIONS.assignments, ASSIGNMENT_KEY)
-    return decode_assignment(SERVICE, entry.offset + 1, entry.value)
-
-
 async def wait_for_witnesses(
     fleet: VirtualFleet, former: frozenset[str], former_count: int, timeout_s: float = 40.0
 ) -> Assignment:
     """Wait until other daemons are witnesses, and there is a number of former ones."""
     async with asyncio.timeout(timeout_s):
         while True:
-            current = read_assignment(fleet)
+            current = fleet.read_assignment()
             if current.witnesses != former and len(current.former_witnesses) == former_count:
                 return current
             await asyncio.sleep(0.05)
@@ -49,7 +42,7 @@
     fleet = VirtualFleet(VMS)
     await fleet.start()
     planner, writer, *others = fleet.vms
-    former = read_assignment(fleet).witnesses
+    former = fleet.read_assignment().witnesses
     await asyncio.sleep(MIN_WITNESS_CHANGE_INTERVAL_S + 1.0)
     fleet.log.cut_off |= {vm.name for vm in [planner, *others]}
     with fleet.cut([planner, writer], others):
@@ -59,7 +52,7 @@
             fleet.log.cut_off.add(writer.name)
             await fleet.log.restore(0.5, DOWN_S / 2, PARTITIONS.operator)
             fleet.log.cut_off.discard(planner.name)
-        assert read_assignment(fleet).witnesses == former
+        assert fleet.read_assignment().witnesses == former
         await asyncio.sleep(CUT_S)
     return await finish(fleet)
 
@@ -84,7 +77,7 @@
     await fleet.start()
     planner, *outdated = fleet.vms[:3]
     others = fleet.vms[3:]
-    former = read_assignment(fleet).witnesses
+    former = fleet.read_assignment().witnesses
     await asyncio.sleep(MIN_WITNESS_CHANGE_INTERVAL_S)
     fleet.log.cut_off |= {vm.name for vm in outdated}
     with fleet.cut(outdated, [planner, *others]):
@@ -99,7 +92,7 @@
             fleet.log.restore(0.5, DOWN_S / 2, PARTITIONS.operator),
             fleet.restart_daemon(planner, DOWN_S),
         )
-        assert read_assignment(fleet).witnesses == changed.witnesses
+        assert fleet.read_assignment().witnesses == changed.witnesses
         await asyncio.sleep(CUT_S)
     return await finish(fleet)
 
@@ -120,7 +113,7 @@
     await fleet.start()
     planner, *lost = fleet.vms[:3]
     others = fleet.vms[3:]
-    former = read_assignment(fleet).witnesses
+    former = fleet.read_assignment().witnesses
     await asyncio.sleep(MIN_WITNESS_CHANGE_INTERVAL_S)
     for vm in lost:
         fleet.kill_daemon(vm)
@@ -128,9 +121,9 @@
     assert len(changed.witnesses - {vm.name for vm in others}) == 1
     await asyncio.sleep(COPY_AGE_S)
     await fleet.log.restore(COPY_AGE_S + 0.1, DOWN_S / 2, PARTITIONS.operator)
-    assert read_assignment(fleet).witnesses == former
+    assert fleet.read_assignment().witnesses == former
     await asyncio.sleep(COPY_AGE_S)
-    assert read_assignment(fleet).witnesses == changed.witnesses
+    assert fleet.read_assignment().witnesses == changed.witnesses
     fleet.log.cut_off |= {vm.name for vm in others}
     with fleet.cut([planner, *lost], others):
         await asyncio.gather(
@@ -138,7 +131,7 @@
             fleet.restart_daemon(planner, DOWN_S),
             *(fleet.start_daemon(vm) for vm in lost),
         )
-        assert read_assignment(fleet).witnesses == former
+        assert fleet.read_assignment().witnesses == former
         await asyncio.sleep(CUT_S)
     return await finish(fleet)
 
--- a/persimmondock/tests/virtual_fleet.py
+++ b/persimmondock/tests/virtual_fleet.py
@@ -24,6 +24,7 @@
     Assignment,
     BackendIncarnation,
     KeyRange,
+    decode_assignment,
     encode_assignment,
 )
 from persimmondock._domain.backend_report import BackendAnnouncement
@@ -445,6 +446,11 @@
             position = max(position, span.last + 1)
         return [*free, (position, KEY_COUNT - 1)] if position < KEY_COUNT else free
 
+    def read_assignment(self) -> Assignment:
+        """Return the newest assignment that the store has."""
+        entry = self.log.find_newest(PARTITIONS.assignments, ASSIGNMENT_KEY)
+        return decode_assignment(SERVICE, entry.offset + 1, entry.value)
+
     def find_assignment_offset(self) -> int:
         """Return the offset of the newest assignment."""
         return self.log.find_newest(PARTITIONS.assignments, ASSIGNMENT_KEY).offset
