Retries, their budget and arrivals at backend servers are counted by service

No counter, gauge or log line told retries from calls of retried requests, what a daemon's part of the budget was, or how often one request arrived, so the hypotheses looked alike.

Added: counters `retries` (spent, refused) and `backend_arrivals` (first or repeat, by outcome), gauges `retry_allowed` and `retry_used` (retries, calls), the event `retry_refused` with all inputs of the decision, `arrivals` in `not_answered` (`trace` shows both). A refusal tells whether a backend server received the request; daemons of earlier versions ignore the field and are read as before.

No decision changes. Tests: test_dispatcher, test_backend_client, test_prometheus green.

--- a/persimmondock/_adapters/backend_client.py
+++ b/persimmondock/_adapters/backend_client.py
@@ -165,7 +165,7 @@
 
 async def _read_response(response: aiohttp.ClientResponse) -> Verdict:
     if response.status == 503 and NOT_RUN_HEADER in response.headers:
-        return NotRun(Reason.BACKEND_REFUSED, RETRY_AFTER_MS)
+        return NotRun(Reason.BACKEND_REFUSED, RETRY_AFTER_MS, arrived=True)
     if not _has_known_length(response):
         return MayHaveRun(Reason.ANSWER_TRUNCATED)
     body = await response.content.read(MAX_RESPONSE_BYTES + 1)
--- a/persimmondock/_adapters/prometheus.py
+++ b/persimmondock/_adapters/prometheus.py
@@ -77,6 +77,24 @@
         "Smallest share of a priority's requests that is sent on while gates are full",
         ("service",),
     ),
+    "retries": MetricSpec(
+        Kind.COUNTER,
+        "Retries of callers' requests that the budget allowed or refused here",
+        ("service", "outcome"),
+    ),
+    "retry_allowed": MetricSpec(
+        Kind.GAUGE, "Retries that this daemon's part of the budget allows", ("service",)
+    ),
+    "retry_used": MetricSpec(
+        Kind.GAUGE,
+        "What this daemon has used of it, by retries and by calls of retried requests",
+        ("service", "cause"),
+    ),
+    "backend_arrivals": MetricSpec(
+        Kind.COUNTER,
+        "Requests that reached the backend server here",
+        ("service", "order", "outcome"),
+    ),
     "backend_ms": MetricSpec(
         Kind.HISTOGRAM, "Seconds that requests took at the backend server here", ("verdict",)
     ),
--- a/persimmondock/_domain/forwarding.py
+++ b/persimmondock/_domain/forwarding.py
@@ -125,8 +125,8 @@
         case Answered(answer=answer):
             headers = [(h.name, h.value) for h in answer.headers]
             return [0, answer.status, headers, answer.body]
-        case NotRun(reason=reason, retry_after_ms=retry_after_ms):
-            return [1, reason.value, retry_after_ms]
+        case NotRun(reason=reason, retry_after_ms=retry_after_ms, arrived=arrived):
+            return [1, reason.value, retry_after_ms, arrived]
         case MayHaveRun(reason=reason):
             return [2, reason.value]
 
@@ -138,5 +138,8 @@
         status, headers, body = rest
         return Answered(Answer(status, tuple(Header(n, v) for n, v in headers), body))
     if kind == 1:
-        return NotRun(Reason(rest[0]), rest[1])
+        reason, retry_after_ms, *arrived = rest
+        # Daemons of earlier versions do not tell.
+        is_at_backend = arrived[0] if arrived else reason == Reason.BACKEND_REFUSED
+        return NotRun(Reason(reason), retry_after_ms, is_at_backend)
     return MayHaveRun(Reason(rest[0]))
--- a/persimmondock/_domain/label_values.py
+++ b/persimmondock/_domain/label_values.py
@@ -12,6 +12,11 @@
 UNSAFE = re.compile(r"[^A-Za-z0-9_-]")
 
 
+def name_service(service: str) -> str:
+    """Return the name of a service as one part of a metric's dotted name."""
+    return service.replace(".", "_")
+
+
 @attrs.define
 class LabelValues:
     """Gives the first names a value of their own and all others a common one."""
--- a/persimmondock/_domain/shared_budget.py
+++ b/persimmondock/_domain/shared_budget.py
@@ -14,6 +14,28 @@
 SPENDABLE_SHARE = 0.6
 
 
+@attrs.frozen
+class BudgetUse:
+    """How one daemon uses its part of a retry budget within a window.
+
+    Parameters
+    ----------
+    requests
+        Requests that it counted.
+    allowed
+        Retries that its part allows.
+    retries
+        Retries that it spent.
+    inherited
+        Calls made by retried requests, which count as retries too.
+    """
+
+    requests: float
+    allowed: float
+    retries: float
+    inherited: float
+
+
 @attrs.define
 class SharedBudget:
     """One daemon's part of the retry budget of one service.
@@ -58,6 +80,14 @@
         self._retries.append((now, 1.0))
         return True
 
+    def describe(self, now: float, daemons: int) -> BudgetUse:
+        """Return how much of this part is used."""
+        self._drop_expired(now)
+        allowed = self.ratio * len(self._requests) + self.slack / max(1, daemons)
+        retries = sum(amount for _, amount in self._retries if amount == 1.0)
+        inherited = sum(amount for _, amount in self._retries) - retries
+        return BudgetUse(len(self._requests), allowed, retries, inherited)
+
     def _drop_expired(self, now: float) -> None:
         for entries in (self._requests, self._retries):
             while entries and entries[0][0] <= now - self.window_s:
--- a/persimmondock/_domain/verdict.py
+++ b/persimmondock/_domain/verdict.py
@@ -95,10 +95,13 @@
         Why it was refused.
     retry_after_ms
         Milliseconds after which the caller may retry; 0 if a retry cannot succeed.
+    arrived
+        Whether a backend server received the request and refused it, and not a daemon before it.
     """
 
     reason: Reason
     retry_after_ms: int = 0
+    arrived: bool = False
 
 
 @attrs.frozen
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -23,6 +23,7 @@
 from persimmondock._domain.gate_queue import INITIAL_SERVICE_S, MAX_OWNER_WAIT_SHARE, ServiceTimes
 from persimmondock._domain.gate_status import GateStatus
 from persimmondock._domain.key_loads import KeyLoads
+from persimmondock._domain.label_values import name_service
 from persimmondock._domain.stop_deadline import StopDeadline
 from persimmondock._domain.verdict import (
     Answer,
@@ -440,10 +441,23 @@
         elapsed_s = read_clock() - sent_at
         self._metrics.time(f"backend_ms.{name_verdict(verdict)}", 1000 * elapsed_s)
         self._record_outcome(request, number, verdict, incarnation)
+        self._count_arrival(request, verdict)
         if request.key != NO_KEY and incarnation == self.incarnation:
             self._record_service(verdict, sent_at)
         return verdict
 
+    def _count_arrival(self, request: ForwardedRequest, verdict: Verdict) -> None:
+        """Count what reached the backend server, as far as that is known."""
+        match verdict:
+            case NotRun(arrived=False):
+                return
+            case NotRun(reason=reason) | MayHaveRun(reason=reason):
+                outcome = reason.value
+            case Answered(answer=answer):
+                outcome = "answered" if answer.status < 500 else "failed"
+        order = "repeat" if request.repeat else "first"
+        self._metrics.count(f"backend_arrivals.{name_service(request.service)}.{order}.{outcome}")
+
     def _record_service(self, verdict: Verdict, sent_at: float) -> None:
         """Record that a backend server that serves a key is the process that it was granted."""
         if isinstance(verdict, Answered) and verdict.answer.status < MIN_ERROR_STATUS:
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -30,9 +30,10 @@
 from persimmondock._domain.gate_choice import GateCandidate, compute_weights
 from persimmondock._domain.gate_queue import ServiceTimes
 from persimmondock._domain.gate_status import GateStatus, unpack_status
+from persimmondock._domain.label_values import name_service
 from persimmondock._domain.memory_budget import MemoryAccount, compute_spared
 from persimmondock._domain.service_room import Refuse, Send, ServiceRoom, estimate_wait
-from persimmondock._domain.shared_budget import SharedBudget
+from persimmondock._domain.shared_budget import BudgetUse, SharedBudget
 from persimmondock._domain.verdict import (
     Answer,
     Answered,
@@ -81,6 +82,8 @@
         Attempts in which a backend server ran the request or may have run it.
     backend_refusals
         Attempts in which the backend server itself refused the request.
+    arrivals
+        Attempts that a backend server received, or may have received.
     unknown_outcome
         First verdict that the request may have run.
     failure
@@ -99,6 +102,7 @@
 
     runs: int = 0
     backend_refusals: int = 0
+    arrivals: int = 0
     unknown_outcome: MayHaveRun | None = None
     failure: Answered | None = None
     refusal: NotRun | None = None
@@ -308,14 +312,16 @@
         match verdict:
             case Answered(answer=answer):
                 attempts.runs += 1
+                attempts.arrivals += 1
                 if answer.status < 500 or not request.idempotent:
                     return False
                 attempts.failure = verdict
             case NotRun(reason=reason):
                 attempts.refusal = _choose_sooner_retry(attempts.refusal, verdict)
+                attempts.arrivals += verdict.arrived
                 if reason in REFUSED_BY_BACKEND:
                     attempts.backend_refusals += 1
-                    return self._spend_retry(request, now)
+                    return self._spend_retry(request, attempts, now)
                 if reason in NO_ROOM:
                     room = self._get_room(request.service)
                     room.record_refusal(node, request.priority, now)
@@ -326,19 +332,52 @@
                 return len(attempts.tried) < MAX_GATES_TRIED
             case MayHaveRun():
                 attempts.runs += 1
+                attempts.arrivals += 1
                 attempts.unknown_outcome = attempts.unknown_outcome or verdict
                 if not request.idempotent:
                     return False
         left_s = request.deadline - now
         has_time_left = left_s > 0.3 * route.objective_s
         return (
-            has_time_left and attempts.runs < route.max_attempts and self._spend_retry(request, now)
+            has_time_left
+            and attempts.runs < route.max_attempts
+            and self._spend_retry(request, attempts, now)
         )
 
-    def _spend_retry(self, request: ForwardedRequest, now: float) -> bool:
+    def _spend_retry(self, request: ForwardedRequest, attempts: _Attempts, now: float) -> bool:
         """Return whether the service's retry budget allows one more attempt, and charge it."""
         daemons = len(self._mesh.list_alive(now)) + 1
-        return self._get_budget(request.service).spend(now, daemons)
+        budget = self._get_budget(request.service)
+        allowed = budget.spend(now, daemons)
+        outcome = "spent" if allowed else "refused"
+        self._metrics.count(f"retries.{name_service(request.service)}.{outcome}")
+        if not allowed:
+            use = budget.describe(now, daemons)
+            logger.info(
+                "event=retry_refused attempt={} service={} arrivals={} requests={:.0f} "
+                "allowed={:.2f} retries={:.0f} inherited={:.2f} daemons={}",
+                request.attempt,
+                request.service,
+                attempts.arrivals,
+                use.requests,
+                use.allowed,
+                use.retries,
+                use.inherited,
+                daemons,
+            )
+        return allowed
+
+    def list_budget_uses(self) -> dict[str, BudgetUse]:
+        """Return how much of its part of each retry budget this daemon uses, by service.
+
+        Services are named as in metrics.
+        """
+        now = read_clock()
+        daemons = len(self._mesh.list_alive(now)) + 1
+        return {
+            name_service(service): budget.describe(now, daemons)
+            for service, budget in self._budgets.items()
+        }
 
     def _get_budget(self, service: str) -> SharedBudget:
         budget = self._budgets.get(service)
@@ -606,21 +645,17 @@
     request: ForwardedRequest, verdict: NotRun | MayHaveRun, attempts: _Attempts
 ) -> None:
     logger.info(
-        "event=not_answered attempt={} route={} key={} verdict={} reason={} tried={}",
+        "event=not_answered attempt={} route={} key={} verdict={} reason={} tried={} arrivals={}",
         request.attempt,
         request.route,
         request.key,
         name_verdict(verdict),
         verdict.reason.value,
         ",".join(sorted(attempts.tried)) or "-",
+        attempts.arrivals,
     )
 
 
-def name_service(service: str) -> str:
-    """Return the name of a service as one part of a metric's dotted name."""
-    return service.replace(".", "_")
-
-
 def _choose_sooner_retry(known: NotRun | None, new: NotRun) -> NotRun:
     """Return the refusal with the shorter retry delay."""
     if known is None or 0 < new.retry_after_ms < known.retry_after_ms:
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -443,6 +443,10 @@
         sink.set_gauge("gate_open", status.accepts_work)
         for service, share in self.dispatcher.list_sent_shares().items():
             sink.set_gauge(f"room_sent_share.{service}", share)
+        for service, use in self.dispatcher.list_budget_uses().items():
+            sink.set_gauge(f"retry_allowed.{service}", use.allowed)
+            sink.set_gauge(f"retry_used.{service}.retries", use.retries)
+            sink.set_gauge(f"retry_used.{service}.calls", use.inherited)
         limit_per_s = self.gate.notice.max_per_s
         sink.set_gauge("backend_limit_per_s", -1.0 if limit_per_s is None else limit_per_s)
         sink.set_gauge("backend_leaving", self.gate.notice.leaving)
--- a/persimmondock/platform/_backend.py
+++ b/persimmondock/platform/_backend.py
@@ -538,11 +538,11 @@
     is_for_attempt = response_attempt == attempt or (response_attempt is None and is_first_request)
     if response.status == MISDIRECTED and is_for_attempt:
         if response.find_header(_headers.INSTANCE) in (None, instance):
-            return NotRun(Reason.NOT_OWNER, RETRY_AFTER_MS)
+            return NotRun(Reason.NOT_OWNER, RETRY_AFTER_MS, arrived=True)
         # Another instance runs at the address now.
-        return NotRun(Reason.BACKEND_DOWN, RETRY_AFTER_MS)
+        return NotRun(Reason.BACKEND_DOWN, RETRY_AFTER_MS, arrived=True)
     if response.find_header(_headers.NOT_EXECUTED) is not None and is_for_attempt:
-        return NotRun(Reason.BACKEND_REFUSED, RETRY_AFTER_MS)
+        return NotRun(Reason.BACKEND_REFUSED, RETRY_AFTER_MS, arrived=True)
     if response_attempt != attempt:
         return MayHaveRun(Reason.ANSWER_INVALID)
     if response.status < 300 and response.find_header(_headers.SIGNATURE) is None:
--- a/persimmondock/tests/test_backend_client.py
+++ b/persimmondock/tests/test_backend_client.py
@@ -64,7 +64,7 @@
             ScriptedServer(
                 [b"HTTP/1.1 503 x\r\nPersimmondock-Not-Run: y\r\nContent-Length: 0\r\n\r\n"]
             ),
-            NotRun(Reason.BACKEND_REFUSED, backend_client.RETRY_AFTER_MS),
+            NotRun(Reason.BACKEND_REFUSED, backend_client.RETRY_AFTER_MS, arrived=True),
         ),
     ],
 )
--- a/persimmondock/tests/test_dispatcher.py
+++ b/persimmondock/tests/test_dispatcher.py
@@ -8,6 +8,7 @@
 
 import attrs
 import pytest
+from loguru import logger
 
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.peer_stream import PROTOCOL_VERSION, Delivery, PeerRequestError
@@ -444,3 +445,33 @@
     harness.mesh.peers["node-1"].status = make_status(incarnation=make_incarnation(1, born_ms=0))
     await harness.ask()
     assert link.told == []
+
+
+@pytest.mark.parametrize("arrived", [False, True])
+def test_a_refusal_tells_whether_a_backend_server_received_the_request(arrived: bool) -> None:
+    refusal = NotRun(Reason.NOT_OWNER, 200, arrived)
+    assert unpack_verdict(pack_verdict(refusal)) == refusal
+
+
+@pytest.mark.parametrize("reason", [Reason.BACKEND_REFUSED, Reason.NOT_OWNER])
+def test_a_refusal_of_an_earlier_version_is_read(reason: Reason) -> None:
+    data = pack_verdict(NotRun(reason, 200))[:3]
+    assert unpack_verdict(data) == NotRun(reason, 200, reason is Reason.BACKEND_REFUSED)
+
+
+async def test_a_retry_beyond_the_budget_is_logged_with_its_inputs(
+    harness: DispatcherHarness,
+) -> None:
+    for number in (1, 2):
+        harness.add(number, LOST)
+    lines: list[str] = []
+    handler = logger.add(lambda message: lines.append(message.record["message"]), level="INFO")
+    for _ in range(200):
+        await harness.ask()
+    logger.remove(handler)
+    line = [line for line in lines if "event=retry_refused" in line][-1]
+    use = harness.dispatcher.list_budget_uses()[SERVICE]
+    assert f"service={SERVICE} arrivals=1 " in line
+    assert line.endswith("inherited=0.00 daemons=3")
+    assert use.requests == 200
+    assert 0 < use.retries <= use.allowed
