FAULT: a retried request pays ahead for the calls that it will make

Cause: a daemon spent up to 0.6 of its part of a budget on retries and left 0.4 for calls that retried requests make. These were only counted, after they had come, with the share of running requests that are repeats as the probability of each. Nothing refused them. Where a calling service is full, its own budget counts the requests that are sent and not the fewer that run; and the request that fails for lack of a call is one that makes calls, so the share was too low.

Change: the gate beside a calling server learns how many calls a run of each route makes, first runs and repeats apart (`call_rates`: what comes in against what runs), and charges them to its own part of the called service's budget before a repeat is sent; if the part does not allow them the repeat is refused as not run (`retry_budget`). Then nothing arrives uncharged and the sum holds by construction, so 0.9 of a part may be spent in place of 0.6.

`test_calls_made_by_repeated_requests_use_the_budget` asserted the same through a parameter that is gone; it charges the calls now, with the same bound, beside a property test of both together.

--- a/persimmondock/_domain/shared_budget.py
+++ b/persimmondock/_domain/shared_budget.py
@@ -1,7 +1,8 @@
 """A retry budget that all daemons share without communication.
 
 Each daemon spends at most a fixed ratio of its own requests plus an equal part of the allowance of
-all daemons, so the sum stays within the budget of the service.
+all daemons, so the sum stays within the budget of the service. What a retried request will cause is
+paid before it runs.
 """
 
 from __future__ import annotations
@@ -10,8 +11,8 @@
 
 import attrs
 
-# The rest covers calls made by retried requests, and requests that are counted later elsewhere.
-SPENDABLE_SHARE = 0.6
+# The rest covers requests whose counts change between the windows of different daemons.
+SPENDABLE_SHARE = 0.9
 
 
 @attrs.frozen
@@ -27,7 +28,7 @@
     retries
         Retries that it spent.
     inherited
-        Calls made by retried requests, which count as retries too.
+        Expected calls of retried requests, which count as retries too.
     """
 
     requests: float
@@ -53,42 +54,48 @@
     ratio: float
     slack: float
     window_s: float
-    _requests: deque[tuple[float, float]] = attrs.field(factory=deque)
-    _retries: deque[tuple[float, float]] = attrs.field(factory=deque)
+    _requests: deque[float] = attrs.field(factory=deque)
+    _retries: deque[float] = attrs.field(factory=deque)
+    _inherited: deque[tuple[float, float]] = attrs.field(factory=deque)
 
-    def record_request(self, now: float, repeat_probability: float = 0.0) -> None:
-        """Count a request.
+    def record_request(self, now: float) -> None:
+        """Count a request."""
+        self._requests.append(now)
+        self._drop_expired(now)
+
+    def allows(self, now: float, daemons: int, amount: float = 1.0) -> bool:
+        """Return whether an amount may be spent.
 
         Parameters
         ----------
-        repeat_probability
-            Probability that this request is a call made by a retried request; it counts as this
-            fraction of a retry.
+        daemons
+            Daemons that share the fixed allowance.
         """
-        self._requests.append((now, 1.0))
-        if repeat_probability > 0:
-            self._retries.append((now, repeat_probability))
-        self._drop_expired(now)
+        use = self.describe(now, daemons)
+        return use.retries + use.inherited + amount <= SPENDABLE_SHARE * use.allowed
 
     def spend(self, now: float, daemons: int) -> bool:
         """Spend one retry; return False if the budget is exhausted."""
-        self._drop_expired(now)
-        allowed = self.ratio * len(self._requests) + self.slack / max(1, daemons)
-        used = sum(amount for _, amount in self._retries)
-        if used + 1 > SPENDABLE_SHARE * allowed:
+        if not self.allows(now, daemons):
             return False
-        self._retries.append((now, 1.0))
+        self._retries.append(now)
         return True
 
+    def charge_calls(self, now: float, amount: float) -> None:
+        """Charge the calls that a retried request is expected to make."""
+        self._inherited.append((now, amount))
+
     def describe(self, now: float, daemons: int) -> BudgetUse:
         """Return how much of this part is used."""
         self._drop_expired(now)
         allowed = self.ratio * len(self._requests) + self.slack / max(1, daemons)
-        retries = sum(amount for _, amount in self._retries if amount == 1.0)
-        inherited = sum(amount for _, amount in self._retries) - retries
-        return BudgetUse(len(self._requests), allowed, retries, inherited)
+        inherited = sum(amount for _, amount in self._inherited)
+        return BudgetUse(len(self._requests), allowed, len(self._retries), inherited)
 
     def _drop_expired(self, now: float) -> None:
-        for entries in (self._requests, self._retries):
-            while entries and entries[0][0] <= now - self.window_s:
-                entries.popleft()
+        expired_at = now - self.window_s
+        for times in (self._requests, self._retries):
+            while times and times[0] <= expired_at:
+                times.popleft()
+        while self._inherited and self._inherited[0][0] <= expired_at:
+            self._inherited.popleft()
--- a/persimmondock/_domain/verdict.py
+++ b/persimmondock/_domain/verdict.py
@@ -38,6 +38,7 @@
     BACKEND_DOWN = "backend_down"
     BACKEND_COLD = "backend_cold"
     BACKEND_LIMITED = "backend_limited"
+    RETRY_BUDGET = "retry_budget"
     FAILURE_DOMAIN_OUT = "failure_domain_out"
     NO_CONFIGURATION = "no_configuration"
     TENANT_LIMIT = "tenant_limit"
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -18,6 +18,7 @@
     ToldNotice,
 )
 from persimmondock._domain.backend_report import BackendAnnouncement, Change, LocalBackend
+from persimmondock._domain.call_rates import CallRates, RunKind
 from persimmondock._domain.crash_suspects import CrashSuspects, LostRequests
 from persimmondock._domain.forwarding import NO_KEY, ForwardedRequest
 from persimmondock._domain.gate_queue import INITIAL_SERVICE_S, MAX_OWNER_WAIT_SHARE, ServiceTimes
@@ -100,6 +101,11 @@
         still run.
     backend_down
         Whether the backend server was found unreachable since its last announcement.
+    call_rates
+        Calls that runs at the backend server make.
+    charge_calls
+        Charges expected calls to the retry budgets of their services; returns False if one of these
+        does not allow it. The second argument tells whether to charge or only to ask.
     broadcast_suspects
         Sends numbers of crashes by fingerprint to other daemons; 0 clears a suspect.
     """
@@ -130,6 +136,8 @@
         self.link = LinkAdmission(metrics)
         self._awaiting_handover = 0
         self.loads = KeyLoads()
+        self.call_rates = CallRates()
+        self.charge_calls: Callable[[dict[str, float], bool], bool] = lambda *_: True
         self.suspects = CrashSuspects()
         self.broadcast_suspects: Callable[[dict[int, int]], None] = lambda _: None
         self._lost_requests = LostRequests()
@@ -372,6 +380,8 @@
                 self._awaiting_handover -= 1
             now = read_clock()
             refusal = self._find_refusal(request, now)
+        if refusal is None and not self._pay_for_calls(request, charge=False):
+            refusal = NotRun(Reason.RETRY_BUDGET, REFUSED_RETRY_MS)
         if refusal is not None:
             return refusal
         admitted = await self.pool.acquire(request, now)
@@ -422,11 +432,18 @@
             refusal = self._find_refusal(request, now)
             if refusal is None and self.incarnation != incarnation:
                 refusal = NotRun(Reason.BACKEND_DOWN, REFUSED_RETRY_MS)
+            running = self.pool.running[number]
+            if refusal is None and not running.calls_paid:
+                running.calls_paid = self._pay_for_calls(request, charge=True)
+                if not running.calls_paid:
+                    refusal = NotRun(Reason.RETRY_BUDGET, REFUSED_RETRY_MS)
             if refusal is None:
                 refusal = self.pool.record_send(number, now)
             if refusal is None:
-                self.pool.running[number].started_at = now
-                self.pool.running[number].repeat = request.repeat
+                running.started_at = now
+                if running.kind is None:
+                    running.kind = RunKind(request.route, request.repeat)
+                    self.call_rates.record_start(running.kind, now)
             return refusal
 
         try:
@@ -437,6 +454,10 @@
             if elapsed_s > self.pool.service_times.estimate_service_s(request.route):
                 self.pool.record_time(request, number)
             raise
+        finally:
+            kind = self.pool.running[number].kind
+            if kind is not None:
+                self.call_rates.record_end(kind, read_clock())
         sent_at = self.pool.running[number].started_at
         elapsed_s = read_clock() - sent_at
         self._metrics.time(f"backend_ms.{name_verdict(verdict)}", 1000 * elapsed_s)
@@ -446,6 +467,16 @@
             self._record_service(verdict, sent_at)
         return verdict
 
+    def _pay_for_calls(self, request: ForwardedRequest, charge: bool) -> bool:
+        """Return whether retry budgets allow the calls that a retried request will make.
+
+        They count as retries where they arrive, so nothing else could keep them within these.
+        """
+        if not request.repeat:
+            return True
+        expected = self.call_rates.estimate_calls(RunKind(request.route, repeat=True))
+        return self.charge_calls(expected, charge)
+
     def _count_arrival(self, request: ForwardedRequest, verdict: Verdict) -> None:
         """Count what reached the backend server, as far as that is known."""
         match verdict:
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -20,6 +20,7 @@
     ToldNotice,
     unpack_told,
 )
+from persimmondock._domain.call_rates import Target
 from persimmondock._domain.forwarding import (
     NO_KEY,
     ForwardedRequest,
@@ -191,6 +192,7 @@
         self._heard_notices: dict[str, _HeardNotice] = {}
         mesh.server.instant_handlers["notice"] = self._handle_notice
         mesh.server.handlers["call"] = self._handle_call
+        gate.charge_calls = self._charge_calls
 
     def limit_replies(self) -> None:
         """Let no request that was sent to another gate outlive the stop of this daemon.
@@ -237,10 +239,9 @@
         if now >= request.deadline:
             # It waited for requests before it on its connection.
             return NotRun(Reason.DEADLINE_PASSED, PEER_RETRY_MS)
-        # The local backend server sends its calls through this daemon too; those made by retried
-        # requests count as retries.
-        repeat_share = self._gate.pool.compute_repeat_share()
-        self._get_budget(request.service).record_request(now, repeat_share)
+        self._get_budget(request.service).record_request(now)
+        # The local backend server sends its calls through this daemon too.
+        self._gate.call_rates.record_request(Target(request.service, request.route), now)
         owner_wait_s = OWNER_WAIT_SHARE * route.objective_s
         owner_wait_until, previous_runs = now + owner_wait_s, 0
         while True:
@@ -367,6 +368,19 @@
             )
         return allowed
 
+    def _charge_calls(self, expected: dict[str, float], charge: bool) -> bool:
+        """Return whether retry budgets allow the calls of a retry, and charge them if asked."""
+        now = read_clock()
+        daemons = len(self._mesh.list_alive(now)) + 1
+        for service, calls in expected.items():
+            if not self._get_budget(service).allows(now, daemons, calls):
+                self._metrics.count(f"retries.{name_service(service)}.calls_refused")
+                return False
+        if charge:
+            for service, calls in expected.items():
+                self._get_budget(service).charge_calls(now, calls)
+        return True
+
     def list_budget_uses(self) -> dict[str, BudgetUse]:
         """Return how much of its part of each retry budget this daemon uses, by service.
 
--- a/persimmondock/_tasks/slot_pool.py
+++ b/persimmondock/_tasks/slot_pool.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmondock._domain.call_rates import RunKind
     from persimmondock._domain.stop_deadline import StopDeadline
     from persimmondock._tasks.send_limits import SendLimits
 
@@ -36,15 +37,18 @@
 
     Parameters
     ----------
-    repeat
-        Whether an earlier attempt at the request reached a backend server.
+    kind
+        What counts as a run in `CallRates` once the request is sent, else None.
+    calls_paid
+        Whether the calls of a retried request are charged to the retry budgets.
     reserved
         Whether it holds a reservation of `ArrivalLimit`.
     """
 
     route: str
     started_at: float
-    repeat: bool = False
+    kind: RunKind | None = None
+    calls_paid: bool = False
     reserved: bool = True
 
 
@@ -91,12 +95,6 @@
         """Return the requests that wait for a slot by priority number."""
         return count_levels(self._queue.list_priorities())
 
-    def compute_repeat_share(self) -> float:
-        """Return the fraction of running requests that reached a backend server before."""
-        if not self.running:
-            return 0.0
-        return sum(running.repeat for running in self.running.values()) / len(self.running)
-
     async def acquire(self, request: ForwardedRequest, now: float) -> int | NotRun:
         """Wait for a slot; return the number of the request that holds it, or the refusal."""
         self._last_number += 1
--- a/persimmondock/tests/test_shared_budget.py
+++ b/persimmondock/tests/test_shared_budget.py
@@ -35,13 +35,31 @@
     assert spent <= 0.2 * sum(requests) + 64.0
 
 
-def test_calls_made_by_repeated_requests_use_the_budget() -> None:
-    """A tenth of the requests are calls of retried requests, which count as retries as well."""
-    without_repeats, with_repeats = make_budget(), make_budget()
+def test_calls_of_retried_requests_use_the_budget() -> None:
+    """Retried requests are expected to make a tenth as many calls as there are requests."""
+    without_calls, with_calls = make_budget(), make_budget()
     for _ in range(300):
-        without_repeats.record_request(1.0)
-        with_repeats.record_request(1.0, repeat_probability=0.1)
-    assert spend_all(with_repeats, 2.0, 14) <= spend_all(without_repeats, 2.0, 14) - 25
+        without_calls.record_request(1.0)
+        with_calls.record_request(1.0)
+    with_calls.charge_calls(1.0, 30.0)
+    assert spend_all(with_calls, 2.0, 14) <= spend_all(without_calls, 2.0, 14) - 25
+    assert not with_calls.allows(2.0, 14, 1.0)
+    assert with_calls.allows(12.1, 1, 30.0)
+
+
+@given(st.lists(st.floats(0.1, 5.0), max_size=100), st.integers(0, 300))
+def test_calls_and_retries_together_stay_within_the_budget(
+    calls: list[float], requests: int
+) -> None:
+    budget, spent = make_budget(), 0.0
+    for _ in range(requests):
+        budget.record_request(1.0)
+    for amount in calls:
+        if budget.allows(2.0, 4, amount):
+            budget.charge_calls(2.0, amount)
+            spent += amount
+        spent += budget.spend(2.0, 4)
+    assert spent <= 0.2 * requests + 64.0 / 4
 
 
 def test_the_budget_is_restored_after_the_window() -> None:
