FAULT: a daemon's part of the fixed retry allowance does not grow with those that it loses sight of

Cause: the fixed allowance was divided by the daemons that one heard lately. The others go on spending theirs, so after a cut, dropped peers or a start the parts add up to more than the whole; a daemon that knew nobody took all of it.

Change: it is divided by the daemons on record; until these are known nothing of it is spent, only the ratio of the own requests.

--- a/persimmondock/_domain/shared_budget.py
+++ b/persimmondock/_domain/shared_budget.py
@@ -63,18 +63,18 @@
         self._requests.append(now)
         self._drop_expired(now)
 
-    def allows(self, now: float, daemons: int, amount: float = 1.0) -> bool:
+    def allows(self, now: float, daemons: int | None, amount: float = 1.0) -> bool:
         """Return whether an amount may be spent.
 
         Parameters
         ----------
         daemons
-            Daemons that share the fixed allowance.
+            Daemons that share the fixed allowance, or None if they are not known.
         """
         use = self.describe(now, daemons)
         return use.retries + use.inherited + amount <= SPENDABLE_SHARE * use.allowed
 
-    def spend(self, now: float, daemons: int) -> bool:
+    def spend(self, now: float, daemons: int | None) -> bool:
         """Spend one retry; return False if the budget is exhausted."""
         if not self.allows(now, daemons):
             return False
@@ -85,10 +85,12 @@
         """Charge the calls that a retried request is expected to make."""
         self._inherited.append((now, amount))
 
-    def describe(self, now: float, daemons: int) -> BudgetUse:
+    def describe(self, now: float, daemons: int | None) -> BudgetUse:
         """Return how much of this part is used."""
         self._drop_expired(now)
-        allowed = self.ratio * len(self._requests) + self.slack / max(1, daemons)
+        allowed = self.ratio * len(self._requests)
+        if daemons is not None:
+            allowed += self.slack / max(1, daemons)
         inherited = sum(amount for _, amount in self._inherited)
         return BudgetUse(len(self._requests), allowed, len(self._retries), inherited)
 
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -157,6 +157,8 @@
         Large answers from other daemons that are on their way to callers.
     is_evacuated
         Returns whether operators have evacuated a failure domain.
+    knows_members
+        Returns whether the other daemons are known.
     read_notice
         Returns what an answer says about its backend server, or None if it cannot be read.
     """
@@ -188,6 +190,7 @@
         self._random = random.Random()
         self.in_flight = 0
         self.is_evacuated: Callable[[str], bool] = lambda _: False
+        self.knows_members: Callable[[], bool] = lambda: True
         self.read_notice: Callable[[Answer], BackendNotice | None] = lambda _: None
         self._heard_notices: dict[str, _HeardNotice] = {}
         mesh.server.instant_handlers["notice"] = self._handle_notice
@@ -347,7 +350,7 @@
 
     def _spend_retry(self, request: ForwardedRequest, attempts: _Attempts, now: float) -> bool:
         """Return whether the service's retry budget allows one more attempt, and charge it."""
-        daemons = len(self._mesh.list_alive(now)) + 1
+        daemons = self._count_daemons()
         budget = self._get_budget(request.service)
         allowed = budget.spend(now, daemons)
         outcome = "spent" if allowed else "refused"
@@ -371,7 +374,7 @@
     def _charge_calls(self, expected: dict[str, float], charge: bool) -> bool:
         """Return whether retry budgets allow the calls of a retry, and charge them if asked."""
         now = read_clock()
-        daemons = len(self._mesh.list_alive(now)) + 1
+        daemons = self._count_daemons()
         for service, calls in expected.items():
             if not self._get_budget(service).allows(now, daemons, calls):
                 self._metrics.count(f"retries.{name_service(service)}.calls_refused")
@@ -381,13 +384,20 @@
                 self._get_budget(service).charge_calls(now, calls)
         return True
 
+    def _count_daemons(self) -> int | None:
+        """Return how many daemons share what budgets allow, or None until all are known.
+
+        Those that cannot be heard count as well: each of them may spend its part.
+        """
+        return len(self._mesh.peers) + 1 if self.knows_members() else None
+
     def list_budget_uses(self) -> dict[str, BudgetUse]:
         """Return how much of its part of each retry budget this daemon uses, by service.
 
         Services are named as in metrics.
         """
         now = read_clock()
-        daemons = len(self._mesh.list_alive(now)) + 1
+        daemons = self._count_daemons()
         return {
             name_service(service): budget.describe(now, daemons)
             for service, budget in self._budgets.items()
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -217,6 +217,7 @@
             settings.service, settings.bounds, self.mesh, self.gate, self.control, self.metrics
         )
         self.dispatcher.is_evacuated = self.site.is_evacuated
+        self.dispatcher.knows_members = self._knows_members
         self.shared_rates = SharedRates(self.mesh, self.metrics)
         self._others_known_at = -math.inf
         self.shared_rates.knows_members = self._knows_members
--- a/persimmondock/tests/test_shared_budget.py
+++ b/persimmondock/tests/test_shared_budget.py
@@ -72,3 +72,12 @@
 @pytest.mark.parametrize("daemons", [0, 1])
 def test_a_single_daemon_has_the_whole_allowance(daemons: int) -> None:
     assert 30 <= spend_all(make_budget(), 1.0, daemons) <= 64
+
+
+def test_nothing_of_the_fixed_allowance_is_spent_while_the_daemons_are_not_known() -> None:
+    """A daemon that has just started knows no others, and would take the whole for itself."""
+    budget = make_budget()
+    assert not budget.spend(1.0, None)
+    for _ in range(100):
+        budget.record_request(1.0)
+    assert budget.spend(1.0, None)
