FAULT: a restarted daemon does not spend its part of the fixed retry allowance once more

Cause: a new process remembers nothing of what its predecessor spent in the same window, and took the part again.

Change: a process spends nothing of the fixed allowance before it has run for one window, unless its settings say that the whole site starts for the first time. Retries by the ratio of its own requests are allowed at once: those of the predecessor went with the predecessor's requests.

--- a/persimmondock/_domain/shared_budget.py
+++ b/persimmondock/_domain/shared_budget.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 import attrs
@@ -49,11 +50,15 @@
         Fixed allowance of all daemons together in a window.
     window_s
         Length of the window in seconds.
+    slack_from
+        Instant from which a part of the fixed allowance may be spent. Until then an earlier process
+        of the daemon may have spent it in the same window.
     """
 
     ratio: float
     slack: float
     window_s: float
+    slack_from: float = -math.inf
     _requests: deque[float] = attrs.field(factory=deque)
     _retries: deque[float] = attrs.field(factory=deque)
     _inherited: deque[tuple[float, float]] = attrs.field(factory=deque)
@@ -89,7 +94,7 @@
         """Return how much of this part is used."""
         self._drop_expired(now)
         allowed = self.ratio * len(self._requests)
-        if daemons is not None:
+        if daemons is not None and now >= self.slack_from:
             allowed += self.slack / max(1, daemons)
         inherited = sum(amount for _, amount in self._inherited)
         return BudgetUse(len(self._requests), allowed, len(self._retries), inherited)
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -150,6 +150,8 @@
         The local gate.
     control
         Knows the current assignments.
+    is_first_start
+        Whether no earlier process of this daemon can have spent anything.
 
     Attributes
     ----------
@@ -171,6 +173,7 @@
         gate: BackendGate,
         control: KeyControl,
         metrics: MetricSink,
+        is_first_start: bool = False,
     ) -> None:
         self._own_service = own_service
         self.bounds = bounds
@@ -182,6 +185,7 @@
         self._in_flight_by_node: Counter[str] = Counter()
         self._in_flight_at_status: Counter[str] = Counter()
         self._budgets: dict[str, SharedBudget] = {}
+        self._started_at = -math.inf if is_first_start else read_clock()
         self._rooms: dict[str, ServiceRoom] = {}
         # Times from the sending to a gate to the answer, by service.
         self._answer_times: dict[str, ServiceTimes] = {}
@@ -407,7 +411,10 @@
         budget = self._budgets.get(service)
         if budget is None:
             bounds = self.bounds
-            budget = SharedBudget(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
+            slack_from = self._started_at + bounds.retry_window_s
+            budget = SharedBudget(
+                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s, slack_from
+            )
             self._budgets[service] = budget
         return budget
 
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -214,7 +214,13 @@
         )
         self.mesh.server.handlers["assignment"] = self.control.handle_assignment
         self.dispatcher = Dispatcher(
-            settings.service, settings.bounds, self.mesh, self.gate, self.control, self.metrics
+            settings.service,
+            settings.bounds,
+            self.mesh,
+            self.gate,
+            self.control,
+            self.metrics,
+            settings.is_first_start,
         )
         self.dispatcher.is_evacuated = self.site.is_evacuated
         self.dispatcher.knows_members = self._knows_members
--- a/persimmondock/tests/test_dispatcher.py
+++ b/persimmondock/tests/test_dispatcher.py
@@ -105,6 +105,7 @@
             gate,
             self.control,  # type: ignore[arg-type]
             NoMetrics(),
+            is_first_start=True,
         )
 
     def add(self, number: int, *verdicts: Verdict | PeerRequestError, **status: object) -> FakeLink:
--- a/persimmondock/tests/test_shared_budget.py
+++ b/persimmondock/tests/test_shared_budget.py
@@ -81,3 +81,10 @@
     for _ in range(100):
         budget.record_request(1.0)
     assert budget.spend(1.0, None)
+
+
+def test_a_process_waits_for_a_window_before_it_spends_of_the_fixed_allowance() -> None:
+    """An earlier process of the same daemon may have spent it."""
+    budget = SharedBudget(ratio=0.2, slack=64.0, window_s=10.0, slack_from=11.0)
+    assert not budget.spend(10.9, 4)
+    assert budget.spend(11.0, 4)
--- a/persimmondock/tests/virtual_site.py
+++ b/persimmondock/tests/virtual_site.py
@@ -159,8 +159,15 @@
         self.gate = BackendGate(node.name, site.bounds, node.server, keeper, NoMetrics())
         self.gate.limits.policy = ServicePolicy(SERVICE)
         self.dispatcher = Dispatcher(
-            node.service, site.bounds, self.mesh, self.gate, site.control, NoMetrics()
+            node.service,
+            site.bounds,
+            self.mesh,
+            self.gate,
+            site.control,
+            NoMetrics(),
+            is_first_start=not node.was_started,
         )
+        node.was_started = True
         self.dispatcher._random = random.Random(site.seed)
         self.dispatcher.read_notice = _headers.read_answer_notice
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -191,6 +198,8 @@
         The daemon, or None while it is down.
     frozen_until
         Instant until which the daemon stands still.
+    was_started
+        Whether a daemon has run here before.
     renewed_at
         Instants at which the backend server was replaced by a new incarnation.
     """
@@ -203,6 +212,7 @@
     announces_draining: bool = False
     process: DaemonProcess | None = None
     frozen_until: float = 0.0
+    was_started: bool = False
     renewed_at: list[float] = attrs.field(factory=list)
 
     def build_announcement(self, sequence: int, slots: int) -> BackendAnnouncement:
