FAULT: every arrival beyond the first is charged to the retry budget, and a retry that arrives nowhere is given back

Cause: a 421 of a backend server was read as the refusal of a gate, which costs nothing. On the other side a retry that was charged and then refused by every gate was lost to callers.

Change: what counts is whether a backend server received the request (`NotRun.arrived`): then the next attempt is charged, whatever the reason, and its run is a repeat. A charge that no arrival has used stays with the request for its next gate, and is given back at its end.

--- a/persimmondock/_domain/shared_budget.py
+++ b/persimmondock/_domain/shared_budget.py
@@ -86,6 +86,11 @@
         self._retries.append(now)
         return True
 
+    def give_back(self) -> None:
+        """Take back the latest retry, which reached no backend server."""
+        if self._retries:
+            self._retries.pop()
+
     def charge_calls(self, now: float, amount: float) -> None:
         """Charge the calls that a retried request is expected to make."""
         self._inherited.append((now, amount))
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -81,10 +81,10 @@
     ----------
     runs
         Attempts in which a backend server ran the request or may have run it.
-    backend_refusals
-        Attempts in which the backend server itself refused the request.
     arrivals
         Attempts that a backend server received, or may have received.
+    paid
+        Whether the next arrival is charged to the retry budget.
     unknown_outcome
         First verdict that the request may have run.
     failure
@@ -102,8 +102,8 @@
     """
 
     runs: int = 0
-    backend_refusals: int = 0
     arrivals: int = 0
+    paid: bool = False
     unknown_outcome: MayHaveRun | None = None
     failure: Answered | None = None
     refusal: NotRun | None = None
@@ -112,6 +112,11 @@
     final: bool = False
     free: bool = False
 
+    def record_arrival(self) -> None:
+        """Record that a backend server received the request, or may have received it."""
+        self.arrivals += 1
+        self.paid = False
+
     def conclude(self) -> Verdict:
         """Return the verdict on the request as a whole."""
         if self.failure is not None:
@@ -225,6 +230,10 @@
             raise
         finally:
             self.in_flight -= 1
+        if attempts.paid:
+            # No gate sent it on to a backend server.
+            self._get_budget(request.service).give_back()
+            self._metrics.count(f"retries.{name_service(request.service)}.returned")
         if isinstance(verdict, NotRun) and verdict.reason in NO_ROOM and attempts.sent:
             room, owner = self._get_room(request.service), self._find_owner(request)
             room.record_not_taken(request.priority, read_clock(), owner)
@@ -320,27 +329,23 @@
         match verdict:
             case Answered(answer=answer):
                 attempts.runs += 1
-                attempts.arrivals += 1
+                attempts.record_arrival()
                 if answer.status < 500 or not request.idempotent:
                     return False
                 attempts.failure = verdict
             case NotRun(reason=reason):
                 attempts.refusal = _choose_sooner_retry(attempts.refusal, verdict)
-                attempts.arrivals += verdict.arrived
-                if reason in REFUSED_BY_BACKEND:
-                    attempts.backend_refusals += 1
-                    return self._spend_retry(request, attempts, now)
                 if reason in NO_ROOM:
                     room = self._get_room(request.service)
                     room.record_refusal(node, request.priority, now)
-                if request.key != NO_KEY:
-                    return reason in OWNERSHIP_UNSETTLED or reason is Reason.PEER_UNREACHABLE
-                if reason in NO_ROOM and attempts.final:
-                    return False
-                return len(attempts.tried) < MAX_GATES_TRIED
+                may_go_on = _may_be_tried_again(reason, request, attempts)
+                if not verdict.arrived:
+                    return may_go_on
+                attempts.record_arrival()
+                return may_go_on and self._spend_retry(request, attempts, now)
             case MayHaveRun():
                 attempts.runs += 1
-                attempts.arrivals += 1
+                attempts.record_arrival()
                 attempts.unknown_outcome = attempts.unknown_outcome or verdict
                 if not request.idempotent:
                     return False
@@ -356,7 +361,7 @@
         """Return whether the service's retry budget allows one more attempt, and charge it."""
         daemons = self._count_daemons()
         budget = self._get_budget(request.service)
-        allowed = budget.spend(now, daemons)
+        allowed = attempts.paid = budget.spend(now, daemons)
         outcome = "spent" if allowed else "refused"
         self._metrics.count(f"retries.{name_service(request.service)}.{outcome}")
         if not allowed:
@@ -551,7 +556,7 @@
     async def _send(self, node: str, request: ForwardedRequest, attempts: _Attempts) -> Verdict:
         room, owner = self._get_room(request.service), self._find_owner(request)
         stands_for = room.compute_stands_for(request.priority, read_clock(), owner)
-        repeat = bool(attempts.runs or attempts.backend_refusals)
+        repeat = attempts.arrivals > 0
         if repeat or stands_for != request.stands_for:
             request = attrs.evolve(request, repeat=repeat, stands_for=round(stands_for, 2))
         request = self._gate.stop.limit(request)
@@ -687,6 +692,17 @@
     )
 
 
+def _may_be_tried_again(reason: Reason, request: ForwardedRequest, attempts: _Attempts) -> bool:
+    """Return whether a request that was refused for a reason may be sent to a gate again."""
+    if reason in REFUSED_BY_BACKEND:
+        return True
+    if request.key != NO_KEY:
+        return reason in OWNERSHIP_UNSETTLED or reason is Reason.PEER_UNREACHABLE
+    if reason in NO_ROOM and attempts.final:
+        return False
+    return len(attempts.tried) < MAX_GATES_TRIED
+
+
 def _choose_sooner_retry(known: NotRun | None, new: NotRun) -> NotRun:
     """Return the refusal with the shorter retry delay."""
     if known is None or 0 < new.retry_after_ms < known.retry_after_ms:
--- a/persimmondock/tests/test_dispatcher.py
+++ b/persimmondock/tests/test_dispatcher.py
@@ -14,7 +14,7 @@
 from persimmondock._adapters.peer_stream import PROTOCOL_VERSION, Delivery, PeerRequestError
 from persimmondock._domain.assignment import Assignment
 from persimmondock._domain.backend_notice import ToldNotice, unpack_told
-from persimmondock._domain.forwarding import pack_verdict, unpack_verdict
+from persimmondock._domain.forwarding import NO_KEY, pack_verdict, unpack_verdict
 from persimmondock._domain.gate_choice import GateCandidate, compute_weights
 from persimmondock._domain.gate_status import GateStatus
 from persimmondock._domain.range_lease import RangeLease
@@ -476,3 +476,30 @@
     assert line.endswith("inherited=0.00 daemons=3")
     assert use.requests == 200
     assert 0 < use.retries <= use.allowed
+
+
+async def test_a_retry_that_reaches_no_backend_server_is_given_back(
+    harness: DispatcherHarness,
+) -> None:
+    """One backend server sheds load, and the gate of the only other one is full."""
+    shedding = harness.add(1, NotRun(Reason.BACKEND_REFUSED, 200, arrived=True))
+    harness.add(2, FULL)
+    for _ in range(100):
+        await harness.ask()
+    assert shedding.calls > 50
+    assert harness.dispatcher.list_budget_uses()[SERVICE].retries == 0
+
+
+@pytest.mark.parametrize("key", [NO_KEY, 5])
+@pytest.mark.parametrize("reason", [Reason.NOT_OWNER, Reason.BACKEND_REFUSED])
+async def test_each_arrival_beyond_the_first_is_charged(
+    harness: DispatcherHarness, reason: Reason, key: int
+) -> None:
+    refusal = NotRun(reason, 200, arrived=True)
+    links = [harness.add(number, refusal) for number in (1, 2, 3)]
+    harness.control.assignments[SERVICE] = make_assignment(make_range(0, 65_535, 1))
+    for _ in range(60):
+        await harness.ask(key=key, objective_at=read_clock() + 0.1)
+    bounds = SiteBounds()
+    arrivals = sum(link.calls for link in links)
+    assert 60 < arrivals <= 60 + 60 * bounds.retry_ratio + bounds.retry_slack / 4
