--- a/persimmondock/_domain/shared_budget.py
+++ b/persimmondock/_domain/shared_budget.py
@@ -12,8 +12,8 @@
 
 import attrs
 
-# The rest covers requests whose counts change between the windows of different daemons.
-SPENDABLE_SHARE = 0.9
+# Windows of daemons end at different instants, and each spends most when it has counted most.
+SPENDABLE_SHARE = 0.85
 
 
 @attrs.frozen
