--- a/persimmondock/_domain/request_trace.py
+++ b/persimmondock/_domain/request_trace.py
@@ -65,6 +65,7 @@
     "backend_cold": _CAPACITY_EVENTS,
     "backend_limited": _CAPACITY_EVENTS | _LIMIT_EVENTS,
     "backend_refused": _CAPACITY_EVENTS,
+    "retry_budget": _CAPACITY_EVENTS,
     "not_owner": _OWNERSHIP_EVENTS,
     "no_owner": _OWNERSHIP_EVENTS | _AVAILABILITY_EVENTS,
     "handover_pending": _OWNERSHIP_EVENTS,
