--- a/persimmondock/_domain/call_rates.py
+++ b/persimmondock/_domain/call_rates.py
@@ -11,6 +11,7 @@
 import math
 from collections import Counter, defaultdict
 from itertools import product
+from operator import mul
 from typing import TypeVar
 
 import attrs
@@ -20,10 +21,11 @@
 DROP_BELOW = 1e-3  # of what is hardly seen any more
 SWEEPS = 12  # of the solver; a few are enough for a handful of kinds
 PRIOR_RUNS = 3.0  # for which repeats of a route are taken to be like its first runs
+ESTIMATE_S = 1.0  # for which rates are used before they are computed anew
 MIN_CALLS = 0.05  # by run; fewer cannot be told from chance
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class RunKind:
     """Requests of one route that are run for the first time, or again."""
 
@@ -31,7 +33,7 @@
     repeat: bool
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class Target:
     """What is called."""
 
@@ -64,6 +66,8 @@
     _seen: dict[Target, defaultdict[RunKind | None, float]] = attrs.field(factory=dict)
     _updated_at: float | None = None
     _weight: float = 1.0
+    _rates: dict[Target, dict[RunKind | None, float]] = attrs.field(factory=dict)
+    _estimated_until: float = -math.inf
 
     def record_start(self, kind: RunKind, now: float) -> None:
         """Record that a run starts."""
@@ -86,41 +90,59 @@
         for kind, running in self._running.items():
             seen[kind] += self._weight * running
 
-    def estimate_calls(self, kind: RunKind) -> dict[str, float]:
+    def estimate_calls(self, kind: RunKind, now: float) -> dict[str, float]:
         """Return the calls that one more run is expected to make, by service."""
+        if now >= self._estimated_until:
+            self._estimated_until = now + ESTIMATE_S
+            self._rates = {target: self._estimate_rates(target) for target in self._seen}
         like = kind if self._runs.get(kind) else RunKind(kind.route, repeat=False)
         if not self._runs.get(like):
             return {}
-        mean_run_s = self._overlaps[like, CALLERS] / self._runs[like]
+        mean_run_s = self._overlaps.get((like, CALLERS), 0.0) / self._runs[like]
         expected: dict[str, float] = defaultdict(float)
-        for target in self._seen:
-            calls = self._estimate_rates(target)[like] * mean_run_s
+        for target, rates in self._rates.items():
+            calls = self._find_rate(rates, like) * mean_run_s
             if calls >= MIN_CALLS:
                 expected[target.service] += calls
         return dict(expected)
 
+    def _find_rate(self, rates: dict[RunKind | None, float], kind: RunKind) -> float:
+        """Return the rate of a kind, or that of first runs if it was not seen by then."""
+        return rates.get(kind, rates.get(RunKind(kind.route, repeat=False), 0.0))
+
     def _estimate_rates(self, target: Target) -> dict[RunKind | None, float]:
         """Return the requests for a target in a second, by callers and by a run of each kind."""
         seen = self._seen[target]
-        first_runs = [kind for kind in self._runs if not kind.repeat]
-        repeats = [kind for kind in self._runs if kind.repeat]
-        kinds: list[RunKind | None] = [*first_runs, *repeats, CALLERS]
-        rates: dict[RunKind | None, float] = dict.fromkeys(kinds, 0.0)
+        # First runs come first, since the rates of repeats start from theirs.
+        runs = sorted(self._runs, key=lambda kind: kind.repeat)
+        kinds: list[RunKind | None] = [*runs, CALLERS]
+        numbers = range(len(kinds))
+        overlaps = [[self._overlaps.get((one, other), 0.0) for other in kinds] for one in kinds]
+        priors = [self._weigh_prior(kind) for kind in kinds]
+        firsts = [self._find_first(kinds, kind) for kind in kinds]
+        rates = [0.0] * len(kinds)
         for _ in range(SWEEPS):
-            for kind in kinds:
-                total = self._overlaps[kind, kind]
-                unexplained = seen[kind] - sum(
-                    self._overlaps[kind, other] * rates[other] for other in kinds if other != kind
-                )
-                if kind is not CALLERS and kind.repeat:
-                    prior = self._weigh_prior(kind)
-                    total += prior
-                    unexplained += prior * rates.get(RunKind(kind.route, repeat=False), 0.0)
-                rates[kind] = max(0.0, unexplained / total) if total > 0 else 0.0
-        return rates
-
-    def _weigh_prior(self, kind: RunKind) -> float:
-        mean_run_s = self._overlaps[kind, CALLERS] / self._runs[kind]
+            for number in numbers:
+                row, prior = overlaps[number], priors[number]
+                total = row[number] + prior
+                explained = sum(map(mul, row, rates)) - row[number] * rates[number]
+                unexplained = seen.get(kinds[number], 0.0) - explained
+                unexplained += prior * rates[firsts[number]]
+                rates[number] = max(0.0, unexplained / total) if total > 0 else 0.0
+        return dict(zip(kinds, rates, strict=True))
+
+    def _find_first(self, kinds: list[RunKind | None], kind: RunKind | None) -> int:
+        """Return the place of the first runs of a kind's route, or its own place."""
+        if kind is CALLERS:
+            return kinds.index(CALLERS)
+        first = RunKind(kind.route, repeat=False)
+        return kinds.index(first if first in kinds else kind)
+
+    def _weigh_prior(self, kind: RunKind | None) -> float:
+        """Return the weight with which a kind is taken to be like first runs."""
+        if kind is CALLERS or not kind.repeat:
+            return 0.0
+        mean_run_s = self._overlaps.get((kind, CALLERS), 0.0) / self._runs[kind]
         return PRIOR_RUNS * mean_run_s * self._weight
 
     def _advance(self, now: float) -> None:
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -474,7 +474,8 @@
         """
         if not request.repeat:
             return True
-        expected = self.call_rates.estimate_calls(RunKind(request.route, repeat=True))
+        kind = RunKind(request.route, repeat=True)
+        expected = self.call_rates.estimate_calls(kind, read_clock())
         return self.charge_calls(expected, charge)
 
     def _count_arrival(self, request: ForwardedRequest, verdict: Verdict) -> None:
--- a/persimmondock/tests/test_call_rates.py
+++ b/persimmondock/tests/test_call_rates.py
@@ -63,35 +63,35 @@
 @pytest.mark.parametrize("from_callers_per_s", [0.0, 5.0])
 def test_the_calls_of_a_run_are_learned(calls: int, from_callers_per_s: float) -> None:
     rates = watch({FIRST: calls}, from_callers_per_s=from_callers_per_s)
-    assert rates.estimate_calls(FIRST)["baybook"] == pytest.approx(calls, rel=0.35)
+    assert rates.estimate_calls(FIRST, WATCHED_S)["baybook"] == pytest.approx(calls, rel=0.35)
 
 
 def test_repeats_that_make_more_calls_than_first_runs_are_told_from_these() -> None:
     """What fails for lack of a call makes calls; one run in five is a repeat."""
     rates = watch({FIRST: 1, REPEAT: 4})
-    assert rates.estimate_calls(REPEAT)["baybook"] == pytest.approx(4, rel=0.35)
-    assert rates.estimate_calls(FIRST)["baybook"] == pytest.approx(1, rel=0.5)
+    assert rates.estimate_calls(REPEAT, WATCHED_S)["baybook"] == pytest.approx(4, rel=0.35)
+    assert rates.estimate_calls(FIRST, WATCHED_S)["baybook"] == pytest.approx(1, rel=0.5)
 
 
 def test_a_route_without_calls_is_told_from_one_with_calls() -> None:
     other = RunKind("export", repeat=False)
     rates = watch({FIRST: 3, other: 0})
-    assert rates.estimate_calls(other).get("baybook", 0.0) <= 0.6
+    assert rates.estimate_calls(other, WATCHED_S).get("baybook", 0.0) <= 0.6
 
 
 @pytest.mark.parametrize("seed", range(1, 6))
 def test_requests_of_callers_are_not_taken_for_calls(seed: int) -> None:
     rates = watch({FIRST: 0}, from_callers_per_s=5.0, seed=seed)
-    assert rates.estimate_calls(REPEAT).get("baybook", 0.0) <= 0.25
+    assert rates.estimate_calls(REPEAT, WATCHED_S).get("baybook", 0.0) <= 0.25
 
 
 def test_repeats_are_expected_to_call_like_first_runs_until_some_were_seen() -> None:
     rates = watch({FIRST: 2})
-    assert rates.estimate_calls(REPEAT) == rates.estimate_calls(FIRST)
+    assert rates.estimate_calls(REPEAT, WATCHED_S) == rates.estimate_calls(FIRST, WATCHED_S)
 
 
 def test_nothing_is_expected_of_a_route_that_never_ran() -> None:
-    assert CallRates().estimate_calls(REPEAT) == {}
+    assert CallRates().estimate_calls(REPEAT, WATCHED_S) == {}
 
 
 def test_what_is_not_seen_any_more_is_forgotten() -> None:
@@ -99,5 +99,5 @@
     for hour in range(1, 4):
         rates.record_start(RunKind("other", repeat=False), 3600.0 * hour)
         rates.record_end(RunKind("other", repeat=False), 3600.0 * hour + 0.1)
-    assert rates.estimate_calls(FIRST) == {}
+    assert rates.estimate_calls(FIRST, 3.0 * 3600.0) == {}
     assert not rates._seen
