What is learned of calls is bounded in routes, and survives a long suspension

Found by reading: with hundreds of routes at one server the sums would grow with the square of their number, and a VM that is suspended for hours would end in an overflow. Kinds of runs beyond 16 and targets beyond 32 count as one, and an interval counts as 50 time constants at most. Two tests of test_call_rates fail without.

--- a/persimmondock/_domain/call_rates.py
+++ b/persimmondock/_domain/call_rates.py
@@ -17,6 +17,9 @@
 import attrs
 
 MEMORY_S = 30.0
+MAX_GAP = 50.0  # time constants; after so long nothing earlier counts
+MAX_KINDS = 16  # of runs that are told apart; all others count as one
+MAX_TARGETS = 32  # that are told apart; beyond them the routes of a service count as one
 MAX_WEIGHT = 1e6  # of an observation; all are scaled down then
 DROP_BELOW = 1e-3  # of what is hardly seen any more
 SWEEPS = 12  # of the solver; a few are enough for a handful of kinds
@@ -42,6 +45,7 @@
 
 
 K = TypeVar("K")
+OTHERS = ""  # in place of a route
 CALLERS = None  # in place of a kind: what comes in whatever runs
 
 
@@ -69,11 +73,17 @@
     _rates: dict[Target, dict[RunKind | None, float]] = attrs.field(factory=dict)
     _estimated_until: float = -math.inf
 
-    def record_start(self, kind: RunKind, now: float) -> None:
-        """Record that a run starts."""
+    def record_start(self, kind: RunKind, now: float) -> RunKind:
+        """Record that a run starts; return the kind under which its end is recorded."""
         self._advance(now)
+        kind = self._choose_kind(kind)
         self._running[kind] += 1
         self._runs[kind] += self._weight
+        return kind
+
+    def _choose_kind(self, kind: RunKind) -> RunKind:
+        is_known = kind in self._runs or len(self._runs) < MAX_KINDS
+        return kind if is_known else RunKind(OTHERS, kind.repeat)
 
     def record_end(self, kind: RunKind, now: float) -> None:
         """Record that a run ends."""
@@ -85,6 +95,8 @@
     def record_request(self, target: Target, now: float) -> None:
         """Record that a request came in."""
         self._advance(now)
+        if target not in self._seen and len(self._seen) >= MAX_TARGETS:
+            target = Target(target.service, OTHERS)
         seen = self._seen.setdefault(target, defaultdict(float))
         seen[CALLERS] += self._weight
         for kind, running in self._running.items():
@@ -95,6 +107,7 @@
         if now >= self._estimated_until:
             self._estimated_until = now + ESTIMATE_S
             self._rates = {target: self._estimate_rates(target) for target in self._seen}
+        kind = self._choose_kind(kind)
         like = kind if self._runs.get(kind) else RunKind(kind.route, repeat=False)
         if not self._runs.get(like):
             return {}
@@ -154,7 +167,7 @@
         present: list[tuple[RunKind | None, int]] = [*self._running.items(), (CALLERS, 1)]
         for (kind, count), (other, other_count) in product(present, repeat=2):
             self._overlaps[kind, other] += self._weight * elapsed_s * count * other_count
-        self._weight *= math.exp(elapsed_s / self.memory_s)
+        self._weight *= math.exp(min(MAX_GAP, elapsed_s / self.memory_s))
         if self._weight > MAX_WEIGHT:
             self._scale_down()
 
--- a/persimmondock/_tasks/backend_gate.py
+++ b/persimmondock/_tasks/backend_gate.py
@@ -442,8 +442,8 @@
             if refusal is None:
                 running.started_at = now
                 if running.kind is None:
-                    running.kind = RunKind(request.route, request.repeat)
-                    self.call_rates.record_start(running.kind, now)
+                    kind = RunKind(request.route, request.repeat)
+                    running.kind = self.call_rates.record_start(kind, now)
             return refusal
 
         try:
@@ -455,9 +455,9 @@
                 self.pool.record_time(request, number)
             raise
         finally:
-            kind = self.pool.running[number].kind
-            if kind is not None:
-                self.call_rates.record_end(kind, read_clock())
+            ended = self.pool.running[number].kind
+            if ended is not None:
+                self.call_rates.record_end(ended, read_clock())
         sent_at = self.pool.running[number].started_at
         elapsed_s = read_clock() - sent_at
         self._metrics.time(f"backend_ms.{name_verdict(verdict)}", 1000 * elapsed_s)
--- a/persimmondock/tests/test_call_rates.py
+++ b/persimmondock/tests/test_call_rates.py
@@ -10,7 +10,13 @@
 
 import pytest
 
-from persimmondock._domain.call_rates import CallRates, RunKind, Target
+from persimmondock._domain.call_rates import (
+    MAX_KINDS,
+    MAX_TARGETS,
+    CallRates,
+    RunKind,
+    Target,
+)
 
 FIRST = RunKind("lookup", repeat=False)
 REPEAT = RunKind("lookup", repeat=True)
@@ -94,6 +100,27 @@
     assert CallRates().estimate_calls(REPEAT, WATCHED_S) == {}
 
 
+def test_many_routes_are_estimated_together() -> None:
+    """A configuration grows by hundreds of routes, of the server and of what it calls."""
+    rates = CallRates()
+    for number in range(1_000):
+        kind = rates.record_start(RunKind(f"r{number}", repeat=False), 0.1 * number)
+        rates.record_request(Target("baybook", f"t{number}"), 0.1 * number + 0.05)
+        rates.record_end(kind, 0.1 * number + 0.08)
+    assert len(rates._runs) <= MAX_KINDS + 1
+    assert len(rates._seen) <= MAX_TARGETS + 1
+    expected = rates.estimate_calls(RunKind("r999", repeat=True), 100.0)
+    assert expected["baybook"] == pytest.approx(1.0, rel=0.35)
+
+
+def test_a_long_suspension_is_survived() -> None:
+    rates = watch({FIRST: 2})
+    kind = rates.record_start(FIRST, WATCHED_S)
+    rates.record_end(kind, 1e7)
+    rates.record_request(ROSTER, 1e7 + 1.0)
+    assert rates.estimate_calls(FIRST, 1e7 + 1.0).get("baybook", 0.0) <= 2.0
+
+
 def test_what_is_not_seen_any_more_is_forgotten() -> None:
     rates = watch({FIRST: 2})
     for hour in range(1, 4):
