A daemon of an earlier version is told a reason for a refusal that it knows

Found by reading: the new reason retry_budget would have failed to unpack at a front of the version before, in a rolling upgrade. It gets overloaded in its place, and the new reason behind the fields that it reads. A test of both.

--- a/persimmondock/_domain/forwarding.py
+++ b/persimmondock/_domain/forwarding.py
@@ -19,6 +19,8 @@
 )
 
 NO_KEY = -1
+# What daemons of earlier versions are told in place of reasons that they do not know.
+REASONS_OF_EARLIER_VERSIONS = {Reason.RETRY_BUDGET: Reason.OVERLOADED}
 
 
 @attrs.frozen
@@ -126,7 +128,8 @@
             headers = [(h.name, h.value) for h in answer.headers]
             return [0, answer.status, headers, answer.body]
         case NotRun(reason=reason, retry_after_ms=retry_after_ms, arrived=arrived):
-            return [1, reason.value, retry_after_ms, arrived]
+            known_reason = REASONS_OF_EARLIER_VERSIONS.get(reason, reason)
+            return [1, known_reason.value, retry_after_ms, arrived, reason.value]
         case MayHaveRun(reason=reason):
             return [2, reason.value]
 
@@ -138,8 +141,8 @@
         status, headers, body = rest
         return Answered(Answer(status, tuple(Header(n, v) for n, v in headers), body))
     if kind == 1:
-        reason, retry_after_ms, *arrived = rest
-        # Daemons of earlier versions do not tell.
-        is_at_backend = arrived[0] if arrived else reason == Reason.BACKEND_REFUSED
-        return NotRun(Reason(reason), retry_after_ms, is_at_backend)
+        known_reason, retry_after_ms, *later = rest
+        # Daemons of earlier versions do not tell more.
+        arrived, reason = later or (known_reason == Reason.BACKEND_REFUSED, known_reason)
+        return NotRun(Reason(reason), retry_after_ms, arrived)
     return MayHaveRun(Reason(rest[0]))
--- a/persimmondock/tests/test_dispatcher.py
+++ b/persimmondock/tests/test_dispatcher.py
@@ -454,6 +454,14 @@
     assert unpack_verdict(pack_verdict(refusal)) == refusal
 
 
+def test_an_earlier_version_is_told_a_reason_that_it_knows() -> None:
+    """It reads the first three fields, and fails on a reason that is new."""
+    _, reason, _, *later = pack_verdict(NotRun(Reason.RETRY_BUDGET, 300))
+    assert (reason, later) == ("overloaded", [False, "retry_budget"])
+    refusal = NotRun(Reason.RETRY_BUDGET, 300)
+    assert unpack_verdict(pack_verdict(refusal)) == refusal
+
+
 @pytest.mark.parametrize("reason", [Reason.BACKEND_REFUSED, Reason.NOT_OWNER])
 def test_a_refusal_of_an_earlier_version_is_read(reason: Reason) -> None:
     data = pack_verdict(NotRun(reason, 200))[:3]
