A retry that is given back is the one that was charged

Found by reading: after a request that outlasts the window, the charge of another one was taken back.

--- a/persimmondock/_domain/shared_budget.py
+++ b/persimmondock/_domain/shared_budget.py
@@ -86,10 +86,10 @@
         self._retries.append(now)
         return True
 
-    def give_back(self) -> None:
-        """Take back the latest retry, which reached no backend server."""
-        if self._retries:
-            self._retries.pop()
+    def give_back(self, spent_at: float) -> None:
+        """Take back a retry that was spent at an instant and reached no backend server."""
+        if spent_at in self._retries:
+            self._retries.remove(spent_at)
 
     def charge_calls(self, now: float, amount: float) -> None:
         """Charge the calls that a retried request is expected to make."""
--- a/persimmondock/_tasks/dispatcher.py
+++ b/persimmondock/_tasks/dispatcher.py
@@ -83,8 +83,8 @@
         Attempts in which a backend server ran the request or may have run it.
     arrivals
         Attempts that a backend server received, or may have received.
-    paid
-        Whether the next arrival is charged to the retry budget.
+    paid_at
+        Instant at which the next arrival was charged to the retry budget, or None if it was not.
     unknown_outcome
         First verdict that the request may have run.
     failure
@@ -103,7 +103,7 @@
 
     runs: int = 0
     arrivals: int = 0
-    paid: bool = False
+    paid_at: float | None = None
     unknown_outcome: MayHaveRun | None = None
     failure: Answered | None = None
     refusal: NotRun | None = None
@@ -115,7 +115,7 @@
     def record_arrival(self) -> None:
         """Record that a backend server received the request, or may have received it."""
         self.arrivals += 1
-        self.paid = False
+        self.paid_at = None
 
     def conclude(self) -> Verdict:
         """Return the verdict on the request as a whole."""
@@ -230,9 +230,9 @@
             raise
         finally:
             self.in_flight -= 1
-        if attempts.paid:
+        if attempts.paid_at is not None:
             # No gate sent it on to a backend server.
-            self._get_budget(request.service).give_back()
+            self._get_budget(request.service).give_back(attempts.paid_at)
             self._metrics.count(f"retries.{name_service(request.service)}.returned")
         if isinstance(verdict, NotRun) and verdict.reason in NO_ROOM and attempts.sent:
             room, owner = self._get_room(request.service), self._find_owner(request)
@@ -361,7 +361,8 @@
         """Return whether the service's retry budget allows one more attempt, and charge it."""
         daemons = self._count_daemons()
         budget = self._get_budget(request.service)
-        allowed = attempts.paid = budget.spend(now, daemons)
+        allowed = budget.spend(now, daemons)
+        attempts.paid_at = now if allowed else None
         outcome = "spent" if allowed else "refused"
         self._metrics.count(f"retries.{name_service(request.service)}.{outcome}")
         if not allowed:
--- a/persimmondock/tests/test_shared_budget.py
+++ b/persimmondock/tests/test_shared_budget.py
@@ -88,3 +88,16 @@
     budget = SharedBudget(ratio=0.2, slack=64.0, window_s=10.0, slack_from=11.0)
     assert not budget.spend(10.9, 4)
     assert budget.spend(11.0, 4)
+
+
+def test_a_retry_that_is_given_back_late_does_not_make_room_for_another() -> None:
+    """A request waited for longer than a window, and its charge is forgotten."""
+    budget = make_budget()
+    assert budget.spend(1.0, 1)
+    spent = spend_all(budget, 5.0, 1)
+    budget.give_back(5.0)
+    assert spend_all(budget, 6.0, 1) == 1
+    assert spend_all(budget, 11.5, 1) == 1
+    budget.give_back(1.0)
+    assert spend_all(budget, 11.6, 1) == 0
+    assert spent > 1
