--- a/persimmondock/tests/soak/test_soak.py
+++ b/persimmondock/tests/soak/test_soak.py
@@ -212,7 +212,7 @@
         (
             "--break x",
             "--break: expected one of lease, takeover, drain, refusal, limit, pause, instance, "
-            "key, quota, order, resend, not 'x'",
+            "key, quota, order, resend, budget, not 'x'",
         ),
     ],
 )
