--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -128,6 +128,11 @@
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
+    def release_waiting_reads(self) -> None:
+        """Have waiting reads look again, so that an outage reaches them."""
+        self._grown.set()
+        self._grown = asyncio.Event()
+
     def write(self, topic: str, key: str, value: bytes) -> None:
         """Append a record as the operator does."""
         name = key.encode()
@@ -137,8 +142,7 @@
         known = self._records.setdefault(partition, [])
         offset = len(known)
         known += records
-        self._grown.set()
-        self._grown = asyncio.Event()
+        self.release_waiting_reads()
         return offset
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -263,7 +267,7 @@
         self.ran: set[str] = set()
         self.runs: list[Run] = []
         self.is_up = False
-        self.last_ack_at = 0.0
+        self.holds_announcements = False
         self._lives = 0
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -274,7 +278,7 @@
         """Begin a life."""
         self._lives += 1
         self.instance = f"i-{self.name}-{self._lives}"
-        self._born = int(time.time() * 1000)
+        self._born, self._sequence = int(time.time() * 1000), 0
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
         self.is_up = True
@@ -303,29 +307,44 @@
         await asyncio.sleep(self.down_s)
         await self.start()
 
+    def build_next_announcement(self) -> bytes:
+        self._sequence += 1
+        body = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "capacity": self.slots,
+            "state": "ready",
+            "cold_s": 0,
+            "sequence": self._sequence,
+            "born": self._born,
+        }
+        return json.dumps(body).encode()
+
+    async def send_announcement(self, body: bytes) -> int:
+        """Send an announcement; return the status, or 0 without an answer within a second."""
+        return await self._call_daemon("PUT", body)
+
+    async def send_leave(self) -> int:
+        """Withdraw the announcements and send no more of them; return the status, or 0."""
+        if self._beats is not None:
+            self._beats.cancel()
+        return await self._call_daemon("DELETE", json.dumps({"born": self._born}).encode())
+
+    async def _call_daemon(self, method: str, body: bytes) -> int:
+        path = f"/-/instances/{self.instance}"
+        try:
+            answer = await asyncio.wait_for(call(self.control, method, path, body), 1.0)
+        except (OSError, TimeoutError):
+            return 0
+        return answer.status if answer is not None else 0
+
     async def _announce(self) -> None:
-        sequence = 0
         while True:
-            sequence += 1
-            body = json.dumps(
-                {
-                    "service": self.service,
-                    "address": self.address,
-                    "zone": self.zone,
-                    "version": "v1",
-                    "capacity": self.slots,
-                    "state": "ready",
-                    "cold_s": 0,
-                    "sequence": sequence,
-                    "born": self._born,
-                }
-            ).encode()
             sent_at = time.monotonic()
-            with contextlib.suppress(OSError, TimeoutError, AttributeError):
-                path = f"/-/instances/{self.instance}"
-                answer = await asyncio.wait_for(call(self.control, "PUT", path, body), 1.0)
-                if answer.status == 200:
-                    self.last_ack_at = time.monotonic()
+            if not self.holds_announcements:
+                await self.send_announcement(self.build_next_announcement())
             await asyncio.sleep(max(0.0, sent_at + 0.87 - time.monotonic()))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
