--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,10 +1,12 @@
-"""A request that crashes backend servers comes again while daemons are stopped and started."""
+"""A backend server leaves while the store is down, and then all daemons are killed at once."""
 
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
+import time
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
@@ -16,6 +18,7 @@
     HELD,
     Backend,
     Site,
+    UnableError,
     call,
     make_configuration,
     make_fields,
@@ -23,56 +26,40 @@
     run_case,
 )
 
-ALLOWED = 3  # the rule is broken by more
-CRASHES = 3  # from which on it counts
+DRAIN_S = 2.0
 CONTACT_S = BOUNDS["contact_s"]
-DOWN_S = 1.5  # "back after some seconds"
-REPEAT_S = 4.0  # between two times that the request comes
-ROUNDS = 3  # times that it comes after each restart
-BODY = b'{"report":"acoustic"}'
+STORE_DOWN_S = 4.0
+DOWN_S = 0.6  # of the daemons
+HELD_UP_S = 3.9  # of one announcement
+SERVES_ON_S = 14.0
 
 
-class Case:
-    def __init__(self, site: Site) -> None:
-        self.site, self.sent = site, 0
-        self.background: asyncio.Task[None] | None = None
-        self.served = 0
+async def send_all(site: Site) -> None:
+    number = 0
+    address = site.vms[0].address("outbound")
 
-    async def send(self, attempt: str, path: str) -> int:
-        """Send a request at the first VM, which is never touched; return the status, 0 if none."""
-        fields = make_fields(attempt, 2_000)
+    async def send(attempt: str) -> None:
         try:
-            address = self.site.vms[0].address("outbound")
-            answer = await asyncio.wait_for(call(address, "POST", path, BODY, fields), 2.0)
+            fields = make_fields(attempt, 2_000)
+            answer = await asyncio.wait_for(call(address, "POST", "/filing/x", b"", fields), 2.0)
         except (OSError, TimeoutError):
-            return 0
-        return answer.status if answer is not None else 0
+            answer = None
+        site.record.write(f"{attempt} is answered {answer.status if answer is not None else 0}")
 
-    async def send_poison(self) -> None:
-        self.sent += 1
-        attempt = f"p{self.sent}"
-        self.site.record.write(f"client sends {attempt} /filing/poison")
-        status = await self.send(attempt, "/filing/poison")
-        self.site.record.write(f"{attempt} is answered {status}")
-
-    async def serve_others(self) -> None:
-        """Send ordinary requests all the while, which show a crash soon."""
-        number = 0
-        while True:
-            number += 1
-            self.served += await self.send(f"o{number}", f"/filing/{number}") == 200
-            await asyncio.sleep(0.1)
-
-    async def come_again(self) -> None:
-        for _ in range(ROUNDS):
-            await self.send_poison()
-            await asyncio.sleep(REPEAT_S)
+    tasks = set()
+    while True:
+        number += 1
+        tasks.add(asyncio.create_task(send(f"r{number}")))
+        await asyncio.sleep(0.05)
 
 
 async def play(has_trouble: bool) -> int:
-    services = ["preview", "filings", "filings", "filings"]
-    site = Site(CASE, services, ["gulf-south-a", "gulf-south-b", "gulf-south-c"], BOUNDS)
-    case = Case(site)
+    # Each of the two disruptions can be left out, to see that neither does it alone.
+    kills = has_trouble and os.environ.get("KILLS", "1") == "1"
+    outage = has_trouble and os.environ.get("OUTAGE", "1") == "1"
+    services = ["recepcao", "governanca", "governanca", "governanca", "recepcao"]
+    site = Site(CASE, services, ["recife", "fortaleza", "salvador"], BOUNDS | {"drain_s": DRAIN_S})
+    record = site.record
     try:
         for vm in site.vms:
             vm.backend = Backend(
@@ -81,34 +68,56 @@
                 vm.address("backend"),
                 vm.address("control"),
                 vm.zone,
-                site.record,
-                crash_path="/filing/poison",
-                down_s=DOWN_S,
+                record,
             )
-        routes = [make_route("filing", "unsafe", "filings", 2.0)]
+        routes = [make_route("filing", "unsafe", "governanca", 2.0)]
         await site.start(make_configuration(routes, sorted(set(services))))
-        case.background = asyncio.create_task(case.serve_others())
+        sending = asyncio.create_task(send_all(site))
         await asyncio.sleep(2.0)
-        await case.come_again()
-        for vm in site.vms[1:]:
-            if has_trouble:
-                vm.signal(signal.SIGTERM)
-                await vm.wait_for_end(8.0)
-                await asyncio.sleep(0.3)
+        leaving = site.vms[1].backend
+        if outage:
+            site.store.is_down = True
+            site.store.release_waiting_reads()
+            record.write("the store is down")
+        down_at = time.monotonic()
+        await asyncio.sleep(1.0)
+        # An announcement that is held up on its way; without an ack the server goes on.
+        leaving.holds_announcements = True
+        late = leaving.build_next_announcement()
+        late_at = time.monotonic() + HELD_UP_S
+        record.write(f"{leaving.instance} sends an announcement that is held up")
+        await asyncio.sleep(1.1)
+        status = await leaving.send_leave()
+        acked_at = time.monotonic()
+        record.write(f"{leaving.instance} withdraws its announcements: {status}")
+        if status != 200:
+            raise UnableError(f"the notice got {status}")
+        if kills:
+            for vm in site.vms:
+                vm.signal(signal.SIGKILL)
+                vm.process.wait()
+            await asyncio.sleep(DOWN_S)
+            for vm in site.vms:
                 vm.start_daemon()
-                await vm.wait_until_ready(10.0)
-                # Until the machine is in touch again.
-                await asyncio.sleep(CONTACT_S + 1.0)
-            await case.come_again()
-        case.background.cancel()
-        crashes = sorted(crash for vm in site.vms for crash in vm.backend.crashes)
-        counted_from = crashes[CRASHES - 1][0] + CONTACT_S if len(crashes) >= CRASHES else None
-        counted = [a for at, a in crashes if counted_from is not None and at > counted_from]
-        site.record.write(f"ordinary requests served: {case.served}")
-        site.record.write(f"crashes: {[attempt for _, attempt in crashes]}")
-        site.record.write(f"later than contact_s after the third crash: {counted}")
-        print(f"{len(crashes)} crashes of {case.sent} requests, {len(counted)} counted")
-        return BROKEN if len(counted) > ALLOWED else HELD
+        started_at = time.monotonic()
+        if outage:
+            await asyncio.sleep(max(0.0, down_at + STORE_DOWN_S - time.monotonic()))
+            site.store.is_down = False
+            record.write("the store is back")
+        stable_at = time.monotonic()
+        await asyncio.sleep(max(0.0, late_at - time.monotonic()))
+        record.write(f"the late announcement arrives: {await leaving.send_announcement(late)}")
+        in_touch_at = max(started_at, stable_at) + CONTACT_S
+        judged_from = max(in_touch_at, acked_at + DRAIN_S)
+        for vm in site.vms:
+            await vm.wait_until_ready(5.0)
+        await asyncio.sleep(max(0.0, acked_at + SERVES_ON_S - time.monotonic()))
+        sending.cancel()
+        late_runs = [run.attempt for run in leaving.runs if run.began > judged_from]
+        record.write(f"in touch {in_touch_at - acked_at:.2f} s after the ack")
+        record.write(f"DRAIN, reached {leaving.instance} later: {late_runs}")
+        print(f"{len(late_runs)} requests reached the server that had left")
+        return BROKEN if late_runs else HELD
     finally:
         site.end(keep_logs=False)
 
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -676,6 +676,10 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play_and_end() -> int:
+        # Daemons are ended also if the script is.
+        current = asyncio.current_task()
+        assert current is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, current.cancel)
         try:
             return await asyncio.wait_for(play(has_trouble), 115.0)
         finally:
@@ -687,6 +691,6 @@
 
     try:
         return asyncio.run(play_and_end())
-    except (UnableError, TimeoutError, OSError) as error:
+    except (UnableError, TimeoutError, OSError, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         return UNABLE
