--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -30,6 +30,7 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 HOST = "board.example"
+METRICS_PORT = 9464  # of the deploy file
 HELD, BROKEN, UNABLE = 0, 1, 2
 
 
@@ -606,7 +607,7 @@
                 sock.bind((f"{prefix}.1", port))
             except OSError:
                 continue
-        if port not in found:
+        if port not in found and port != METRICS_PORT:
             found.append(port)
     return found
 
