A failed run of a request that may run once is not answered as a refusal

Change: withhold_misleading_answer stands between the verdict and the response. Such an answer to a request that is not idempotent becomes may_have_run (502, 504 at the deadline) without the answer's fields; a streamed body is closed. Idempotent requests keep the answer unchanged.

--- a/persimmondock/_domain/verdict.py
+++ b/persimmondock/_domain/verdict.py
@@ -47,6 +47,7 @@
     ANSWER_TRUNCATED = "answer_truncated"
     ANSWER_INVALID = "answer_invalid"
     ANSWER_TOO_LARGE = "answer_too_large"
+    ANSWER_MISLEADING = "answer_misleading"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_SILENT = "peer_silent"
     CANCELLED = "cancelled"
--- a/persimmondock/platform/_headers.py
+++ b/persimmondock/platform/_headers.py
@@ -35,6 +35,8 @@
 MAX_KEY = 65_535
 MAX_LOGGED = 40  # characters of a value that is refused
 MAX_DIGITS = 15  # of a number in a header; more are no time in milliseconds
+# By these the caller learns that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 # Host is forwarded: it is part of the request.
@@ -166,11 +168,28 @@
     return response.find_header(ATTEMPT.lower()) in (None, attempt)
 
 
+def withhold_misleading_answer(verdict: Verdict, idempotent: bool) -> Verdict:
+    """Return the verdict on a request that its caller may be told.
+
+    An answer whose status says "not run" comes from a backend server that ran the request. A caller
+    would send the request again, which is only safe if the request is idempotent.
+    """
+    match verdict:
+        case Answered(answer=answer) if answer.status in NOT_RUN_STATUSES and not idempotent:
+            return MayHaveRun(Reason.ANSWER_MISLEADING)
+    return verdict
+
+
 def choose_status(verdict: Verdict, deadline_passed: bool) -> int:
-    """Return the HTTP status for a verdict.
+    """Return the HTTP status for a verdict that the caller may be told.
+
+    The statuses are, for the result of `withhold_misleading_answer`:
 
-    Without a backend server's answer, only 503 and 429 guarantee that the request has not run and
-    never will; 502 and 504 mean that it may have run, 504 also that its deadline has passed.
+    =============  =================================================================
+    not run        503, or 429 beyond a tenant's limit; it never runs
+    may have run   502, or 504 once the deadline has passed
+    answered       the backend server's; none of `NOT_RUN_STATUSES` unless idempotent
+    =============  =================================================================
     """
     match verdict:
         case NotRun(reason=Reason.TENANT_LIMIT):
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -296,8 +296,19 @@
         fields = _headers.read_caller_fields(request.headers, name)
         forwarded = self._build_request(request, fields, route, tenant)
         verdict = await self._run(forwarded, route, tenant, table.version)
+        sayable = _headers.withhold_misleading_answer(verdict, forwarded.idempotent)
+        if isinstance(verdict, Answered) and sayable is not verdict:
+            answer = verdict.answer
+            logger.info(
+                "event=answer_withheld attempt={} route={} status={}",
+                forwarded.attempt,
+                route.name,
+                answer.status,
+            )
+            if answer.stream is not None:
+                answer.stream.close()
         deadline_passed = read_clock() + DEADLINE_MARGIN_S >= forwarded.deadline
-        return self._render_verdict(verdict, forwarded.attempt, deadline_passed)
+        return self._render_verdict(sayable, forwarded.attempt, deadline_passed)
 
     def _build_request(
         self,
--- a/persimmondock/standins/site_backend.py
+++ b/persimmondock/standins/site_backend.py
@@ -236,6 +236,8 @@
     called_path
         Path at the daemon that runs call with ``calling_ratio``; empty for no calls. A run whose
         call is not answered ends with status 500.
+    failure_status
+        Status of the answers to requests that have run; 0 for success.
     endless_answers
         Which answers do not end; None for no fault.
     endless_attempts
@@ -276,6 +278,7 @@
     arrivals: list[RequestArrival] = attrs.field(factory=list)
     calls: list[BackendCall] = attrs.field(factory=list)
     generator: random.Random = attrs.field(factory=random.Random)
+    failure_status: int = 0
     endless_answers: EndlessAnswers | None = None
     endless_attempts: set[str] = attrs.field(factory=set)
     _refused: set[str] = attrs.field(factory=set)
@@ -627,7 +630,11 @@
         if not is_served:
             return web.Response(status=500, headers=response_headers)
         answer = b"answer to " + attempt.encode() + body
-        return web.Response(body=answer.ljust(self.answer_bytes, b"."), headers=response_headers)
+        return web.Response(
+            status=self.failure_status or 200,
+            body=answer.ljust(self.answer_bytes, b"."),
+            headers=response_headers,
+        )
 
     async def _make_call(self, request: web.Request, parent: str) -> bool:
         """Call another service through the daemon; return whether the call was answered."""
