Connections end only once their clients have received the answers

Callers saw: a part of a large answer and a reset, if they had sent a further request before they read it and the daemon got SIGTERM meanwhile.

Cause: what was written was taken for received. A close with unread bytes, or before bytes that still arrive, ends in a reset, which discards what the client has not received yet. Only connections of refused messages were half-closed and read on, for a second or 8 MB.

Change: all connections that end after an answer are half-closed and read on until the client closes them or has acknowledged everything. Connections count as idle only from then on. A stop waits, within its bound, for replies to peers as well, and a mistaken peer closes its connection itself. It works since no close happens any more while a reset could discard something; the client's own kernel keeps what it has acknowledged.

--- a/persimmondock/_adapters/http_server.py
+++ b/persimmondock/_adapters/http_server.py
@@ -26,6 +26,7 @@
 )
 from persimmondock._adapters.sockets import (
     bind_socket,
+    count_undelivered,
     has_unread_bytes,
     limit_reads,
     set_socket_options,
@@ -59,8 +60,10 @@
 RESERVED_SHARE = 0.125  # of the memory, for small requests and for answers
 NO_MEMORY_RETRY_S = 0.5
 UNREAD_S = 1.0  # clients that read nothing for so long make room for requests of others
-LINGER_S = 1.0  # a reset, which follows a close before all is read, would discard the refusal
-LINGER_BYTES = 8 * 1024 * 1024
+# A close before the client has everything may end in a reset, which discards what it has not read.
+LINGER_S = 0.5  # for the client to close a connection after all was delivered
+CLOSE_POLL_S = 0.02
+DISCARDED_BYTES = 8 * 1024 * 1024  # per CHECK_INTERVAL_S, behind the last request
 NOTHING = memoryview(b"")
 
 
@@ -168,15 +171,19 @@
         if self._acceptor is not None:
             self._acceptor.close()
         close_by = read_clock() + within_s
-        for connection in list(self.connections):
-            connection.close_if_idle()
+        self._close_idle_connections()
         while self.connections and read_clock() < close_by:
-            await asyncio.sleep(min(0.02, within_s))
+            await asyncio.sleep(min(CLOSE_POLL_S, within_s))
+            self._close_idle_connections()
         if self._checker is not None:
             self._checker.cancel()
         for connection in list(self.connections):
             connection.abort()
 
+    def _close_idle_connections(self) -> None:
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
     def count_pipelined(self) -> int:
         """Return the number of requests behind others of their connections."""
         return sum(max(0, len(connection.pipeline) - 1) for connection in self.connections)
@@ -318,7 +325,10 @@
         self._in_header = False
         self._must_continue = False
         self._has_advanced = False  # past a line or within a body, in the last part
-        self._is_cut_off = self._lingers = False
+        self._lingers = False
+        self._linger_until = math.inf
+        self._undelivered_bytes = 0  # when they were last counted
+        self._is_spared = False  # from making way until all is delivered
         self._discarded_bytes = 0
         self._reset_message()
 
@@ -362,16 +372,19 @@
             self.close_if_idle()
 
     def _discard(self, size: int) -> None:
-        """Read no more of a client that goes on sending after its last request."""
+        """Bound what is read of a client that goes on sending after its last request."""
         self._discarded_bytes += size
-        if self._discarded_bytes <= LINGER_BYTES or self._transport is None:
-            return
-        if self._lingers:
-            self.abort()
-        elif self._reading:
+        if self._discarded_bytes > DISCARDED_BYTES and self._transport is not None:
             self._reading = False
             self._transport.pause_reading()
 
+    def _discard_more(self) -> None:
+        """Read on, as unread bytes would turn the close of the connection into a reset."""
+        self._discarded_bytes = 0
+        if not self._reading and self._transport is not None:
+            self._reading = True
+            self._transport.resume_reading()
+
     def pause_writing(self) -> None:
         self._writable = False
 
@@ -509,7 +522,6 @@
 
     def _drop_message(self) -> None:
         """Keep nothing of what was received and is not in the pipeline."""
-        self._is_cut_off = self._is_cut_off or self._in_message or bool(self._unparsed)
         self._parser = None  # which refers to the connection
         self._in_message = self._in_header = self._must_continue = False
         self._unparsed, self._received_bytes = NOTHING, 0
@@ -726,27 +738,47 @@
         return self._share is self._server.refusals
 
     def _end(self) -> None:
-        """Close the connection once all is sent.
+        """End the answers of the connection, and close it once the client has received them.
 
-        A client that is still sending is read for a moment, as it may not have read its answer.
+        Whatever the client has sent behind its last request, or still sends, is read until then.
         """
         if self._transport is None or self._lingers:
             return
         self._drop_message()
-        if (
-            not self._is_cut_off
-            or self._transport.is_closing()
-            or not (self._transport.can_write_eof())
-        ):
+        if self._transport.is_closing() or not self._transport.can_write_eof():
             self._transport.close()
             return
         self._lingers = True
-        if not self._unsent_bytes:
-            self._deadline = read_clock() + LINGER_S
+        self.pipeline.end()
         self._transport.write_eof()
-        if not self._reading:
-            self._reading = True
-            self._transport.resume_reading()
+        self._discard_more()
+
+    def _count_undelivered(self) -> int:
+        """Return the bytes of answers that the client has not acknowledged, as far as known."""
+        assert self._transport is not None
+        sock = self._transport.get_extra_info("socket")
+        in_kernel = 0 if sock is None else count_undelivered(sock)
+        return self._transport.get_write_buffer_size() + in_kernel
+
+    def _has_received_more(self) -> bool:
+        """Return whether the client still receives answers, compared with the last call."""
+        before, self._undelivered_bytes = self._undelivered_bytes, self._count_undelivered()
+        return 0 < self._undelivered_bytes != before
+
+    def _check_linger(self, now: float) -> None:
+        """Close an ended connection if its client has everything or receives nothing more."""
+        assert self._transport is not None
+        self._discard_more()
+        if self._has_received_more():
+            self._deadline = now + self._server.idle_timeout_s
+        if self._undelivered_bytes:
+            if now >= self._deadline:
+                self.abort()
+        elif self._linger_until == math.inf:
+            self._linger_until = now + LINGER_S
+            self._share.mark_idle(self, now)
+        elif now >= self._linger_until:
+            self._transport.close()
 
     @property
     def _closes_when_empty(self) -> bool:
@@ -814,7 +846,6 @@
         logger.info("event=bad_request status={} detail={!r}", status, detail)
         fields = (("Retry-After", f"{NO_MEMORY_RETRY_S:.3f}"),) if status == 503 else ()
         self._drop_message()
-        self._is_cut_off = True
         self.pipeline.add_refusal(NO_REQUEST, ServerResponse(status, fields))
         self._advance()
 
@@ -836,9 +867,12 @@
     def make_way(self) -> bool:
         """Close the connection for another one, unless a request is on its way."""
         transport = self._transport
-        if transport is None or not self._is_idle or transport.get_write_buffer_size():
+        if transport is None or not self._is_idle:
             return False
-        if has_unread_bytes(transport.get_extra_info("socket")):
+        if self._count_undelivered():
+            self._is_spared = True
+            return False
+        if not self._lingers and has_unread_bytes(transport.get_extra_info("socket")):
             return False
         transport.close()
         return True
@@ -856,11 +890,15 @@
             self._transport.close()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is running, partly received or waits to be read."""
+        """Close the connection unless a request or a part of an answer is on its way."""
         transport = self._transport
         if transport is None or not self._is_idle:
             return
-        if not has_unread_bytes(transport.get_extra_info("socket")):
+        if self._lingers:
+            self._check_linger(read_clock())
+        elif not (
+            self._count_undelivered() or has_unread_bytes(transport.get_extra_info("socket"))
+        ):
             transport.close()
 
     def check_deadline(self, now: float) -> None:
@@ -869,11 +907,21 @@
             return
         self._record_unsent(now)
         self._settle()
+        if self._lingers:
+            self._check_linger(now)
+            return
+        if self._is_spared and not self._count_undelivered():
+            self._is_spared = False
+            if self._is_idle:
+                self._share.mark_idle(self, now)
         is_running = len(self.pipeline) > 0 and self._writable
         if is_running:
             return
         if now >= self._deadline:
-            self.abort()
+            if self._is_idle and self._has_received_more():
+                self._deadline = now + self._server.idle_timeout_s
+            else:
+                self.abort()
         elif self._in_message and not self._in_header and now >= self._body_deadline:
             self._refuse(408, "body too slow")
 
--- a/persimmondock/_adapters/peer_stream.py
+++ b/persimmondock/_adapters/peer_stream.py
@@ -37,7 +37,12 @@
 from persimmondock._adapters.buffered_body import BufferedBody
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.piece_link import PieceLink
-from persimmondock._adapters.sockets import bind_socket, keep_send_queue_short, set_socket_options
+from persimmondock._adapters.sockets import (
+    bind_socket,
+    count_undelivered,
+    keep_send_queue_short,
+    set_socket_options,
+)
 from persimmondock._adapters.supervision import keep_running
 from persimmondock._domain.descriptor_budget import UNKNOWN_PEERS_SHARE, ConnectionShare
 from persimmondock._domain.foreign_data import UNREADABLE, show_value
@@ -608,6 +613,15 @@
     def record_written(self, size: int) -> None:
         self._server.link.record(size)
 
+    @property
+    def has_undelivered(self) -> bool:
+        """Whether the client has not received all that was written, as far as known."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        sock = self.transport.get_extra_info("socket")
+        in_kernel = 0 if sock is None else count_undelivered(sock)
+        return bool(in_kernel or self.transport.get_write_buffer_size())
+
     def handle_frame(self, frame: list[Any]) -> None:
         kind, number, name, payload, sent_at = frame
         if self._is_refused:
@@ -647,11 +661,15 @@
         task.add_done_callback(lambda _: self._request_tasks.pop(number, None))
 
     def _refuse(self) -> None:
-        """Close the connection of a daemon that expects another one at this address."""
+        """Refuse the connection of a daemon that expects another one at this address.
+
+        The daemon closes it; what it has sent meanwhile is read, as a close before that may end in
+        a reset, which discards the refusal.
+        """
         self._is_refused = True
         self.send([OTHER_NODE, 0, self._server.node])
-        if self.transport is not None:
-            self.transport.close()
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write_eof()
 
     async def _handle_request(
         self, number: int, name: str, payload: Any, delivery: Delivery
@@ -786,6 +804,11 @@
         self.unknown.add(protocol, read_clock())
         return protocol
 
+    @property
+    def has_undelivered(self) -> bool:
+        """Whether any client has not received all that was written for it, as far as known."""
+        return any(connection.has_undelivered for connection in self.connections)
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         if self._acceptor is not None:
--- a/persimmondock/_adapters/sockets.py
+++ b/persimmondock/_adapters/sockets.py
@@ -74,6 +74,19 @@
     return count[0] > 0
 
 
+def count_undelivered(sock: Any) -> int:
+    """Return the written bytes that the peer has not acknowledged, 0 if the kernel does not tell.
+
+    The end of the stream counts as one byte.
+    """
+    count = array.array("i", [0])
+    try:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+    except OSError:
+        return 0
+    return count[0]
+
+
 def limit_reads(transport: Any, max_bytes: int) -> None:
     """Have a transport receive at most ``max_bytes`` in one turn of the event loop.
 
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -61,6 +61,7 @@
 START_SETTLE_S = 0.5  # covers the records of daemons that start at the same time
 POLL_INTERVAL_S = 0.05
 STOP_MARGIN_S = 0.7  # reserve before the process is killed
+DELIVERY_TIMEOUT_S = 1.0  # of the last replies to peers, some of which may be lost
 READINESS_DRAIN_S = 2.3  # callers move away after two failed readiness checks, a second apart
 MAX_EARLY_ANNOUNCEMENTS = 16
 KEEP_LOST_S = 30.0  # for operators to write again what a restored store has lost
@@ -293,6 +294,12 @@
         while self.gate.count_in_flight() and read_clock() < stop_by:
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    async def deliver_replies(self, stop_by: float) -> None:
+        """Wait until peers have received their replies; closing a connection may discard them."""
+        deliver_by = min(stop_by, read_clock() + DELIVERY_TIMEOUT_S)
+        while self.mesh.server.has_undelivered and read_clock() < deliver_by:
+            await asyncio.sleep(POLL_INTERVAL_S)
+
     def close(self) -> None:
         """End all tasks and close all connections."""
         self.tasks.cancel()
--- a/persimmondock/platform/_daemon.py
+++ b/persimmondock/platform/_daemon.py
@@ -128,6 +128,7 @@
         await asyncio.gather(
             self._ingress.close(stop_by - read_clock()), self.sidecar.drain(stop_by)
         )
+        await self.sidecar.deliver_replies(stop_by)
         await self.close()
 
     async def close(self) -> None:
