A new process uses a server only if nothing says it may have left

Callers saw: requests that went to a backend server which had announced its departure, had been acknowledged, and was about to exit.

Cause: the departure was acknowledged during an outage of the store since one of three peers kept it in memory, and all daemons were killed. The new process took a late report from before the departure for the present state, though nothing showed that store and peers had all that its predecessors had acknowledged.

Change: an acknowledgement rests on the store or on all peers that were asked. A new process needs a proof: a first start, no peers, a peer that a former process would have asked and that has run since before the oldest report that may still arrive, or that time has passed. Until then it uses a server that sends a report behind a response on the same connection, which one that has withdrawn never does. It works since a report can only be taken for the present one if it was sent by a server that still announces itself. Heartbeats are sent as soon as a peer is connected.

--- a/persimmondock/_adapters/http_server.py
+++ b/persimmondock/_adapters/http_server.py
@@ -330,6 +330,7 @@
         self._undelivered_bytes = 0  # when they were last counted
         self._is_spared = False  # from making way until all is delivered
         self._discarded_bytes = 0
+        self._has_responded = self._follows_response = False
         self._reset_message()
 
     def _reset_message(self) -> None:
@@ -556,6 +557,7 @@
         self._share.mark_busy(self)
         self._reset_message()
         self._messages_in_part += 1
+        self._follows_response = self._has_responded
         self._in_message = self._in_header = True
         self._deadline = read_clock() + self._server.limits.header_timeout_s
 
@@ -657,6 +659,7 @@
             tuple(self._headers),
             bytes(self._body),
             self._received_at,
+            self._follows_response,
         )
         self._in_message = self._must_continue = False
         self._body = b""
@@ -708,6 +711,7 @@
         """Send the responses that are due, and begin the requests that may run now."""
         while self._writable and (response := self.pipeline.find_first_answer()) is not None:
             exchange = self.pipeline.pop()
+            self._has_responded = True
             is_last = self._closes_when_empty and not len(self.pipeline)
             self._write(render_response(exchange.request.method, response, not is_last))
         if self._transport is None:
--- a/persimmondock/_adapters/peer_stream.py
+++ b/persimmondock/_adapters/peer_stream.py
@@ -393,6 +393,11 @@
         ``host:port`` of the peer.
     memory
         Budget for what the peer sends.
+
+    Attributes
+    ----------
+    on_connected
+        Called when a connection has been opened.
     """
 
     def __init__(
@@ -404,6 +409,7 @@
         self._greeting = greeting
         self._last_number = 0
         self._protocol: _ClientProtocol | None = None
+        self.on_connected: Callable[[], None] = lambda: None
         self._mistaken_for = ""
         self._retired: set[_ClientProtocol] = set()
         self._task = asyncio.create_task(keep_running("peer_connection", self._run_connection))
@@ -544,6 +550,7 @@
             protocol.send([REQUEST, 0, "expect", self.node, read_clock()])
             protocol.send([REQUEST, 0, "hello", self._greeting, read_clock()])
             self._protocol = protocol
+            self.on_connected()
             await self._disconnected.wait()
             if protocol.is_refused:
                 await asyncio.sleep(MAX_RECONNECT_DELAY_S)
--- a/persimmondock/_adapters/server_messages.py
+++ b/persimmondock/_adapters/server_messages.py
@@ -55,6 +55,8 @@
     ----------
     received_at
         Time at which the first byte of the request arrived, by `read_clock`.
+    follows_response
+        Whether a response was sent on the connection before that.
     """
 
     method: str
@@ -62,6 +64,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     received_at: float = attrs.field(factory=read_clock)
+    follows_response: bool = False
 
     @property
     def path(self) -> str:
--- a/persimmondock/_tasks/departure_keeper.py
+++ b/persimmondock/_tasks/departure_keeper.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import contextlib
-import math
+import enum
 from typing import TYPE_CHECKING
 
 from loguru import logger
 
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.peer_stream import PeerRequestError
+from persimmondock._domain.backend_report import SILENT_AFTER_S
 from persimmondock._domain.departures import decode_departures, encode_departures
 from persimmondock._domain.log_position import find_era
 from persimmondock._ports.keyed_log import Written
@@ -26,21 +27,36 @@
 
 START_POLL_S = 0.02
 CHECK_INTERVAL_S = 0.5
-# Peers that are lost must not keep a sound backend server unused for long.
-FIRST_REPLIES_S = 0.6
 # An acknowledgement counts within 1 s of the announcement.
 STORE_TIMEOUT_S = 0.35
 PEER_TIMEOUT_S = 0.35
 ASKED_PEERS = 3
 
 
+class Proof(enum.Enum):
+    """Why a process knows all departures that a late announcement may contradict.
+
+    ``TIME`` holds only for announcements that arrive from then on.
+    """
+
+    FIRST_START = "first_start"
+    NO_PEERS = "no_peers"
+    PEERS = "peers"
+    TIME = "time"
+
+
 class DepartureKeeper:
     """Keeps the departures that this daemon acknowledges in the store and at some peers.
 
     An announcement from before a departure may arrive seconds after it, at a new process of the
-    daemon. So a process uses no backend server before it knows what former ones acknowledged. Peers
-    stand in while the store does not answer, or has come back from a copy without the record; so
-    their first replies are awaited as well.
+    daemon. So a process uses no backend server before it knows what former ones acknowledged, or
+    the server is known to announce itself still.
+
+    Peers stand in while the store does not answer, or has come back from a copy without the record.
+    They forget what they keep when they are restarted, as may happen to all daemons at once.
+    Nothing is missing if one of the peers that a former process would have asked has run since
+    before the oldest announcement that may still arrive. Otherwise it is not known whether a
+    departure was acknowledged until no such announcement can arrive any more.
 
     Parameters
     ----------
@@ -56,6 +72,13 @@
         Knows which incarnations have left.
     on_known
         Called once when the departures of former processes are known.
+    is_first_start
+        Whether there was no former process of this daemon.
+
+    Attributes
+    ----------
+    proof
+        Why the departures are known, or None while they are not.
     """
 
     def __init__(
@@ -66,6 +89,7 @@
         mesh: Mesh,
         gate: BackendGate,
         on_known: Callable[[], None],
+        is_first_start: bool = False,
     ) -> None:
         self._key = DEPARTURES_KEY_PREFIX + node
         self._log = log
@@ -78,25 +102,48 @@
         self._recorded = asyncio.Event()
         self._kept = b""
         self._asking: asyncio.Task[bool] | None = None
-        self._known_at = math.inf
+        self._is_first_start = is_first_start
+        self._started_at = read_clock()
+        self.proof: Proof | None = None
 
     @property
     def is_known(self) -> bool:
-        """Whether what former processes acknowledged has arrived from the store and from peers."""
-        now = read_clock()
-        if now < self._known_at and self._has_copy:
-            awaits = self._awaits_peers(now)
-            self._known_at = min(self._known_at, now + FIRST_REPLIES_S) if awaits else now
-        return now >= self._known_at
-
-    def _awaits_peers(self, now: float) -> bool:
-        """Return whether peers may tell of departures soon that the store does not have.
-
-        A store that has lost the record may know of no peers either; they connect on their own.
+        """Whether all departures are known that an announcement may contradict from now on."""
+        if self.proof is None and self._has_copy:
+            self.proof = self._find_proof()
+            if self.proof is not None:
+                logger.info(
+                    "event=departures_known proof={} after_s={:.2f}",
+                    self.proof.value,
+                    read_clock() - self._started_at,
+                )
+        return self.proof is not None
+
+    def _find_proof(self) -> Proof | None:
+        if self._is_first_start:
+            return Proof.FIRST_START
+        # A store that has lost the record may know of no peers either; they connect on their own.
+        if not self._mesh.peers and find_era(self._follower.replica.end) == 0:
+            return Proof.NO_PEERS
+        if self._has_heard_keeper():
+            return Proof.PEERS
+        if read_clock() >= self._started_at + SILENT_AFTER_S:
+            return Proof.TIME
+        return None
+
+    def _has_heard_keeper(self) -> bool:
+        """Return whether a peer has replied that keeps what any former process may have asked.
+
+        A peer was among those asked unless enough others come before it that lived then.
         """
-        if find_era(self._follower.replica.end) == 0:
-            return False
-        return not self._mesh.peers or self._mesh.awaits_first_replies(now)
+        oldest_at = self._started_at - SILENT_AFTER_S
+        first = sorted(self._mesh.peers.values(), key=self._order_of_asking)[:ASKED_PEERS]
+        return any(peer.running_since <= oldest_at for peer in first)
+
+    def _order_of_asking(self, peer: Peer) -> tuple[bool, str]:
+        """Return what peers are sorted by to choose those that keep departures."""
+        member = peer.member
+        return member.failure_domain == self._mesh.own.failure_domain, member.node
 
     @property
     def _has_copy(self) -> bool:
@@ -170,12 +217,9 @@
         return True
 
     async def _ask_peers_to_keep(self, value: bytes) -> bool:
-        """Return whether a peer keeps departures for the next process of this daemon."""
-        own_domain = self._mesh.own.failure_domain
-        peers = sorted(
-            self._mesh.list_alive(read_clock()),
-            key=lambda peer: (peer.member.failure_domain == own_domain, peer.member.node),
-        )[:ASKED_PEERS]
+        """Return whether all peers that are asked keep departures for the next process."""
+        alive = self._mesh.list_alive(read_clock())
+        peers = sorted(alive, key=self._order_of_asking)[:ASKED_PEERS]
 
         async def ask(peer: Peer) -> bool:
             try:
@@ -189,7 +233,8 @@
             kept = await asyncio.gather(*(ask(peer) for peer in peers))
         finally:
             self._asking = None
-        logger.info("event=departures_kept peers={}", sum(kept))
-        if any(kept):
-            self._kept = value
-        return any(kept)
+        logger.info("event=departures_kept peers={} asked={}", sum(kept), len(kept))
+        if not kept or not all(kept):
+            return False
+        self._kept = value
+        return True
--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -82,6 +82,9 @@
         Instant until which it counts as a reader without having replied, as it may be starting.
     configuration_delay_s
         Delay with which it got the newest operators' records, from the latest heartbeat.
+    running_since
+        Instant since which it remembers what it was told: that of its start, or minus infinity if
+        it has never been restarted. Infinity until it says so.
     """
 
     member: Member
@@ -96,6 +99,7 @@
     reads_operator: bool = True
     configuration_delay_s: float = 0.0
     expected_until: float = -math.inf
+    running_since: float = math.inf
 
     @property
     def timeout_s(self) -> float:
@@ -233,6 +237,7 @@
         # What peers asked this daemon to tell their next processes.
         self._kept: dict[str, bytes] = {}
         self.on_kept: Callable[[bytes], None] = lambda _: None
+        self.running_since = read_clock()
         self.priority_peers: frozenset[str] = frozenset()
         self.has_requests_at: Callable[[str], bool] = lambda _: False
         self.peers: dict[str, Peer] = {}
@@ -274,6 +279,8 @@
         greeting = [own.node, own.address, own.failure_domain, own.service]
         peer = Peer(member, PeerClient(greeting, member.node, member.address, self._memory))
         peer.expected_until = read_clock() + JOIN_S
+        # The first reply tells what a former process of this daemon asked the peer to keep.
+        peer.client.on_connected = lambda: self._check_peer(peer, read_clock())
         self.add_peer(peer)
         logger.info("event=peer_known peer={} address={}", member.node, member.address)
 
@@ -313,12 +320,6 @@
         """Return the peers that replied recently."""
         return [peer for peer in self.peers.values() if peer.is_alive(now)]
 
-    def awaits_first_replies(self, now: float) -> bool:
-        """Return whether a peer that has not replied yet may still do so soon."""
-        return any(
-            peer.heard_at == -math.inf and _is_expected(peer, now) for peer in self.peers.values()
-        )
-
     def list_by_service(self, service: str) -> list[Peer]:
         """Return the peers whose backend servers belong to a service."""
         return self._by_service.get(service, [])
@@ -497,9 +498,11 @@
         # Daemons of earlier versions send the ages of confirmations only.
         confirmation_ages = ages[: len(self._followers)]
         copy = CopyStatus(*(ages[len(self._followers) :] or [[]])[0])
-        kept = ages[len(self._followers) + 1 :]
-        if kept and kept[0]:
-            self.on_kept(kept[0])
+        kept, *running_s = ages[len(self._followers) + 1 :] or [b""]
+        if kept:
+            self.on_kept(kept)
+        # Daemons of earlier versions do not say it, and may have been restarted just now.
+        peer.running_since = now - running_s[0] if running_s else math.inf
         peer.reads_operator = copy.store_answers
         peer.heard_at = now
         peer.replica_ends = tuple(ends)
@@ -628,6 +631,7 @@
                 *(follower.compute_confirmation_age(now) for follower in self._followers),
                 attrs.astuple(copy),
                 self._kept.get(node, b""),
+                now - self.running_since,
             ],
         ]
 
--- a/persimmondock/_tasks/sidecar.py
+++ b/persimmondock/_tasks/sidecar.py
@@ -20,7 +20,7 @@
 from persimmondock._ports.keyed_log import Written
 from persimmondock._ports.metrics import NoMetrics
 from persimmondock._tasks.backend_gate import BackendGate
-from persimmondock._tasks.departure_keeper import DepartureKeeper
+from persimmondock._tasks.departure_keeper import DepartureKeeper, Proof
 from persimmondock._tasks.dispatcher import Dispatcher
 from persimmondock._tasks.key_control import KeyControl
 from persimmondock._tasks.loop_meter import LoopMeter
@@ -196,7 +196,10 @@
             self.mesh,
             self.gate,
             self._apply_early_announcements,
+            settings.is_first_start,
         )
+        if settings.is_first_start:
+            self.mesh.running_since = -math.inf
         self.mesh.on_kept = self.departures.apply_record
         self._early_announcements: list[BackendAnnouncement] = []
         self.control = KeyControl(
@@ -307,8 +310,16 @@
 
     # Events.
 
-    def handle_announcement(self, announcement: BackendAnnouncement) -> bool:
-        """Apply an announcement of the backend server; return whether it was accepted."""
+    def handle_announcement(
+        self, announcement: BackendAnnouncement, is_recent: bool = False
+    ) -> bool:
+        """Apply an announcement of the backend server; return whether it was accepted.
+
+        Parameters
+        ----------
+        is_recent
+            Whether it was certainly sent since this process started.
+        """
         settings = self.settings
         if (
             announcement.service != settings.service
@@ -323,7 +334,7 @@
             return False
         if self.departures.is_known:
             self._apply_early_announcements()
-        elif not announcement.draining:
+        elif not (announcement.draining or is_recent):
             # A former process may have acknowledged that this incarnation leaves.
             self._early_announcements.append(announcement)
             del self._early_announcements[:-MAX_EARLY_ANNOUNCEMENTS]
@@ -333,6 +344,10 @@
 
     def _apply_early_announcements(self) -> None:
         early, self._early_announcements = self._early_announcements, []
+        if early and self.departures.proof is Proof.TIME:
+            # They may be from before a departure. A server that has not left sends the next one.
+            logger.info("event=reports_dropped count={}", len(early))
+            return
         for announcement in early:
             self._apply_announcement(announcement)
 
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -239,7 +239,8 @@
         try:
             if request.method == "PUT":
                 announcement = _discovery.decode_announcement(request.path, request.body)
-                if not self._sidecar.handle_announcement(announcement):
+                # A backend server sends the next one after the answer, unless it has left.
+                if not self._sidecar.handle_announcement(announcement, request.follows_response):
                     return ServerResponse(409)
                 if announcement.draining and not await self._sidecar.record_departures():
                     return ServerResponse(503)
--- a/persimmondock/tests/live_site.py
+++ b/persimmondock/tests/live_site.py
@@ -130,6 +130,7 @@
             peer_address=f"{address}:7620",
             bounds=SiteBounds(),
             grant_mode=self.grant_mode,
+            is_first_start=True,
         )
         backend = SiteBackend(
             service,
@@ -209,7 +210,8 @@
 
     async def start_daemon(self, node: LiveNode) -> None:
         """Start a new process of a daemon that has been closed."""
-        node.daemon = PlatformDaemon(node.settings, MetricsEndpoint(METRICS_PORT, "/metrics"))
+        settings = attrs.evolve(node.settings, is_first_start=False)
+        node.daemon = PlatformDaemon(settings, MetricsEndpoint(METRICS_PORT, "/metrics"))
         await node.daemon.start()
 
     async def stop(self) -> None:
--- a/persimmondock/tests/platform/test_departures.py
+++ b/persimmondock/tests/platform/test_departures.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from persimmondock._domain.backend_report import SILENT_AFTER_S
 from persimmondock.tests.live_site import LiveNode, LiveSite, refuse_store_calls, run_site
 
 FOUND_OUT_S = 1.5  # in which a new process hears from the store and from its peers
@@ -123,3 +124,65 @@
             )
         writes = site.store.calls - before
         assert writes <= 2
+
+
+async def restart_all(site: LiveSite) -> None:
+    """Let all daemons forget what they kept for each other, as when all are killed at once."""
+    for node in site.nodes:
+        await node.daemon.close()
+    for node in site.nodes:
+        await site.start_daemon(node)
+
+
+@pytest.mark.parametrize("kills", [1, 2])
+@pytest.mark.parametrize("is_back", [False, True], ids=["store back later", "store back before"])
+@pytest.mark.parametrize("announces_draining", [False, True], ids=["leave", "draining"])
+async def test_a_departure_that_all_daemons_forget_while_the_store_is_down_binds(
+    announces_draining: bool, is_back: bool, kills: int
+) -> None:
+    """DRAIN: all daemons are killed after an acknowledgement that only their memory holds.
+
+    Two late reports from before the departure arrive at the new process.
+    """
+    async with run_site() as site:
+        node = site.nodes[2]
+        node.backend.stop_announcing()
+        late = [node.backend.build_next_announcement() for _ in range(2)]
+        site.store.faults.down = True
+        await asyncio.sleep(0.2)
+        assert await leave(node, announces_draining) == 200
+        site.store.faults.down = not is_back
+        for _ in range(kills):
+            await restart_all(site)
+        await asyncio.sleep(0.3)
+        site.store.faults.down = False
+        await asyncio.sleep(0.7)
+        for announcement in late:
+            assert await node.backend.send_announcement(announcement) == 200
+        await check_unused(site, node)
+        await asyncio.sleep(SILENT_AFTER_S - 2.0)
+        await check_unused(site, node)
+
+
+async def test_sound_backend_servers_are_used_soon_after_all_daemons_were_killed() -> None:
+    """Guards against seconds without any backend server: they prove that they have not left."""
+    async with run_site() as site:
+        site.store.faults.down = True
+        await restart_all(site)
+        site.store.faults.down = False
+        async with asyncio.timeout(2.0):
+            while not all(n.daemon.sidecar.gate.describe().accepts_work for n in site.nodes):
+                await asyncio.sleep(0.02)
+
+
+async def test_a_departure_that_not_all_asked_peers_keep_is_not_acknowledged() -> None:
+    """Guards against an acknowledgement that rests on a peer which the next process cannot name."""
+    async with run_site() as site:
+        node = site.nodes[2]
+        node.backend.stop_announcing()
+        deaf = site.nodes[0].daemon.sidecar.mesh.server
+        with (
+            refuse_store_calls(node),
+            mock.patch.dict(deaf.handlers, {"keep": lambda *_: asyncio.sleep(1.0)}),
+        ):
+            assert await node.backend.send_leave() == 503
--- a/persimmondock/tests/virtual_fleet.py
+++ b/persimmondock/tests/virtual_fleet.py
@@ -270,7 +270,9 @@
             announce_address="",
             peer_address=vm.peer_address,
             grant_mode=grant_mode,
+            is_first_start=not vm.was_started,
         )
+        vm.was_started = True
         self.context = contextvars.copy_context()
         self.context.run(RUNNING_DAEMON.set, self)
         self._client = make_backend_client(vm.backend_address)
@@ -317,6 +319,10 @@
     ----------
     daemon, server
         Their present processes, or None while they are down.
+    was_started
+        Whether a process of the daemon has been started.
+    answered
+        The two processes that share a connection, on which an announcement was answered.
     """
 
     name: str
@@ -329,6 +335,8 @@
     sequence: int = 0
     starts: int = 0
     announcing: asyncio.Task[None] | None = None
+    was_started: bool = False
+    answered: tuple[DaemonProcess, ServerProcess] | None = None
 
     @property
     def host(self) -> str:
@@ -511,7 +519,10 @@
         daemon = vm.daemon
         if daemon is None:
             return
-        accepted = daemon.context.run(daemon.sidecar.handle_announcement, announcement)
+        is_recent = delay_s == 0 and vm.answered == (daemon, server)
+        accepted = daemon.context.run(daemon.sidecar.handle_announcement, announcement, is_recent)
+        if accepted and delay_s == 0:
+            vm.answered = (daemon, server)
         if not accepted or delay_s > 0 or isinstance(self._grant_mode, GrantsByCall):
             return
         reply = daemon.create_task(daemon.sidecar.grant_holdings(announcement))
