A response with an undefined status or version is no answer

Callers saw: nothing until their time was over, where a backend server in trouble had sent a status below 100; a status of 600 to 999, or 200 under another version of HTTP, as an answer.

Cause: whether the status line is one was left to the parsers, which take any three digits and any version.

Change: is_final_status says for both clients which statuses an answer may have; the connection checks the status line when the header is complete and ends. Interim responses are dropped as before.

--- a/persimmondock/_adapters/backend_client.py
+++ b/persimmondock/_adapters/backend_client.py
@@ -14,7 +14,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from persimmondock._domain.fields import filter_answer_fields
+from persimmondock._domain.fields import filter_answer_fields, is_final_status
 from persimmondock._domain.messages import Call
 from persimmondock._domain.verdict import (
     Answer,
@@ -164,6 +164,11 @@
 
 
 async def _read_response(response: aiohttp.ClientResponse) -> Verdict:
+    is_http_1 = response.version is not None and response.version.major == 1
+    if not (is_http_1 and is_final_status(response.status)):
+        # The rest of it cannot be told from the next response.
+        response.close()
+        return MayHaveRun(Reason.ANSWER_INVALID)
     if response.status == 503 and NOT_RUN_HEADER in response.headers:
         return NotRun(Reason.BACKEND_REFUSED, RETRY_AFTER_MS, arrived=True)
     if not _has_known_length(response):
--- a/persimmondock/_adapters/http_exchange.py
+++ b/persimmondock/_adapters/http_exchange.py
@@ -21,6 +21,7 @@
 from persimmondock._adapters.buffered_body import BufferedBody
 from persimmondock._adapters.clock import read_clock
 from persimmondock._adapters.sockets import limit_reads, reset_when_closed, set_socket_options
+from persimmondock._domain.fields import is_final_status
 from persimmondock._domain.memory_budget import PIECE_BYTES, MemoryAccount, MemoryBudget
 
 if TYPE_CHECKING:
@@ -41,6 +42,8 @@
 CHUNK_BYTES = 5  # of a chunk, without its content
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 NO_BODY_STATUSES = frozenset({204, 304})
+FIRST_INTERIM_STATUS = 100
+HTTP_VERSIONS = frozenset({"1.0", "1.1"})
 
 
 class ExchangeError(Exception):
@@ -112,6 +115,10 @@
         return None
 
 
+class _UndefinedError(Exception):
+    """A response with a status or in a version of the protocol that does not exist."""
+
+
 class _TooLargeError(Exception):
     """A response that is larger than allowed."""
 
@@ -402,7 +409,8 @@
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
-        """Determine whether the body ends with the connection."""
+        """Check that this begins a response, and determine whether it ends with the connection."""
+        self._check_status_line()
         self._in_body = True
         values = {name.lower(): value for name, value in self._headers}
         has_body = self._status not in NO_BODY_STATUSES and self._status >= 200
@@ -414,6 +422,13 @@
             if self._length > self._max_bytes and not may_stream:
                 raise _TooLargeError(f"a body of {self._length} bytes is too large")
 
+    def _check_status_line(self) -> None:
+        assert self._parser is not None
+        status, version = self._status, self._parser.get_http_version()
+        is_interim = FIRST_INTERIM_STATUS <= status < 200
+        if not (is_interim or is_final_status(status)) or version not in HTTP_VERSIONS:
+            raise _UndefinedError(f"status {status:03d} in HTTP/{version}")
+
     def on_chunk_header(self) -> None:
         """Refuse chunks with less content than framing, which cost the most to parse."""
         self._chunks += 1
--- a/persimmondock/_domain/fields.py
+++ b/persimmondock/_domain/fields.py
@@ -38,6 +38,15 @@
 )
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a status may be that of an answer: not of an interim one, and defined.
+
+    Clients need not know each status, but they go by its class, and there are five (RFC 9110,
+    section 15).
+    """
+    return 200 <= status <= 599
+
+
 def filter_request_fields(
     fields: Iterable[tuple[str, str]], keep_request_id: bool
 ) -> tuple[Header, ...]:
--- a/persimmondock/standins/site_backend.py
+++ b/persimmondock/standins/site_backend.py
@@ -238,6 +238,8 @@
         call is not answered ends with status 500.
     failure_status
         Status of the answers to requests that have run; 0 for success.
+    status_line
+        First line of the answers to requests that have run, sent as it is; empty for a true one.
     endless_answers
         Which answers do not end; None for no fault.
     endless_attempts
@@ -279,6 +281,7 @@
     calls: list[BackendCall] = attrs.field(factory=list)
     generator: random.Random = attrs.field(factory=random.Random)
     failure_status: int = 0
+    status_line: bytes = b""
     endless_answers: EndlessAnswers | None = None
     endless_attempts: set[str] = attrs.field(factory=set)
     _refused: set[str] = attrs.field(factory=set)
@@ -477,6 +480,9 @@
         if attempt is not None and (self.names_orders or request.path not in ORDER_PATHS):
             response.headers["X-Attempt-Id"] = attempt
         answer = _render_answer(response)
+        if self.status_line and request.path not in ORDER_PATHS:
+            transport.write(self.status_line + answer[answer.index(b"\r\n") :])
+            return await _leave_unanswered()
         if fault is not None and not fault.repeats:
             transport.write(fault.cut(answer))
             if fault.kind == "reset_head":
