A new process asks a peer for lost records once the peer knows of the loss

Callers saw: requests at a failure domain that operators had evacuated, for as long as they did not write the evacuation again (EVAC), if a daemon was restarted right after the store came back from a copy without it.

Cause: a process that finds a restored store asks each peer once, at its first reply, what the store has lost. A peer that has not heard of the restore yet knows of no loss, and was not asked again.

Change: a peer is asked once its copy is of the new era.

--- a/persimmondock/_tasks/departure_keeper.py
+++ b/persimmondock/_tasks/departure_keeper.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import enum
+import math
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -31,6 +32,8 @@
 STORE_TIMEOUT_S = 0.35
 PEER_TIMEOUT_S = 0.35
 ASKED_PEERS = 3
+# Peers that are lost must not keep a sound backend server unused for long.
+FIRST_REPLIES_S = 0.6
 
 
 class Proof(enum.Enum):
@@ -104,6 +107,7 @@
         self._asking: asyncio.Task[bool] | None = None
         self._is_first_start = is_first_start
         self._started_at = read_clock()
+        self._replies_by = math.inf
         self.proof: Proof | None = None
 
     @property
@@ -120,6 +124,8 @@
         return self.proof is not None
 
     def _find_proof(self) -> Proof | None:
+        if self._awaits_peers(read_clock()):
+            return None
         if self._is_first_start:
             return Proof.FIRST_START
         # A store that has lost the record may know of no peers either; they connect on their own.
@@ -131,6 +137,15 @@
             return Proof.TIME
         return None
 
+    def _awaits_peers(self, now: float) -> bool:
+        """Return whether peers may soon tell of what a store has lost that came back."""
+        if find_era(self._follower.replica.end) == 0:
+            return False
+        self._replies_by = min(self._replies_by, now + FIRST_REPLIES_S)
+        if now >= self._replies_by:
+            return False
+        return not self._mesh.peers or self._mesh.awaits_first_replies(now)
+
     def _has_heard_keeper(self) -> bool:
         """Return whether a peer has replied that keeps what any former process may have asked.
 
--- a/persimmondock/_tasks/mesh.py
+++ b/persimmondock/_tasks/mesh.py
@@ -20,6 +20,7 @@
     show_value,
 )
 from persimmondock._domain.gate_status import GateStatus, unpack_status
+from persimmondock._domain.log_position import find_era
 from persimmondock._domain.memory_budget import MemoryBudget
 from persimmondock._domain.replica import KeyedEntry
 from persimmondock._tasks.store_follower import Source
@@ -249,6 +250,7 @@
         self._on_heartbeat = on_heartbeat
         self._lags: dict[int, _Lag] = {}
         self._asked_former: set[str] = set()
+        self._has_fetched_former = False
         # Operators' records that are ordered by themselves, of this daemon and of peers.
         self.list_versioned: Callable[[], list[KeyedEntry]] = list
         self.on_versioned: Callable[[list[KeyedEntry]], None] = lambda _: None
@@ -526,11 +528,30 @@
             if after_read and peer.member.node < self.own.node:
                 operator.record_shared_poll(sent_at - copy.known_age_s)
         self._record_configuration_delay(peer, copy.delay_s, now)
-        node = peer.member.node
-        if self._followers[OPERATOR_INDEX].lacks_former and node not in self._asked_former:
-            self._asked_former.add(node)
+        if self._may_know_former(peer) and peer.member.node not in self._asked_former:
+            self._asked_former.add(peer.member.node)
             self._create_task(self._fetch_former(peer))
 
+    def _may_know_former(self, peer: Peer) -> bool:
+        """Return whether a peer may have lost records of operators that this daemon lacks.
+
+        Until it has heard itself that the store came back, it does not know that they are lost.
+        """
+        operator = self._followers[OPERATOR_INDEX]
+        has_heard = find_era(peer.replica_ends[OPERATOR_INDEX]) >= find_era(operator.replica.end)
+        return operator.lacks_former and has_heard
+
+    def awaits_first_replies(self, now: float) -> bool:
+        """Return whether peers may still tell soon what this process cannot know.
+
+        That is what each of them keeps, and what operators wrote before the store came back.
+        """
+        if self._followers[OPERATOR_INDEX].lacks_former and not self._has_fetched_former:
+            return True
+        return any(
+            peer.heard_at == -math.inf and _is_expected(peer, now) for peer in self.peers.values()
+        )
+
     async def _fetch_former(self, peer: Peer) -> None:
         """Fetch what operators wrote before the store came back, which it may have lost.
 
@@ -545,6 +566,7 @@
             logger.debug("event=former_not_told peer={} error={!r}", peer.member.node, error)
             self._asked_former.discard(peer.member.node)
             return
+        self._has_fetched_former = True
         former, versioned = ([KeyedEntry(*entry) for entry in part] for part in entries)
         if former and follower.lacks_former:
             logger.info("event=former_fetched peer={} keys={}", peer.member.node, len(former))
--- a/persimmondock/tests/virtual_freezes.py
+++ b/persimmondock/tests/virtual_freezes.py
@@ -56,8 +56,8 @@
         self._held_back[daemon] = []
         loop: Any = asyncio.get_running_loop()
 
-        def hold_back(announcement: BackendAnnouncement) -> bool:
-            loop.call_soon(handle_announcement, announcement, context=daemon.context)
+        def hold_back(announcement: BackendAnnouncement, is_recent: bool = False) -> bool:
+            loop.call_soon(handle_announcement, announcement, is_recent, context=daemon.context)
             return True
 
         handle_announcement = daemon.sidecar.handle_announcement
