--- a/persimmondock/soak/checks.py
+++ b/persimmondock/soak/checks.py
@@ -17,7 +17,8 @@
 QUOTA
     Little more requests of a tenant run in any window than its limit allows, at all VMs together.
 MIXED
-    An answer with status 200 is the complete answer to its own request, which has run.
+    An answer has a status that exists; with status 200 it is the complete answer to its own
+    request, which has run.
 HELD
     A request ends by its time limit.
 LOST
@@ -47,7 +48,9 @@
 
 import attrs
 
-NOT_RUN_STATUSES = (429, 503)
+from persimmondock._domain.fields import is_final_status
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 NO_ROUTE_STATUS = 404
 OWNERSHIP_TOLERANCE_S = 0.05  # difference of two clocks on one machine, plus the time of one call
 DRAIN_BOUND_S = 2.0
@@ -426,6 +429,8 @@
             found.append(
                 Breach("MIXED", at, name, f"wrong or incomplete answer, {len(matching_runs)} runs")
             )
+        if not (is_final_status(call.status) or call.error):
+            found.append(Breach("MIXED", at, name, f"status {call.status:03d}"))
         daemon_up = not observations.had_daemon_outage(call.vm, call.sent_at, call.ended_at)
         took_s = call.ended_at - call.sent_at
         if daemon_up and took_s > call.timeout_s + DEADLINE_TOLERANCE_S:
--- a/persimmondock/soak/plan.py
+++ b/persimmondock/soak/plan.py
@@ -45,6 +45,11 @@
 SHED_RATIOS = ("0.2", "0.5", "0.8")
 SHED_DURATIONS_S = (1.0, 3.0, 6.0)
 MEAN_SHEDDING_INTERVAL_S = 6.0
+FAILURE_KINDS = ("fail_runs", "undefined_status", "forget_departure")
+FAILURE_WEIGHTS = (4, 2, 1)
+FAILURE_STATUSES = ("408", "429", "500", "503")
+UNDEFINED_STATUSES = ("000", "042", "600", "999")
+MEAN_FAILURE_INTERVAL_S = 3.0
 PROCESS_KINDS = (
     "endless_answers",
     "endless_requests",
@@ -72,8 +77,8 @@
         Start in seconds after callers start.
     kind
         One of ``VM_KINDS``, ``PATH_KINDS``, ``SITE_KINDS``, ``NOTICE_KINDS``, ``CRASH_KINDS``,
-        ``ANSWER_KINDS``, ``DEPARTURE_KINDS``, ``RESTORE_KINDS``, ``PROCESS_KINDS`` and
-        ``SHEDDING_KINDS``.
+        ``ANSWER_KINDS``, ``DEPARTURE_KINDS``, ``RESTORE_KINDS``, ``PROCESS_KINDS``,
+        ``SHEDDING_KINDS`` and ``FAILURE_KINDS``.
     vm
         Number of the VM; 0 if the event concerns the whole site.
     for_s
@@ -86,7 +91,8 @@
         seconds from the start of a killed daemon to the arrival of an announcement from before the
         departure of its backend server; one of ``ENDLESS_FORMS`` and of ``ENDLESS_PLACES`` or
         ``ENDLESS_PORTS``; a signal and the seconds from a start to it; seconds from SIGTERM to the
-        start of the next process; the service that sheds load, and the share of its requests.
+        start of the next process; the service that sheds load, and the share of its requests; the
+        status of answers.
         Empty for other kinds of events.
     """
 
@@ -117,6 +123,7 @@
     events += draw_restorations(seed, duration_s)
     events += draw_process_faults(seed, duration_s, vms)
     events += draw_shedding(seed, duration_s)
+    events += draw_failures(seed, duration_s, vms)
     return tuple(sorted(events, key=lambda event: event.at_s))
 
 
@@ -254,3 +261,26 @@
         events.append(Event(round(at_s, 2), kind, 0, for_s, f"{service} {ratio}"))
         at_s += generator.expovariate(1 / MEAN_SHEDDING_INTERVAL_S)
     return events
+
+
+def draw_failures(seed: int, duration_s: float, vms: int) -> list[Event]:
+    """Return times of runs that fail, and departures that all daemons forget in an outage.
+
+    They have a sequence of their own, so that the other events of a seed stay the same.
+    """
+    generator = random.Random(f"failures {seed}")
+    events = []
+    at_s = FIRST_EVENT_AT_S
+    while at_s < duration_s - SETTLING_TIME_S:
+        (kind,) = generator.choices(FAILURE_KINDS, FAILURE_WEIGHTS)
+        match kind:
+            case "fail_runs":
+                for_s, mode = generator.choice(DURATIONS_S), generator.choice(FAILURE_STATUSES)
+            case "undefined_status":
+                for_s, mode = generator.choice(DURATIONS_S), generator.choice(UNDEFINED_STATUSES)
+            case _:
+                for_s = generator.choice(KILL_DURATIONS_S)
+                mode = f"{generator.uniform(0.0, MAX_ANNOUNCEMENT_AGE_S):.2f}"
+        events.append(Event(round(at_s, 2), kind, generator.randint(1, vms), for_s, mode))
+        at_s += generator.expovariate(1 / MEAN_FAILURE_INTERVAL_S)
+    return events
--- a/persimmondock/soak/runner.py
+++ b/persimmondock/soak/runner.py
@@ -49,6 +49,7 @@
 RECOVER_WITHIN_S = 15.0
 RESTART_AFTER_S = 0.5
 DRAIN_FOR_S = 4.0
+STORE_MARGIN_S = 0.3  # of an outage, before daemons are killed and after they have started
 ACKNOWLEDGED = 200
 WAKEUP_INTERVAL_S = 0.05
 MIN_LATE_S = 0.25
@@ -334,6 +335,8 @@
             await self._fail_health(vm, event)
         elif event.kind in ("faulty_answers", "unnamed_orders", "refuse_once"):
             await self._disturb_answers(vm, event)
+        elif event.kind in ("fail_runs", "undefined_status"):
+            await self._fail_runs(vm, event)
         elif event.kind == "endless_answers":
             await self._answer_without_end(vm, event)
         elif event.kind == "endless_requests":
@@ -458,6 +461,8 @@
                 await vm.replace_backend()
             case "leave_and_kill" | "drain_and_kill":
                 await self._kill_after_departure(vm, event)
+            case "forget_departure":
+                await self._forget_departure(vm, event)
             case "say_leaving":
                 vm.backend.leaving = True
                 await asyncio.sleep(DRAIN_FOR_S)
@@ -476,12 +481,22 @@
             acked = await backend.send_announcement(departure) == ACKNOWLEDGED
         if acked and backend.drain_acked_at is None:
             backend.drain_acked_at = time.monotonic()
-        self._site.record_daemon_outage(vm, event.for_s)
-        await vm.kill_daemon()
-        await asyncio.sleep(event.for_s)
-        await vm.start_daemon()
+        await self._restart_killed([vm], event.for_s)
+        await self._send_late(vm, late, float(event.mode))
+
+    async def _restart_killed(self, vms: list[SoakVm], for_s: float) -> None:
+        """Kill daemons at once, and start them again."""
+        for vm in vms:
+            self._site.record_daemon_outage(vm, for_s)
+        await asyncio.gather(*(vm.kill_daemon() for vm in vms))
+        await asyncio.sleep(for_s)
+        await asyncio.gather(*(vm.start_daemon() for vm in vms))
+
+    async def _send_late(self, vm: SoakVm, late: dict[str, Any], late_s: float) -> None:
+        """Send an announcement from before a departure late, and replace its server later."""
+        backend = vm.backend
         give_up_at = time.monotonic() + DRAIN_FOR_S
-        await asyncio.sleep(float(event.mode))
+        await asyncio.sleep(late_s)
         while (
             await backend.send_announcement(late) != ACKNOWLEDGED and time.monotonic() < give_up_at
         ):
@@ -489,6 +504,39 @@
         await asyncio.sleep(DRAIN_FOR_S)
         await vm.replace_backend()
 
+    async def _forget_departure(self, vm: SoakVm, event: Event) -> None:
+        """Kill all daemons that may be, after one answered to a departure in an outage."""
+        store, backend = self._site.store, vm.backend
+        backend.stop_announcing()
+        late = backend.build_next_announcement()
+        self._site.record_store_outage("site", event.for_s + 2 * STORE_MARGIN_S)
+        store.faults.down = True
+        store.release_waiting_reads()
+        await asyncio.sleep(STORE_MARGIN_S)
+        if await backend.send_leave() == ACKNOWLEDGED:
+            backend.drain_acked_at = time.monotonic()
+        others = [other for other in self._site.vms if not other.busy]
+        for other in others:
+            other.busy = True
+        try:
+            await self._restart_killed([vm, *others], event.for_s)
+            await asyncio.sleep(STORE_MARGIN_S)
+        finally:
+            store.faults.down = False
+            for other in others:
+                other.busy = False
+        await self._send_late(vm, late, float(event.mode))
+
+    async def _fail_runs(self, vm: SoakVm, event: Event) -> None:
+        """Have the present backend server fail all runs, or answer with no status."""
+        backend = vm.backend
+        if event.kind == "fail_runs":
+            backend.failure_status = int(event.mode)
+        else:
+            backend.status_line = f"HTTP/1.1 {event.mode} X".encode()
+        await asyncio.sleep(event.for_s)
+        backend.failure_status, backend.status_line = 0, b""
+
     async def _name_limit(self, vm: SoakVm, event: Event) -> None:
         """Have the present backend server name a limit for a time, beside all other events."""
         backend = vm.backend
--- a/persimmondock/tests/soak/test_checks.py
+++ b/persimmondock/tests/soak/test_checks.py
@@ -51,6 +51,8 @@
         ("MIXED", make_call(whole=False), [RUN]),
         ("MIXED", CALL, []),
         ("HELD", make_call(status=504, ended_at=12.6), [RUN]),
+        ("MIXED", make_call(status=0, whole=False), [RUN]),
+        ("MIXED", make_call(status=600), [RUN]),
         ("LOST", make_call(status=0, whole=False, error="cut"), [RUN]),
         ("LOST", make_call(status=0, whole=False, error="cut", ended_at=10.5), []),
     ],
--- a/persimmondock/tests/soak/test_plan.py
+++ b/persimmondock/tests/soak/test_plan.py
@@ -8,6 +8,7 @@
     ANSWER_KINDS,
     CRASH_KINDS,
     DEPARTURE_KINDS,
+    FAILURE_KINDS,
     PROCESS_KINDS,
     RESTORE_KINDS,
     SETTLING_TIME_S,
@@ -16,6 +17,7 @@
     draw_answers,
     draw_crashes,
     draw_departures,
+    draw_failures,
     draw_plan,
     draw_process_faults,
     draw_restorations,
@@ -30,7 +32,7 @@
 
 def test_plans_have_all_kinds_and_overlapping_events() -> None:
     events = [event for seed in range(20) for event in draw_plan(seed, 60.0, 6)]
-    assert len({event.kind for event in events}) == 32
+    assert len({event.kind for event in events}) == 35
     plan = draw_plan(3, 60.0, 6)
     assert any(one.at_s + one.for_s > two.at_s for one, two in itertools.pairwise(plan))
 
@@ -48,8 +50,9 @@
     assert [e for e in plan if e.kind in DEPARTURE_KINDS] == draw_departures(310, 25.0, 6)
     assert [e for e in plan if e.kind in PROCESS_KINDS] == draw_process_faults(310, 25.0, 6)
     assert [e for e in plan if e.kind in SHEDDING_KINDS] == draw_shedding(310, 25.0)
+    assert [e for e in plan if e.kind in FAILURE_KINDS] == draw_failures(310, 25.0, 6)
     kinds = (CRASH_KINDS, ANSWER_KINDS, DEPARTURE_KINDS, RESTORE_KINDS, PROCESS_KINDS)
-    later = {kind for group in (*kinds, SHEDDING_KINDS) for kind in group}
+    later = {kind for group in (*kinds, SHEDDING_KINDS, FAILURE_KINDS) for kind in group}
     others = [event for event in plan if event.kind not in later]
     assert len(others) == 16
     assert others[0] == Event(3.0, "configure", 0, 0.3)
--- a/persimmondock/tests/soak/test_soak.py
+++ b/persimmondock/tests/soak/test_soak.py
@@ -10,7 +10,7 @@
 
 from persimmondock.soak import runner as soak_runner
 from persimmondock.soak.checks import TIMED_RULES
-from persimmondock.soak.plan import Event, draw_plan
+from persimmondock.soak.plan import UNDEFINED_STATUSES, Event, draw_plan
 from persimmondock.soak.runner import SoakRunner
 from persimmondock.soak.site import SoakSite
 from persimmondock.standins.site_backend import LateGrants
@@ -95,6 +95,30 @@
     assert "REFUSED" in await run_soak(tmp_path, plan, "refusal")
 
 
+async def test_runs_that_fail_are_not_told_as_refusals(tmp_path: Path) -> None:
+    """Guards against a request that may run once and is sent again after a failed run."""
+    statuses = ("503", "429", "408", "503")
+    plan = [
+        Event(0.5 + n, "fail_runs", VMS - n % 2, 1.5, status) for n, status in enumerate(statuses)
+    ]
+    assert await run_soak(tmp_path, (*plan, Event(5.0, "reload", 1))) <= TIMED_RULES
+
+
+async def test_statuses_that_do_not_exist_reach_no_caller(tmp_path: Path) -> None:
+    """Guards against bytes of a server in trouble that are passed on as an answer."""
+    plan = [
+        Event(0.5 + n, "undefined_status", VMS - n % 2, 1.5, s)
+        for n, s in enumerate(UNDEFINED_STATUSES)
+    ]
+    assert await run_soak(tmp_path, (*plan, Event(5.0, "reload", 1))) <= TIMED_RULES
+
+
+async def test_a_departure_that_all_daemons_forget_binds(tmp_path: Path) -> None:
+    """Guards against a late announcement that a new process takes for the present state."""
+    plan = (Event(0.5, "forget_departure", 5, 0.5, "1.2"), Event(14.0, "reload", 1))
+    assert await run_soak(tmp_path, plan) <= TIMED_RULES - {"DRAIN"}
+
+
 @pytest.mark.parametrize(("mechanism", "rule"), [("key", "TENANT"), ("quota", "QUOTA")])
 async def test_faults_with_tenants_are_detected(tmp_path: Path, mechanism: str, rule: str) -> None:
     """One variant passes keys on, the other forgets what a tenant has used."""
