A server is asked for a further report while it may have left

Callers saw: after a kill of all daemons, refusals for up to one more announcement interval, since the proof that a server has not left is the report behind its first one, and that came an interval later.

Change: the first report gets 503 instead of an acknowledgement unless a proof comes within 0.25 s of the start, so that a server that still announces itself sends the next one at once. A late report has no sender any more. The soak delivers a late report once, as it does not come again after an answer of any status.

--- a/persimmondock/_tasks/departure_keeper.py
+++ b/persimmondock/_tasks/departure_keeper.py
@@ -34,6 +34,8 @@
 ASKED_PEERS = 3
 # Peers that are lost must not keep a sound backend server unused for long.
 FIRST_REPLIES_S = 0.6
+# Peers mostly prove within 0.15 s of a start that nothing is missing.
+FIRST_PROOF_S = 0.25
 
 
 class Proof(enum.Enum):
@@ -165,6 +167,17 @@
         replica = self._follower.replica
         return replica.confirmed_by_store or replica.end > 0
 
+    async def may_confirm(self) -> bool:
+        """Return whether an announcement may be acknowledged that a departure may contradict.
+
+        Right after the start, a proof is waited for. Later its server is to send another one at
+        once, which proves that it still announces itself.
+        """
+        prove_by = self._started_at + FIRST_PROOF_S
+        while not (self.is_known or self._is_first_start) and read_clock() < prove_by:
+            await asyncio.sleep(START_POLL_S)
+        return self.is_known or self._is_first_start
+
     def apply_record(self, value: bytes) -> None:
         """Apply departures that a former process has recorded."""
         try:
--- a/persimmondock/platform/_ingress.py
+++ b/persimmondock/platform/_ingress.py
@@ -234,14 +234,19 @@
 
         The status is 409 for an announcement of another service or address, and 400 for an
         invalid one. It is 503 if a departure cannot be recorded: it is obeyed, but a new process
-        of this daemon would not know of it.
+        of this daemon would not know of it; and if it is not known whether a former process
+        acknowledged that the backend server leaves.
         """
         try:
             if request.method == "PUT":
                 announcement = _discovery.decode_announcement(request.path, request.body)
                 # A backend server sends the next one after the answer, unless it has left.
-                if not self._sidecar.handle_announcement(announcement, request.follows_response):
+                is_recent = request.follows_response
+                if not self._sidecar.handle_announcement(announcement, is_recent):
                     return ServerResponse(409)
+                is_certain = is_recent or announcement.draining
+                if not (is_certain or await self._sidecar.departures.may_confirm()):
+                    return ServerResponse(503)
                 if announcement.draining and not await self._sidecar.record_departures():
                     return ServerResponse(503)
                 granted = await self._sidecar.grant_holdings(announcement)
