--- a/persimmondock/_adapters/http_server.py
+++ b/persimmondock/_adapters/http_server.py
@@ -826,7 +826,6 @@
                 self._write(piece)
                 self._hold_answers()
             self.pipeline.pop()
-            self._has_responded = True
         except Exception as error:
             _log_cut(error)
             if has_begun:
--- a/persimmondock/_adapters/server_messages.py
+++ b/persimmondock/_adapters/server_messages.py
@@ -56,7 +56,7 @@
     received_at
         Time at which the first byte of the request arrived, by `read_clock`.
     follows_response
-        Whether a response was sent on the connection before that.
+        Whether a response that was not streamed was sent on the connection before that.
     """
 
     method: str
