--- a/review/lib3/site3.py
+++ b/review/lib3/site3.py
@@ -142,9 +142,10 @@
 
 
 class Store:
-    """The platform's store, sound and quick."""
+    """The platform's store, quick; while `down` it answers 503."""
 
     def __init__(self) -> None:
+        self.down = False
         self._partitions: dict[tuple[str, int], Partition] = defaultdict(Partition)
         self._server: asyncio.Server | None = None
 
@@ -163,7 +164,9 @@
                 path, _, query_text = target.partition("?")
                 query = dict(item.split("=", 1) for item in query_text.split("&") if item)
                 partition = self._partitions[query.get("topic", ""), int(query.get("part", 0))]
-                status, body = await self._answer(path, query, request.body, partition)
+                status, body = 503, b""
+                if not self.down:
+                    status, body = await self._answer(path, query, request.body, partition)
                 writer.write(render(f"HTTP/1.1 {status} X", {"Store-Era": 0}, body))
         except (OSError, asyncio.CancelledError):
             pass
@@ -251,6 +254,7 @@
         self._free = asyncio.Condition()
         self.instance, self.born_ms = "", 0
         self.state = "ready"
+        self.announces = True
 
     async def start(self) -> None:
         self._life += 1
@@ -290,20 +294,24 @@
         if self._server is not None:
             self._server.close()
 
+    def build_report(self) -> dict[str, object]:
+        """Return the next liveness report."""
+        self._sequence += 1
+        left_s = max(0.0, self.cold_s - (time.monotonic() - self._born_at))
+        return {
+            "service": self.vm.service, "address": self.vm.backend_address,
+            "zone": self.vm.zone, "version": "v1", "capacity": self.slots,
+            "state": self.state, "cold_s": round(left_s, 3), "sequence": self._sequence,
+            "born": self.born_ms,
+        }  # fmt: skip
+
     async def _announce(self, life: int) -> None:
         """Report liveness about every `HEARTBEAT_S`; the next one follows the answer."""
         host, _, port = self.vm.control_address.rpartition(":")
         reader = writer = None
-        while life == self._life:
+        while life == self._life and self.announces:
             began = time.monotonic()
-            self._sequence += 1
-            left_s = max(0.0, self.cold_s - (began - self._born_at))
-            body = {
-                "service": self.vm.service, "address": self.vm.backend_address,
-                "zone": self.vm.zone, "version": "v1", "capacity": self.slots,
-                "state": self.state, "cold_s": round(left_s, 3), "sequence": self._sequence,
-                "born": self.born_ms,
-            }  # fmt: skip
+            body = self.build_report()
             try:
                 async with asyncio.timeout(1.0):
                     if writer is None:
